Settle ids, messages, ports and the checks

Cause: the parts are built side by side, so message types, ports and the checks must stand first. Ruled out: bare dictionaries between the parts, which would let each part guess the others' keys. Before: nothing. Conclusion: parts can be written against these types.

--- /dev/null
+++ b/.ci/suite.py
@@ -0,0 +1,107 @@
+"""Runs the unit tests and the scenarios and prints one closing line.
+
+Failures that KNOWN-RED.txt lists are printed but do not fail the run.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+TEST_ROOTS = ("fuchsiascale", "standins", "measurements")
+
+
+def read_known_red():
+    """Return the names of the tests that KNOWN-RED.txt lists.
+
+    Returns
+    -------
+    frozenset of str
+        The text behind each ``test:`` prefix.
+    """
+    if not KNOWN_RED.exists():
+        return frozenset()
+    lines = KNOWN_RED.read_text().splitlines()
+    prefix = "test:"
+    return frozenset(
+        line.removeprefix(prefix).strip() for line in lines if line.startswith(prefix)
+    )
+
+
+def find_cases(suite):
+    """Yield every test case of a nested suite."""
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from find_cases(item)
+        else:
+            yield item
+
+
+def run_unit_tests(match):
+    """Run the unit tests; return the sets of passed and failed names."""
+    loader = unittest.TestLoader()
+    suite = unittest.TestSuite()
+    for root in TEST_ROOTS:
+        found = loader.discover(root, pattern="test_*.py", top_level_dir=str(ROOT))
+        suite.addTests(case for case in find_cases(found) if match in case.id())
+    names = {case.id() for case in find_cases(suite)}
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    bad = {case.id() for case, _ in result.failures + result.errors}
+    bad |= {case.id() for case in result.unexpectedSuccesses}
+    return names - bad, bad
+
+
+def run_scenarios(match):
+    """Run the behave scenarios; return the sets of passed and failed names."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-capture", "scenarios"]
+        command += ["--format", "json", "--outfile", str(report)]
+        command += ["--format", "progress"]
+        if match:
+            command += ["--name", match]
+        finished = subprocess.run(command, cwd=ROOT, check=False)
+        text = report.read_text() if report.exists() else "[]"
+    passed, failed = set(), set()
+    for feature in json.loads(text or "[]"):
+        for element in feature.get("elements", ()):
+            if element["type"] != "scenario":
+                continue
+            name = f"{feature['name']}: {element['name']}"
+            (passed if element.get("status") == "passed" else failed).add(name)
+    if finished.returncode and not failed:
+        failed.add("scenarios: behave itself failed")
+    return passed, failed
+
+
+def main():
+    """Run what was asked for and exit non-zero on an unlisted failure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", choices=("unit", "scenarios"))
+    parser.add_argument("--match", default="")
+    options = parser.parse_args()
+    passed, failed = set(), set()
+    if options.only != "scenarios":
+        passed, failed = run_unit_tests(options.match)
+    if options.only != "unit" and any(ROOT.glob("scenarios/*.feature")):
+        more_passed, more_failed = run_scenarios(options.match)
+        passed, failed = passed | more_passed, failed | more_failed
+    known = read_known_red()
+    for name in sorted(failed & known):
+        print(f"known red, still failing: {name}")
+    for name in sorted(known & passed):
+        print(f"known red, now passing (strike it from KNOWN-RED.txt): {name}")
+    unlisted = failed - known
+    for name in sorted(unlisted):
+        print(f"failed: {name}")
+    print(f"{len(passed)} passed, {len(unlisted)} failed")
+    sys.exit(1 if unlisted or not passed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that show the system at work."""
--- /dev/null
+++ b/fuchsiascale/api/_operator.py
@@ -0,0 +1,132 @@
+"""Messages of the operator interface."""
+
+from fuchsiascale.api._caller import TaskExplanation
+from fuchsiascale.coordination import DocumentSection, HistoryEntry
+from fuchsiascale.ids import InstanceId, JobId, Revision, ShardId, TeamId
+from fuchsiascale.platform import FencingToken, Message, Resources
+
+__all__ = [
+    "DocumentReply",
+    "DrainRequest",
+    "EditReply",
+    "EditRequest",
+    "Explanation",
+    "HistoryReply",
+    "InstanceStatus",
+    "InstancesReply",
+    "ShardStatus",
+    "ShardsReply",
+    "StatusReply",
+]
+
+
+class DocumentReply(Message):
+    """The document in force at the answering instance."""
+
+    revision: Revision
+    sections: tuple[DocumentSection, ...]
+    text: str
+
+
+class EditRequest(Message):
+    """Replaces the named sections, each at the revision it was read at.
+
+    Parameters
+    ----------
+    text : str
+        INI text that holds the sections to write.
+    expected : tuple of DocumentSection
+        The sections as they were read; only name and revision count. A section
+        absent from it must be new.
+    removed : tuple of str
+        Names of sections to remove.
+    """
+
+    text: str
+    expected: tuple[DocumentSection, ...] = ()
+    removed: tuple[str, ...] = ()
+    author: str = ""
+    check_only: bool = False
+
+
+class EditReply(Message):
+    """Whether an edit was accepted; a conflict names both revisions."""
+
+    accepted: bool
+    revision: Revision = Revision(0)
+    problems: tuple[str, ...] = ()
+    conflicts: tuple[str, ...] = ()
+
+
+class HistoryReply(Message):
+    """Accepted edits, newest first."""
+
+    entries: tuple[HistoryEntry, ...]
+
+
+class InstanceStatus(Message):
+    """What the answering instance believes of an instance or upstream."""
+
+    instance: str
+    role: str
+    address: str
+    failure_domain: str
+    region: str
+    state: str
+    revision: Revision = Revision(0)
+    in_flight: int = 0
+
+
+class InstancesReply(Message):
+    """All instances and upstreams known to the answering instance."""
+
+    instances: tuple[InstanceStatus, ...]
+
+
+class DrainRequest(Message):
+    """Asks an instance to stop gracefully, or to leave an upstream alone."""
+
+    instance: str
+
+
+class ShardStatus(Message):
+    """One shard as the answering instance sees it."""
+
+    shard: ShardId
+    owner: InstanceId
+    token: FencingToken
+    workers: int = 0
+    capacity: Resources = Resources()
+    committed: Resources = Resources()
+    waiting: int = 0
+    running: int = 0
+    in_doubt: int = 0
+
+
+class ShardsReply(Message):
+    """All shards known to the answering instance."""
+
+    shards: tuple[ShardStatus, ...]
+
+
+class Explanation(Message):
+    """Per task, why it waits or where it was placed."""
+
+    job: JobId
+    state: str
+    tasks: tuple[TaskExplanation, ...] = ()
+
+
+class StatusReply(Message):
+    """Summary of the answering instance."""
+
+    instance: InstanceId
+    team: TeamId = TeamId("")
+    failure_domain: str = ""
+    ready: bool = False
+    stopping: bool = False
+    revision: Revision = Revision(0)
+    store_reachable: bool = True
+    in_flight: int = 0
+    shards_held: int = 0
+    version: str = ""
--- /dev/null
+++ b/fuchsiascale/clock.py
@@ -0,0 +1,56 @@
+"""Clocks that are passed in, so that tests can set the time."""
+
+import time
+from typing import Protocol
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
+
+
+class Clock(Protocol):
+    """Source of monotonic and wall-clock time."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never run backwards; for leases and timeouts."""
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the epoch; for records and logs only."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def monotonic(self):
+        """Return the system's monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall_ms(self):
+        """Return the system's wall-clock time in milliseconds."""
+        return time.time_ns() // 1_000_000
+
+
+class ManualClock:
+    """A clock that moves only when told to.
+
+    Examples
+    --------
+    >>> clock = ManualClock()
+    >>> clock.advance(2.5)
+    >>> clock.monotonic()
+    2.5
+    """
+
+    def __init__(self, start_s=0.0, wall_start_ms=0):
+        self._now_s = start_s
+        self._wall_offset_ms = wall_start_ms - int(start_s * 1000)
+
+    def advance(self, seconds):
+        """Move the clock forward."""
+        self._now_s += seconds
+
+    def monotonic(self):
+        """Return the set monotonic time in seconds."""
+        return self._now_s
+
+    def wall_ms(self):
+        """Return the set wall-clock time in milliseconds."""
+        return self._wall_offset_ms + int(self._now_s * 1000)
--- /dev/null
+++ b/fuchsiascale/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""To be filled."""
--- /dev/null
+++ b/fuchsiascale/platform/__init__.py
@@ -0,0 +1,5 @@
+"""Ports to the platform's services and their HTTP adapters."""
+
+from fuchsiascale.platform._errors import *  # noqa: F403
+from fuchsiascale.platform._messages import *  # noqa: F403
+from fuchsiascale.platform._ports import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/platform/_messages.py
@@ -0,0 +1,339 @@
+"""Messages of the platform's services: tables, objects, list, workers, runners."""
+
+import msgspec
+
+from fuchsiascale.ids import (
+    AttemptNumber,
+    CheckpointKey,
+    FailureDomainId,
+    InstanceId,
+    JobKindId,
+    RackId,
+    RegionId,
+    RequestId,
+    RunnerId,
+    ServiceId,
+    TaskId,
+    WorkerId,
+    WriteId,
+)
+from fuchsiascale.states import AttemptState, InstanceRole, ListedState
+
+__all__ = [
+    "NO_TOKEN",
+    "AttemptKey",
+    "AttemptReport",
+    "ClaimReply",
+    "ClaimRequest",
+    "Delete",
+    "ExchangeReply",
+    "ExchangeRequest",
+    "FencingToken",
+    "ListedInstance",
+    "ListedInstances",
+    "Message",
+    "Put",
+    "Resources",
+    "Row",
+    "ScanPage",
+    "StartCommand",
+    "StartReply",
+    "StartRequest",
+    "StartResult",
+    "Throttle",
+    "Transaction",
+    "TransactionReply",
+    "UpstreamAnswer",
+    "UpstreamRequest",
+    "WorkerInventory",
+]
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=False):
+    """Base of all messages: immutable, keyword-only, encoded as JSON."""
+
+
+class Resources(Message):
+    """Amounts of the three resources that a worker commits.
+
+    Parameters
+    ----------
+    millicores : int
+        Processor time, in thousandths of a core.
+    memory_mb : int
+        Memory, in megabytes.
+    accelerators : int
+        Whole accelerators.
+    """
+
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other):
+        return Resources(
+            millicores=self.millicores + other.millicores,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other):
+        return Resources(
+            millicores=self.millicores - other.millicores,
+            memory_mb=self.memory_mb - other.memory_mb,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def fits(self, available):
+        """Return whether these amounts fit into the available ones, all three."""
+        return (
+            self.millicores <= available.millicores
+            and self.memory_mb <= available.memory_mb
+            and self.accelerators <= available.accelerators
+        )
+
+
+class FencingToken(Message, order=True):
+    """Orders the owners of a worker; a worker refuses all but the highest."""
+
+    counter: int
+    holder: InstanceId
+
+
+NO_TOKEN = FencingToken(counter=0, holder=InstanceId(""))
+
+
+class Row(Message):
+    """One row of the table service; a version of 0 means absent."""
+
+    table: str
+    key: str
+    version: int
+    write_id: WriteId
+    value: msgspec.Raw
+
+
+class Put(Message):
+    """A conditional write of one row: applies only at the expected version."""
+
+    table: str
+    key: str
+    expected_version: int
+    value: msgspec.Raw
+
+
+class Delete(Message):
+    """A conditional removal of one row."""
+
+    table: str
+    key: str
+    expected_version: int
+
+
+class Transaction(Message):
+    """Conditional writes that apply together or not at all."""
+
+    write_id: WriteId
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[Delete, ...] = ()
+
+
+class TransactionReply(Message):
+    """Whether a transaction was applied, and the rows that spoke against it."""
+
+    applied: bool
+    conflicts: tuple[Row, ...] = ()
+
+
+class ScanPage(Message):
+    """Rows in key order; ``next_after`` is empty on the last page."""
+
+    rows: tuple[Row, ...] = ()
+    next_after: str = ""
+
+
+class ListedInstance(Message):
+    """One entry of the platform's lagging instance list."""
+
+    instance_id: str
+    role: InstanceRole
+    address: str
+    failure_domain: FailureDomainId
+    region: RegionId
+    rack: RackId = RackId("")
+    state: ListedState = ListedState.LIVE
+    service: ServiceId = ServiceId("")
+    worker: WorkerId = WorkerId("")
+
+
+class ListedInstances(Message):
+    """The platform's instance list, as of some moments ago."""
+
+    instances: tuple[ListedInstance, ...] = ()
+
+
+class AttemptKey(Message):
+    """Names one attempt at one task."""
+
+    task: TaskId
+    attempt: AttemptNumber
+
+
+class AttemptReport(Message):
+    """One attempt as its worker sees it.
+
+    Parameters
+    ----------
+    demand : Resources
+        What the worker has committed to the attempt while it runs.
+    used : Resources
+        The lagging measurement of what the attempt uses.
+    """
+
+    task: TaskId
+    attempt: AttemptNumber
+    kind: JobKindId
+    state: AttemptState
+    demand: Resources
+    used: Resources = Resources()
+    checkpoint: CheckpointKey | None = None
+    detail: str = ""
+
+    @property
+    def key(self):
+        """The attempt's name."""
+        return AttemptKey(task=self.task, attempt=self.attempt)
+
+
+class WorkerInventory(Message):
+    """All that a worker holds: running attempts and unacknowledged ended ones.
+
+    Parameters
+    ----------
+    capacity : Resources
+        What the worker has in all.
+    reserved : Resources
+        What its runners take of the capacity.
+    lease_ms : int
+        Remaining lease of the owner, in milliseconds; attempts stop at zero.
+    """
+
+    worker: WorkerId
+    token: FencingToken
+    capacity: Resources
+    reserved: Resources = Resources()
+    attempts: tuple[AttemptReport, ...] = ()
+    lease_ms: int = 0
+    leaving: bool = False
+
+
+class ClaimRequest(Message):
+    """Asks a worker to take commands under this token only, for a lease."""
+
+    token: FencingToken
+    lease_ms: int
+
+
+class ClaimReply(Message):
+    """A worker's answer to a claim; refused when a higher token was seen."""
+
+    granted: bool
+    highest: FencingToken
+    inventory: WorkerInventory | None = None
+
+
+class StartCommand(Message):
+    """Starts one attempt, from a checkpoint where one is named."""
+
+    task: TaskId
+    attempt: AttemptNumber
+    kind: JobKindId
+    demand: Resources
+    run_ms: int
+    checkpoint: CheckpointKey | None = None
+    payload: str = ""
+
+
+class StartRequest(Message):
+    """A batch of starts under one token."""
+
+    token: FencingToken
+    starts: tuple[StartCommand, ...]
+
+
+class StartResult(Message):
+    """Whether one attempt was started, and the reason if not."""
+
+    task: TaskId
+    attempt: AttemptNumber
+    started: bool
+    reason: str = ""
+
+
+class StartReply(Message):
+    """A worker's answer to a batch of starts."""
+
+    accepted: bool
+    highest: FencingToken
+    results: tuple[StartResult, ...] = ()
+
+
+class Throttle(Message):
+    """Limits an attempt to a share of its demand, in thousandths."""
+
+    task: TaskId
+    attempt: AttemptNumber
+    share_permille: int
+
+
+class ExchangeRequest(Message):
+    """Renews the lease and carries all commands for a worker but starts.
+
+    Parameters
+    ----------
+    acknowledged : tuple of AttemptKey
+        Ended attempts whose end is recorded; the worker forgets them.
+    checkpoints : tuple of AttemptKey
+        Attempts to checkpoint and evict; each ends as ``CHECKPOINTED``.
+    release : bool
+        Gives the claim up; the lease goes on to run down.
+    """
+
+    token: FencingToken
+    lease_ms: int
+    acknowledged: tuple[AttemptKey, ...] = ()
+    stops: tuple[AttemptKey, ...] = ()
+    checkpoints: tuple[AttemptKey, ...] = ()
+    throttles: tuple[Throttle, ...] = ()
+    release: bool = False
+
+
+class ExchangeReply(Message):
+    """A worker's state after an exchange; refused under a lower token."""
+
+    accepted: bool
+    highest: FencingToken
+    inventory: WorkerInventory | None = None
+
+
+class UpstreamRequest(Message):
+    """One request as it is sent to a runner."""
+
+    request_id: RequestId
+    service: ServiceId
+    method: str
+    path: str
+    deadline_ms: int
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    trace_parent: str = ""
+
+
+class UpstreamAnswer(Message):
+    """A runner's whole answer, checked against length and request id."""
+
+    request_id: RequestId
+    runner: RunnerId
+    status: int
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
--- /dev/null
+++ b/fuchsiascale/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package beside this one."""
--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against the stated targets; run by ``make measure``."""
