--- /dev/null
+++ b/fuchsiascale/pipelines/_calls.py
@@ -0,0 +1,212 @@
+"""Messages that travel through the request pipeline, and the ports it needs."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any, Protocol
+
+import msgspec
+from returns.result import Result
+
+from fuchsiascale.clock import Clock
+from fuchsiascale.coordination import ClusterView, Fleet, Member, ServiceSettings
+from fuchsiascale.ids import IdempotencyKey, RequestId, RunnerId, ServiceId, TeamId
+from fuchsiascale.platform import Message, Runners, UpstreamAnswer, UpstreamRequest
+from fuchsiascale.states import Outcome, Refusal, Urgency
+
+__all__ = [
+    "BodyError",
+    "BodyReader",
+    "Call",
+    "CallAnswer",
+    "CallHeaders",
+    "RequestPorts",
+    "refuse",
+]
+
+DEFAULT_RETRY_AFTER_MS = 1_000
+
+
+class BodyError(Message):
+    """Why a request body could not be read whole."""
+
+    refusal: Refusal
+    detail: str
+
+
+BodyReader = Callable[[int], Awaitable[Result[bytes, BodyError]]]
+
+
+class CallHeaders(Message):
+    """Headers of the caller interface, as received and not yet checked."""
+
+    request_id: str = ""
+    idempotency_key: str = ""
+    idempotent: str = ""
+    deadline_ms: str = ""
+    urgency: str = ""
+    team: str = ""
+    authorization: str = ""
+    content_type: str = "application/octet-stream"
+    trace_parent: str = ""
+
+
+class CallAnswer(Message):
+    """What a caller is told.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Whether the request was run, was not run, or may have been.
+    status : int
+        The upstream's status; 0 lets the outcome and refusal decide.
+    retry_after_ms : int
+        When a request that was not run may be tried again, in milliseconds.
+    retriable : bool
+        Whether another upstream may take the request.
+    """
+
+    outcome: Outcome
+    status: int = 0
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    runner: RunnerId = RunnerId("")
+    refusal: Refusal | None = None
+    detail: str = ""
+    retry_after_ms: int = DEFAULT_RETRY_AFTER_MS
+    retriable: bool = False
+
+
+class Call(Message):
+    """One request on its way through the filters.
+
+    Parameters
+    ----------
+    received_s : float
+        Monotonic time at which the head was received, in seconds.
+    deadline_s : float
+        Monotonic time after which nobody waits for the answer, in seconds.
+    read_body : callable
+        Reads the whole body up to a limit in bytes.
+    claim : object or None
+        Handle of the idempotency-key claim that this request holds.
+    admission : object or None
+        Handle of the admission that this request holds.
+    slot : object or None
+        Handle of the runner slot that this request holds.
+    answer : CallAnswer or None
+        Set by the filter that ends the request.
+    """
+
+    service_id: ServiceId
+    method: str
+    path: str
+    headers: CallHeaders
+    received_s: float
+    read_body: Any
+    request_id: RequestId = RequestId("")
+    service: ServiceSettings | None = None
+    body: bytes = b""
+    team: TeamId = TeamId("")
+    urgency: Urgency = Urgency.URGENT
+    deadline_s: float = 0.0
+    idempotent: bool = False
+    key: IdempotencyKey | None = None
+    claim: Any = None
+    admission: Any = None
+    slot: Any = None
+    span: Any = None
+    answer: CallAnswer | None = None
+
+
+class SlotPort(Protocol):
+    """Slots of the runners that this instance may use now."""
+
+    def acquire(self, view: ClusterView, call: Call, excluded: frozenset[str]) -> Any:
+        """Take a slot of a runner of the call's service; None when none is free."""
+
+    def release(self, slot: Any) -> None:
+        """Give a slot back after its request has surely ended."""
+
+
+class ClaimPort(Protocol):
+    """Claims of idempotency keys."""
+
+    async def claim(self, call: Call) -> Any:
+        """Return a handle, or the CallAnswer that stands for the key."""
+
+    async def settle(self, handle: Any, answer: CallAnswer) -> None:
+        """Record the end of a claimed request."""
+
+
+Forward = Callable[[Member, UpstreamRequest, bool], Awaitable[CallAnswer]]
+
+
+class RequestPorts(msgspec.Struct, frozen=True, kw_only=True):
+    """What the request pipeline needs from outside.
+
+    Parameters
+    ----------
+    runners : Runners
+        Port to the runners.
+    view, fleet : callable
+        Return the current views.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of request ids, jitter and choices.
+    slots : SlotPort
+        Slots of the runners.
+    claims : ClaimPort
+        Claims of idempotency keys.
+    forward : callable or None
+        Sends a request to an instance of another failure domain.
+    """
+
+    runners: Runners
+    view: Callable[[], ClusterView]
+    fleet: Callable[[], Fleet]
+    clock: Clock
+    random: Random
+    slots: Any
+    claims: Any
+    forward: Any = None
+
+
+def refuse(call, refusal, detail="", retry_after_ms=DEFAULT_RETRY_AFTER_MS):
+    """Return the call, ended as surely not run.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    refusal : Refusal
+        The reason.
+    detail : str
+        What was wrong, for the caller to read.
+    retry_after_ms : int
+        When a repeat may succeed, in milliseconds.
+
+    Returns
+    -------
+    Call
+        The call with its answer set.
+    """
+    answer = CallAnswer(
+        outcome=Outcome.NOT_RUN,
+        refusal=refusal,
+        detail=detail,
+        retry_after_ms=retry_after_ms,
+    )
+    return msgspec.structs.replace(call, answer=answer)
+
+
+def complete(call, upstream: UpstreamAnswer):
+    """Return the call, ended by a runner's whole answer."""
+    answer = CallAnswer(
+        outcome=Outcome.DONE,
+        status=upstream.status,
+        body=upstream.body,
+        content_type=upstream.content_type,
+        runner=upstream.runner,
+    )
+    return msgspec.structs.replace(call, answer=answer)
