--- /dev/null
+++ b/fuchsiascale/daemon/_http.py
@@ -0,0 +1,114 @@
+"""Typed JSON routes of the peer, operator and caller listeners."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from fuchsiascale.api import Failure
+from fuchsiascale.platform import Message
+from fuchsiascale.states import Outcome, Refusal
+
+__all__ = [
+    "APPLICATION_KEY",
+    "JSON_CONTENT_TYPE",
+    "Refused",
+    "RouteTable",
+    "encode_reply",
+    "read_message",
+]
+
+APPLICATION_KEY = web.AppKey("application", object)
+JSON_CONTENT_TYPE = "application/json"
+
+
+class Refused(Exception):
+    """Ends a handler with an error answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    reason : Refusal
+        Why the request was not run.
+    detail : str
+        What was wrong, by name.
+    """
+
+    def __init__(self, status, reason, detail):
+        super().__init__(detail)
+        self.status = status
+        self.reason = reason
+        self.detail = detail
+
+
+class Route(msgspec.Struct, frozen=True):
+    """One route with the type of its request body (None for no body)."""
+
+    method: str
+    path: str
+    request_type: type | None
+    handler: Callable[..., Awaitable[Message]]
+
+
+class RouteTable:
+    """Routes that decorated handler functions fill.
+
+    A handler takes the application, the decoded message and the aiohttp
+    request, and returns a message.
+    """
+
+    def __init__(self):
+        self._routes = []
+
+    def route(self, method, path, request_type=None):
+        """Register the decorated coroutine function under a path."""
+
+        def register(handler):
+            self._routes.append(Route(method, path, request_type, handler))
+            return handler
+
+        return register
+
+    def add_to(self, web_application):
+        """Add all registered routes to an aiohttp application."""
+        for entry in self._routes:
+            web_application.router.add_route(
+                entry.method, entry.path, _adapt_handler(entry)
+            )
+
+
+def _adapt_handler(entry):
+    async def handle(request):
+        application = request.app[APPLICATION_KEY]
+        try:
+            message = await read_message(request, entry.request_type)
+            reply = await entry.handler(application, message, request)
+        except Refused as refused:
+            failure = Failure(
+                outcome=Outcome.NOT_RUN, reason=refused.reason, detail=refused.detail
+            )
+            return encode_reply(failure, refused.status)
+        return encode_reply(reply)
+
+    return handle
+
+
+async def read_message(request, message_type):
+    """Decode a JSON request body; raises Refused where it is malformed."""
+    if message_type is None:
+        return None
+    body = await request.read()
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise Refused(400, Refusal.BAD_REQUEST, str(error)) from error
+
+
+def encode_reply(message, status=200):
+    """Return an aiohttp response that carries a message as JSON."""
+    return web.Response(
+        body=msgspec.json.encode(message),
+        status=status,
+        content_type=JSON_CONTENT_TYPE,
+    )
--- /dev/null
+++ b/fuchsiascale/daemon/_lifecycle.py
@@ -0,0 +1,110 @@
+"""Registries of life-cycle hooks and of periodic tasks (keepers)."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+
+import msgspec
+
+__all__ = [
+    "Keeper",
+    "Phase",
+    "keeper",
+    "on_start",
+    "on_stop",
+    "run_keeper",
+    "run_start_hooks",
+    "run_stop_hooks",
+]
+
+Hook = Callable[[object], Awaitable[None]]
+
+
+class Phase(IntEnum):
+    """Order of the start hooks; the stop hooks run from the last to the first."""
+
+    CLIENTS = 1
+    MEMBERSHIP = 2
+    DOCUMENT = 3
+    WORK = 4
+    REQUESTS = 5
+    LISTENERS = 6
+    READINESS = 7
+
+
+class Keeper(msgspec.Struct, frozen=True):
+    """A named function that runs again and again until the daemon stops.
+
+    Parameters
+    ----------
+    period_ms : callable
+        Gives the time between two runs, in milliseconds, from the settings.
+    """
+
+    name: str
+    period_ms: Callable
+    run: Hook
+
+
+_START_HOOKS: list[tuple[Phase, Hook]] = []
+_STOP_HOOKS: list[tuple[Phase, Hook]] = []
+KEEPERS: list[Keeper] = []
+
+
+def on_start(phase):
+    """Register a coroutine function that runs when the daemon starts."""
+
+    def register(hook):
+        _START_HOOKS.append((phase, hook))
+        return hook
+
+    return register
+
+
+def on_stop(phase):
+    """Register a coroutine function that runs when the daemon stops."""
+
+    def register(hook):
+        _STOP_HOOKS.append((phase, hook))
+        return hook
+
+    return register
+
+
+def keeper(name, period_ms):
+    """Register a coroutine function that runs periodically."""
+
+    def register(function):
+        KEEPERS.append(Keeper(name, period_ms, function))
+        return function
+
+    return register
+
+
+async def run_start_hooks(application):
+    """Run the start hooks in the order of their phases."""
+    for _, hook in sorted(_START_HOOKS, key=lambda entry: entry[0]):
+        await hook(application)
+
+
+async def run_stop_hooks(application):
+    """Run the stop hooks from the last phase to the first.
+
+    A hook that fails is logged, and the others still run.
+    """
+    for phase, hook in sorted(_STOP_HOOKS, key=lambda entry: -entry[0]):
+        try:
+            await hook(application)
+        except Exception:
+            application.log.exception("stop hook of phase {} failed", phase.name)
+
+
+async def run_keeper(application, entry):
+    """Run one keeper until it is cancelled, with jitter between the runs."""
+    while True:
+        try:
+            await entry.run(application)
+        except Exception:
+            application.log.exception("keeper {} failed", entry.name)
+        period_s = entry.period_ms(application.settings) / 1000
+        await asyncio.sleep(period_s * application.random.uniform(0.9, 1.1))
