--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -1,4 +1,6 @@
 """Coordination parts: no HTTP, clock and random source passed in."""
 
+from fuchsiascale.coordination._claims import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403
+from fuchsiascale.coordination._slots import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
--- a/fuchsiascale/pipelines/__init__.py
+++ b/fuchsiascale/pipelines/__init__.py
@@ -1,1 +1,4 @@
-"""To be filled."""
+"""Pipelines of filters that requests and jobs travel through."""
+
+from fuchsiascale.pipelines._calls import *  # noqa: F403
+from fuchsiascale.pipelines._requests import *  # noqa: F403
--- a/fuchsiascale/pipelines/_answers.py
+++ b/fuchsiascale/pipelines/_answers.py
@@ -1,6 +1,7 @@
 """The last filter: gives back what a call holds and returns its answer."""
 
 from fuchsiascale.pipelines._filters import register_filter
+from fuchsiascale.pipelines._keys import settle_key
 
 __all__ = ["answer"]
 
@@ -11,5 +12,5 @@
     if call.slot is not None:
         ports.slots.release(call.slot)
     if call.claim is not None:
-        await ports.claims.settle(call.claim, call.answer)
+        await settle_key(call, ports)
     return call.answer
--- a/fuchsiascale/pipelines/_calls.py
+++ b/fuchsiascale/pipelines/_calls.py
@@ -2,13 +2,20 @@
 
 from collections.abc import Awaitable, Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 from returns.result import Result
 
 from fuchsiascale.clock import Clock
-from fuchsiascale.coordination import ClusterView, Fleet, Member, ServiceSettings
+from fuchsiascale.coordination import (
+    ClusterView,
+    Fleet,
+    KeyClaims,
+    Member,
+    ServiceSettings,
+    SlotHolder,
+)
 from fuchsiascale.ids import IdempotencyKey, RequestId, RunnerId, ServiceId, TeamId
 from fuchsiascale.platform import Message, Runners, UpstreamAnswer, UpstreamRequest
 from fuchsiascale.states import Outcome, Refusal, Urgency
@@ -20,6 +27,7 @@
     "CallAnswer",
     "CallHeaders",
     "RequestPorts",
+    "complete",
     "refuse",
 ]
 
@@ -118,26 +126,6 @@
     answer: CallAnswer | None = None
 
 
-class SlotPort(Protocol):
-    """Slots of the runners that this instance may use now."""
-
-    def acquire(self, view: ClusterView, call: Call, excluded: frozenset[str]) -> Any:
-        """Take a slot of a runner of the call's service; None when none is free."""
-
-    def release(self, slot: Any) -> None:
-        """Give a slot back after its request has surely ended."""
-
-
-class ClaimPort(Protocol):
-    """Claims of idempotency keys."""
-
-    async def claim(self, call: Call) -> Any:
-        """Return a handle, or the CallAnswer that stands for the key."""
-
-    async def settle(self, handle: Any, answer: CallAnswer) -> None:
-        """Record the end of a claimed request."""
-
-
 Forward = Callable[[Member, UpstreamRequest, bool], Awaitable[CallAnswer]]
 
 
@@ -154,9 +142,9 @@
         Source of time.
     random : random.Random
         Source of request ids, jitter and choices.
-    slots : SlotPort
+    slots : SlotHolder
         Slots of the runners.
-    claims : ClaimPort
+    claims : KeyClaims
         Claims of idempotency keys.
     forward : callable or None
         Sends a request to an instance of another failure domain.
@@ -167,9 +155,9 @@
     fleet: Callable[[], Fleet]
     clock: Clock
     random: Random
-    slots: Any
-    claims: Any
-    forward: Any = None
+    slots: SlotHolder
+    claims: KeyClaims
+    forward: Forward | None = None
 
 
 def refuse(call, refusal, detail="", retry_after_ms=DEFAULT_RETRY_AFTER_MS):
--- /dev/null
+++ b/fuchsiascale/pipelines/_keys.py
@@ -0,0 +1,94 @@
+"""The filter that claims idempotency keys, and the recording of their end."""
+
+import hashlib
+
+from msgspec.structs import replace
+from returns.result import Success
+
+from fuchsiascale.coordination import ClaimRecord, ClaimUnavailable
+from fuchsiascale.pipelines._calls import CallAnswer, refuse
+from fuchsiascale.pipelines._filters import register_filter
+from fuchsiascale.states import Outcome, Refusal
+
+__all__ = ["claim_key", "digest_request", "settle_key"]
+
+CLAIM_TTL_MS = 86_400_000
+MAX_RECORDED_BYTES = 65_536
+
+
+def digest_request(call):
+    """Return the digest that a repeat of the key has to match.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+
+    Returns
+    -------
+    str
+        Digest of service, method, path, type and body.
+    """
+    head = (call.service_id, call.method, call.path, call.headers.content_type)
+    digest = hashlib.sha256("\0".join(head).encode())
+    digest.update(b"\0")
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+@register_filter("claim")
+async def claim_key(call, ports):
+    """Claim the idempotency key, or answer by what its claim says."""
+    if call.key is None:
+        return call
+    record = ClaimRecord(
+        key=call.key,
+        team=call.team,
+        request=call.request_id,
+        holder=ports.view().instance,
+        body_digest=digest_request(call),
+        expires_ms=ports.clock.wall_ms() + CLAIM_TTL_MS,
+    )
+    result = await ports.claims.claim(record)
+    if isinstance(result, Success):
+        return replace(call, claim=result.unwrap())
+    error = result.failure()
+    if isinstance(error, ClaimUnavailable):
+        detail = error.detail or "the claim could not be recorded"
+        return refuse(call, Refusal.STORE_UNAVAILABLE, detail)
+    return _answer_repeat(call, record, error.record)
+
+
+def _answer_repeat(call, asked, standing):
+    if standing.body_digest != asked.body_digest:
+        detail = "the idempotency key was used for another request"
+        return refuse(call, Refusal.KEY_CONFLICT, detail)
+    if not standing.settled or standing.outcome is not Outcome.DONE:
+        detail = "the outcome of the key's first request is not known"
+        unknown = CallAnswer(
+            outcome=Outcome.UNKNOWN, refusal=Refusal.KEY_IN_PROGRESS, detail=detail
+        )
+        return replace(call, answer=unknown)
+    recorded = CallAnswer(
+        outcome=Outcome.DONE,
+        status=standing.status,
+        body=standing.answer,
+        content_type=standing.content_type,
+    )
+    return replace(call, answer=recorded)
+
+
+async def settle_key(call, ports):
+    """Record the end of a claimed request, the whole answer included."""
+    answer = call.answer
+    record = replace(call.claim.record, outcome=answer.outcome)
+    if answer.outcome is Outcome.DONE and len(answer.body) <= MAX_RECORDED_BYTES:
+        record = replace(
+            record,
+            status=answer.status,
+            answer=answer.body,
+            content_type=answer.content_type,
+        )
+    elif answer.outcome is Outcome.DONE:
+        record = replace(record, outcome=Outcome.UNKNOWN)
+    await ports.claims.settle(call.claim, record)
--- a/fuchsiascale/pipelines/_requests.py
+++ b/fuchsiascale/pipelines/_requests.py
@@ -5,7 +5,7 @@
 
 from msgspec.structs import replace
 
-from fuchsiascale.pipelines import _answers, _checks, _sends  # noqa: F401
+from fuchsiascale.pipelines import _answers, _checks, _keys, _sends  # noqa: F401
 from fuchsiascale.pipelines._calls import CallAnswer, RequestPorts, refuse
 from fuchsiascale.pipelines._filters import FILTERS
 from fuchsiascale.states import Outcome, Refusal
--- a/fuchsiascale/pipelines/_sends.py
+++ b/fuchsiascale/pipelines/_sends.py
@@ -1,4 +1,4 @@
-"""Filters that claim the key, find a slot and send the request upstream."""
+"""Filters that admit a request, find a slot and send the request upstream."""
 
 import asyncio
 
@@ -10,7 +10,7 @@
 from fuchsiascale.platform import RequestNotRun, UpstreamRequest
 from fuchsiascale.states import Outcome, Refusal
 
-__all__ = ["admit", "claim_key", "route", "send"]
+__all__ = ["admit", "route", "send"]
 
 NO_CAPACITY_RETRY_MS = 200
 
@@ -23,22 +23,11 @@
     return call
 
 
-@register_filter("claim")
-async def claim_key(call, ports):
-    """Claim the idempotency key, or answer by what its claim says."""
-    if call.key is None:
-        return call
-    result = await ports.claims.claim(call)
-    if isinstance(result, CallAnswer):
-        return replace(call, answer=result)
-    return replace(call, claim=result)
-
-
 @register_filter("route")
 async def route(call, ports):
     """Take a slot of a runner in this failure domain."""
     view = ports.view()
-    slot = ports.slots.acquire(view, call, frozenset())
+    slot = ports.slots.acquire(view, call.service_id, call.service.slots)
     if slot is not None:
         return replace(call, slot=slot)
     detail = "no slot of any runner is free"
