Add the ledger of slot credits

Cause: slots divided over the members believed are passed when members disagree. Ruled out: floor shares by rank (two members may both believe to be first); share rows in the store (no floors for new instances in an outage). Change: the owner lends while the worker's fencing token is confirmed as its own; a new owner copies the ledger of the one before or waits its credits out; floors are credits of a longer lease.

--- a/fuchsiascale/api/_peer.py
+++ b/fuchsiascale/api/_peer.py
@@ -1,13 +1,21 @@
 """Messages between instances."""
 
-from fuchsiascale.coordination import ClaimRecord, DocumentSection
+from fuchsiascale.coordination import (
+    ClaimRecord,
+    CreditGrant,
+    CreditReply,
+    CreditRequest,
+    CreditWish,
+    DocumentSection,
+    LedgerReply,
+    LedgerRequest,
+)
 from fuchsiascale.ids import (
     ChunkId,
     FailureDomainId,
     InstanceId,
     RegionId,
     Revision,
-    RunnerId,
     ShardId,
 )
 from fuchsiascale.platform import (
@@ -31,6 +39,8 @@
     "KeyClaimReply",
     "KeyClaimRequest",
     "KeySettleRequest",
+    "LedgerReply",
+    "LedgerRequest",
     "PeerDigest",
     "SectionsReply",
     "SectionsRequest",
@@ -108,38 +118,6 @@
     sections: tuple[DocumentSection, ...] = ()
 
 
-class CreditWish(Message):
-    """How many slots and connections of a runner an instance could use."""
-
-    runner: RunnerId
-    slots: int
-    connections: int
-
-
-class CreditRequest(Message):
-    """Asks the owner of a shard for credits on its runners."""
-
-    instance: InstanceId
-    shard: ShardId
-    wishes: tuple[CreditWish, ...]
-
-
-class CreditGrant(Message):
-    """Slots and connections of a runner, for some milliseconds."""
-
-    runner: RunnerId
-    slots: int
-    connections: int
-    lease_ms: int
-
-
-class CreditReply(Message):
-    """Grants for one instance; not the owner when ``owner`` is false."""
-
-    owner: bool
-    grants: tuple[CreditGrant, ...] = ()
-
-
 class KeyClaimRequest(Message):
     """Asks a key's home instance to insert the claim row before the send."""
 
--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -1,6 +1,8 @@
 """Coordination parts: no HTTP, clock and random source passed in."""
 
 from fuchsiascale.coordination._claims import *  # noqa: F403
+from fuchsiascale.coordination._credit_messages import *  # noqa: F403
+from fuchsiascale.coordination._credits import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403
 from fuchsiascale.coordination._slots import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -2,92 +2,227 @@
 
 import msgspec
 
+from fuchsiascale.coordination._credit_messages import CreditRequest, CreditWish
 from fuchsiascale.platform import ListedInstance
 from fuchsiascale.states import InstanceRole, ListedState
 
-__all__ = ["Slot", "SlotHolder"]
+__all__ = ["RunnerIndex", "Slot", "SlotHolder", "index_runners"]
+
+RENEW_BEFORE_S = 6.0
+RENEW_FLOOR_BEFORE_S = 60.0
 
 
 class Slot(msgspec.Struct, eq=False):
     """One slot of a runner, taken until it is released."""
 
     runner: ListedInstance
+    taken_s: float = 0.0
     released: bool = False
 
 
+class _Credit(msgspec.Struct):
+    """What this instance holds of one runner."""
+
+    in_use: int = 0
+    limit: int = 0
+    until_s: float = 0.0
+    floor: int = 0
+    floor_until_s: float = 0.0
+    peak: int = 0
+    sequence: int = 0
+    sent_s: float = 0.0
+    pending: bool = False
+
+    def usable(self, end_s):
+        """Return the slots that may be in use until a time."""
+        usable = self.limit if end_s <= self.until_s else 0
+        if usable < self.floor and end_s <= self.floor_until_s:
+            usable = self.floor
+        return usable
+
+
 class SlotHolder:
     """Counts the requests that this instance has at each runner.
 
+    Parameters
+    ----------
+    instance : InstanceId
+        This instance.
+    clock : Clock
+        Source of time.
+
     Examples
     --------
-    >>> from fuchsiascale.coordination import ClusterView
-    >>> holder = SlotHolder()
-    >>> view = ClusterView(instance="a", failure_domain="f", region="r")
-    >>> holder.acquire(view, "aula-hub", 8) is None
-    True
+    >>> from fuchsiascale.clock import ManualClock
+    >>> holder = SlotHolder("a", ManualClock())
+    >>> holder.in_use
+    0
     """
 
-    def __init__(self):
-        self._in_use = {}
-        self._view = None
-        self._by_service = {}
+    def __init__(self, instance, clock):
+        self._instance = instance
+        self._clock = clock
+        self._incarnation = clock.wall_ms()
+        self._sequence = 0
+        self._credits = {}
 
     @property
     def in_use(self):
         """Number of slots taken over all runners."""
-        return sum(self._in_use.values())
+        return sum(credit.in_use for credit in self._credits.values())
+
+    def count_in_use(self, runner):
+        """Return the number of slots taken at a runner."""
+        credit = self._credits.get(runner)
+        return 0 if credit is None else credit.in_use
 
-    def acquire(self, view, service, slots, excluded=frozenset()):
-        """Take a slot of the least loaded runner of a service.
+    def count_usable(self, runner, end_s):
+        """Return the slots of a runner that requests may use until a time."""
+        credit = self._credits.get(runner)
+        return 0 if credit is None else credit.usable(end_s)
+
+    def acquire(self, runner, end_s):
+        """Take a slot for a request that has surely ended at a time.
 
         Parameters
         ----------
-        view : ClusterView
-            Members and upstreams.
-        service : ServiceId
-            The service.
-        slots : int
-            Slots of each runner, over all instances.
-        excluded : frozenset of str
-            Runners that may not be used.
+        runner : ListedInstance
+            The runner.
+        end_s : float
+            Monotonic time, in seconds.
 
         Returns
         -------
         Slot or None
-            The slot; None where none is free.
+            None where no credit covers the request.
         """
-        limit = slots // max(1, len(view.members))
-        best = None
-        for runner in self._runners(view, service):
-            used = self._in_use.get(runner.instance_id, 0)
-            if used >= limit or runner.instance_id in excluded:
-                continue
-            if best is None or used < best[0]:
-                best = (used, runner)
-        if best is None:
+        credit = self._credit(runner.instance_id)
+        if credit.in_use >= credit.usable(end_s):
             return None
-        name = best[1].instance_id
-        self._in_use[name] = self._in_use.get(name, 0) + 1
-        return Slot(runner=best[1])
+        credit.in_use += 1
+        credit.peak = max(credit.peak, credit.in_use)
+        return Slot(runner=runner, taken_s=self._clock.monotonic())
 
     def release(self, slot):
         """Give a slot back, once."""
         if slot.released:
             return
         slot.released = True
-        name = slot.runner.instance_id
-        self._in_use[name] -= 1
-        if not self._in_use[name]:
-            del self._in_use[name]
+        self._credits[slot.runner.instance_id].in_use -= 1
+
+    def make_request(self, shard, runners, extra=0, force=False):
+        """Return an ask for the runners whose credit needs one; None for none.
+
+        Credit beyond what the ask names as kept is given up from now on, so the
+        owner can lend it at once to others.
+
+        Parameters
+        ----------
+        shard : ShardId
+            The shard.
+        runners : iterable of RunnerId
+            Its runners.
+        extra : int
+            Slots that waiting requests could use at each runner.
+        force : bool
+            Whether to ask for every runner.
+
+        Returns
+        -------
+        CreditRequest or None
+            The ask.
+        """
+        now_s = self._clock.monotonic()
+        due = [name for name in runners if force or self._is_due(name, extra, now_s)]
+        if not due:
+            return None
+        self._sequence += 1
+        return CreditRequest(
+            instance=self._instance,
+            shard=shard,
+            wishes=tuple(self._make_wish(name, extra, now_s) for name in due),
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+        )
+
+    def apply(self, request, reply):
+        """Take in the grants of a reply, unless a later ask was sent."""
+        if request.incarnation != self._incarnation:
+            return
+        grants = {grant.runner: grant for grant in reply.grants} if reply else {}
+        for wish in request.wishes:
+            credit = self._credits[wish.runner]
+            if credit.sequence != request.sequence:
+                continue
+            credit.pending = False
+            grant = grants.get(wish.runner)
+            if grant is None:
+                continue
+            if grant.slots:
+                credit.limit = grant.slots
+                credit.until_s = credit.sent_s + grant.lease_ms / 1000
+            if grant.floor:
+                credit.floor = grant.floor
+                credit.floor_until_s = credit.sent_s + grant.floor_lease_ms / 1000
+
+    def _credit(self, name):
+        credit = self._credits.get(name)
+        if credit is None:
+            credit = self._credits[name] = _Credit()
+        return credit
+
+    def _is_due(self, name, extra, now_s):
+        credit = self._credit(name)
+        if credit.pending:
+            return False
+        if now_s + RENEW_BEFORE_S >= credit.until_s:
+            return True
+        if now_s + RENEW_FLOOR_BEFORE_S >= credit.floor_until_s:
+            return True
+        return extra > 0 or credit.peak >= credit.limit
+
+    def _make_wish(self, name, extra, now_s):
+        credit = self._credit(name)
+        wanted = max(credit.peak, credit.in_use) + 1 + extra
+        held = credit.limit if now_s < credit.until_s else 0
+        kept = max(credit.in_use, min(held, wanted))
+        floor = credit.floor if now_s < credit.floor_until_s else 0
+        credit.limit = min(credit.limit, kept)
+        credit.peak = credit.in_use
+        credit.sequence = self._sequence
+        credit.sent_s = now_s
+        credit.pending = True
+        return CreditWish(runner=name, slots=wanted, kept=kept, floor=floor)
+
+
+class RunnerIndex:
+    """Runners of a view by service and by shard, built once a view."""
+
+    def __init__(self):
+        self._view = None
+        self._by_service = {}
 
-    def _runners(self, view, service):
+    def find(self, view, service):
+        """Return the live runners of a service in the view's failure domain."""
         if view is not self._view:
             self._view = view
-            self._by_service = _index_runners(view)
+            self._by_service = index_runners(view)
         return self._by_service.get(service, ())
 
 
-def _index_runners(view):
+def index_runners(view):
+    """Return the runners that may get requests, by service.
+
+    Parameters
+    ----------
+    view : ClusterView
+        Upstreams of the failure domain.
+
+    Returns
+    -------
+    dict of ServiceId to list of ListedInstance
+        Live runners that are not leaving.
+    """
     found = {}
     for each in view.upstreams:
         if (
--- /dev/null
+++ b/fuchsiascale/coordination/tests/test_credits.py
@@ -0,0 +1,324 @@
+"""Tests of slot credits: owners' ledgers, holders, takeovers, lost messages."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from msgspec.structs import replace
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.coordination import SlotHolder, SlotLedger, Tenure
+from fuchsiascale.coordination._credits import TENURE_S
+from fuchsiascale.platform import NO_TOKEN, FencingToken, ListedInstance
+from fuchsiascale.states import InstanceRole
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+SLOTS = 8
+NAMES = ("a", "b", "c")
+RATES = {"a": 1.0, "b": 0.992, "c": 1.008}
+EXAMPLES = int(os.environ.get("FUCHSIASCALE_FUZZ_EXAMPLES", "100"))
+RUNNER = ListedInstance(
+    instance_id="runner-1",
+    role=InstanceRole.RUNNER,
+    address="127.0.0.1:1",
+    failure_domain="porto",
+    region="norte",
+    worker="w",
+)
+
+
+class Instance:
+    """One instance: its ledger as owner and its credits as holder."""
+
+    def __init__(self, name, clock):
+        self.name = name
+        self.clock = clock
+        self.ledger = SlotLedger(clock)
+        self.holder = SlotHolder(name, clock)
+        self.tenure = None
+
+    def lend(self, request, members=3):
+        tenures = {"runner-1": self.tenure} if self.tenure else {}
+        return self.ledger.lend(request, tenures, SLOTS, members)
+
+
+class CreditMachine(RuleBasedStateMachine):
+    """Instances, a worker that fences, and messages that are late or lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.instances = {name: Instance(name, ManualClock(100.0)) for name in NAMES}
+        self.highest = NO_TOKEN
+        self.messages = []
+        self.active = []
+
+    @rule(name=st.sampled_from(NAMES), rare=st.integers(0, 7))
+    def claim(self, name, rare):
+        if rare and self.highest != NO_TOKEN:
+            return
+        each = self.instances[name]
+        token = FencingToken(counter=self.highest.counter + 1, holder=name)
+        now_s = each.clock.monotonic()
+        each.tenure = Tenure(
+            token=token, previous=self.highest, claimed_s=now_s, confirmed_s=now_s
+        )
+        self.highest = token
+        each.ledger.open("runner-1", each.tenure)
+
+    @rule(name=st.sampled_from(NAMES))
+    def confirm(self, name):
+        each = self.instances[name]
+        if each.tenure and each.tenure.token == self.highest:
+            each.tenure = replace(each.tenure, confirmed_s=each.clock.monotonic())
+
+    @rule(name=st.sampled_from(NAMES))
+    def copy_ledger(self, name):
+        each = self.instances[name]
+        if each.tenure is None:
+            return
+        before = each.ledger.needs_copy("runner-1", each.tenure)
+        if before is None or before == name:
+            return
+        copy = self.instances[before].ledger.close("runner-1", each.tenure.token)
+        if copy is not None:
+            self.messages.append(("copy", name, copy, None))
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        owner=st.sampled_from(NAMES),
+        extra=st.integers(0, 8),
+    )
+    def ask(self, name, owner, extra):
+        holder = self.instances[name].holder
+        request = holder.make_request("porto:r1", ["runner-1"], extra, force=True)
+        self.messages.append(("ask", owner, request, name))
+
+    @precondition(lambda self: self.messages)
+    @rule(data=st.data(), lost=st.booleans())
+    def deliver(self, data, lost):
+        number = data.draw(st.integers(0, len(self.messages) - 1))
+        kind, target, body, sender = self.messages.pop(number)
+        each = self.instances[target]
+        if lost and data.draw(st.booleans()):
+            return
+        if kind == "ask":
+            self.messages.append(("reply", sender, (body, each.lend(body)), None))
+        elif kind == "reply":
+            request, reply = body
+            each.holder.apply(request, reply)
+        elif each.tenure is not None:
+            each.ledger.adopt(body, each.tenure)
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        extra=st.sampled_from([0, 3, 8]),
+        reply_lost=st.booleans(),
+    )
+    def exchange(self, name, extra, reply_lost):
+        """Ask the believed owner and get its answer at once."""
+        owners = [each for each in self.instances.values() if each.tenure]
+        if not owners:
+            return
+        owner = max(owners, key=lambda each: each.tenure.token)
+        holder = self.instances[name].holder
+        request = holder.make_request("porto:r1", ["runner-1"], extra, force=True)
+        reply = owner.lend(request)
+        holder.apply(request, None if reply_lost else reply)
+
+    @rule(owner=st.sampled_from(NAMES), seconds=st.sampled_from([3.0, 8.0]))
+    def fill(self, owner, seconds):
+        """One owner serves all holders, and each uses all that it may."""
+        for name in NAMES:
+            holder = self.instances[name].holder
+            request = holder.make_request("porto:r1", ["runner-1"], 8, force=True)
+            holder.apply(request, self.instances[owner].lend(request))
+            self.start_requests(name, seconds)
+
+    def start_requests(self, name, seconds):
+        each = self.instances[name]
+        end_s = each.clock.monotonic() + seconds
+        while (slot := each.holder.acquire(RUNNER, end_s)) is not None:
+            self.active.append((end_s, each, slot))
+
+    @rule(name=st.sampled_from(NAMES), seconds=st.sampled_from([1.0, 8.0]))
+    def use(self, name, seconds):
+        self.start_requests(name, seconds)
+
+    @precondition(lambda self: self.active)
+    @rule(data=st.data())
+    def finish(self, data):
+        number = data.draw(st.integers(0, len(self.active) - 1))
+        _, each, slot = self.active.pop(number)
+        each.holder.release(slot)
+
+    @rule(seconds=st.sampled_from([0.5, 0.5, 2.0, 2.0, 5.0, 12.0, 125.0]))
+    def advance(self, seconds):
+        for name, each in self.instances.items():
+            each.clock.advance(seconds * RATES[name])
+        for entry in list(self.active):
+            end_s, each, slot = entry
+            if each.clock.monotonic() >= end_s:
+                self.active.remove(entry)
+                each.holder.release(slot)
+
+    @rule(name=st.sampled_from(NAMES), rare=st.integers(0, 5))
+    def restart(self, name, rare):
+        if rare:
+            return
+        clock = self.instances[name].clock
+        clock.advance(0.001)
+        self.instances[name] = Instance(name, clock)
+
+    @invariant()
+    def never_more_than_the_slots(self):
+        assert len(self.active) <= SLOTS
+
+
+def test_state_machine_of_credits_never_passes_the_slots():
+    run_state_machine_as_test(
+        CreditMachine,
+        settings=settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=60,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def claim(each, counter, previous):
+    now_s = each.clock.monotonic()
+    token = FencingToken(counter=counter, holder=each.name)
+    each.tenure = Tenure(
+        token=token, previous=previous, claimed_s=now_s, confirmed_s=now_s
+    )
+    each.ledger.open("runner-1", each.tenure)
+    return token
+
+
+def ask(each, owner, extra=0):
+    request = each.holder.make_request("s", ["runner-1"], extra, force=True)
+    each.holder.apply(request, owner.lend(request))
+    end_s = each.clock.monotonic() + 3.0
+    return each.holder.count_usable("runner-1", end_s)
+
+
+def make_three():
+    clock = ManualClock(100.0)
+    return tuple(Instance(name, clock) for name in NAMES), clock
+
+
+def test_the_first_owner_lends_at_once_and_credits_follow_demand():
+    (a, b, _), _ = make_three()
+    claim(a, 1, NO_TOKEN)
+    assert ask(a, a) == 1
+    assert ask(b, a, extra=7) == 7
+    assert ask(a, a, extra=7) == 1
+    assert ask(b, a) == 1
+    assert ask(a, a, extra=7) == 7
+
+
+def test_a_takeover_without_the_ledger_waits_out_the_credits():
+    (a, b, _), clock = make_three()
+    token = claim(a, 1, NO_TOKEN)
+    assert ask(a, a, extra=7) == 8
+    claim(b, 2, token)
+    assert ask(b, b, extra=7) == 0
+    clock.advance(TENURE_S)
+    assert ask(b, b, extra=7) == 0
+    clock.advance(1.0)
+    b.tenure = replace(b.tenure, confirmed_s=clock.monotonic())
+    assert ask(b, b, extra=7) == SLOTS // 2
+
+
+def test_a_takeover_with_the_ledger_lends_at_once():
+    (a, b, _), _ = make_three()
+    token = claim(a, 1, NO_TOKEN)
+    assert ask(a, a, extra=3) == 4
+    claim(b, 2, token)
+    assert b.ledger.needs_copy("runner-1", b.tenure) == "a"
+    b.ledger.adopt(a.ledger.close("runner-1", b.tenure.token), b.tenure)
+    assert ask(b, b, extra=7) == 4
+    assert ask(a, a, extra=7) == 4
+
+
+def test_a_floor_outlasts_the_owner():
+    (a, b, _), clock = make_three()
+    claim(a, 1, NO_TOKEN)
+    assert ask(b, a, extra=5) == 6
+    clock.advance(TENURE_S)
+    assert b.holder.count_usable("runner-1", clock.monotonic() + 3.0) == 1
+
+
+def fill(each, seconds=3.0):
+    end_s = each.clock.monotonic() + seconds
+    slots = []
+    while (slot := each.holder.acquire(RUNNER, end_s)) is not None:
+        slots.append(slot)
+    return slots
+
+
+def test_credit_that_an_ask_gives_up_is_not_used_though_its_reply_is_lost():
+    (a, b, _), _ = make_three()
+    claim(a, 1, NO_TOKEN)
+    ask(b, a, extra=7)
+    request = b.holder.make_request("s", ["runner-1"], 0, force=True)
+    a.lend(request)
+    b.holder.apply(request, None)
+    ask(a, a, extra=7)
+    assert len(fill(a)) + len(fill(b)) <= SLOTS
+
+
+def test_an_outdated_ask_changes_nothing():
+    (a, b, _), _ = make_three()
+    claim(a, 1, NO_TOKEN)
+    old = b.holder.make_request("s", ["runner-1"], 0, force=True)
+    ask(b, a, extra=7)
+    assert len(fill(b)) == SLOTS
+    assert a.lend(old).grants == ()
+    ask(a, a, extra=7)
+    assert not fill(a)
+
+
+def test_an_owner_that_handed_its_ledger_over_lends_no_more():
+    (a, b, c), _ = make_three()
+    token = claim(a, 1, NO_TOKEN)
+    claim(b, 2, token)
+    b.ledger.adopt(a.ledger.close("runner-1", b.tenure.token), b.tenure)
+    ask(b, b, extra=7)
+    ask(c, a, extra=7)
+    assert len(fill(b)) + len(fill(c)) <= SLOTS
+
+
+def test_requests_in_flight_on_a_floor_that_shrinks_stay_counted():
+    (a, b, _), clock = make_three()
+    claim(a, 1, NO_TOKEN)
+    request = b.holder.make_request("s", ["runner-1"], 0, force=True)
+    b.holder.apply(request, a.lend(request, members=1))
+    clock.advance(TENURE_S)
+    a.tenure = replace(a.tenure, confirmed_s=clock.monotonic())
+    assert len(fill(b, 20.0)) == SLOTS // 2
+    for _ in range(2):
+        request = b.holder.make_request("s", ["runner-1"], 0, force=True)
+        b.holder.apply(request, a.lend(request, members=4))
+    clock.advance(12.0)
+    a.tenure = replace(a.tenure, confirmed_s=clock.monotonic())
+    assert ask(a, a, extra=7) == SLOTS // 2
+
+
+def test_an_owner_that_is_not_confirmed_lends_nothing():
+    (a, b, _), clock = make_three()
+    claim(a, 1, NO_TOKEN)
+    clock.advance(TENURE_S)
+    assert ask(b, a, extra=7) == 0
