Add the stand-ins and the HTTP adapters of the platform ports

Cause: nothing behind the ports could be run; the thin path needs tables, objects, the instance list, workers and runners as processes.

A lost transaction reply is resolved by reading back: one put row with the write id proves the whole transaction, deletes included. Every request passes a middleware that refuses a second sending, since aiohttp sends idempotent methods again on a closed pooled connection.

Shared files: TransactionReply.rows (rows as written), defaults for Row.write_id and Row.value (an absent row in a conflict), and UpstreamRequest.idempotency_key (passed on as a header).

Ruled out: deduplication by write id in the table service, which the platform is not known to offer.

--- a/fuchsiascale/platform/__init__.py
+++ b/fuchsiascale/platform/__init__.py
@@ -1,5 +1,10 @@
 """Ports to the platform's services and their HTTP adapters."""
 
 from fuchsiascale.platform._errors import *  # noqa: F403
+from fuchsiascale.platform._instances import *  # noqa: F403
 from fuchsiascale.platform._messages import *  # noqa: F403
+from fuchsiascale.platform._objects import *  # noqa: F403
 from fuchsiascale.platform._ports import *  # noqa: F403
+from fuchsiascale.platform._runners import *  # noqa: F403
+from fuchsiascale.platform._tables import *  # noqa: F403
+from fuchsiascale.platform._workers import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/platform/_calls.py
@@ -0,0 +1,125 @@
+"""One HTTP call to the platform, its failures sorted by what they prove."""
+
+import asyncio
+from typing import TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+import yarl
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.platform._errors import Unavailable, Uncertain
+from fuchsiascale.platform._messages import Message
+
+__all__ = ["RawAnswer", "SendOnce", "SentTwice", "call", "decode", "quote_key"]
+
+T = TypeVar("T")
+
+CONNECT_FAILURES = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class SentTwice(Exception):
+    """The client library was about to send a request a second time."""
+
+
+class RawAnswer(Message):
+    """Status and whole body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class SendOnce:
+    """Client middleware that lets one request pass a single time.
+
+    The client library sends requests of idempotent methods again when a
+    pooled connection turns out to be closed; the first copy may have been
+    received all the same.
+    """
+
+    def __init__(self):
+        self._sent = False
+
+    async def __call__(self, request, handler):
+        """Pass the request on, or refuse its second sending."""
+        if self._sent:
+            raise SentTwice
+        self._sent = True
+        return await handler(request)
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float,
+    message: Message | None = None,
+    params: dict[str, str] | None = None,
+) -> Result[RawAnswer, Unavailable | Uncertain]:
+    """Make one call and receive its whole answer.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Shared session.
+    method, url : str
+        Method and address of the call.
+    timeout_s : float
+        Bound of the whole call, in seconds.
+    message : Message, optional
+        Sent as the JSON body.
+    params : dict of str to str, optional
+        Query of the URL.
+
+    Returns
+    -------
+    Result of RawAnswer
+        ``Unavailable`` where no byte was sent or the service answered that it
+        is unavailable; ``Uncertain`` where the answer was lost.
+    """
+    body = None if message is None else msgspec.json.encode(message)
+    try:
+        async with session.request(
+            method,
+            yarl.URL(url, encoded=True).update_query(params or {}),
+            data=body,
+            headers=JSON_HEADERS if body is not None else None,
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+            allow_redirects=False,
+            middlewares=(SendOnce(),),
+        ) as answer:
+            raw = RawAnswer(status=answer.status, body=await answer.read())
+    except CONNECT_FAILURES as error:
+        return Failure(Unavailable(detail=repr(error)))
+    except (*CALL_FAILURES, SentTwice) as error:
+        return Failure(Uncertain(detail=repr(error)))
+    if raw.status == 503:
+        return Failure(Unavailable(detail="the service answered 503"))
+    return Success(raw)
+
+
+def decode(raw: RawAnswer, message_type: type[T]) -> Result[T, Uncertain]:
+    """Decode an answer of status 200; anything else is no answer at all."""
+    if raw.status != 200:
+        return Failure(Uncertain(detail=f"answered with status {raw.status}"))
+    try:
+        return Success(msgspec.json.decode(raw.body, type=message_type))
+    except msgspec.MsgspecError as error:
+        return Failure(Uncertain(detail=str(error)))
+
+
+def quote_key(key: str) -> str:
+    """Return a key as a part of a URL; slashes stay.
+
+    Examples
+    --------
+    >>> quote_key("a/b c?")
+    'a/b%20c%3F'
+    """
+    return quote(key, safe="/")
--- a/fuchsiascale/platform/_messages.py
+++ b/fuchsiascale/platform/_messages.py
@@ -6,6 +6,7 @@
     AttemptNumber,
     CheckpointKey,
     FailureDomainId,
+    IdempotencyKey,
     InstanceId,
     JobKindId,
     RackId,
@@ -109,8 +110,8 @@
     table: str
     key: str
     version: int
-    write_id: WriteId
-    value: msgspec.Raw
+    write_id: WriteId = WriteId("")
+    value: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class Put(Message):
@@ -139,9 +140,16 @@
 
 
 class TransactionReply(Message):
-    """Whether a transaction was applied, and the rows that spoke against it."""
+    """Whether a transaction was applied, and the rows that spoke against it.
+
+    Parameters
+    ----------
+    rows : tuple of Row
+        The rows as written, in the order of the puts.
+    """
 
     applied: bool
+    rows: tuple[Row, ...] = ()
     conflicts: tuple[Row, ...] = ()
 
 
@@ -327,6 +335,7 @@
     body: bytes = b""
     content_type: str = "application/octet-stream"
     trace_parent: str = ""
+    idempotency_key: IdempotencyKey = IdempotencyKey("")
 
 
 class UpstreamAnswer(Message):
--- /dev/null
+++ b/fuchsiascale/platform/_runners.py
@@ -0,0 +1,136 @@
+"""HTTP adapter of the runners."""
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.ids import RunnerId
+from fuchsiascale.platform._calls import (
+    CALL_FAILURES,
+    CONNECT_FAILURES,
+    SendOnce,
+    SentTwice,
+)
+from fuchsiascale.platform._errors import RequestNotRun, RequestUncertain
+from fuchsiascale.platform._messages import UpstreamAnswer, UpstreamRequest
+
+__all__ = ["HttpRunners"]
+
+REQUEST_ID_HEADER = "X-Request-Id"
+DEADLINE_HEADER = "X-Deadline-Ms"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+TRACE_PARENT_HEADER = "traceparent"
+RUNNER_HEADER = "X-Runner"
+RUN_STATE_HEADER = "X-Run-State"
+NOT_RUN = "not-run"
+NOT_RUN_STATUS = 503
+
+
+class HttpRunners:
+    """All runners behind HTTP, each by its address.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Shared session; not closed here.
+    timeout_s : float
+        Bound of each request, in seconds; a shorter deadline goes first.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, timeout_s: float):
+        self._session = session
+        self._timeout_s = timeout_s
+
+    async def send(
+        self, address: str, request: UpstreamRequest
+    ) -> Result[UpstreamAnswer, RequestNotRun | RequestUncertain]:
+        """Send one request once and receive its whole answer.
+
+        Parameters
+        ----------
+        address : str
+            The runner's ``host:port``.
+        request : UpstreamRequest
+            The request; a deadline of 0 means none.
+
+        Returns
+        -------
+        Result of UpstreamAnswer
+            ``RequestNotRun`` only where no connection was made or the runner
+            said that it did not run the request; ``RequestUncertain`` once a
+            byte may have been sent and no whole answer of this request came.
+        """
+        url = f"http://{address}/v1/services/{request.service}/{request.path}"
+        try:
+            async with self._session.request(
+                request.method,
+                url,
+                data=request.body,
+                headers=list_headers(request),
+                timeout=self._limit(request),
+                allow_redirects=False,
+                auto_decompress=False,
+                middlewares=(SendOnce(),),
+            ) as answer:
+                return check_answer(request, answer, await answer.read())
+        except CONNECT_FAILURES as error:
+            return Failure(RequestNotRun(detail=repr(error)))
+        except (*CALL_FAILURES, SentTwice) as error:
+            return Failure(RequestUncertain(detail=repr(error)))
+
+    def _limit(self, request):
+        seconds = self._timeout_s
+        if request.deadline_ms > 0:
+            seconds = min(seconds, request.deadline_ms / 1000)
+        return aiohttp.ClientTimeout(total=seconds)
+
+
+def list_headers(request):
+    """Return the headers of a request to a runner."""
+    headers = {
+        "Content-Type": request.content_type,
+        REQUEST_ID_HEADER: request.request_id,
+        DEADLINE_HEADER: str(request.deadline_ms),
+    }
+    if request.trace_parent:
+        headers[TRACE_PARENT_HEADER] = request.trace_parent
+    if request.idempotency_key:
+        headers[IDEMPOTENCY_KEY_HEADER] = request.idempotency_key
+    return headers
+
+
+def check_answer(request, answer, body):
+    """Return the answer if it is whole and of this request."""
+    found = answer.headers.get(REQUEST_ID_HEADER, "")
+    if found != request.request_id:
+        answer.close()
+        detail = "the answer carries another request's id"
+        return Failure(RequestUncertain(detail=detail))
+    refused = answer.headers.get(RUN_STATE_HEADER) == NOT_RUN
+    if answer.status == NOT_RUN_STATUS and refused:
+        return Failure(RequestNotRun(detail="the runner did not run the request"))
+    if not is_whole(request, answer, body):
+        answer.close()
+        return Failure(RequestUncertain(detail="the answer is not whole"))
+    return Success(
+        UpstreamAnswer(
+            request_id=request.request_id,
+            runner=RunnerId(answer.headers.get(RUNNER_HEADER, "")),
+            status=answer.status,
+            body=body,
+            content_type=answer.headers.get("Content-Type", "application/octet-stream"),
+        )
+    )
+
+
+def is_whole(request, answer, body):
+    """Return whether a body is as long as its answer declares.
+
+    A chunked answer ends with a marker that the client library checks; an
+    answer with neither mark ends wherever its connection does.
+    """
+    if request.method == "HEAD":
+        return True
+    length = answer.headers.get("Content-Length")
+    if length is not None:
+        return len(body) == int(length)
+    return "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
--- /dev/null
+++ b/fuchsiascale/platform/_tables.py
@@ -0,0 +1,272 @@
+"""HTTP adapter of the table service."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import tenacity
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.platform._calls import call, decode, quote_key
+from fuchsiascale.platform._errors import Conflict, Unavailable, Uncertain
+from fuchsiascale.platform._messages import (
+    Message,
+    Put,
+    Row,
+    ScanPage,
+    Transaction,
+    TransactionReply,
+)
+
+__all__ = ["HttpTables"]
+
+MAX_ATTEMPTS = 4
+FIRST_RETRY_WAIT_S = 0.05
+MAX_RETRY_WAIT_S = 1.0
+MAX_PARALLEL_READS = 16
+ABSENT = 0
+
+
+class HttpTables:
+    """The table service behind HTTP.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Shared session; not closed here.
+    base_url : str
+        Address of the service, such as ``http://127.0.0.1:7000``.
+    timeout_s : float
+        Bound of each call, in seconds.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str, timeout_s: float):
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._reads = asyncio.Semaphore(MAX_PARALLEL_READS)
+
+    async def get(self, table: str, key: str) -> Result[Row | None, Unavailable]:
+        """Read one row.
+
+        Parameters
+        ----------
+        table, key : str
+            Place of the row.
+
+        Returns
+        -------
+        Result of Row or None
+            None where the row is absent.
+        """
+        answered = await self._call("GET", f"/v1/rows/{table}/{quote_key(key)}")
+        if isinstance(answered, Failure):
+            return read_failure(answered)
+        raw = answered.unwrap()
+        if raw.status == 404:
+            return Success(None)
+        return read_failure(decode(raw, Row))
+
+    async def scan(
+        self, table: str, prefix: str, after: str = "", limit: int = 500
+    ) -> Result[ScanPage, Unavailable]:
+        """Read rows in key order.
+
+        Parameters
+        ----------
+        table : str
+            Table to read.
+        prefix : str
+            Start of the keys.
+        after : str, optional
+            Key after which the page begins.
+        limit : int, optional
+            Most rows of the page.
+
+        Returns
+        -------
+        Result of ScanPage
+            ``next_after`` is empty on the last page.
+        """
+        params = {"prefix": prefix, "after": after, "limit": str(limit)}
+        answered = await self._call("GET", f"/v1/rows/{table}", params=params)
+        if isinstance(answered, Failure):
+            return read_failure(answered)
+        return read_failure(decode(answered.unwrap(), ScanPage))
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[tuple[Row, ...], Conflict | Unavailable | Uncertain]:
+        """Apply conditional writes; a lost reply is resolved by reading back.
+
+        Parameters
+        ----------
+        transaction : Transaction
+            Its write id must be new; it names the transaction in every row put.
+
+        Returns
+        -------
+        Result of tuple of Row
+            The rows as written. ``Unavailable`` says that nothing was written.
+
+        Notes
+        -----
+        After a lost reply the rows are read back. A put row that carries the
+        write id proves the whole transaction, its deletes included, since it
+        is applied as one. A transaction of deletes alone leaves no such trace:
+        it counts as applied when all its rows are absent, whoever removed them.
+        """
+        history = History()
+        retrying = tenacity.AsyncRetrying(
+            stop=tenacity.stop_after_attempt(MAX_ATTEMPTS)
+            | tenacity.stop_after_delay(MAX_ATTEMPTS * self._timeout_s),
+            wait=tenacity.wait_random_exponential(
+                multiplier=FIRST_RETRY_WAIT_S, max=MAX_RETRY_WAIT_S
+            ),
+            retry=tenacity.retry_if_result(is_unsettled),
+            retry_error_callback=lambda state: state.outcome.result(),
+        )
+        settled = await retrying(self._attempt, transaction, history)
+        if isinstance(settled, Unsettled):
+            return Failure(Uncertain(detail=settled.detail))
+        return settled
+
+    async def _attempt(self, transaction, history):
+        """Send the transaction once, unless an earlier copy has settled it."""
+        if history.uncertain:
+            resolved = await self._resolve(transaction)
+            if not isinstance(resolved, Unsettled) or not resolved.readable:
+                return resolved
+        answered = await self._call("POST", "/v1/transactions", transaction)
+        if isinstance(answered, Success):
+            answered = decode(answered.unwrap(), TransactionReply)
+        if isinstance(answered, Success):
+            return await self._settle(transaction, answered.unwrap(), history)
+        error = answered.failure()
+        if isinstance(error, Unavailable) and not history.uncertain:
+            return answered
+        history.uncertain = True
+        return await self._resolve(transaction)
+
+    async def _settle(self, transaction, reply, history):
+        """Turn a reply into a result; an own earlier copy is no conflict."""
+        if reply.applied:
+            return Success(reply.rows)
+        own = any(row.write_id == transaction.write_id for row in reply.conflicts)
+        if own or history.uncertain:
+            return await self._resolve(transaction)
+        return Failure(Conflict(rows=reply.conflicts))
+
+    async def _resolve(self, transaction):
+        """Read the rows back and tell what became of the transaction."""
+        changes = transaction.puts + transaction.deletes
+        read = await asyncio.gather(*(self._read_back(change) for change in changes))
+        lost = [result for result in read if isinstance(result, Failure)]
+        if lost:
+            return Unsettled(readable=False, detail=lost[0].failure().detail)
+        return resolve(transaction, tuple(result.unwrap() for result in read))
+
+    async def _read_back(self, change):
+        async with self._reads:
+            return await self.get(change.table, change.key)
+
+    async def _call(self, method, path, message=None, params=None):
+        url = self._base_url + path
+        return await call(self._session, method, url, self._timeout_s, message, params)
+
+
+@dataclass
+class History:
+    """Whether a copy of the transaction may have been applied unseen."""
+
+    uncertain: bool = False
+
+
+class Unsettled(Message):
+    """Not known to have been applied; to be tried again.
+
+    Parameters
+    ----------
+    readable : bool
+        Whether the rows were read back, and stand as before the transaction.
+    """
+
+    readable: bool
+    detail: str = ""
+
+
+def is_unsettled(result):
+    """Return whether a transaction is to be tried again."""
+    return isinstance(result, Unsettled)
+
+
+def read_failure(result):
+    """Turn the failure of a read into ``Unavailable``; a read has no effect."""
+    return result.alt(lambda error: Unavailable(detail=error.detail))
+
+
+def resolve(
+    transaction: Transaction, read: tuple[Row | None, ...]
+) -> Result[tuple[Row, ...], Conflict | Uncertain] | Unsettled:
+    """Tell from the rows read back what became of a transaction.
+
+    Parameters
+    ----------
+    transaction : Transaction
+        The transaction whose reply was lost.
+    read : tuple of Row or None
+        The rows of its puts, then of its deletes, None where absent.
+
+    Returns
+    -------
+    Result of tuple of Row, or Unsettled
+        ``Conflict`` only where the transaction can no longer be applied and
+        never was; ``Uncertain`` where later writes hide what happened.
+
+    Notes
+    -----
+    Versions of a row grow by one with each write, also over its removal.
+    """
+    put_rows = read[: len(transaction.puts)]
+    if any(row and row.write_id == transaction.write_id for row in put_rows):
+        written = zip(transaction.puts, put_rows, strict=True)
+        return Success(
+            tuple(find_written(put, row, transaction.write_id) for put, row in written)
+        )
+    if not transaction.puts and not any(read):
+        return Success(())
+    changes = transaction.puts + transaction.deletes
+    pairs = tuple(zip(changes, read, strict=True))
+    stands = [find_version(row) == change.expected_version for change, row in pairs]
+    if all(stands):
+        return Unsettled(readable=True, detail="not applied so far")
+    moved = tuple(row for row in read if row is not None)
+    if any(is_foreign(change, row) for change, row in pairs):
+        return Failure(Conflict(rows=moved))
+    return Failure(Uncertain(detail="later writes hide whether it was applied"))
+
+
+def is_foreign(change, row):
+    """Return whether a row shows that no write of ours followed the expected one."""
+    version = find_version(row)
+    if change.expected_version != ABSENT and version == change.expected_version:
+        return True
+    return isinstance(change, Put) and version == change.expected_version + 1
+
+
+def find_version(row):
+    """Return a row's version; 0 where it is absent."""
+    return ABSENT if row is None else row.version
+
+
+def find_written(put, row, write_id):
+    """Return the row as the transaction wrote it, though it may have moved on."""
+    if row is not None and row.write_id == write_id:
+        return row
+    return Row(
+        table=put.table,
+        key=put.key,
+        version=put.expected_version + 1,
+        write_id=write_id,
+        value=put.value,
+    )
--- /dev/null
+++ b/standins/_journal.py
@@ -0,0 +1,111 @@
+"""Journals of the stand-ins: one JSON line for each thing that happened."""
+
+import time
+from enum import Enum
+
+import msgspec
+
+from fuchsiascale.ids import AttemptNumber, RequestId, TaskId, WriteId
+from fuchsiascale.platform import Message, Resources
+
+__all__ = ["Entry", "Event", "Journal", "read_journal"]
+
+
+class Event(Enum):
+    """What a journal entry records."""
+
+    READY = "ready"
+    FAULTS = "faults"
+    CLAIMED = "claimed"
+    REFUSED = "refused"
+    STARTED = "started"
+    ENDED = "ended"
+    LEASE_LAPSED = "lease-lapsed"
+    EXECUTED = "executed"
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    COMMITTED = "committed"
+    STORED = "stored"
+    LISTED = "listed"
+
+
+class Entry(Message, omit_defaults=True):
+    """One line of a journal.
+
+    Parameters
+    ----------
+    at_ms : float
+        Monotonic time of the machine, comparable between its processes.
+    source : str
+        Name of the stand-in that wrote the entry.
+    """
+
+    at_ms: float
+    source: str
+    event: Event
+    task: TaskId = TaskId("")
+    attempt: AttemptNumber = AttemptNumber(0)
+    state: str = ""
+    demand: Resources | None = None
+    capacity: Resources | None = None
+    checkpoint: str = ""
+    token: str = ""
+    lease_ms: int = 0
+    request: RequestId = RequestId("")
+    idempotency_key: str = ""
+    method: str = ""
+    path: str = ""
+    status: int = 0
+    body_digest: str = ""
+    keys: tuple[str, ...] = ()
+    write_id: WriteId = WriteId("")
+    detail: str = ""
+
+
+class Journal:
+    """Appends entries to a file and flushes each at once.
+
+    Parameters
+    ----------
+    path : str
+        File to append to; entries are dropped where it is empty.
+    source : str
+        Name that the entries carry.
+    """
+
+    def __init__(self, path, source):
+        self._file = open(path, "ab", buffering=0) if path else None  # noqa: SIM115
+        self._source = source
+        self._encoder = msgspec.json.Encoder()
+
+    def record(self, event, **fields):
+        """Append one entry with the present time."""
+        if self._file is None:
+            return
+        now_ms = time.monotonic_ns() / 1_000_000
+        entry = Entry(at_ms=now_ms, source=self._source, event=event, **fields)
+        self._file.write(self._encoder.encode(entry) + b"\n")
+
+    def close(self):
+        """Close the file."""
+        if self._file is not None:
+            self._file.close()
+
+
+def read_journal(path):
+    """Return the entries of a journal file, oldest first.
+
+    Parameters
+    ----------
+    path : str or Path
+        File written by :class:`Journal`.
+
+    Returns
+    -------
+    list of Entry
+        All whole lines; a line cut short by a kill is left out.
+    """
+    decoder = msgspec.json.Decoder(Entry)
+    with open(path, "rb") as file:
+        lines = file.read().split(b"\n")[:-1]
+    return [decoder.decode(line) for line in lines]
--- /dev/null
+++ b/standins/_worker_rules.py
@@ -0,0 +1,419 @@
+"""Rules of a worker: tokens, leases, capacity, attempts; no I/O."""
+
+import msgspec
+
+from fuchsiascale.platform import (
+    NO_TOKEN,
+    AttemptKey,
+    AttemptReport,
+    ClaimReply,
+    ExchangeReply,
+    FencingToken,
+    Resources,
+    StartCommand,
+    StartReply,
+    StartResult,
+    WorkerInventory,
+)
+from fuchsiascale.states import AttemptState
+from standins._journal import Event
+
+__all__ = ["Attempt", "RunScript", "WorkerRules", "read_run_script"]
+
+FULL_SHARE_PERMILLE = 1000
+FAILED_START_RUN_MS = 20
+
+
+class RunScript(msgspec.Struct, frozen=True, kw_only=True):
+    """What a task's JSON payload asks of the worker.
+
+    Parameters
+    ----------
+    actual_run_ms : float or None
+        True run time, in milliseconds; None for the declared one.
+    fail : bool
+        The attempt fails at its end.
+    actual_millicores, actual_memory_mb : int or None
+        True use; None for the declared demand.
+    fail_on : tuple of str
+        Workers on which the attempt fails.
+    """
+
+    actual_run_ms: float | None = None
+    fail: bool = False
+    actual_millicores: int | None = None
+    actual_memory_mb: int | None = None
+    fail_on: tuple[str, ...] = ()
+
+
+def read_run_script(payload):
+    """Return the script of a payload; an empty one where it holds none.
+
+    Examples
+    --------
+    >>> read_run_script('{"fail": true}').fail
+    True
+    >>> read_run_script("plain text").fail
+    False
+    """
+    try:
+        return msgspec.json.decode(payload, type=RunScript)
+    except msgspec.MsgspecError:
+        return RunScript()
+
+
+class Attempt:
+    """One attempt that the worker runs as a timer, or that has ended.
+
+    Parameters
+    ----------
+    command : StartCommand
+        What was started.
+    done_ms : float
+        Run time that a checkpoint brings along, in milliseconds.
+    now_s : float
+        Monotonic time of the start, in seconds.
+    """
+
+    def __init__(self, command, done_ms, now_s):
+        self.command = command
+        self.script = read_run_script(command.payload)
+        self.state = AttemptState.RUNNING
+        self.checkpoint = None
+        self.detail = ""
+        self.checkpointing = False
+        self._share = FULL_SHARE_PERMILLE
+        self._done_ms = done_ms
+        self._since_s = now_s
+        self._measured = ((now_s, Resources()),)
+
+    @property
+    def key(self):
+        """The attempt's name."""
+        return AttemptKey(task=self.command.task, attempt=self.command.attempt)
+
+    @property
+    def run_ms(self):
+        """True run time, in milliseconds."""
+        if self.script.actual_run_ms is not None:
+            return self.script.actual_run_ms
+        return self.command.run_ms
+
+    def done_ms(self, now_s):
+        """Return the run time done so far, in milliseconds."""
+        elapsed_ms = (now_s - self._since_s) * 1000
+        return self._done_ms + elapsed_ms * self._share / FULL_SHARE_PERMILLE
+
+    def throttle(self, share_permille, now_s):
+        """Run on at a share of full speed."""
+        self._done_ms = self.done_ms(now_s)
+        self._since_s = now_s
+        self._share = share_permille
+        full = share_permille >= FULL_SHARE_PERMILLE
+        self.state = AttemptState.RUNNING if full else AttemptState.THROTTLED
+
+    def measure(self, now_s):
+        """Take a sample of what the attempt uses."""
+        self._measured = (*self._measured[-20:], (now_s, self._use()))
+
+    def used(self, now_s, lag_s):
+        """Return the newest sample that is at least ``lag_s`` old."""
+        old = [use for at_s, use in self._measured if at_s <= now_s - lag_s]
+        return old[-1] if old else Resources()
+
+    def _use(self):
+        if self.state.ended:
+            return Resources()
+        demand, script = self.command.demand, self.script
+        millicores = demand.millicores
+        if script.actual_millicores is not None:
+            millicores = script.actual_millicores
+        memory_mb = demand.memory_mb
+        if script.actual_memory_mb is not None:
+            memory_mb = script.actual_memory_mb
+        return Resources(
+            millicores=millicores * self._share // FULL_SHARE_PERMILLE,
+            memory_mb=memory_mb,
+            accelerators=demand.accelerators,
+        )
+
+
+class WorkerRules:
+    """State of one worker under its owners' commands.
+
+    Parameters
+    ----------
+    worker : WorkerId
+        The worker's id.
+    capacity, reserved : Resources
+        All that it has, and what its runners take of that.
+    guards : bool
+        Whether it refuses starts that pass its capacity.
+    clock : Clock
+        Monotonic time for leases and run times.
+    record : callable
+        Takes an event and an entry's fields.
+    usage_lag_s : float
+        Age of reported measurements, in seconds.
+    """
+
+    def __init__(self, worker, capacity, reserved, guards, clock, record, usage_lag_s):
+        self.worker = worker
+        self.capacity = capacity
+        self.reserved = reserved
+        self.guards = guards
+        self.leaving = False
+        self.fail_starts = False
+        self.refuse_starts = False
+        self.usage_lag_s = usage_lag_s
+        self._clock = clock
+        self._record = record
+        self._token = NO_TOKEN
+        self._released = True
+        self._lease_end_s = clock.monotonic()
+        self._attempts = {}
+        self._newest = {}
+
+    def claim(self, request):
+        """Grant a claim unless a higher token was seen."""
+        self.advance()
+        if request.token < self._token or request.token == NO_TOKEN:
+            self._record(Event.REFUSED, token=format_token(request.token))
+            return ClaimReply(granted=False, highest=self._token)
+        self._token = request.token
+        self._released = False
+        self._renew(request.lease_ms)
+        self._record(
+            Event.CLAIMED,
+            token=format_token(request.token),
+            lease_ms=request.lease_ms,
+            capacity=self.capacity - self.reserved,
+        )
+        return ClaimReply(
+            granted=True, highest=self._token, inventory=self.list_inventory()
+        )
+
+    def start(self, request, resumed_ms):
+        """Start attempts under the present token.
+
+        Parameters
+        ----------
+        request : StartRequest
+            The starts.
+        resumed_ms : dict of CheckpointKey to float
+            Run time done, for each checkpoint that could be read.
+        """
+        self.advance()
+        if not self._accepts(request.token):
+            return StartReply(accepted=False, highest=self._token)
+        results = tuple(
+            self._start_one(command, resumed_ms) for command in request.starts
+        )
+        return StartReply(accepted=True, highest=self._token, results=results)
+
+    def exchange(self, request):
+        """Renew the lease and carry out commands; checkpoints are left pending."""
+        self.advance()
+        if not self._accepts(request.token):
+            return ExchangeReply(accepted=False, highest=self._token)
+        self._renew(request.lease_ms)
+        for key in request.acknowledged:
+            self._forget(key)
+        for key in request.stops:
+            self._end(key, AttemptState.STOPPED, "stopped by its owner")
+        for key in request.checkpoints:
+            self._mark_checkpoint(key)
+        for throttle in request.throttles:
+            self._throttle(throttle)
+        if request.release:
+            self._released = True
+        return ExchangeReply(
+            accepted=True, highest=self._token, inventory=self.list_inventory()
+        )
+
+    def list_inventory(self):
+        """Return all attempts that the worker holds."""
+        now_s = self._clock.monotonic()
+        return WorkerInventory(
+            worker=self.worker,
+            token=self._token,
+            capacity=self.capacity,
+            reserved=self.reserved,
+            attempts=tuple(self._report(held, now_s) for held in self._held()),
+            lease_ms=max(0, int((self._lease_end_s - now_s) * 1000)),
+            leaving=self.leaving,
+        )
+
+    def find_pending_checkpoints(self):
+        """Return the running attempts whose checkpoint is to be stored."""
+        return [held for held in self._running() if held.checkpointing]
+
+    def end_checkpoint(self, key, checkpoint):
+        """End an attempt whose checkpoint object is stored."""
+        held = self._attempts.get(key)
+        if held is not None and not held.state.ended:
+            held.checkpoint = checkpoint
+            self._end(key, AttemptState.CHECKPOINTED, "")
+
+    def drop_checkpoint(self, key):
+        """Let an attempt run on whose checkpoint could not be stored."""
+        held = self._attempts.get(key)
+        if held is not None:
+            held.checkpointing = False
+
+    def advance(self):
+        """End what has run its time, or all that runs once the lease is over."""
+        now_s = self._clock.monotonic()
+        for held in self._running():
+            self._end_if_done(held, min(now_s, self._lease_end_s))
+        if now_s < self._lease_end_s:
+            return
+        running = self._running()
+        if running:
+            self._record(Event.LEASE_LAPSED, token=format_token(self._token))
+        for held in running:
+            self._end(held.key, AttemptState.STOPPED, "lease lapsed")
+
+    def measure(self):
+        """Take a sample of the use of every attempt."""
+        now_s = self._clock.monotonic()
+        for held in self._held():
+            held.measure(now_s)
+
+    def _held(self):
+        return list(self._attempts.values())
+
+    def _running(self):
+        return [held for held in self._held() if not held.state.ended]
+
+    def _accepts(self, token):
+        if token == self._token and not self._released:
+            return True
+        self._record(Event.REFUSED, token=format_token(token))
+        return False
+
+    def _renew(self, lease_ms):
+        lease_end_s = self._clock.monotonic() + lease_ms / 1000
+        self._lease_end_s = max(self._lease_end_s, lease_end_s)
+
+    def _start_one(self, command, resumed_ms):
+        key = AttemptKey(task=command.task, attempt=command.attempt)
+        held = self._attempts.get(key)
+        if held is not None and not held.state.ended:
+            return format_result(command, "")
+        reason = self._find_refusal(command, resumed_ms)
+        if reason:
+            self._record(
+                Event.REFUSED,
+                task=command.task,
+                attempt=command.attempt,
+                detail=reason,
+            )
+            return format_result(command, reason)
+        done_ms = resumed_ms.get(command.checkpoint, 0.0)
+        held = Attempt(command, done_ms, self._clock.monotonic())
+        self._attempts[key] = held
+        self._newest[command.task] = command.attempt
+        self._record(
+            Event.STARTED,
+            task=command.task,
+            attempt=command.attempt,
+            demand=command.demand,
+            checkpoint=command.checkpoint or "",
+            token=format_token(self._token),
+        )
+        return format_result(command, "")
+
+    def _find_refusal(self, command, resumed_ms):
+        if command.attempt <= self._newest.get(command.task, 0):
+            return "the attempt or a later one has ended"
+        if any(held.command.task == command.task for held in self._running()):
+            return "another attempt at the task is running"
+        if self._clock.monotonic() >= self._lease_end_s:
+            return "the lease is over"
+        if self.leaving:
+            return "the worker is leaving"
+        if self.refuse_starts:
+            return "the worker refuses starts"
+        if command.checkpoint is not None and command.checkpoint not in resumed_ms:
+            return "the checkpoint could not be read"
+        if self.guards and not self._fits(command.demand):
+            return "not enough capacity"
+        return ""
+
+    def _fits(self, demand):
+        committed = sum(
+            (held.command.demand for held in self._running()), start=self.reserved
+        )
+        return (committed + demand).fits(self.capacity)
+
+    def _end_if_done(self, held, now_s):
+        fails = self.fail_starts or held.script.fail or self._fails_here(held)
+        run_ms = held.run_ms
+        if self.fail_starts:
+            run_ms = min(run_ms, FAILED_START_RUN_MS)
+        if held.done_ms(now_s) < run_ms:
+            return
+        state = AttemptState.FAILED if fails else AttemptState.FINISHED
+        self._end(held.key, state, "failed at its end" if fails else "")
+
+    def _fails_here(self, held):
+        return self.worker in held.script.fail_on
+
+    def _end(self, key, state, detail):
+        held = self._attempts.get(key)
+        if held is None or held.state.ended:
+            return
+        held.state = state
+        held.detail = detail
+        self._record(
+            Event.ENDED,
+            task=key.task,
+            attempt=key.attempt,
+            state=state.value,
+            checkpoint=held.checkpoint or "",
+            detail=detail,
+        )
+
+    def _forget(self, key):
+        held = self._attempts.get(key)
+        if held is not None and held.state.ended:
+            del self._attempts[key]
+
+    def _mark_checkpoint(self, key):
+        held = self._attempts.get(key)
+        if held is not None and not held.state.ended:
+            held.checkpointing = True
+
+    def _throttle(self, throttle):
+        key = AttemptKey(task=throttle.task, attempt=throttle.attempt)
+        held = self._attempts.get(key)
+        if held is not None and not held.state.ended:
+            held.throttle(throttle.share_permille, self._clock.monotonic())
+
+    def _report(self, held, now_s):
+        return AttemptReport(
+            task=held.command.task,
+            attempt=held.command.attempt,
+            kind=held.command.kind,
+            state=held.state,
+            demand=held.command.demand,
+            used=held.used(now_s, self.usage_lag_s),
+            checkpoint=held.checkpoint,
+            detail=held.detail,
+        )
+
+
+def format_token(token: FencingToken):
+    """Return a token as text, for the journal."""
+    return f"{token.counter}/{token.holder}"
+
+
+def format_result(command: StartCommand, reason):
+    """Return the result of one start; an empty reason means that it runs."""
+    return StartResult(
+        task=command.task,
+        attempt=command.attempt,
+        started=not reason,
+        reason=reason,
+    )
