Test the platform ports and the stand-ins under a table of faults

Cause: the adapters had been tried by a script only. Ports for listeners are picked below the range that the system gives to outgoing connections, so that none of these takes one before it is bound.

Found by the tests: a pooled connection that the peer has closed makes a send uncertain until the event loop has seen the close, which is the truth, so the tests let the loop see it first.

--- /dev/null
+++ b/fuchsiascale/platform/tests/_standins.py
@@ -0,0 +1,74 @@
+"""Fixtures of the contract tests: stand-ins as processes."""
+
+import asyncio
+import tempfile
+
+from fuchsiascale.testing import fixture
+from standins.processes import StandinProcess
+
+__all__ = ["SERVICE", "TIMEOUT_S", "set_faults", "started", "wait_until"]
+
+TIMEOUT_S = 0.5
+POLL_INTERVAL_S = 0.01
+MAX_POLLS = 1_000
+SERVICE = "hub"
+
+
+def started(module, **arguments):
+    """Yield a stand-in that listens, and stop it afterwards."""
+    with tempfile.TemporaryDirectory() as folder:
+        standin = StandinProcess(module, folder, **arguments)
+        standin.start()
+        try:
+            standin.wait_ready()
+            yield standin
+        finally:
+            standin.clean_up()
+
+
+async def set_faults(standin, **faults):
+    """Put faults in force, and let the event loop see connections that close."""
+    await asyncio.to_thread(lambda: standin.set_faults(**faults))
+    await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def wait_until(condition):
+    """Wait until a coroutine function returns something true."""
+    for _ in range(MAX_POLLS):
+        if await condition():
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+    raise TimeoutError("the awaited state did not come")
+
+
+@fixture
+def tables_standin():
+    yield from started("tables")
+
+
+@fixture
+def objects_standin():
+    yield from started("objects")
+
+
+@fixture
+def listing_standin():
+    yield from started("listing", lag_ms=0)
+
+
+@fixture
+def runner_standin():
+    yield from started("runner", runner_id="r1", service=SERVICE, slots=2)
+
+
+@fixture
+def worker_standin(objects_standin):
+    yield from started(
+        "worker",
+        worker_id="w1",
+        millicores=4000,
+        memory_mb=4000,
+        accelerators=1,
+        objects=objects_standin.address,
+        usage_lag_ms=0,
+    )
--- /dev/null
+++ b/fuchsiascale/platform/tests/test_runners.py
@@ -0,0 +1,121 @@
+"""Contract of the runners port, with the faults as a table."""
+
+import asyncio
+
+import aiohttp
+from returns.result import Success
+
+from fuchsiascale.ids import RequestId, ServiceId
+from fuchsiascale.platform import (
+    HttpRunners,
+    RequestNotRun,
+    RequestUncertain,
+    UpstreamRequest,
+)
+from fuchsiascale.platform.tests._standins import (
+    SERVICE,
+    TIMEOUT_S,
+    set_faults,
+    wait_until,
+)
+from fuchsiascale.testing import collect_functions
+from standins._journal import Event
+
+load_tests = collect_functions(__name__)
+
+# name, faults, what the port must return, executions in the runner's journal
+SEND_FAULTS = (
+    ("none", {}, Success, 1),
+    ("down", {"down": True}, RequestNotRun, 0),
+    ("full", {"full": True}, RequestNotRun, 0),
+    ("503 of unknown meaning", {"unavailable": True}, RequestUncertain, 0),
+    ("cut before the body", {"cut": {"before_body": 1}}, RequestUncertain, 0),
+    ("cut during the body", {"cut": {"during_body": 1}}, RequestUncertain, 0),
+    ("cut after the body", {"cut": {"after_body": 1}}, RequestUncertain, 0),
+    ("reply lost", {"cut": {"after_effect": 1}}, RequestUncertain, 1),
+    ("cut during the answer", {"cut": {"during_answer": 1}}, RequestUncertain, 1),
+    ("truncated answer", {"truncated_answers": 1}, RequestUncertain, 1),
+    ("crossed answer", {"crossed_answers": 1}, RequestUncertain, 1),
+    ("late answer", {"late_answer_ms": 900}, RequestUncertain, 1),
+    ("slow answer", {"late_answer_ms": 100}, Success, 1),
+)
+METHODS = ("POST", "GET", "PUT", "DELETE")
+
+
+def make_request(name, method="POST", body=b"body", service=SERVICE):
+    return UpstreamRequest(
+        request_id=RequestId(name),
+        service=ServiceId(service),
+        method=method,
+        path="a/b?c=d",
+        deadline_ms=10_000,
+        body=body,
+        content_type="text/plain",
+    )
+
+
+def count_executions(standin, name):
+    entries = standin.read_journal()
+    return sum(e.event is Event.EXECUTED and e.request == name for e in entries)
+
+
+def sort_result(result):
+    return Success if isinstance(result, Success) else type(result.failure())
+
+
+async def test_sends_under_faults(runner_standin):
+    async with aiohttp.ClientSession() as session:
+        runners = HttpRunners(session, TIMEOUT_S)
+        for fault, faults, expected, executions in SEND_FAULTS:
+            for method in METHODS:
+                name = f"{fault} {method}"
+                body = name.encode()
+                warm_up = make_request(f"warm {name}", method)
+                assert (
+                    sort_result(await runners.send(runner_standin.address, warm_up))
+                    is Success
+                ), name
+                await set_faults(runner_standin, **faults)
+                request = make_request(name, method, body)
+                result = await runners.send(runner_standin.address, request)
+                await set_faults(runner_standin)
+                assert sort_result(result) is expected, (name, result)
+                assert count_executions(runner_standin, name) == executions, name
+                if expected is Success:
+                    answer = result.unwrap()
+                    assert (answer.request_id, answer.body) == (name, body)
+                    assert answer.runner == "r1"
+                    assert answer.content_type == "text/plain"
+
+
+async def test_requests_over_the_slots_are_not_run(runner_standin):
+    async with aiohttp.ClientSession() as session:
+        runners = HttpRunners(session, TIMEOUT_S)
+        body = b'{"service_ms": 200}'
+        results = await asyncio.gather(
+            *(
+                runners.send(runner_standin.address, make_request(str(n), body=body))
+                for n in range(5)
+            )
+        )
+    done = [n for n, result in enumerate(results) if sort_result(result) is Success]
+    assert len(done) == 2
+    for n, result in enumerate(results):
+        assert sort_result(result) in (Success, RequestNotRun)
+        assert count_executions(runner_standin, str(n)) == (n in done)
+
+
+async def test_a_killed_runner_is_uncertain_and_then_not_run(runner_standin):
+    async with aiohttp.ClientSession() as session:
+        runners = HttpRunners(session, TIMEOUT_S)
+        request = make_request("killed", body=b'{"service_ms": 300}')
+        sending = asyncio.create_task(runners.send(runner_standin.address, request))
+
+        async def executed():
+            return count_executions(runner_standin, "killed")
+
+        await wait_until(executed)
+        runner_standin.kill()
+        assert sort_result(await sending) is RequestUncertain
+        again = await runners.send(runner_standin.address, make_request("again"))
+        assert sort_result(again) is RequestNotRun
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,205 @@
+"""Starts, stops and faults stand-in processes, for tests and examples."""
+
+import contextlib
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+
+import msgspec
+
+from standins._journal import read_journal
+from standins._server import Faults
+
+__all__ = [
+    "ManagedProcess",
+    "StandinProcess",
+    "find_free_address",
+    "post_control",
+    "read_control",
+]
+
+LOOPBACK = "127.0.0.1"
+LISTEN_PORTS = range(12_000, 32_000)
+READY_LINE = b"ready\n"
+STOP_TIMEOUT_S = 15.0
+CONTROL_TIMEOUT_S = 5.0
+POLL_INTERVAL_S = 0.02
+
+
+def find_free_address():
+    """Return a loopback address whose port was free a moment ago.
+
+    The port lies below the range that the system gives to outgoing
+    connections, so that none of these takes it before it is listened on.
+    """
+    ports = random.SystemRandom().sample(LISTEN_PORTS, k=100)
+    for port in ports:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            return f"{LOOPBACK}:{port}"
+    raise RuntimeError("no free port was found")
+
+
+def post_control(address, path, message):
+    """Post a message to a control port and return the answer's body."""
+    request = urllib.request.Request(
+        f"http://{address}{path}",
+        data=msgspec.json.encode(message),
+        headers={"Content-Type": "application/json"},
+        method="POST",
+    )
+    with urllib.request.urlopen(request, timeout=CONTROL_TIMEOUT_S) as answer:
+        return answer.read()
+
+
+def read_control(address, path, message_type):
+    """Return what a control port shows, as a message."""
+    url = f"http://{address}{path}"
+    with urllib.request.urlopen(url, timeout=CONTROL_TIMEOUT_S) as answer:
+        return msgspec.json.decode(answer.read(), type=message_type)
+
+
+class ManagedProcess:
+    """One child process that can be killed, paused, resumed and terminated.
+
+    Parameters
+    ----------
+    name : str
+        Name of the process and of its files.
+    command : list of str
+        Program and arguments.
+    folder : Path
+        Where standard output and error go.
+    """
+
+    def __init__(self, name, command, folder):
+        self.name = name
+        self.output = Path(folder) / f"{name}.out"
+        self._command = command
+        self._process = None
+
+    def start(self):
+        """Start the process; it may be started again after its end."""
+        with self.output.open("ab") as output:
+            self._process = subprocess.Popen(
+                self._command, stdout=output, stderr=subprocess.STDOUT
+            )
+
+    @property
+    def running(self):
+        """Whether the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def pid(self):
+        """Process id."""
+        return self._process.pid
+
+    def kill(self):
+        """End the process at once, without notice to it."""
+        self._process.kill()
+        self._process.wait()
+
+    def pause(self):
+        """Stop the process from running until it is resumed."""
+        os.kill(self._process.pid, signal.SIGSTOP)
+
+    def resume(self):
+        """Let a paused process run on."""
+        os.kill(self._process.pid, signal.SIGCONT)
+
+    def ask_to_stop(self):
+        """Send SIGTERM and return at once."""
+        self._process.terminate()
+
+    def wait(self, timeout_s=STOP_TIMEOUT_S):
+        """Wait for the process to end and return its exit status."""
+        return self._process.wait(timeout_s)
+
+    def terminate(self, timeout_s=STOP_TIMEOUT_S):
+        """Stop the process gracefully and return its exit status."""
+        self.ask_to_stop()
+        return self.wait(timeout_s)
+
+    def clean_up(self):
+        """End the process, whatever its state."""
+        if not self.running:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            self.resume()
+        self.ask_to_stop()
+        try:
+            self.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def read_output(self):
+        """Return all that the process has printed."""
+        return self.output.read_text(errors="replace")
+
+
+class StandinProcess(ManagedProcess):
+    """A stand-in process with its addresses and its journal.
+
+    Parameters
+    ----------
+    module : str
+        Name of the stand-in, such as ``tables``.
+    folder : Path
+        Where the journal and the output go.
+    name : str, optional
+        Name of this process; the module's where it is empty.
+    arguments : dict of str to str, optional
+        Further arguments, by name.
+    """
+
+    def __init__(self, module, folder, name="", **arguments):
+        name = name or module
+        self.address = find_free_address()
+        self.control = find_free_address()
+        self.journal = Path(folder) / f"{name}.journal"
+        command = [sys.executable, "-m", f"standins.{module}"]
+        command += ["--listen", self.address, "--control", self.control]
+        command += ["--journal", str(self.journal)]
+        for key, value in arguments.items():
+            command += list_argument(key, value)
+        super().__init__(name, command, folder)
+
+    @property
+    def base_url(self):
+        """URL of the service."""
+        return f"http://{self.address}"
+
+    def start(self):
+        """Start the stand-in."""
+        self.output.unlink(missing_ok=True)
+        super().start()
+
+    def wait_ready(self, timeout_s=STOP_TIMEOUT_S):
+        """Wait until the stand-in listens."""
+        give_up_s = time.monotonic() + timeout_s
+        while READY_LINE not in self.output.read_bytes():
+            if not self.running or time.monotonic() > give_up_s:
+                raise RuntimeError(f"{self.name} is not up: {self.read_output()}")
+            time.sleep(POLL_INTERVAL_S)
+
+    def set_faults(self, **faults):
+        """Put these faults, and no others, in force."""
+        post_control(self.control, "/control/faults", Faults(**faults))
+
+    def read_journal(self):
+        """Return the entries of the journal so far."""
+        return read_journal(self.journal) if self.journal.exists() else []
+
+
+def list_argument(key, value):
+    """Return one named argument, or one for each item of a tuple."""
+    flag = "--" + key.replace("_", "-")
+    values = value if isinstance(value, tuple) else (value,)
+    return [part for item in values for part in (flag, str(item))]
