Add settings, fleet document schema, keeper and a first membership

Cause: the daemon needs checked settings, the document and the members. Change: typed INI options shared by settings and document; sections as rows with a head and immutable history rows; heartbeat digests without I/O. Heartbeat, digest, section and edit messages move to coordination, which api re-exports, because coordination may not import api. Ruled out: one row for the whole document (every team would race for it). Not yet: lost replies, pulls from peers, compaction, announcing of leaving marks.

--- a/fuchsiascale/api/_operator.py
+++ b/fuchsiascale/api/_operator.py
@@ -1,7 +1,12 @@
 """Messages of the operator interface."""
 
 from fuchsiascale.api._caller import TaskExplanation
-from fuchsiascale.coordination import DocumentSection, HistoryEntry
+from fuchsiascale.coordination import (
+    DocumentSection,
+    EditReply,
+    EditRequest,
+    HistoryEntry,
+)
 from fuchsiascale.ids import InstanceId, JobId, Revision, ShardId, TeamId
 from fuchsiascale.platform import FencingToken, Message, Resources
 
@@ -28,36 +33,6 @@
     text: str
 
 
-class EditRequest(Message):
-    """Replaces the named sections, each at the revision it was read at.
-
-    Parameters
-    ----------
-    text : str
-        INI text that holds the sections to write.
-    expected : tuple of DocumentSection
-        The sections as they were read; only name and revision count. A section
-        absent from it must be new.
-    removed : tuple of str
-        Names of sections to remove.
-    """
-
-    text: str
-    expected: tuple[DocumentSection, ...] = ()
-    removed: tuple[str, ...] = ()
-    author: str = ""
-    check_only: bool = False
-
-
-class EditReply(Message):
-    """Whether an edit was accepted; a conflict names both revisions."""
-
-    accepted: bool
-    revision: Revision = Revision(0)
-    problems: tuple[str, ...] = ()
-    conflicts: tuple[str, ...] = ()
-
-
 class HistoryReply(Message):
     """Accepted edits, newest first."""
 
--- a/fuchsiascale/api/_peer.py
+++ b/fuchsiascale/api/_peer.py
@@ -1,23 +1,27 @@
 """Messages between instances."""
 
-from fuchsiascale.coordination import ClaimRecord, DocumentSection
+from fuchsiascale.coordination import (
+    ClaimRecord,
+    Heartbeat,
+    HeartbeatReply,
+    PeerDigest,
+    SectionsReply,
+    SectionsRequest,
+    ShardDigest,
+)
 from fuchsiascale.ids import (
     ChunkId,
-    FailureDomainId,
     InstanceId,
-    RegionId,
-    Revision,
     RunnerId,
     ShardId,
 )
 from fuchsiascale.platform import (
     FencingToken,
     Message,
-    Resources,
     UpstreamAnswer,
     UpstreamRequest,
 )
-from fuchsiascale.states import Outcome, PeerState, Refusal
+from fuchsiascale.states import Outcome, Refusal
 
 __all__ = [
     "CreditGrant",
@@ -40,74 +44,6 @@
 ]
 
 
-class ShardDigest(Message):
-    """What an owner tells of a shard it holds.
-
-    Parameters
-    ----------
-    free : Resources
-        Uncommitted resources over all claimed workers.
-    waiting : int
-        Tasks assigned to the shard and not running.
-    """
-
-    shard: ShardId
-    token: FencingToken
-    free: Resources = Resources()
-    waiting: int = 0
-
-
-class PeerDigest(Message):
-    """What is spread about one instance; a higher incarnation or beat is newer.
-
-    Parameters
-    ----------
-    incarnation : int
-        Start time of the process, in milliseconds of wall-clock time.
-    beat : int
-        Count of heartbeats sent since the start.
-    in_flight : int
-        Requests that the instance has in hand.
-    """
-
-    instance: InstanceId
-    address: str
-    failure_domain: FailureDomainId
-    region: RegionId
-    incarnation: int
-    beat: int
-    state: PeerState = PeerState.ALIVE
-    revision: Revision = Revision(0)
-    in_flight: int = 0
-    shards: tuple[ShardDigest, ...] = ()
-    leaving_upstreams: tuple[str, ...] = ()
-
-
-class Heartbeat(Message):
-    """Digests of the sender and of a few peers, newest known first."""
-
-    digests: tuple[PeerDigest, ...]
-
-
-class HeartbeatReply(Message):
-    """Digests that the receiver holds newer than the sender."""
-
-    digests: tuple[PeerDigest, ...]
-
-
-class SectionsRequest(Message):
-    """Asks for the sections that changed after a revision."""
-
-    after: Revision
-
-
-class SectionsReply(Message):
-    """Sections changed after the asked revision, and the newest revision."""
-
-    revision: Revision
-    sections: tuple[DocumentSection, ...] = ()
-
-
 class CreditWish(Message):
     """How many slots and connections of a runner an instance could use."""
 
--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -1,4 +1,9 @@
 """Coordination parts: no HTTP, clock and random source passed in."""
 
+from fuchsiascale.coordination._documents import *  # noqa: F403
+from fuchsiascale.coordination._edits import *  # noqa: F403
+from fuchsiascale.coordination._membership import *  # noqa: F403
+from fuchsiascale.coordination._messages import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403
+from fuchsiascale.coordination._schema import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/coordination/_edits.py
@@ -0,0 +1,149 @@
+"""Checks of an edit of the fleet document, before it is written."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.coordination._records import DocumentSection
+from fuchsiascale.coordination._schema import (
+    amend_fleet,
+    check_fleet,
+    parse_fleet,
+    split_section_name,
+)
+from fuchsiascale.coordination._schema_options import SECTION_KINDS
+from fuchsiascale.ids import Revision
+from fuchsiascale.options import OptionProblem
+
+__all__ = [
+    "EditConflict",
+    "EditError",
+    "EditForbidden",
+    "EditInvalid",
+    "EditUnavailable",
+    "EditUncertain",
+    "plan_edit",
+]
+
+
+class EditError(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of the reasons why an edit was not accepted."""
+
+    detail: str = ""
+
+
+class EditInvalid(EditError, frozen=True, kw_only=True):
+    """The document would not be sound with the edit."""
+
+    problems: tuple[OptionProblem, ...]
+
+
+class EditForbidden(EditError, frozen=True, kw_only=True):
+    """The edit touches sections that the team does not own."""
+
+    problems: tuple[OptionProblem, ...]
+
+
+class EditConflict(EditError, frozen=True, kw_only=True):
+    """Sections stand at other revisions than the edit was made on."""
+
+    conflicts: tuple[str, ...]
+
+
+class EditUnavailable(EditError, frozen=True, kw_only=True):
+    """The store could not be reached; nothing was changed."""
+
+
+class EditUncertain(EditError, frozen=True, kw_only=True):
+    """The edit may have become the named revision; the history will tell."""
+
+    revision: Revision
+
+
+def plan_edit(
+    fleet, sections, request, team, admin
+) -> Result[tuple[DocumentSection, ...], EditError]:
+    """Return the sections that an edit changes, or why it is refused.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The document in force.
+    sections : mapping of str to DocumentSection
+        The stored sections by name, removed ones included.
+    request : EditRequest
+        The edit.
+    team : TeamId
+        Team of the operator.
+    admin : bool
+        Whether the operator may edit sections of every team.
+
+    Returns
+    -------
+    Result of tuple of DocumentSection or EditError
+        Only sections that differ from the stored ones; none if all are equal.
+    """
+    parsed = parse_fleet(request.text)
+    if isinstance(parsed, Failure):
+        return Failure(EditInvalid(problems=parsed.failure()))
+    wanted = [*parsed.unwrap(), *_find_removed(sections, request.removed)]
+    changed = tuple(section for section in wanted if not _is_equal(section, sections))
+    problems = () if admin else tuple(_check_owner(changed, sections, team))
+    if problems:
+        return Failure(EditForbidden(problems=problems))
+    conflicts = tuple(_find_conflicts(changed, sections, request.expected))
+    if conflicts:
+        return Failure(EditConflict(conflicts=conflicts))
+    amended = amend_fleet(fleet, changed, Revision(fleet.revision + 1))
+    if isinstance(amended, Failure):
+        return Failure(EditInvalid(problems=amended.failure()))
+    problems = check_fleet(amended.unwrap())
+    return Failure(EditInvalid(problems=problems)) if problems else Success(changed)
+
+
+def _find_removed(sections, names):
+    for name in names:
+        known = _find(sections, name)
+        if known is not None:
+            yield msgspec.structs.replace(known, options=(), removed=True)
+
+
+def _find(sections, name):
+    """Return the section of a name, unless it is absent or removed."""
+    known = sections.get(name)
+    return None if known is None or known.removed else known
+
+
+def _is_equal(section, sections):
+    known = _find(sections, section.name)
+    if known is None:
+        return False
+    return msgspec.structs.replace(section, revision=known.revision) == known
+
+
+def _check_owner(changed, sections, team):
+    for section in changed:
+        known = _find(sections, section.name)
+        owner = section.team if known is None else known.team
+        kind, _ = split_section_name(section.name)
+        if owner != team:
+            detail = f"belongs to team {owner}, not to {team}"
+        elif section.team != team:
+            detail = "only the admin team hands a section to another team"
+        elif known is None and not SECTION_KINDS[kind].teams_create:
+            detail = f"only the admin team creates a [{kind}] section"
+        else:
+            continue
+        yield OptionProblem(section=section.name, detail=detail)
+
+
+def _find_conflicts(changed, sections, expected):
+    read = {section.name: section.revision for section in expected}
+    for section in changed:
+        known = _find(sections, section.name)
+        stored = known.revision if known else 0
+        wanted = read.get(section.name, 0)
+        if stored != wanted:
+            yield (
+                f"[{section.name}]: the edit was made on revision {wanted}, "
+                f"the store holds revision {stored}"
+            )
--- /dev/null
+++ b/fuchsiascale/coordination/_messages.py
@@ -0,0 +1,115 @@
+"""Messages that coordination parts exchange, whatever carries them."""
+
+from fuchsiascale.coordination._records import DocumentSection
+from fuchsiascale.ids import FailureDomainId, InstanceId, RegionId, Revision, ShardId
+from fuchsiascale.platform import FencingToken, Message, Resources
+from fuchsiascale.states import PeerState
+
+__all__ = [
+    "EditReply",
+    "EditRequest",
+    "Heartbeat",
+    "HeartbeatReply",
+    "PeerDigest",
+    "SectionsReply",
+    "SectionsRequest",
+    "ShardDigest",
+]
+
+
+class ShardDigest(Message):
+    """What an owner tells of a shard it holds.
+
+    Parameters
+    ----------
+    free : Resources
+        Uncommitted resources over all claimed workers.
+    waiting : int
+        Tasks assigned to the shard and not running.
+    """
+
+    shard: ShardId
+    token: FencingToken
+    free: Resources = Resources()
+    waiting: int = 0
+
+
+class PeerDigest(Message):
+    """What is spread about one instance; a higher incarnation or beat is newer.
+
+    Parameters
+    ----------
+    incarnation : int
+        Start time of the process, in milliseconds of wall-clock time.
+    beat : int
+        Count of heartbeats sent since the start.
+    in_flight : int
+        Requests that the instance has in hand.
+    """
+
+    instance: InstanceId
+    address: str
+    failure_domain: FailureDomainId
+    region: RegionId
+    incarnation: int
+    beat: int
+    state: PeerState = PeerState.ALIVE
+    revision: Revision = Revision(0)
+    in_flight: int = 0
+    shards: tuple[ShardDigest, ...] = ()
+    leaving_upstreams: tuple[str, ...] = ()
+
+
+class Heartbeat(Message):
+    """Digests of the sender and of a few peers, newest known first."""
+
+    digests: tuple[PeerDigest, ...]
+
+
+class HeartbeatReply(Message):
+    """Digests that the receiver holds newer than the sender."""
+
+    digests: tuple[PeerDigest, ...]
+
+
+class SectionsRequest(Message):
+    """Asks for the sections that changed after a revision."""
+
+    after: Revision
+
+
+class SectionsReply(Message):
+    """Sections changed after the asked revision, and the newest revision."""
+
+    revision: Revision
+    sections: tuple[DocumentSection, ...] = ()
+
+
+class EditRequest(Message):
+    """Replaces the named sections, each at the revision it was read at.
+
+    Parameters
+    ----------
+    text : str
+        INI text that holds the sections to write.
+    expected : tuple of DocumentSection
+        The sections as they were read; only name and revision count. A section
+        absent from it must be new.
+    removed : tuple of str
+        Names of sections to remove.
+    """
+
+    text: str
+    expected: tuple[DocumentSection, ...] = ()
+    removed: tuple[str, ...] = ()
+    author: str = ""
+    check_only: bool = False
+
+
+class EditReply(Message):
+    """Whether an edit was accepted; a conflict names both revisions."""
+
+    accepted: bool
+    revision: Revision = Revision(0)
+    problems: tuple[str, ...] = ()
+    conflicts: tuple[str, ...] = ()
--- a/fuchsiascale/coordination/_records.py
+++ b/fuchsiascale/coordination/_records.py
@@ -28,6 +28,7 @@
     "DOCUMENT_TABLE",
     "JOBS_TABLE",
     "MAX_CHUNK_TASKS",
+    "NO_REVISION",
     "Assignment",
     "ChunkRecord",
     "ClaimRecord",
@@ -53,6 +54,7 @@
 DOCUMENT_HISTORY_TABLE = "document-history"
 
 MAX_CHUNK_TASKS = 256
+NO_REVISION = Revision(0)
 
 
 class JobSpec(Message):
--- a/fuchsiascale/coordination/_view.py
+++ b/fuchsiascale/coordination/_view.py
@@ -4,6 +4,7 @@
     FailureDomainId,
     InstanceId,
     JobKindId,
+    RackId,
     RegionId,
     Revision,
     ServiceId,
@@ -55,6 +56,7 @@
     """Section ``[team NAME]`` of the fleet document."""
 
     team: TeamId
+    owner: TeamId = TeamId("")
     weight: float = 1.0
     quota: Resources | None = None
     token_sha256: str = ""
@@ -75,6 +77,9 @@
     instance: str
     team: TeamId
     cordoned: bool = False
+    failure_domain: FailureDomainId = FailureDomainId("")
+    rack: RackId = RackId("")
+    capacity: Resources = Resources()
 
 
 class PolicySettings(Message):
--- /dev/null
+++ b/fuchsiascale/daemon/_settings.py
@@ -0,0 +1,352 @@
+"""Settings of the daemon, read from an INI file and checked whole."""
+
+import configparser
+import ipaddress
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.daemon._settings_options import (
+    LISTENERS,
+    OPERATOR_PREFIX,
+    SECTIONS,
+)
+from fuchsiascale.ids import FailureDomainId, InstanceId, RegionId, TeamId
+from fuchsiascale.options import OptionProblem, parse_name, parse_sha256, read_options
+
+__all__ = [
+    "AccessSettings",
+    "ListenSettings",
+    "LogSettings",
+    "OperatorToken",
+    "PlatformSettings",
+    "Settings",
+    "SettingsProblem",
+    "TimerSettings",
+    "TlsFiles",
+    "TraceSettings",
+    "UpstreamSettings",
+    "read_settings",
+]
+
+LEASE_EXCHANGES = 2
+
+
+class SettingsProblem(msgspec.Struct, frozen=True, kw_only=True):
+    """One fault of a settings file, with its file, section and key."""
+
+    file: str
+    section: str = ""
+    key: str = ""
+    detail: str
+
+    def __str__(self):
+        place = f"{self.file}: [{self.section}]" if self.section else self.file
+        return (
+            f"{place} {self.key}: {self.detail}"
+            if self.key
+            else f"{place}: {self.detail}"
+        )
+
+
+class _Part(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of the parts of the settings."""
+
+
+class TlsFiles(_Part):
+    """Paths of PEM files; an empty path means that the file is not used."""
+
+    certificate: str = ""
+    key: str = ""
+    authority: str = ""
+
+
+class ListenSettings(_Part):
+    """Address of one listener, and its TLS files if it has any."""
+
+    host: str
+    port: int
+    tls: TlsFiles | None = None
+
+    @property
+    def address(self):
+        """The listener's ``host:port``."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+class PlatformSettings(_Part):
+    """Base URLs of the platform's services and the timeout of a call."""
+
+    tables: str
+    objects: str
+    instances: str
+    timeout_ms: int
+    tls: TlsFiles | None = None
+
+
+class UpstreamSettings(_Part):
+    """How workers and runners are called."""
+
+    tls: TlsFiles | None = None
+
+
+class OperatorToken(_Part):
+    """SHA-256 of a team's operator token."""
+
+    team: TeamId
+    sha256: str
+
+
+class AccessSettings(_Part):
+    """The token between instances and the operators' tokens, as hashes."""
+
+    peer_token: str
+    admin: TeamId
+    operators: tuple[OperatorToken, ...] = ()
+
+    def __repr__(self):
+        return f"AccessSettings(admin={self.admin!r})"
+
+
+class TimerSettings(_Part):
+    """Periods and limits, in milliseconds."""
+
+    heartbeat_ms: int
+    list_poll_ms: int
+    document_poll_ms: int
+    exchange_ms: int
+    lease_ms: int
+    stop_grace_ms: int
+
+
+class TraceSettings(_Part):
+    """Where sampled spans go, and the share of requests sampled."""
+
+    exporter: str
+    sample_ratio: float
+
+
+class LogSettings(_Part):
+    """Least level of the lines that are written."""
+
+    level: str
+
+
+class Settings(_Part):
+    """Everything that a daemon learns from its settings file."""
+
+    instance: InstanceId
+    failure_domain: FailureDomainId
+    region: RegionId
+    caller: ListenSettings
+    peer: ListenSettings
+    operator: ListenSettings
+    platform: PlatformSettings
+    upstreams: UpstreamSettings
+    seeds: tuple[str, ...]
+    access: AccessSettings
+    timers: TimerSettings
+    traces: TraceSettings
+    logs: LogSettings
+
+
+def read_settings(path) -> Result[Settings, tuple[SettingsProblem, ...]]:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        The INI file.
+
+    Returns
+    -------
+    Result of Settings or tuple of SettingsProblem
+        All problems at once, each with its file, section and key.
+    """
+    file = str(path)
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    parser.optionxform = str
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"), source=file)
+    except (OSError, UnicodeError) as error:
+        return Failure((SettingsProblem(file=file, detail=f"cannot be read: {error}"),))
+    except configparser.Error as error:
+        detail = " ".join(str(error).split())
+        return Failure((SettingsProblem(file=file, detail=detail),))
+    values, problems = _read_sections(parser)
+    if not problems:
+        problems = _check_together(values)
+    if problems:
+        return Failure(tuple(_locate(file, problem) for problem in problems))
+    return (
+        _read_token(values["access"], Path(path).parent)
+        .alt(lambda problem: (_locate(file, problem),))
+        .map(lambda token: _build_settings(values, token))
+    )
+
+
+def _locate(file, problem):
+    return SettingsProblem(
+        file=file, section=problem.section, key=problem.key, detail=problem.detail
+    )
+
+
+def _read_sections(parser):
+    problems = [
+        OptionProblem(section=name, detail="unknown section")
+        for name in parser.sections()
+        if name not in SECTIONS
+    ]
+    values = {}
+    for name, options in SECTIONS.items():
+        items = dict(parser[name]) if parser.has_section(name) else {}
+        if name == "access":
+            items, operators, found = _read_operators(items)
+            problems.extend(found)
+        values[name], found = read_options(name, items, options)
+        problems.extend(found)
+    values["access"]["operators"] = operators
+    return values, problems
+
+
+def _read_operators(items):
+    """Part the ``operator.TEAM`` keys, which can't be listed, from the others."""
+    rest, operators, problems = {}, [], []
+    for key, text in items.items():
+        if not key.startswith(OPERATOR_PREFIX):
+            rest[key] = text
+            continue
+        team = parse_name(key.removeprefix(OPERATOR_PREFIX))
+        digest = parse_sha256(text)
+        problems.extend(
+            OptionProblem(section="access", key=key, detail=result.failure())
+            for result in (team, digest)
+            if isinstance(result, Failure)
+        )
+        if isinstance(team, Success) and isinstance(digest, Success):
+            token = OperatorToken(team=TeamId(team.unwrap()), sha256=digest.unwrap())
+            operators.append(token)
+    return rest, tuple(operators), problems
+
+
+def _check_together(values):
+    """Check what one option alone can't show."""
+    problems = []
+    problems.extend(_check_listeners(values["listen"]))
+    for section, prefixes in (
+        ("listen", [f"{name}_" for name in LISTENERS]),
+        ("platform", [""]),
+        ("upstreams", [""]),
+    ):
+        for prefix in prefixes:
+            problems.extend(_check_tls(section, values[section], prefix))
+    access, timers = values["access"], values["timers"]
+    if bool(access["peer_token"]) == bool(access["peer_token_file"]):
+        detail = "give exactly one of peer_token and peer_token_file"
+        problems.append(
+            OptionProblem(section="access", key="peer_token", detail=detail)
+        )
+    if access["admin"] not in {token.team for token in access["operators"]}:
+        detail = f"no {OPERATOR_PREFIX}{access['admin']} is given"
+        problems.append(OptionProblem(section="access", key="admin", detail=detail))
+    if timers["lease_ms"] < LEASE_EXCHANGES * timers["exchange_ms"]:
+        detail = f"less than {LEASE_EXCHANGES} times exchange_ms"
+        problems.append(OptionProblem(section="timers", key="lease_ms", detail=detail))
+    return problems
+
+
+def _check_listeners(listen):
+    problems, taken = [], {}
+    for name in LISTENERS:
+        address = listen[name]
+        if address in taken:
+            detail = f"{address} is the {taken[address]} listener's address as well"
+            problems.append(OptionProblem(section="listen", key=name, detail=detail))
+        taken[address] = name
+    host = _split_address(listen["peer"])[0]
+    if ipaddress.ip_address(host).is_unspecified:
+        detail = f"{host} is no address that peers can connect to"
+        problems.append(OptionProblem(section="listen", key="peer", detail=detail))
+    return problems
+
+
+def _check_tls(section, values, prefix):
+    problems = []
+    for part in ("certificate", "key", "authority"):
+        key = f"{prefix}tls_{part}"
+        path = values[key]
+        if path and not Path(path).is_file():
+            detail = f"no file at {path}"
+            problems.append(OptionProblem(section=section, key=key, detail=detail))
+    pair = values[f"{prefix}tls_certificate"], values[f"{prefix}tls_key"]
+    if any(pair) and not all(pair):
+        key = f"{prefix}tls_key"
+        detail = "certificate and key are needed together"
+        problems.append(OptionProblem(section=section, key=key, detail=detail))
+    return problems
+
+
+def _read_token(access, folder):
+    if access["peer_token"]:
+        return Success(access["peer_token"])
+    key = "peer_token_file"
+    try:
+        token = (folder / access[key]).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeError) as error:
+        detail = f"cannot be read: {error}"
+        return Failure(OptionProblem(section="access", key=key, detail=detail))
+    if not token:
+        return Failure(OptionProblem(section="access", key=key, detail="is empty"))
+    return Success(token)
+
+
+def _build_settings(values, peer_token):
+    instance, access = values["instance"], values["access"]
+    platform = values["platform"]
+    return Settings(
+        instance=InstanceId(instance["id"]),
+        failure_domain=FailureDomainId(instance["failure_domain"]),
+        region=RegionId(instance["region"]),
+        **{name: _build_listener(values["listen"], name) for name in LISTENERS},
+        platform=PlatformSettings(
+            tables=platform["tables"],
+            objects=platform["objects"],
+            instances=platform["instances"],
+            timeout_ms=platform["timeout_ms"],
+            tls=_build_tls(platform, ""),
+        ),
+        upstreams=UpstreamSettings(tls=_build_tls(values["upstreams"], "")),
+        seeds=values["peers"]["seeds"],
+        access=AccessSettings(
+            peer_token=peer_token,
+            admin=TeamId(access["admin"]),
+            operators=access["operators"],
+        ),
+        timers=TimerSettings(**values["timers"]),
+        traces=TraceSettings(
+            exporter=values["traces"]["exporter"].value,
+            sample_ratio=values["traces"]["sample_ratio"],
+        ),
+        logs=LogSettings(level=values["logs"]["level"].value),
+    )
+
+
+def _build_listener(listen, name):
+    host, port = _split_address(listen[name])
+    return ListenSettings(host=host, port=port, tls=_build_tls(listen, f"{name}_"))
+
+
+def _build_tls(values, prefix):
+    files = TlsFiles(
+        certificate=values[f"{prefix}tls_certificate"],
+        key=values[f"{prefix}tls_key"],
+        authority=values[f"{prefix}tls_authority"],
+    )
+    return None if files == TlsFiles() else files
+
+
+def _split_address(address):
+    host, _, port = address.rpartition(":")
+    return host.removeprefix("[").removesuffix("]"), int(port)
--- /dev/null
+++ b/fuchsiascale/options.py
@@ -0,0 +1,256 @@
+"""Typed options of INI sections, shared by the settings and the fleet document."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+__all__ = [
+    "Option",
+    "OptionProblem",
+    "choice",
+    "flag",
+    "integer",
+    "number",
+    "parse_address",
+    "parse_addresses",
+    "parse_name",
+    "parse_path",
+    "parse_sha256",
+    "parse_text",
+    "parse_url",
+    "read_options",
+]
+
+MAX_PORT = 65_535
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
+URL_PATTERN = re.compile(r"(https?)://([^/]+)/?")
+
+Converter = Callable[[str], Result[Any, str]]
+
+
+class Option(msgspec.Struct, frozen=True, kw_only=True):
+    """One option that a section may hold.
+
+    Parameters
+    ----------
+    name : str
+        Key in the INI section.
+    convert : callable
+        Turns the text into the value, or says what is wrong with it.
+    default : object
+        Value where the option is absent; not used for a required one.
+    required : bool
+        Whether the option must stand in the section.
+    unit : str
+        Unit of the value, for the reference.
+    accepts : str
+        Accepted values in words, for the reference.
+    meaning : str
+        What the option does, for the reference.
+    """
+
+    name: str
+    convert: Converter
+    default: Any = None
+    required: bool = False
+    unit: str = ""
+    accepts: str = ""
+    meaning: str = ""
+
+
+class OptionProblem(msgspec.Struct, frozen=True, kw_only=True):
+    """One fault of a section; the key is empty where the section is at fault."""
+
+    section: str
+    key: str = ""
+    detail: str
+
+    def __str__(self):
+        place = f"[{self.section}]" if self.section else "document"
+        return (
+            f"{place} {self.key}: {self.detail}"
+            if self.key
+            else f"{place}: {self.detail}"
+        )
+
+
+def integer(low, high):
+    """Return a converter to whole numbers from ``low`` to ``high``.
+
+    Examples
+    --------
+    >>> integer(1, 8)("9").failure()
+    '9 is not from 1 to 8'
+    """
+
+    def convert(text):
+        try:
+            value = int(text)
+        except ValueError:
+            return Failure(f"{text!r} is not a whole number")
+        if not low <= value <= high:
+            return Failure(f"{value} is not from {low} to {high}")
+        return Success(value)
+
+    return convert
+
+
+def number(low, high):
+    """Return a converter to numbers from ``low`` to ``high``.
+
+    Examples
+    --------
+    >>> number(0, 1)("0.25").unwrap()
+    0.25
+    """
+
+    def convert(text):
+        try:
+            value = float(text)
+        except ValueError:
+            return Failure(f"{text!r} is not a number")
+        if not math.isfinite(value) or not low <= value <= high:
+            return Failure(f"{text} is not from {low:g} to {high:g}")
+        return Success(value)
+
+    return convert
+
+
+def choice(states: type[Enum]):
+    """Return a converter to the members of an enumeration, by value."""
+    values = [member.value for member in states]
+
+    def convert(text):
+        if text not in values:
+            return Failure(f"{text!r} is not one of {', '.join(values)}")
+        return Success(states(text))
+
+    return convert
+
+
+def flag(text):
+    """Convert ``yes`` or ``no``."""
+    if text not in ("yes", "no"):
+        return Failure(f"{text!r} is neither yes nor no")
+    return Success(text == "yes")
+
+
+def parse_text(text):
+    """Accept any text."""
+    return Success(text)
+
+
+def parse_name(text):
+    """Accept a name of letters, digits, dots, hyphens and underscores."""
+    if not NAME_PATTERN.fullmatch(text):
+        return Failure(f"{text!r} is not a name of at most 63 of A-Z a-z 0-9 . _ -")
+    return Success(text)
+
+
+def parse_path(text):
+    """Accept the path of a file; an empty text is refused."""
+    if not text:
+        return Failure("the path is empty")
+    return Success(text)
+
+
+def parse_sha256(text):
+    """Accept a SHA-256 digest in lower-case hexadecimal digits."""
+    if not SHA256_PATTERN.fullmatch(text):
+        return Failure("not a SHA-256 digest of 64 lower-case hexadecimal digits")
+    return Success(text)
+
+
+def parse_address(text):
+    """Accept ``host:port`` with an IP number as the host.
+
+    Examples
+    --------
+    >>> parse_address("10.0.0.7:8080").unwrap()
+    '10.0.0.7:8080'
+    >>> parse_address("hub:8080").failure()
+    "'hub' is not an IP number"
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator:
+        return Failure(f"{text!r} is not host:port")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return Failure(f"{host!r} is not an IP number")
+    if not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+        return Failure(f"port {port!r} is not from 1 to {MAX_PORT}")
+    return Success(text)
+
+
+def parse_addresses(text):
+    """Accept a list of ``host:port``, parted by commas or blanks."""
+    results = [parse_address(word) for word in text.replace(",", " ").split()]
+    for result in results:
+        if isinstance(result, Failure):
+            return result
+    return Success(tuple(result.unwrap() for result in results))
+
+
+def parse_url(text):
+    """Accept ``http://host:port`` or ``https://host:port`` with an IP number.
+
+    Examples
+    --------
+    >>> parse_url("http://10.0.0.1:9000/").unwrap()
+    'http://10.0.0.1:9000'
+    """
+    match = URL_PATTERN.fullmatch(text)
+    if match is None:
+        return Failure(f"{text!r} is not http://host:port or https://host:port")
+    return parse_address(match[2]).map(lambda address: f"{match[1]}://{address}")
+
+
+def read_options(section, items, options):
+    """Convert the items of a section by their options.
+
+    Parameters
+    ----------
+    section : str
+        Name of the section, for the problems.
+    items : mapping of str to str
+        Keys and texts as they stand in the section.
+    options : iterable of Option
+        What the section may hold.
+
+    Returns
+    -------
+    values : dict of str to object
+        A value for each option that is sound or absent with a default.
+    problems : tuple of OptionProblem
+        Unknown keys, missing required keys and unsound values.
+    """
+    known = {option.name: option for option in options}
+    problems = [
+        OptionProblem(section=section, key=key, detail="unknown key")
+        for key in items
+        if key not in known
+    ]
+    values = {}
+    for name, option in known.items():
+        if name not in items:
+            if option.required:
+                problem = OptionProblem(section=section, key=name, detail="missing")
+                problems.append(problem)
+            values[name] = option.default
+            continue
+        result = option.convert(items[name])
+        if isinstance(result, Success):
+            values[name] = result.unwrap()
+            continue
+        detail = result.failure()
+        problems.append(OptionProblem(section=section, key=name, detail=detail))
+        values[name] = option.default
+    return values, tuple(problems)
