--- /dev/null
+++ b/fuchsiascale/decisions/_retries.py
@@ -0,0 +1,173 @@
+"""Whether and when a request is sent again.
+
+References
+----------
+.. [1] M. Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015.
+"""
+
+import msgspec
+
+from fuchsiascale.platform import Message
+from fuchsiascale.states import Outcome
+
+__all__ = [
+    "BACKOFF_BASE_MS",
+    "BACKOFF_CAP_MS",
+    "MAX_SENDS",
+    "RETRY_RATIO",
+    "RetryBudget",
+    "RetryPlan",
+    "draw_backoff",
+    "may_retry",
+    "plan_retry",
+    "record_fresh",
+]
+
+BACKOFF_BASE_MS = 10.0
+BACKOFF_CAP_MS = 1_000.0
+MAX_SENDS = 4
+RETRY_RATIO = 0.1
+MAX_TOKENS = 10.0
+
+
+class RetryBudget(msgspec.Struct, frozen=True):
+    """Token bucket that fresh requests fill and retries empty.
+
+    Parameters
+    ----------
+    tokens : float
+        Retries that may be sent now.
+    ratio : float
+        Tokens that one fresh request adds.
+    limit : float
+        Most tokens kept.
+    """
+
+    tokens: float = 0.0
+    ratio: float = RETRY_RATIO
+    limit: float = MAX_TOKENS
+
+
+class RetryPlan(Message):
+    """Whether to send again, after which delay, and the budget afterwards.
+
+    Parameters
+    ----------
+    delay_ms : float
+        Time to wait before the send, in milliseconds.
+    reason : str
+        Why there is no retry; empty where there is one.
+    """
+
+    retry: bool
+    budget: RetryBudget
+    delay_ms: float = 0.0
+    reason: str = ""
+
+
+def record_fresh(budget):
+    """Return the budget after one fresh request.
+
+    Examples
+    --------
+    >>> record_fresh(RetryBudget(tokens=0.5)).tokens
+    0.6
+    """
+    tokens = min(budget.limit, budget.tokens + budget.ratio)
+    return RetryBudget(tokens, budget.ratio, budget.limit)
+
+
+def may_retry(idempotent, outcome):
+    """Return whether a second send is safe.
+
+    Parameters
+    ----------
+    idempotent : bool
+    outcome : Outcome
+        Outcome of the last send.
+
+    Returns
+    -------
+    bool
+
+    Examples
+    --------
+    >>> may_retry(False, Outcome.NOT_RUN), may_retry(False, Outcome.UNKNOWN)
+    (True, False)
+    """
+    if outcome is Outcome.NOT_RUN:
+        return True
+    return idempotent and outcome is Outcome.UNKNOWN
+
+
+def draw_backoff(sends, random, base_ms=BACKOFF_BASE_MS, cap_ms=BACKOFF_CAP_MS):
+    """Draw a delay by exponential backoff with full jitter [1]_.
+
+    Parameters
+    ----------
+    sends : int
+        Sends made so far, at least 1.
+    random : random.Random
+    base_ms, cap_ms : float
+        Bound of the first delay and of every delay, in milliseconds.
+
+    Returns
+    -------
+    float
+        Milliseconds.
+
+    Examples
+    --------
+    >>> from random import Random
+    >>> 0.0 <= draw_backoff(3, Random(1)) <= 40.0
+    True
+    """
+    return random.random() * min(cap_ms, base_ms * 2 ** (sends - 1))
+
+
+def plan_retry(budget, random, *, idempotent, outcome, sends, left_ms, needed_ms=0.0):
+    """Decide whether to send a request again.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+    random : random.Random
+    idempotent : bool
+    outcome : Outcome
+        Outcome of the last send.
+    sends : int
+        Sends made so far.
+    left_ms : float
+        Time to the caller's deadline, in milliseconds.
+    needed_ms : float
+        Time that a send usually takes, in milliseconds.
+
+    Returns
+    -------
+    RetryPlan
+
+    Examples
+    --------
+    >>> from random import Random
+    >>> plan = plan_retry(
+    ...     RetryBudget(tokens=1.0),
+    ...     Random(1),
+    ...     idempotent=False,
+    ...     outcome=Outcome.NOT_RUN,
+    ...     sends=1,
+    ...     left_ms=500.0,
+    ... )
+    >>> plan.retry, plan.budget.tokens
+    (True, 0.0)
+    """
+    if not may_retry(idempotent, outcome):
+        return RetryPlan(retry=False, budget=budget, reason="not safe to repeat")
+    if sends >= MAX_SENDS:
+        return RetryPlan(retry=False, budget=budget, reason="sent too often")
+    if budget.tokens < 1.0:
+        return RetryPlan(retry=False, budget=budget, reason="retry budget spent")
+    delay_ms = draw_backoff(sends, random)
+    if delay_ms + needed_ms >= left_ms:
+        return RetryPlan(retry=False, budget=budget, reason="deadline too near")
+    spent = RetryBudget(budget.tokens - 1.0, budget.ratio, budget.limit)
+    return RetryPlan(retry=True, budget=spent, delay_ms=delay_ms)
--- /dev/null
+++ b/fuchsiascale/decisions/_routing.py
@@ -0,0 +1,240 @@
+"""Choice of a runner for a request, by registered policies.
+
+Notes
+-----
+The default policy compares two runners drawn at random, which needs no scan
+and does not send every instance to the same idle runner when the figures lag
+[1]_. The figure compared is the expected time to finish: the latency measured
+of late, times the requests that would then be in flight, over the slots.
+
+References
+----------
+.. [1] M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+   Balancing", IEEE Trans. Parallel Distrib. Syst. 12(10), 2001.
+"""
+
+from math import exp
+
+import msgspec
+
+from fuchsiascale.ids import RunnerId
+from fuchsiascale.platform import Message
+
+__all__ = [
+    "LATENCY_DECAY_S",
+    "ROUTING_POLICIES",
+    "LatencyEstimate",
+    "RunnerLoad",
+    "choose_runner",
+    "estimate_latency",
+    "expect_finish",
+    "observe_latency",
+    "register_routing",
+]
+
+LATENCY_DECAY_S = 10.0
+RISE_GAIN = 0.5
+FALL_GAIN = 0.1
+
+ROUTING_POLICIES = {}
+
+
+class RunnerLoad(Message):
+    """One runner that may take a request, as the choosing instance sees it.
+
+    Parameters
+    ----------
+    credits : int
+        Requests that the instance may have in flight there at once.
+    in_flight : int
+        Requests that the instance has in flight there.
+    latency_ms : float
+        Latency measured of late, in milliseconds; 0 where there is none.
+    distance_ms : float
+        One-way network delay, in milliseconds.
+    """
+
+    runner: RunnerId
+    address: str = ""
+    credits: int = 0
+    in_flight: int = 0
+    latency_ms: float = 0.0
+    distance_ms: float = 0.0
+
+
+class LatencyEstimate(msgspec.Struct, frozen=True):
+    """A moving average of a runner's latency, and when it was last fed."""
+
+    mean_ms: float = 0.0
+    at_s: float = 0.0
+
+
+def observe_latency(estimate, sample_ms, now_s):
+    """Return the estimate after one more sample.
+
+    A rise is taken up faster than a fall, so that a runner that turns slow is
+    left alone after few requests.
+
+    Parameters
+    ----------
+    estimate : LatencyEstimate
+    sample_ms : float
+        Measured latency, in milliseconds.
+    now_s : float
+        Monotonic time of the sample, in seconds.
+
+    Returns
+    -------
+    LatencyEstimate
+
+    Examples
+    --------
+    >>> observe_latency(LatencyEstimate(10.0, 0.0), 30.0, 1.0).mean_ms
+    20.0
+    """
+    if estimate.mean_ms <= 0.0:
+        return LatencyEstimate(sample_ms, now_s)
+    gain = RISE_GAIN if sample_ms > estimate.mean_ms else FALL_GAIN
+    mean_ms = estimate.mean_ms + gain * (sample_ms - estimate.mean_ms)
+    return LatencyEstimate(mean_ms, now_s)
+
+
+def estimate_latency(estimate, typical_ms, now_s):
+    """Return a runner's latency, drawn towards the typical one while unfed.
+
+    Without it a runner once slow would get no request, so no sample, and would
+    count as slow for ever.
+
+    Parameters
+    ----------
+    estimate : LatencyEstimate
+    typical_ms : float
+        Latency of the other runners, in milliseconds.
+    now_s : float
+        Monotonic time, in seconds.
+
+    Returns
+    -------
+    float
+        Milliseconds.
+
+    Examples
+    --------
+    >>> estimate_latency(LatencyEstimate(100.0, 0.0), 10.0, 0.0)
+    100.0
+    >>> round(estimate_latency(LatencyEstimate(100.0, 0.0), 10.0, 60.0))
+    10
+    """
+    if estimate.mean_ms <= 0.0:
+        return typical_ms
+    kept = exp(-max(0.0, now_s - estimate.at_s) / LATENCY_DECAY_S)
+    return typical_ms + kept * (estimate.mean_ms - typical_ms)
+
+
+def expect_finish(load):
+    """Return the time that one more request would take at a runner.
+
+    Parameters
+    ----------
+    load : RunnerLoad
+
+    Returns
+    -------
+    float
+        Milliseconds; the order among runners counts, not the value.
+    """
+    waiting = (load.in_flight + 1) / max(1, load.credits)
+    return load.latency_ms * (1.0 + waiting) + 2.0 * load.distance_ms
+
+
+def register_routing(name):
+    """Register a routing policy under a name.
+
+    Parameters
+    ----------
+    name : str
+
+    Returns
+    -------
+    callable
+        Decorator of a function ``(candidates, random, turn) -> RunnerLoad``,
+        called with at least one candidate.
+    """
+
+    def register(function):
+        ROUTING_POLICIES[name] = function
+        return function
+
+    return register
+
+
+def choose_runner(candidates, random, policy="two_choices", turn=0):
+    """Choose the runner of a request among those with a free credit.
+
+    Parameters
+    ----------
+    candidates : sequence of RunnerLoad
+    random : random.Random
+        Source of random draws.
+    policy : str
+        Name of a registered policy.
+    turn : int
+        Number of the request, for policies that take turns.
+
+    Returns
+    -------
+    RunnerLoad or None
+        None where no candidate has a free credit.
+
+    Examples
+    --------
+    >>> from random import Random
+    >>> busy = RunnerLoad(runner="a", credits=8, in_flight=7, latency_ms=5.0)
+    >>> idle = RunnerLoad(runner="b", credits=8, in_flight=1, latency_ms=5.0)
+    >>> choose_runner((busy, idle), Random(1)).runner
+    'b'
+    """
+    free = [load for load in candidates if load.in_flight < load.credits]
+    if not free:
+        return None
+    if len(free) == 1:
+        return free[0]
+    return ROUTING_POLICIES[policy](free, random, turn)
+
+
+@register_routing("two_choices")
+def choose_of_two(candidates, random, turn):
+    """Return the better of two distinct runners drawn at random."""
+    first = int(random.random() * len(candidates))
+    second = int(random.random() * (len(candidates) - 1))
+    if second >= first:
+        second += 1
+    return _choose_better(candidates[first], candidates[second])
+
+
+@register_routing("round_robin")
+def choose_in_turn(candidates, random, turn):
+    """Return the runners one after the other."""
+    return candidates[turn % len(candidates)]
+
+
+@register_routing("nearest")
+def choose_nearest(candidates, random, turn):
+    """Return the runner of the least network delay and measured latency."""
+    return min(candidates, key=lambda load: load.distance_ms + load.latency_ms)
+
+
+@register_routing("random")
+def choose_at_random(candidates, random, turn):
+    """Return any runner."""
+    return random.choice(candidates)
+
+
+def _choose_better(first, second):
+    if first.latency_ms <= 0.0 or second.latency_ms <= 0.0:
+        return first if _fill(first) <= _fill(second) else second
+    return first if expect_finish(first) <= expect_finish(second) else second
+
+
+def _fill(load):
+    return (load.in_flight / load.credits, load.distance_ms)
