Add interference, quarantine, effective demand, quotas and link budgets

Cause: placement needs an expected slowdown, and batch work must not be trusted in its declared size or blamed for its worker, nor the worker for its job.

Ruled out: a fixed count of failures a worker (a bad job then quarantines the whole rack); a comparison task by task (a job with some bad tasks blames sound workers); one coefficient a service without the kind (two kinds side by side are then not told apart).

Change: coefficients by normalized least mean squares, shrunk towards the kind's mean; four steps with hysteresis and a settle time; a sequential likelihood test against the job's failure rate at other workers; demand from measured use; dominant resource fairness and quotas; a token bucket a region link.

--- a/fuchsiascale/decisions/__init__.py
+++ b/fuchsiascale/decisions/__init__.py
@@ -1,6 +1,9 @@
 """Decisions: values in, a value out; no I/O, no clock, no global state."""
 
 from fuchsiascale.decisions._admission import *  # noqa: F403
+from fuchsiascale.decisions._capacity import *  # noqa: F403
+from fuchsiascale.decisions._interference import *  # noqa: F403
 from fuchsiascale.decisions._placement import *  # noqa: F403
+from fuchsiascale.decisions._quarantine import *  # noqa: F403
 from fuchsiascale.decisions._retries import *  # noqa: F403
 from fuchsiascale.decisions._routing import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/decisions/tests/test_capacity.py
@@ -0,0 +1,78 @@
+"""Tests of demand estimates, quotas and link budgets."""
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from fuchsiascale.decisions import (
+    LinkBudget,
+    TeamUsage,
+    UsageEstimate,
+    choose_team,
+    estimate_demand,
+    observe_usage,
+    refill_link,
+    spend_link,
+)
+from fuchsiascale.platform import Resources
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+
+def feed(declared, true, rounds):
+    """Run attempts whose use a guard limits to what is committed."""
+    estimate = UsageEstimate()
+    for _ in range(rounds):
+        committed = estimate_demand(declared, estimate)
+        used = Resources(
+            millicores=min(true.millicores, committed.millicores),
+            memory_mb=true.memory_mb,
+        )
+        estimate = observe_usage(estimate, committed, used)
+    return estimate_demand(declared, estimate)
+
+
+def test_demand_approaches_true_use_from_both_sides():
+    true = Resources(millicores=1000, memory_mb=1000)
+    for factor in (0.2, 0.5, 1.0, 2.0, 5.0):
+        declared = Resources(
+            millicores=int(1000 * factor), memory_mb=int(1000 * factor)
+        )
+        demand = feed(declared, true, 100)
+        assert 1000 <= demand.millicores <= 1500, factor
+        assert 1000 <= demand.memory_mb <= 1250, factor
+
+
+def test_little_evidence_takes_the_larger():
+    declared = Resources(millicores=100, memory_mb=900, accelerators=1)
+    used = Resources(millicores=2000, memory_mb=100)
+    estimate = observe_usage(UsageEstimate(), declared, used)
+    demand = estimate_demand(declared, estimate)
+    assert demand.millicores > 2000
+    assert (demand.memory_mb, demand.accelerators) == (900, 1)
+
+
+def test_the_team_furthest_behind_is_next():
+    capacity = Resources(millicores=1000, memory_mb=1000, accelerators=4)
+    usages = (
+        TeamUsage(team="cores", committed=Resources(millicores=300)),
+        TeamUsage(team="memory", committed=Resources(memory_mb=200)),
+        TeamUsage(team="devices", committed=Resources(accelerators=2), weight=4.0),
+    )
+    assert choose_team(usages, capacity).team == "devices"
+    assert choose_team(usages[:2], capacity).team == "memory"
+    assert choose_team((), capacity) is None
+
+
+@seed(5)
+@settings(max_examples=100, deadline=None, database=None)
+@given(st.lists(st.tuples(st.floats(0, 3), st.integers(1, 2000)), max_size=60))
+def test_a_link_never_carries_more_than_its_rate_and_burst(steps):
+    budget, sent, now_s = LinkBudget(1000.0), 0, 0.0
+    for passed_s, size in steps:
+        now_s += passed_s
+        budget = refill_link(budget, now_s)
+        spent = spend_link(budget, size)
+        if spent is not None:
+            budget, sent = spent, sent + size
+    assert sent <= 1000.0 * (now_s + 1.0) + 1e-6
