Put links, lists and faults of a deployment under command

Cause: the scenarios need to cut a failure domain from its peers and from the platform, and to read all journals. Ruled out: loopback addresses other than 127.0.0.1 a failure domain, and a relay that tells callers apart by source port. Change: with Plan.links each failure domain has its own list, which gives the relays' addresses; stand-ins are awaited before the daemons start; faults, links and list entries change by name; plans and settings are their own module.

Membership prefers the listed address of a remote peer over the one in its heartbeat (own test), since a link may translate addresses.

--- a/fuchsiascale/coordination/_membership.py
+++ b/fuchsiascale/coordination/_membership.py
@@ -62,6 +62,7 @@
         self._leaving = LeavingMarks(clock)
         self._listed = ()
         self._listed_s = None
+        self._remote_addresses = {}
         self._news = 0
         self._owed_domains = {}
         self._superseded = False
@@ -151,6 +152,9 @@
         """Take in the platform's list, as it was read just now."""
         self._listed = tuple(listed)
         self._listed_s = self._clock.monotonic()
+        self._remote_addresses = {
+            entry.instance_id: entry.address for entry in self._listed_entries(True)
+        }
         leaving = [
             entry.instance_id
             for entry in self._listed
@@ -286,9 +290,16 @@
     def _observe(self, digest):
         if digest.instance == self._member.instance:
             self._observe_self(digest)
-        elif self._peers.observe(digest) and self._peers.is_local(digest):
+            return
+        digest = self._use_listed_address(digest)
+        if self._peers.observe(digest) and self._peers.is_local(digest):
             self._leaving.learn(digest.leaving_upstreams)
 
+    def _use_listed_address(self, digest):
+        """Prefer the list's address: a link may translate the peer's own."""
+        address = self._remote_addresses.get(digest.instance, digest.address)
+        return msgspec.structs.replace(digest, address=address)
+
     def _observe_self(self, digest):
         """Outbid an earlier process of the same name, or note a later one."""
         if digest.incarnation <= self._own.incarnation:
--- a/fuchsiascale/coordination/tests/test_membership.py
+++ b/fuchsiascale/coordination/tests/test_membership.py
@@ -2,6 +2,8 @@
 
 import random
 
+import msgspec
+
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import Member, Membership
 from fuchsiascale.platform import ListedInstance
@@ -263,3 +265,13 @@
         cluster.run(10)
         cluster.read_list(cluster.list_all()[:3])
     assert "porto-3" not in {m.instance for m in cluster.nodes["porto-0"].entries()}
+
+
+def test_a_remote_peer_is_reached_under_its_listed_address():
+    cluster = Cluster(domains=("porto", "faro"), size=1)
+    near, far = cluster.nodes["porto-0"], cluster.nodes["faro-0"]
+    entry = make_entry("faro-0", InstanceRole.ENTRY)
+    near.observe_list((msgspec.structs.replace(entry, address="relay"),))
+    near.observe_heartbeat(far.heartbeat())
+    assert [peer.address for peer in near.view().peers] == ["relay"]
+    assert near.choose_peer() == "relay"
--- /dev/null
+++ b/standins/_plans.py
@@ -0,0 +1,148 @@
+"""Plans of deployments, and the settings of their daemons."""
+
+import hashlib
+
+import msgspec
+
+from fuchsiascale.ids import FailureDomainId, RackId, RegionId, ServiceId
+
+__all__ = [
+    "ADMIN_TOKEN",
+    "DEFAULT_FLEET",
+    "PEER_TOKEN",
+    "Plan",
+    "Site",
+    "format_settings",
+    "name_rack",
+]
+
+PEER_TOKEN = "peer-token-of-the-stand-ins"
+ADMIN_TOKEN = "admin-token-of-the-stand-ins"
+
+DEFAULT_FLEET = """\
+[policy]
+team = operators
+
+[team operators]
+team = operators
+
+[team shop]
+team = operators
+
+[service echo]
+team = shop
+reserve_millicores = 500
+reserve_memory_mb = 500
+
+[kind report]
+team = shop
+"""
+
+
+class Site(msgspec.Struct, frozen=True, kw_only=True):
+    """One failure domain of a planned deployment."""
+
+    failure_domain: FailureDomainId
+    region: RegionId
+    instances: int = 2
+    workers: int = 2
+    racks: int = 1
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """What to start.
+
+    Parameters
+    ----------
+    guards : bool
+        Whether workers refuse starts that pass their capacity.
+    links : bool
+        Whether a relay stands on the way from each failure domain to the
+        platform and to each other failure domain, with a list of its own.
+    timers : dict of str to int
+        Options of the daemons' section ``[timers]``, in milliseconds.
+    platform_timeout_ms : int
+        Time limit of the daemons' platform calls, in milliseconds.
+    """
+
+    sites: tuple[Site, ...]
+    service: ServiceId = ServiceId("echo")
+    service_ms: int = 5
+    slots: int = 8
+    connections: int = 64
+    millicores: int = 4_000
+    memory_mb: int = 8_000
+    accelerators: int = 0
+    guards: bool = True
+    links: bool = False
+    list_lag_ms: int = 200
+    usage_lag_ms: int = 1_000
+    timers: dict[str, int] = {}
+    platform_timeout_ms: int = 2_000
+    fleet: str = ""
+
+
+def name_rack(site, number):
+    """Return the rack of a failure domain's worker.
+
+    Parameters
+    ----------
+    site : Site
+        The failure domain.
+    number : int
+        Number of the worker in it.
+
+    Returns
+    -------
+    RackId
+        Workers go to the racks in turn.
+    """
+    return RackId(f"rack{number % site.racks}")
+
+
+def format_settings(plan, listed, caller, operator, tables, objects, instances):
+    """Return the text of a daemon's settings file.
+
+    Parameters
+    ----------
+    plan : Plan
+        Where the timers and the time limit come from.
+    listed : ListedInstance
+        The instance as it is listed.
+    caller, operator : str
+        Addresses of its listeners, as ``host:port``.
+    tables, objects, instances : str
+        Addresses under which it reaches the platform, as ``host:port``.
+
+    Returns
+    -------
+    str
+        INI text.
+    """
+    admin = hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest()
+    timers = "\n".join(f"{key} = {ms}" for key, ms in plan.timers.items())
+    return f"""\
+[instance]
+id = {listed.instance_id}
+failure_domain = {listed.failure_domain}
+region = {listed.region}
+
+[listen]
+caller = {caller}
+peer = {listed.address}
+operator = {operator}
+
+[platform]
+tables = http://{tables}
+objects = http://{objects}
+instances = http://{instances}
+timeout_ms = {plan.platform_timeout_ms}
+
+[access]
+peer_token = {PEER_TOKEN}
+operator.operators = {admin}
+admin = operators
+
+[timers]
+{timers}
+"""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,9 +1,8 @@
 """Starts a whole deployment on loopback: stand-ins and daemons, as processes."""
 
 import contextlib
-import hashlib
+import itertools
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -12,73 +11,31 @@
 
 import msgspec
 
-from fuchsiascale.ids import FailureDomainId, RackId, RegionId, ServiceId, WorkerId
+from fuchsiascale.ids import WorkerId
 from fuchsiascale.platform import ListedInstance, ListedInstances
 from fuchsiascale.states import InstanceRole
-
-__all__ = ["Deployment", "Plan", "Site", "pick_port"]
+from standins._journal import read_journal
+from standins._plans import (
+    ADMIN_TOKEN,
+    DEFAULT_FLEET,
+    PEER_TOKEN,
+    Plan,
+    Site,
+    format_settings,
+    name_rack,
+)
+from standins._server import Faults
+from standins.processes import ManagedProcess, find_free_address, post_control
+from standins.relay import LinkSettings
+
+__all__ = ["ADMIN_TOKEN", "DEFAULT_FLEET", "PEER_TOKEN", "Deployment", "Plan", "Site"]
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
-PEER_TOKEN = "peer-token-of-the-stand-ins"
-ADMIN_TOKEN = "admin-token-of-the-stand-ins"
-LOOPBACK = "127.0.0.1"
-
-
-class Site(msgspec.Struct, frozen=True, kw_only=True):
-    """One failure domain of a planned deployment."""
-
-    failure_domain: FailureDomainId
-    region: RegionId
-    instances: int = 2
-    workers: int = 2
-    racks: int = 1
-
-
-class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """What to start."""
-
-    sites: tuple[Site, ...]
-    service: ServiceId = ServiceId("echo")
-    service_ms: int = 5
-    slots: int = 8
-    connections: int = 64
-    millicores: int = 4_000
-    memory_mb: int = 8_000
-    accelerators: int = 0
-    fleet: str = ""
-
-
-DEFAULT_FLEET = """\
-[policy]
-team = operators
-
-[team operators]
-team = operators
-
-[team shop]
-team = operators
-
-[service echo]
-team = shop
-reserve_millicores = 500
-reserve_memory_mb = 500
-
-[kind report]
-team = shop
-"""
-
-
-def pick_port():
-    """Return a loopback TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
-
-
-def pick_address():
-    """Return a free loopback address as ``host:port``."""
-    return f"{LOOPBACK}:{pick_port()}"
+POLL_INTERVAL_S = 0.05
+MAX_LOG_TAIL = 2_000
+RESERVED_MILLICORES = 500
+RESERVED_MEMORY_MB = 500
 
 
 class Deployment(contextlib.AbstractContextManager):
@@ -88,8 +45,10 @@
     ----------
     callers, operators, peers : dict of str to str
         Addresses of the daemons' listeners by instance id.
-    controls : dict of str to str
-        Control addresses of the stand-ins by name.
+    addresses, controls : dict of str to str
+        Service and control addresses of the stand-ins by name.
+    processes : dict of str to ManagedProcess
+        All processes by name.
     """
 
     def __init__(self, plan):
@@ -100,14 +59,20 @@
         self.callers, self.operators, self.peers = {}, {}, {}
         self.addresses, self.controls = {}, {}
         self.settings_files = {}
-        self._listed = []
+        self.listed = {}
+        self._sites = {}
+        self._relayed = {}
 
     def __enter__(self):
         try:
             self._plan_addresses()
             self._start_platform()
+            self._start_links()
             self._start_upstreams()
+            self._start_listings()
+            self._wait_for_standins()
             for instance in self.callers:
+                self._write_settings(instance)
                 self.start_daemon(instance)
         except BaseException:
             self.stop()
@@ -121,59 +86,142 @@
         """Return the path of a stand-in's journal."""
         return self.folder / f"{name}.journal"
 
+    def read_journals(self):
+        """Return the entries of all stand-ins, ordered by time."""
+        paths = sorted(self.folder.glob("*.journal"))
+        entries = itertools.chain.from_iterable(map(read_journal, paths))
+        return sorted(entries, key=lambda entry: entry.at_ms)
+
     def log(self, name):
         """Return the path of a process's output."""
         return self.folder / f"{name}.log"
 
+    def site_of(self, name):
+        """Return the planned failure domain of an instance or upstream."""
+        return self._sites[name]
+
+    def list_names(self, role, failure_domain=None):
+        """Return the ids of the listed instances of a role."""
+        return [
+            name
+            for name, entry in self.listed.items()
+            if entry.role is role and failure_domain in (None, entry.failure_domain)
+        ]
+
+    def set_faults(self, name, **faults):
+        """Put these faults, and no others, in force at a stand-in."""
+        post_control(self.controls[name], "/control/faults", Faults(**faults))
+
+    def set_link(self, name, **settings):
+        """Change a link: ``link-platform-FD`` or ``link-FD-FD`` in sorted order."""
+        post_control(self.controls[name], "/control/link", LinkSettings(**settings))
+
+    def change_list(self, name, **changes):
+        """Change one listed instance, such as its state, in every list."""
+        entry = msgspec.structs.replace(self.listed[name], **changes)
+        self.listed[name] = entry
+        self._publish_lists()
+
+    def remove_from_list(self, name):
+        """Remove an instance from every list."""
+        del self.listed[name]
+        self._publish_lists()
+
+    def start_daemon(self, instance):
+        """Start the daemon of an instance; also after it was stopped."""
+        command = [sys.executable, "-m", "fuchsiascale.daemon"]
+        command += ["--settings", str(self.settings_files[instance])]
+        self._start_process(instance, command)
+
+    def restart_standin(self, name):
+        """Start a stand-in again with its old arguments, from nothing."""
+        self.processes[name].start()
+        self._wait_listening([name])
+
+    def send_signal(self, name, number):
+        """Send a signal to a process by its name."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """End a process at once."""
+        self.processes[name].kill()
+
+    def pause(self, name):
+        """Stop a process from running until it is resumed."""
+        self.processes[name].pause()
+
+    def resume(self, name):
+        """Let a paused process run on."""
+        self.processes[name].resume()
+
+    def terminate(self, name, timeout_s=STOP_TIMEOUT_S):
+        """Stop a process gracefully and return its exit status."""
+        return self.processes[name].terminate(timeout_s)
+
+    def wait_until(self, condition, what, timeout_s=START_TIMEOUT_S):
+        """Poll a condition; raises TimeoutError that names what was awaited."""
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            if condition():
+                return
+            self._check_processes()
+            time.sleep(POLL_INTERVAL_S)
+        raise TimeoutError(f"{what}: not within {timeout_s} s")
+
+    def stop(self):
+        """Stop the daemons gracefully, then the stand-ins; remove the files."""
+        daemons = [name for name in self.callers if name in self.processes]
+        self._terminate(daemons)
+        self._terminate([name for name in self.processes if name not in daemons])
+        self._folder.cleanup()
+
     def _plan_addresses(self):
         for site in self.plan.sites:
             for number in range(site.instances):
                 self._plan_instance(site, f"{site.failure_domain}-e{number}")
 
     def _plan_instance(self, site, instance):
-        self.callers[instance] = pick_address()
-        self.operators[instance] = pick_address()
-        self.peers[instance] = pick_address()
-        self._listed.append(
-            ListedInstance(
-                instance_id=instance,
-                role=InstanceRole.ENTRY,
-                address=self.peers[instance],
-                failure_domain=site.failure_domain,
-                region=site.region,
-            )
+        self.callers[instance] = find_free_address()
+        self.operators[instance] = find_free_address()
+        self.peers[instance] = find_free_address()
+        self._list(site, instance, InstanceRole.ENTRY, self.peers[instance])
+
+    def _list(self, site, name, role, address, **fields):
+        self._sites[name] = site
+        self.listed[name] = ListedInstance(
+            instance_id=name,
+            role=role,
+            address=address,
+            failure_domain=site.failure_domain,
+            region=site.region,
+            **fields,
         )
-        self.settings_files[instance] = self._write_settings(site, instance)
 
-    def _write_settings(self, site, instance):
-        for name in ("tables", "objects", "listing"):
-            self.addresses.setdefault(name, pick_address())
-        admin = hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest()
+    def _write_settings(self, instance):
+        domain = self._sites[instance].failure_domain
         path = self.folder / f"{instance}.ini"
         path.write_text(
-            f"""\
-[instance]
-id = {instance}
-failure_domain = {site.failure_domain}
-region = {site.region}
-
-[listen]
-caller = {self.callers[instance]}
-peer = {self.peers[instance]}
-operator = {self.operators[instance]}
-
-[platform]
-tables = http://{self.addresses["tables"]}
-objects = http://{self.addresses["objects"]}
-instances = http://{self.addresses["listing"]}
-
-[access]
-peer_token = {PEER_TOKEN}
-operator.operators = {admin}
-admin = operators
-"""
+            format_settings(
+                self.plan,
+                self.listed[instance],
+                caller=self.callers[instance],
+                operator=self.operators[instance],
+                tables=self._find_address("tables", domain),
+                objects=self._find_address("objects", domain),
+                instances=self._find_address("listing", domain),
+            )
         )
-        return path
+        self.settings_files[instance] = path
+
+    def _find_address(self, name, domain):
+        """Return the address under which a failure domain reaches a process."""
+        if name == "listing":
+            return self.addresses[self._name_listing(domain)]
+        direct = self.addresses.get(name) or self.listed[name].address
+        return self._relayed.get((domain, name), direct)
+
+    def _name_listing(self, domain):
+        return f"listing-{domain}" if self.plan.links else "listing"
 
     def _start_platform(self):
         self._start_standin("tables")
@@ -182,111 +230,148 @@
     def _start_upstreams(self):
         for site in self.plan.sites:
             for number in range(site.workers):
-                self._start_worker_and_runner(site, number)
-        listing = self.folder / "listing.json"
-        listing.write_bytes(
-            msgspec.json.encode(ListedInstances(instances=tuple(self._listed)))
-        )
-        self._start_standin("listing", "--listing", str(listing))
+                self._start_worker(site, number)
+                self._start_runner(site, number)
 
-    def _start_worker_and_runner(self, site, number):
+    def _start_worker(self, site, number):
         plan = self.plan
-        worker = f"{site.failure_domain}-w{number}"
-        runner = f"{site.failure_domain}-r{number}"
-        rack = RackId(f"rack{number % site.racks}")
+        name = f"{site.failure_domain}-w{number}"
         self._start_standin(
             "worker",
-            *("--worker-id", worker),
+            *("--worker-id", name),
             *("--millicores", str(plan.millicores)),
             *("--memory-mb", str(plan.memory_mb)),
             *("--accelerators", str(plan.accelerators)),
-            *("--reserved-millicores", "500"),
-            *("--reserved-memory-mb", "500"),
-            *("--objects", self.addresses["objects"]),
-            name=worker,
+            *("--reserved-millicores", str(RESERVED_MILLICORES)),
+            *("--reserved-memory-mb", str(RESERVED_MEMORY_MB)),
+            *("--guards", "on" if plan.guards else "off"),
+            *("--usage-lag-ms", str(plan.usage_lag_ms)),
+            *("--objects", self._find_address("objects", site.failure_domain)),
+            name=name,
         )
+        self._list(
+            site,
+            name,
+            InstanceRole.WORKER,
+            self.addresses[name],
+            rack=name_rack(site, number),
+            worker=WorkerId(name),
+        )
+
+    def _start_runner(self, site, number):
+        plan = self.plan
+        name = f"{site.failure_domain}-r{number}"
         self._start_standin(
             "runner",
-            *("--runner-id", runner),
+            *("--runner-id", name),
             *("--service", plan.service),
             *("--slots", str(plan.slots)),
             *("--connections", str(plan.connections)),
             *("--service-ms", str(plan.service_ms)),
-            name=runner,
+            name=name,
         )
-        for name, role in (
-            (worker, InstanceRole.WORKER),
-            (runner, InstanceRole.RUNNER),
-        ):
-            self._listed.append(
-                ListedInstance(
-                    instance_id=name,
-                    role=role,
-                    address=self.addresses[name],
-                    failure_domain=site.failure_domain,
-                    region=site.region,
-                    rack=rack,
-                    service=plan.service if role is InstanceRole.RUNNER else "",
-                    worker=WorkerId(worker),
+        self._list(
+            site,
+            name,
+            InstanceRole.RUNNER,
+            self.addresses[name],
+            rack=name_rack(site, number),
+            service=plan.service,
+            worker=WorkerId(f"{site.failure_domain}-w{number}"),
+        )
+
+    def _start_links(self):
+        """Start the relays, and note under which address each end is reached."""
+        if not self.plan.links:
+            return
+        domains = [site.failure_domain for site in self.plan.sites]
+        for domain in domains:
+            names = ("tables", "objects")
+            routes = [self._plan_route(domain, name) for name in names]
+            self._start_relay(f"link-platform-{domain}", routes)
+        for one, other in itertools.combinations(sorted(domains), 2):
+            routes = [
+                self._plan_route(domain, name)
+                for domain, far in ((one, other), (other, one))
+                for name in self.list_names(InstanceRole.ENTRY, far)
+            ]
+            self._start_relay(f"link-{one}-{other}", routes)
+
+    def _plan_route(self, domain, name):
+        target = self._find_address(name, domain)
+        self._relayed[domain, name] = find_free_address()
+        return f"{self._relayed[domain, name]}={target}"
+
+    def _start_relay(self, name, routes):
+        arguments = [part for route in routes for part in ("--route", route)]
+        self._start_standin("relay", *arguments, name=name)
+
+    def _start_listings(self):
+        for domain in self._list_views():
+            name = self._name_listing(domain)
+            path = self.folder / f"{name}.json"
+            path.write_bytes(msgspec.json.encode(self._view_list(domain)))
+            lag = ("--lag-ms", str(self.plan.list_lag_ms))
+            self._start_standin("listing", "--listing", str(path), *lag, name=name)
+
+    def _publish_lists(self):
+        for domain in self._list_views():
+            control = self.controls[self._name_listing(domain)]
+            post_control(control, "/control/instances", self._view_list(domain))
+
+    def _list_views(self):
+        """Return the failure domains that have a list of their own."""
+        if not self.plan.links:
+            return (None,)
+        return tuple(site.failure_domain for site in self.plan.sites)
+
+    def _view_list(self, domain):
+        """Return the list with the addresses as a failure domain reaches them."""
+        return ListedInstances(
+            instances=tuple(
+                msgspec.structs.replace(
+                    entry, address=self._relayed.get((domain, name), entry.address)
                 )
+                for name, entry in self.listed.items()
             )
+        )
 
     def _start_standin(self, module, *arguments, name=None):
         name = name or module
-        self.addresses.setdefault(name, pick_address())
-        self.controls[name] = pick_address()
+        self.addresses.setdefault(name, find_free_address())
+        self.controls[name] = find_free_address()
         command = [sys.executable, "-m", f"standins.{module}"]
         command += ["--listen", self.addresses[name]]
         command += ["--control", self.controls[name]]
         command += ["--journal", str(self.journal(name))]
         self._start_process(name, [*command, *arguments])
 
-    def start_daemon(self, instance):
-        """Start the daemon of an instance; also after it was stopped."""
-        command = [sys.executable, "-m", "fuchsiascale.daemon"]
-        command += ["--settings", str(self.settings_files[instance])]
-        self._start_process(instance, command)
-
     def _start_process(self, name, command):
-        with self.log(name).open("ab") as output:
-            self.processes[name] = subprocess.Popen(
-                command, stdout=output, stderr=subprocess.STDOUT
-            )
+        process = ManagedProcess(name, command, self.log(name))
+        process.start()
+        self.processes[name] = process
 
-    def send_signal(self, name, number):
-        """Send a signal to a process by its name."""
-        self.processes[name].send_signal(number)
+    def _wait_for_standins(self):
+        self._wait_listening(tuple(self.controls))
 
-    def wait_until(self, condition, what, timeout_s=START_TIMEOUT_S):
-        """Poll a condition; raises TimeoutError that names what was awaited."""
-        end = time.monotonic() + timeout_s
-        while time.monotonic() < end:
-            if condition():
-                return
-            self._check_processes()
-            time.sleep(0.05)
-        raise TimeoutError(f"{what}: not within {timeout_s} s")
+    def _wait_listening(self, names):
+        for name in names:
+            self.wait_until(
+                self.processes[name].is_ready, f"the stand-in {name} listens"
+            )
 
     def _check_processes(self):
+        expected = (None, 0, -signal.SIGKILL, -signal.SIGTERM)
         for name, process in self.processes.items():
-            if process.poll() not in (None, 0, -signal.SIGKILL, -signal.SIGTERM):
-                tail = self.log(name).read_text()[-2_000:]
-                raise RuntimeError(f"{name} exited with {process.returncode}: {tail}")
-
-    def stop(self):
-        """Stop the daemons gracefully, then the stand-ins; remove the files."""
-        daemons = [name for name in self.callers if name in self.processes]
-        self._terminate(daemons)
-        self._terminate([name for name in self.processes if name not in daemons])
-        self._folder.cleanup()
+            if process.poll() not in expected:
+                tail = self.log(name).read_text()[-MAX_LOG_TAIL:]
+                raise RuntimeError(f"{name} exited with {process.poll()}: {tail}")
 
     def _terminate(self, names):
         for name in names:
-            self.processes[name].send_signal(signal.SIGCONT)
-            self.processes[name].terminate()
+            self.processes[name].ask_to_stop()
         for name in names:
             try:
                 self.processes[name].wait(STOP_TIMEOUT_S)
             except subprocess.TimeoutExpired:
                 self.processes[name].kill()
-                self.processes[name].wait()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,7 +1,6 @@
 """Starts, stops and faults stand-in processes, for tests and examples."""
 
 import contextlib
-import os
 import random
 import signal
 import socket
@@ -71,36 +70,45 @@
     Parameters
     ----------
     name : str
-        Name of the process and of its files.
+        Name of the process.
     command : list of str
         Program and arguments.
-    folder : Path
-        Where standard output and error go.
+    output : Path
+        File that receives standard output and error.
     """
 
-    def __init__(self, name, command, folder):
+    def __init__(self, name, command, output):
         self.name = name
-        self.output = Path(folder) / f"{name}.out"
+        self.output = Path(output)
         self._command = command
         self._process = None
+        self._began = 0
 
     def start(self):
         """Start the process; it may be started again after its end."""
         with self.output.open("ab") as output:
+            self._began = output.tell()
             self._process = subprocess.Popen(
                 self._command, stdout=output, stderr=subprocess.STDOUT
             )
 
-    @property
-    def running(self):
-        """Whether the process has not ended."""
-        return self._process is not None and self._process.poll() is None
-
     @property
     def pid(self):
         """Process id."""
         return self._process.pid
 
+    def poll(self):
+        """Return the exit status, or None while the process runs."""
+        return self._process.poll()
+
+    def is_ready(self):
+        """Return whether the process has said that it is ready."""
+        return READY_LINE in self.output.read_bytes()[self._began :]
+
+    def send_signal(self, number):
+        """Send a signal; an ended process is left alone."""
+        self._process.send_signal(number)
+
     def kill(self):
         """End the process at once, without notice to it."""
         self._process.kill()
@@ -108,14 +116,15 @@
 
     def pause(self):
         """Stop the process from running until it is resumed."""
-        os.kill(self._process.pid, signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def resume(self):
         """Let a paused process run on."""
-        os.kill(self._process.pid, signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
     def ask_to_stop(self):
-        """Send SIGTERM and return at once."""
+        """Ask for a graceful stop and return at once."""
+        self.resume()
         self._process.terminate()
 
     def wait(self, timeout_s=STOP_TIMEOUT_S):
@@ -129,13 +138,8 @@
 
     def clean_up(self):
         """End the process, whatever its state."""
-        if not self.running:
-            return
-        with contextlib.suppress(ProcessLookupError):
-            self.resume()
-        self.ask_to_stop()
         try:
-            self.wait(STOP_TIMEOUT_S)
+            self.terminate()
         except subprocess.TimeoutExpired:
             self.kill()
 
@@ -169,23 +173,18 @@
         command += ["--journal", str(self.journal)]
         for key, value in arguments.items():
             command += list_argument(key, value)
-        super().__init__(name, command, folder)
+        super().__init__(name, command, Path(folder) / f"{name}.log")
 
     @property
     def base_url(self):
         """URL of the service."""
         return f"http://{self.address}"
 
-    def start(self):
-        """Start the stand-in."""
-        self.output.unlink(missing_ok=True)
-        super().start()
-
     def wait_ready(self, timeout_s=STOP_TIMEOUT_S):
         """Wait until the stand-in listens."""
         give_up_s = time.monotonic() + timeout_s
-        while READY_LINE not in self.output.read_bytes():
-            if not self.running or time.monotonic() > give_up_s:
+        while not self.is_ready():
+            if self.poll() is not None or time.monotonic() > give_up_s:
                 raise RuntimeError(f"{self.name} is not up: {self.read_output()}")
             time.sleep(POLL_INTERVAL_S)
 
