Check what must always hold from the journals alone

Cause: the scenarios need a judge that takes no daemon's word. Change: a checker over the journals of workers, runners, callers and the deployment: capacity, one place, attempts in order, resumed from the checkpoint, at most once, own whole answer, not run, nothing new for a leaving upstream after 3 s. A worker journals when an attempt really stopped, which for a lapsed lease is its end and not the moment at which a paused process wakes.

--- a/standins/_journal.py
+++ b/standins/_journal.py
@@ -27,6 +27,13 @@
     COMMITTED = "committed"
     STORED = "stored"
     LISTED = "listed"
+    LEAVING = "leaving"
+    KILLED = "killed"
+    PAUSED = "paused"
+    RESUMED = "resumed"
+    STOPPING = "stopping"
+    SENT = "sent"
+    RECEIVED = "received"
 
 
 class Entry(Message, omit_defaults=True):
@@ -38,6 +45,10 @@
         Monotonic time of the machine, comparable between its processes.
     source : str
         Name of the stand-in that wrote the entry.
+    until_ms : float
+        Time at which an attempt really stopped, where that was before ``at_ms``.
+    about : str
+        Process or upstream that an entry of the deployment or a caller names.
     """
 
     at_ms: float
@@ -60,6 +71,10 @@
     keys: tuple[str, ...] = ()
     write_id: WriteId = WriteId("")
     detail: str = ""
+    until_ms: float = 0.0
+    about: str = ""
+    outcome: str = ""
+    idempotent: bool = False
 
 
 class Journal:
--- a/standins/_worker_rules.py
+++ b/standins/_worker_rules.py
@@ -272,7 +272,7 @@
         if running:
             self._record(Event.LEASE_LAPSED, token=format_token(self._token))
         for held in running:
-            self._end(held.key, AttemptState.STOPPED, "lease lapsed")
+            self._end(held.key, AttemptState.STOPPED, "lease lapsed", self._lease_end_s)
 
     def measure(self):
         """Take a sample of the use of every attempt."""
@@ -360,7 +360,7 @@
     def _fails_here(self, held):
         return self.worker in held.script.fail_on
 
-    def _end(self, key, state, detail):
+    def _end(self, key, state, detail, until_s=None):
         held = self._attempts.get(key)
         if held is None or held.state.ended:
             return
@@ -373,6 +373,7 @@
             state=state.value,
             checkpoint=held.checkpoint or "",
             detail=detail,
+            until_ms=(self._clock.monotonic() if until_s is None else until_s) * 1000,
         )
 
     def _forget(self, key):
--- /dev/null
+++ b/standins/checker.py
@@ -0,0 +1,280 @@
+"""Checks of what must always hold, from the journals alone.
+
+Nothing that a daemon says of itself is read here: workers, runners, callers and
+the deployment write the journals.
+"""
+
+import itertools
+from collections import defaultdict
+
+import msgspec
+
+from fuchsiascale.ids import AttemptNumber, TaskId
+from fuchsiascale.platform import Resources
+from fuchsiascale.states import AttemptState, Outcome
+from standins._journal import Event
+
+__all__ = [
+    "Run",
+    "Violation",
+    "check_all",
+    "check_answers",
+    "check_attempts",
+    "check_capacity",
+    "check_leaving",
+    "check_not_run",
+    "check_one_place",
+    "check_once",
+    "find_runs",
+]
+
+LEAVING_LIMIT_MS = 3_000.0
+FOREVER_MS = float("inf")
+
+
+class Violation(msgspec.Struct, frozen=True, kw_only=True):
+    """A property that did not hold, with what shows it."""
+
+    rule: str
+    detail: str
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """One attempt's time on a worker; without an end while it runs.
+
+    Parameters
+    ----------
+    lost : bool
+        Whether the worker's process was killed at or after the attempt's end.
+    """
+
+    task: TaskId
+    attempt: AttemptNumber
+    worker: str
+    began_ms: float
+    ended_ms: float = FOREVER_MS
+    state: str = ""
+    demand: Resources = Resources()
+    resumed_from: str = ""
+    checkpoint: str = ""
+    lost: bool = False
+
+
+def find_runs(entries):
+    """Return all runs of attempts, ordered by their start.
+
+    Parameters
+    ----------
+    entries : iterable of Entry
+        Entries of all journals, ordered by time.
+
+    Returns
+    -------
+    list of Run
+        A run ends with its worker's process if that was killed first.
+    """
+    runs = {}
+    for entry in entries:
+        key = (entry.source, entry.task, entry.attempt)
+        if entry.event is Event.STARTED:
+            runs[key, entry.at_ms] = Run(
+                task=entry.task,
+                attempt=entry.attempt,
+                worker=entry.source,
+                began_ms=entry.at_ms,
+                demand=entry.demand or Resources(),
+                resumed_from=entry.checkpoint,
+            )
+        elif entry.event is Event.ENDED:
+            _end_run(runs, key, entry)
+        elif entry.event is Event.KILLED:
+            _lose_runs(runs, entry)
+    return sorted(runs.values(), key=lambda run: run.began_ms)
+
+
+def _end_run(runs, key, entry):
+    place = max(place for place in runs if place[0] == key)
+    runs[place] = msgspec.structs.replace(
+        runs[place],
+        ended_ms=entry.until_ms or entry.at_ms,
+        state=entry.state,
+        checkpoint=entry.checkpoint,
+    )
+
+
+def _lose_runs(runs, entry):
+    for place, run in runs.items():
+        if run.worker == entry.about:
+            ended_ms = min(run.ended_ms, entry.at_ms)
+            runs[place] = msgspec.structs.replace(run, lost=True, ended_ms=ended_ms)
+
+
+def check_capacity(entries):
+    """Return where a worker's commitments passed its capacity."""
+    capacities = {
+        entry.source: entry.capacity
+        for entry in entries
+        if entry.event is Event.CLAIMED
+    }
+    by_worker = defaultdict(list)
+    for run in find_runs(entries):
+        by_worker[run.worker].append(run)
+    return [
+        Violation(
+            rule="capacity",
+            detail=f"{worker} held {held} of {capacities[worker]} at {run.began_ms}",
+        )
+        for worker, runs in by_worker.items()
+        for run in runs
+        if not (held := _sum_demand(runs, run.began_ms)).fits(capacities[worker])
+    ]
+
+
+def _sum_demand(runs, at_ms):
+    held = (run.demand for run in runs if run.began_ms <= at_ms < run.ended_ms)
+    return sum(held, start=Resources())
+
+
+def check_one_place(entries):
+    """Return where a task ran in two places at once."""
+    violations = []
+    for task, runs in _group_by_task(entries).items():
+        latest = None
+        for run in runs:
+            if latest is not None and run.began_ms < latest.ended_ms:
+                detail = f"{task}: {_name_run(latest)} and {_name_run(run)}"
+                violations.append(Violation(rule="one place", detail=detail))
+            if latest is None or run.ended_ms > latest.ended_ms:
+                latest = run
+    return violations
+
+
+def check_attempts(entries):
+    """Return where attempts came out of order, or work was done again.
+
+    Each attempt number is started once and in order; what was checkpointed is
+    resumed from there; nothing runs after the task has finished, unless the
+    worker that finished it was lost, and its end with it.
+    """
+    violations = []
+    for task, runs in _group_by_task(entries).items():
+        for before, after in itertools.pairwise(runs):
+            for rule, broken in (
+                ("attempts in order", after.attempt <= before.attempt),
+                ("finished once", _is_finished(before) and not before.lost),
+                ("resumed", _forgets_checkpoint(before, after)),
+            ):
+                if broken:
+                    detail = f"{task}: {_name_run(before)}, then {_name_run(after)}"
+                    violations.append(Violation(rule=rule, detail=detail))
+    return violations
+
+
+def _is_finished(run):
+    return run.state == AttemptState.FINISHED.value
+
+
+def _forgets_checkpoint(before, after):
+    allowed = {before.checkpoint or before.resumed_from}
+    if before.lost:
+        allowed.add(before.resumed_from)
+    return after.resumed_from not in allowed
+
+
+def _group_by_task(entries):
+    by_task = defaultdict(list)
+    for run in find_runs(entries):
+        by_task[run.task].append(run)
+    return by_task
+
+
+def _name_run(run):
+    return f"attempt {run.attempt} on {run.worker} ({run.began_ms} to {run.ended_ms})"
+
+
+def check_once(entries):
+    """Return the requests, not idempotent or with a key, that ran twice.
+
+    A request is known by its body, which is different for each operation of the
+    callers, so that repeats under another request id are found as well.
+    """
+    once = {
+        entry.body_digest
+        for entry in entries
+        if entry.event is Event.SENT and not entry.idempotent
+    }
+    executed = defaultdict(list)
+    for entry in entries:
+        if entry.event is Event.EXECUTED and entry.body_digest in once:
+            executed[entry.body_digest].append(f"{entry.request} on {entry.source}")
+    return [
+        Violation(rule="at most once", detail=f"{digest}: {places}")
+        for digest, places in executed.items()
+        if len(places) > 1
+    ]
+
+
+def check_answers(entries):
+    """Return the answers that are not the whole one to their own request."""
+    executed = {entry.body_digest for entry in entries if entry.event is Event.EXECUTED}
+    sent = {
+        entry.request: entry.body_digest
+        for entry in entries
+        if entry.event is Event.SENT
+    }
+    violations = []
+    for entry in entries:
+        if entry.event is not Event.RECEIVED or entry.outcome != Outcome.DONE.value:
+            continue
+        digest = sent[entry.request]
+        if entry.body_digest != digest or digest not in executed:
+            detail = f"{entry.request} got {entry.body_digest} for {digest}"
+            violations.append(Violation(rule="own answer", detail=detail))
+    return violations
+
+
+def check_not_run(entries):
+    """Return the requests that ran though a caller was told that they did not."""
+    told = {
+        entry.request
+        for entry in entries
+        if entry.event is Event.RECEIVED and entry.outcome == Outcome.NOT_RUN.value
+    }
+    return [
+        Violation(rule="not run", detail=f"{entry.request} ran on {entry.source}")
+        for entry in entries
+        if entry.event is Event.EXECUTED and entry.request in told
+    ]
+
+
+def check_leaving(entries, limit_ms=LEAVING_LIMIT_MS):
+    """Return the new work that leaving upstreams got after the limit."""
+    left = {}
+    violations = []
+    for entry in entries:
+        if entry.event is Event.LEAVING:
+            left.setdefault(entry.about, entry.at_ms)
+        since_ms = left.get(entry.source)
+        if since_ms is None or entry.event not in (Event.STARTED, Event.EXECUTED):
+            continue
+        if entry.at_ms > since_ms + limit_ms:
+            what = entry.task or entry.request
+            late_ms = entry.at_ms - since_ms
+            detail = f"{entry.source} got {what} {late_ms:.0f} ms after leaving"
+            violations.append(Violation(rule="leaving", detail=detail))
+    return violations
+
+
+def check_all(entries):
+    """Return every violation that the journals show."""
+    entries = tuple(entries)
+    checks = (
+        check_capacity,
+        check_one_place,
+        check_attempts,
+        check_once,
+        check_answers,
+        check_not_run,
+        check_leaving,
+    )
+    return [violation for check in checks for violation in check(entries)]
