--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -13,8 +13,8 @@
 
 from fuchsiascale.ids import WorkerId
 from fuchsiascale.platform import ListedInstance, ListedInstances
-from fuchsiascale.states import InstanceRole
-from standins._journal import read_journal
+from fuchsiascale.states import InstanceRole, ListedState
+from standins._journal import Event, Journal, read_journal
 from standins._plans import (
     ADMIN_TOKEN,
     DEFAULT_FLEET,
@@ -60,6 +60,7 @@
         self.addresses, self.controls = {}, {}
         self.settings_files = {}
         self.listed = {}
+        self.events = Journal(str(self.journal("deployment")), "deployment")
         self._sites = {}
         self._relayed = {}
 
@@ -145,18 +146,39 @@
     def kill(self, name):
         """End a process at once."""
         self.processes[name].kill()
+        self.events.record(Event.KILLED, about=name)
 
     def pause(self, name):
         """Stop a process from running until it is resumed."""
         self.processes[name].pause()
+        self.events.record(Event.PAUSED, about=name)
 
     def resume(self, name):
         """Let a paused process run on."""
+        self.events.record(Event.RESUMED, about=name)
         self.processes[name].resume()
 
+    def ask_to_stop(self, name):
+        """Ask a process for a graceful stop and return at once."""
+        self.events.record(Event.STOPPING, about=name)
+        self.processes[name].ask_to_stop()
+
+    def wait_for_exit(self, name, timeout_s=STOP_TIMEOUT_S):
+        """Wait for a process to end and return its exit status."""
+        return self.processes[name].wait(timeout_s)
+
     def terminate(self, name, timeout_s=STOP_TIMEOUT_S):
         """Stop a process gracefully and return its exit status."""
-        return self.processes[name].terminate(timeout_s)
+        self.ask_to_stop(name)
+        return self.wait_for_exit(name, timeout_s)
+
+    def leave(self, name, listed=True, told=True):
+        """Let an upstream leave, as the list says, as it says itself, or both."""
+        self.events.record(Event.LEAVING, about=name)
+        if told:
+            self.set_faults(name, leaving=True)
+        if listed:
+            self.change_list(name, state=ListedState.LEAVING)
 
     def wait_until(self, condition, what, timeout_s=START_TIMEOUT_S):
         """Poll a condition; raises TimeoutError that names what was awaited."""
@@ -173,6 +195,7 @@
         daemons = [name for name in self.callers if name in self.processes]
         self._terminate(daemons)
         self._terminate([name for name in self.processes if name not in daemons])
+        self.events.close()
         self._folder.cleanup()
 
     def _plan_addresses(self):
