Resolve lost replies, races, outages and compaction of the document

Cause: an edit whose reply was lost, a new instance in an outage and an unbounded history had no answer. Change: the immutable history row of a revision tells which write won it; peers hand on what changed behind a revision, or all of it past the kept history; edits that lost only the head row retry with jitter; old history and tombstones go. Ruled out: reading a section row back to resolve a lost reply, since a later edit overwrites it.

--- a/fuchsiascale/coordination/_documents.py
+++ b/fuchsiascale/coordination/_documents.py
@@ -5,6 +5,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from fuchsiascale.coordination._document_rows import (
+    delete_history,
+    delete_sections,
+    read_entries,
+    read_head,
+    read_sections,
+    write_entry,
+)
 from fuchsiascale.coordination._edits import (
     EditConflict,
     EditError,
@@ -12,39 +20,34 @@
     EditUncertain,
     plan_edit,
 )
-from fuchsiascale.coordination._messages import EditReply, SectionsReply
+from fuchsiascale.coordination._messages import (
+    EditReply,
+    SectionsReply,
+    SectionsRequest,
+)
 from fuchsiascale.coordination._records import (
-    DOCUMENT_HEAD_KEY,
-    DOCUMENT_HEAD_TABLE,
-    DOCUMENT_HISTORY_TABLE,
-    DOCUMENT_TABLE,
     NO_REVISION,
-    DocumentHead,
     DocumentSection,
     HistoryEntry,
 )
-from fuchsiascale.coordination._schema import amend_fleet, format_sections
+from fuchsiascale.coordination._schema import (
+    amend_fleet,
+    build_fleet,
+    format_sections,
+)
 from fuchsiascale.coordination._view import Fleet
 from fuchsiascale.ids import Revision, WriteId
-from fuchsiascale.platform import Conflict, Put, Transaction, Uncertain
+from fuchsiascale.options import OptionProblem
+from fuchsiascale.platform import Conflict, Uncertain
 
-__all__ = ["DocumentKeeper", "format_history_key"]
+__all__ = ["DocumentKeeper"]
 
 EDIT_TRIES = 16
 RETRY_DELAY_S = 0.02
 MAX_RETRY_DELAY_S = 0.5
 HISTORY_KEPT = 2_000
-
-
-def format_history_key(revision):
-    """Return the key of a history row; keys order as revisions do.
-
-    Examples
-    --------
-    >>> format_history_key(7)
-    '000000000007'
-    """
-    return f"{revision:012d}"
+COMPACT_EVERY = 50
+STORE_SILENT = "the table service did not answer"
 
 
 class DocumentKeeper:
@@ -65,20 +68,36 @@
         Source of write ids and of retry delays.
     sleep : callable
         Coroutine function that waits for some seconds.
+    history_kept : int
+        Number of edits that the history holds.
     """
 
-    def __init__(self, instance, tables, fetch, clock, random, sleep=asyncio.sleep):
+    def __init__(
+        self,
+        instance,
+        tables,
+        fetch,
+        clock,
+        random,
+        sleep=asyncio.sleep,
+        history_kept=HISTORY_KEPT,
+    ):
         self._instance = instance
         self._tables = tables
         self._fetch = fetch
         self._clock = clock
         self._random = random
         self._sleep = sleep
+        self._history_kept = history_kept
         self._sections = {}
         self._fleet = Fleet()
         self._ready = False
         self._store_reachable = False
+        self._problems = ()
+        self._refused = NO_REVISION
+        self._accepted = 0
         self._editing = asyncio.Lock()
+        self._reading = asyncio.Lock()
 
     def fleet(self) -> Fleet:
         """Return the document in force."""
@@ -96,6 +115,10 @@
         """Return whether the last call to the store was answered."""
         return self._store_reachable
 
+    def problems(self) -> tuple[OptionProblem, ...]:
+        """Return why a newer document could not be put into force, if so."""
+        return self._problems
+
     def sections(self, after=NO_REVISION) -> tuple[DocumentSection, ...]:
         """Return the sections that changed after a revision, by name."""
         return tuple(
@@ -112,8 +135,10 @@
 
     def reply_sections(self, request) -> SectionsReply:
         """Answer a peer that asks for what it lacks."""
+        complete = request.after <= self._horizon()
+        sections = self.sections(NO_REVISION if complete else request.after)
         return SectionsReply(
-            revision=self.revision(), sections=self.sections(request.after)
+            revision=self.revision(), sections=sections, complete=complete
         )
 
     async def poll(self) -> bool:
@@ -124,16 +149,55 @@
         bool
             Whether the store answered.
         """
-        head = await self._read_head()
-        if isinstance(head, Failure):
-            return False
-        _, revision = head.unwrap()
-        while revision > self.revision():
-            read = await self._read_changes()
-            if isinstance(read, Failure):
+        async with self._reading:
+            head = await read_head(self._tables)
+            self._store_reachable = isinstance(head, Success)
+            if not self._store_reachable:
                 return False
-        self._ready = True
-        return True
+            if head.unwrap().revision > max(self.revision(), self._refused):
+                read = await self._read_changes(head.unwrap().revision)
+                self._store_reachable = isinstance(read, Success)
+            self._ready = self._ready or self._store_reachable
+            return self._store_reachable
+
+    async def pull(self, addresses) -> bool:
+        """Ask peers for what they hold newer; for use while the store is away.
+
+        Parameters
+        ----------
+        addresses : iterable of str
+            Peers to ask, each once.
+
+        Returns
+        -------
+        bool
+            Whether the document moved forward.
+        """
+        before = self.revision()
+        for address in addresses:
+            request = SectionsRequest(after=self.revision())
+            reply = await self._fetch(address, request)
+            if reply is None or reply.revision <= self.revision():
+                continue
+            if reply.complete:
+                self._replace(reply.sections, reply.revision)
+            else:
+                self._amend(reply.sections, reply.revision)
+        self._ready = self._ready or self.revision() > NO_REVISION
+        return self.revision() > before
+
+    async def history(
+        self, limit=50
+    ) -> Result[tuple[HistoryEntry, ...], EditUnavailable]:
+        """Return the last accepted edits, newest first."""
+        head = await read_head(self._tables)
+        if isinstance(head, Failure):
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        after = max(0, head.unwrap().revision - limit)
+        found = await read_entries(self._tables, after, limit)
+        if isinstance(found, Failure):
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        return Success(found.unwrap()[::-1])
 
     async def edit(self, request, team, admin=False) -> Result[EditReply, EditError]:
         """Check an edit against the whole document and write it.
@@ -162,106 +226,139 @@
         detail = f"lost the race for the head row {EDIT_TRIES} times"
         return Failure(EditConflict(conflicts=(detail,)))
 
+    def compaction_due(self) -> bool:
+        """Return whether this instance accepted enough edits since the last one."""
+        return self._accepted >= COMPACT_EVERY
+
+    async def compact(self) -> bool:
+        """Delete history rows, and rows of removed sections, past their time."""
+        self._accepted = 0
+        horizon = self._horizon()
+        if horizon <= NO_REVISION:
+            return True
+        names = [
+            section.name
+            for section in self._sections.values()
+            if section.removed and section.revision <= horizon
+        ]
+        deleted = await delete_sections(self._tables, names, horizon)
+        for name in names if deleted else ():
+            del self._sections[name]
+        return await delete_history(self._tables, horizon) and deleted
+
     async def _try_edit(self, request, team, admin):
         """Try once; None where other edits won the race for the head row."""
-        head = await self._read_head()
-        if isinstance(head, Failure) or not await self.poll():
-            return Failure(EditUnavailable(detail="the table service did not answer"))
-        version, revision = head.unwrap()
-        if revision != self.revision():
+        if not await self.poll():
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        head = await read_head(self._tables)
+        if isinstance(head, Failure):
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        if head.unwrap().revision != self.revision():
             return None
         plan = plan_edit(self._fleet, self._sections, request, team, admin)
         if isinstance(plan, Failure) or request.check_only or not plan.unwrap():
             return plan.map(lambda _: self._accept())
-        return await self._write(version, plan.unwrap(), team, request.author)
+        entry = self._build_entry(plan.unwrap(), team, request.author)
+        return await self._write(head.unwrap().version, entry)
 
-    async def _write(self, head_version, changed, team, author):
+    def _build_entry(self, changed, team, author):
         revision = Revision(self.revision() + 1)
-        sections = tuple(
-            msgspec.structs.replace(section, revision=revision) for section in changed
-        )
-        entry = HistoryEntry(
+        return HistoryEntry(
             revision=revision,
             team=team,
             author=author,
             at_ms=self._clock.wall_ms(),
-            sections=sections,
+            sections=tuple(
+                msgspec.structs.replace(section, revision=revision)
+                for section in changed
+            ),
         )
-        puts = await self._build_puts(head_version, entry)
-        if puts is None:
-            return Failure(EditUnavailable(detail="the table service did not answer"))
+
+    async def _write(self, head_version, entry):
         write_id = WriteId(f"{self._instance}-{self._random.getrandbits(64):016x}")
-        written = await self._tables.transact(Transaction(write_id=write_id, puts=puts))
+        written = await write_entry(
+            self._tables, head_version, entry, write_id, self._sleep
+        )
         if isinstance(written, Success):
-            self._apply(sections, revision)
-            return Success(self._accept())
+            self._amend(entry.sections, entry.revision)
+            self._accepted += 1
+            return Success(self._accept(entry.revision))
         error = written.failure()
         if isinstance(error, Conflict):
             return None
         if isinstance(error, Uncertain):
-            return Failure(EditUncertain(revision=revision, detail=error.detail))
-        return Failure(EditUnavailable(detail=error.detail))
-
-    async def _build_puts(self, head_version, entry):
-        puts = [
-            _put(
-                DOCUMENT_HEAD_TABLE,
-                DOCUMENT_HEAD_KEY,
-                head_version,
-                DocumentHead(revision=entry.revision),
-            ),
-            _put(DOCUMENT_HISTORY_TABLE, format_history_key(entry.revision), 0, entry),
-        ]
-        for section in entry.sections:
-            found = await self._tables.get(DOCUMENT_TABLE, section.name)
+            return Failure(EditUncertain(revision=entry.revision, detail=error.detail))
+        return Failure(EditUnavailable(detail=error.detail or STORE_SILENT))
+
+    def _accept(self, revision=None):
+        return EditReply(accepted=True, revision=revision or self.revision())
+
+    async def _read_changes(self, newest):
+        """Read the history behind the own revision, or all where that fails."""
+        while self.revision() < newest:
+            before = self.revision()
+            found = await read_entries(self._tables, before)
             if isinstance(found, Failure):
-                return None
-            row = found.unwrap()
-            version = row.version if row else 0
-            puts.append(_put(DOCUMENT_TABLE, section.name, version, section))
-        return tuple(puts)
-
-    async def _read_head(self):
-        """Return the version of the head row and the revision in it."""
-        found = await self._tables.get(DOCUMENT_HEAD_TABLE, DOCUMENT_HEAD_KEY)
-        self._store_reachable = isinstance(found, Success)
-        return found.map(_decode_head)
-
-    async def _read_changes(self):
-        after = format_history_key(self.revision())
-        found = await self._tables.scan(DOCUMENT_HISTORY_TABLE, "", after=after)
-        if isinstance(found, Failure):
-            return found
-        entries = [
-            msgspec.json.decode(row.value, type=HistoryEntry)
-            for row in found.unwrap().rows
-        ]
-        for entry in entries:
-            self._apply(entry.sections, entry.revision)
+                return found
+            if self._follow(found.unwrap()):
+                continue
+            found = await self._read_all()
+            if isinstance(found, Failure):
+                return found
+            if self.revision() == before:
+                self._refused = newest
+                break
+        return Success(self.revision())
+
+    def _follow(self, entries):
+        """Apply entries in order; return whether none was missing or unsound."""
+        if not entries or entries[0].revision > self.revision() + 1:
+            return False
+        return all(self._amend(entry.sections, entry.revision) for entry in entries)
+
+    async def _read_all(self):
+        """Read all section rows; the head read first bounds what they lack."""
+        head = await read_head(self._tables)
+        found = await read_sections(self._tables)
+        if isinstance(head, Failure) or isinstance(found, Failure):
+            return head if isinstance(head, Failure) else found
+        self._replace(found.unwrap(), head.unwrap().revision)
         return found
 
-    def _accept(self):
-        return EditReply(accepted=True, revision=self.revision())
-
-    def _apply(self, sections, revision):
-        """Put newer sections into force; older revisions are passed over."""
+    def _amend(self, sections, revision):
+        """Put changed sections into force; what is older is passed over."""
         if revision <= self.revision():
-            return
-        amended = amend_fleet(self._fleet, sections, revision)
-        self._fleet = amended.unwrap()
-        self._sections.update((section.name, section) for section in sections)
+            return True
+        newer = [
+            section
+            for section in sections
+            if section.revision > self._revision_of(section.name)
+        ]
+        kept = {**self._sections}
+        kept.update((section.name, section) for section in newer)
+        amended = amend_fleet(self._fleet, newer, revision)
+        return self._put_into_force(amended, kept)
 
+    def _replace(self, sections, revision):
+        """Put a whole document into force, unless it is older."""
+        if revision <= self.revision():
+            return True
+        kept = {section.name: section for section in sections}
+        return self._put_into_force(build_fleet(sections, revision), kept)
 
-def _decode_head(row):
-    if row is None:
-        return 0, NO_REVISION
-    return row.version, msgspec.json.decode(row.value, type=DocumentHead).revision
+    def _put_into_force(self, built, sections):
+        if isinstance(built, Failure):
+            self._problems = built.failure()
+            return False
+        self._problems = ()
+        self._fleet = built.unwrap()
+        self._sections = sections
+        return True
 
+    def _revision_of(self, name):
+        section = self._sections.get(name)
+        return NO_REVISION if section is None else section.revision
 
-def _put(table, key, version, record):
-    return Put(
-        table=table,
-        key=key,
-        expected_version=version,
-        value=msgspec.Raw(msgspec.json.encode(record)),
-    )
+    def _horizon(self):
+        """Return the revision up to which history is no longer kept."""
+        return max(NO_REVISION, self.revision() - self._history_kept)
--- a/fuchsiascale/coordination/_messages.py
+++ b/fuchsiascale/coordination/_messages.py
@@ -90,10 +90,18 @@
 
 
 class SectionsReply(Message):
-    """Sections changed after the asked revision, and the newest revision."""
+    """Sections changed after the asked revision, and the newest revision.
+
+    Parameters
+    ----------
+    complete : bool
+        Whether the sections are the whole document, since what was removed
+        after the asked revision is no longer known.
+    """
 
     revision: Revision
     sections: tuple[DocumentSection, ...] = ()
+    complete: bool = False
 
 
 class EditRequest(Message):
--- a/fuchsiascale/coordination/tests/fakes.py
+++ b/fuchsiascale/coordination/tests/fakes.py
@@ -1,5 +1,7 @@
 """Small fakes of the ports that coordination parts use."""
 
+import asyncio
+
 from returns.result import Failure, Success
 
 from fuchsiascale.platform import Conflict, Row, ScanPage, Unavailable, Uncertain
@@ -24,10 +26,12 @@
         self.lost_replies = 0
         self.reads = []
         self.before_transact = None
+        self.after_lost_reply = None
 
     async def get(self, table, key):
         """Read one row."""
         self.reads.append(table)
+        await asyncio.sleep(0)
         if self.down:
             return Failure(Unavailable(detail="down"))
         return Success(self.rows.get((table, key)))
@@ -35,6 +39,7 @@
     async def scan(self, table, prefix, after="", limit=500):
         """Read rows in key order."""
         self.reads.append(table)
+        await asyncio.sleep(0)
         if self.down:
             return Failure(Unavailable(detail="down"))
         found = sorted(
@@ -69,6 +74,8 @@
             del self.rows[delete.table, delete.key]
         if self.lost_replies:
             self.lost_replies -= 1
+            if self.after_lost_reply is not None:
+                await self.after_lost_reply()
             return Failure(Uncertain(detail="reply lost"))
         return Success(written)
 
--- a/fuchsiascale/coordination/tests/test_documents.py
+++ b/fuchsiascale/coordination/tests/test_documents.py
@@ -1,7 +1,9 @@
 """Tests of the document keeper on a table service in memory."""
 
+import asyncio
 import random
 
+import msgspec
 from returns.result import Failure
 
 from fuchsiascale.clock import ManualClock
@@ -11,6 +13,8 @@
     EditForbidden,
     EditInvalid,
     EditRequest,
+    EditUnavailable,
+    EditUncertain,
 )
 from fuchsiascale.coordination.tests.fakes import MemoryTables
 from fuchsiascale.testing import collect_functions, fixture
@@ -32,17 +36,24 @@
 """
 
 
-async def no_peer(address, request):
+async def no_wait(seconds):
     return None
 
 
-async def no_wait(seconds):
-    return None
+def make_keeper(tables, name="one", peers=(), history_kept=2_000):
+    known = {peer._instance: peer for peer in peers}
 
+    async def fetch(address, request):
+        return known[address].reply_sections(request) if address in known else None
 
-def make_keeper(tables, name="one", fetch=no_peer):
     return DocumentKeeper(
-        name, tables, fetch, ManualClock(), random.Random(7), sleep=no_wait
+        name,
+        tables,
+        fetch,
+        ManualClock(),
+        random.Random(name),
+        sleep=no_wait,
+        history_kept=history_kept,
     )
 
 
@@ -130,3 +141,165 @@
 async def test_an_equal_document_is_accepted_without_a_new_revision(keeper):
     await write_base(keeper)
     assert (await write_base(keeper)).revision == 1
+
+
+async def set_failures(keeper, count, team="hub"):
+    text = f"[kind review]\nteam=hub\nmax_failures={count}"
+    request = EditRequest(text=text, expected=keeper.sections())
+    return await keeper.edit(request, team)
+
+
+async def test_a_lost_reply_is_resolved_by_the_history_row(tables, keeper):
+    await write_base(keeper)
+    tables.lost_replies = 1
+    assert (await set_failures(keeper, 5)).unwrap().revision == 2
+    assert keeper.fleet().kinds["review"].max_failures == 5
+
+
+async def test_a_lost_reply_to_an_overwritten_edit_is_still_accepted(tables, keeper):
+    await write_base(keeper)
+    other = make_keeper(tables, "two")
+    tables.lost_replies = 1
+
+    async def overwrite():
+        await other.poll()
+        (await set_failures(other, 9)).unwrap()
+
+    tables.after_lost_reply = overwrite
+    assert (await set_failures(keeper, 5)).unwrap().revision == 2
+    await keeper.poll()
+    assert keeper.revision() == 3
+    assert keeper.fleet().kinds["review"].max_failures == 9
+
+
+async def test_an_edit_that_stays_uncertain_names_its_revision(tables, keeper):
+    await write_base(keeper)
+    tables.lost_replies = 1
+
+    async def go_down():
+        tables.down = True
+
+    tables.after_lost_reply = go_down
+    error = (await set_failures(keeper, 5)).failure()
+    assert isinstance(error, EditUncertain)
+    assert error.revision == 2
+    tables.down = False
+    assert (await set_failures(keeper, 5)).unwrap().revision == 2
+
+
+async def test_an_edit_during_an_outage_changes_nothing(tables, keeper):
+    await write_base(keeper)
+    tables.down = True
+    error = (await set_failures(keeper, 5)).failure()
+    assert isinstance(error, EditUnavailable)
+    assert keeper.revision() == 1
+    assert not keeper.store_reachable()
+
+
+async def test_a_new_instance_in_an_outage_takes_the_newest_of_its_peers(tables):
+    first, second = make_keeper(tables, "one"), make_keeper(tables, "two")
+    await write_base(first)
+    await second.poll()
+    (await set_failures(first, 5)).unwrap()
+    tables.down = True
+    new = make_keeper(tables, "new", (first, second))
+    assert not await new.poll()
+    assert not new.ready()
+    assert await new.pull(["two", "absent", "one"])
+    assert new.ready()
+    assert new.fleet() == first.fleet()
+    assert not await new.pull(["two"])
+    assert new.revision() == 2
+
+
+async def test_no_instance_goes_back(tables, keeper):
+    await write_base(keeper)
+    old = make_keeper(tables, "two")
+    await old.poll()
+    (await set_failures(keeper, 5)).unwrap()
+    reader = make_keeper(tables, "three", (old, keeper))
+    await reader.poll()
+    await reader.pull(["two"])
+    assert reader.revision() == 2
+
+
+async def test_racing_edits_of_many_sections_are_all_accepted(tables, keeper):
+    await write_base(keeper)
+    keepers = [make_keeper(tables, f"racer-{number}") for number in range(8)]
+
+    async def create(number):
+        text = f"[kind race-{number}]\nteam=hub"
+        return await keepers[number].edit(EditRequest(text=text), "hub")
+
+    replies = await asyncio.gather(*(create(number) for number in range(8)))
+    assert sorted(reply.unwrap().revision for reply in replies) == list(range(2, 10))
+    await keeper.poll()
+    assert len(keeper.fleet().kinds) == 9
+
+
+async def test_a_removed_section_is_gone_everywhere(tables, keeper):
+    await write_base(keeper)
+    other = make_keeper(tables, "two")
+    await other.poll()
+    request = EditRequest(text="", removed=("kind review",), expected=keeper.sections())
+    (await keeper.edit(request, "hub")).unwrap()
+    await other.poll()
+    assert other.fleet().kinds == {}
+    assert "kind review" not in other.text()
+    again = EditRequest(text="[kind review]\nteam=hub")
+    (await other.edit(again, "hub")).unwrap()
+    assert set(other.fleet().kinds) == {"review"}
+
+
+async def test_compaction_bounds_the_history_and_the_removed_rows(tables):
+    keeper = make_keeper(tables, history_kept=5)
+    await write_base(keeper)
+    late, behind = make_keeper(tables, "late"), make_keeper(tables, "behind", (keeper,))
+    await late.poll()
+    await behind.poll()
+    request = EditRequest(
+        text="", removed=("service aula-hub",), expected=keeper.sections()
+    )
+    (await keeper.edit(request, "hub")).unwrap()
+    for count in range(10, 30):
+        (await set_failures(keeper, count)).unwrap()
+    assert await keeper.compact()
+    tables_of_rows = [table for table, _ in tables.rows]
+    assert tables_of_rows.count("document-history") == 5
+    assert ("document", "service aula-hub") not in tables.rows
+    await late.poll()
+    assert late.fleet() == keeper.fleet()
+    tables.down = True
+    await behind.pull(["one"])
+    assert behind.fleet() == keeper.fleet()
+
+
+async def test_history_lists_the_last_edits_newest_first(tables, keeper):
+    await write_base(keeper)
+    (await set_failures(keeper, 5)).unwrap()
+    (await set_failures(keeper, 6)).unwrap()
+    entries = (await keeper.history(limit=2)).unwrap()
+    assert [entry.revision for entry in entries] == [3, 2]
+
+
+async def test_a_document_that_this_version_can_not_read_leaves_the_last(
+    tables, keeper
+):
+    await write_base(keeper)
+    other = make_keeper(tables, "two")
+    await other.poll()
+    (await set_failures(keeper, 5)).unwrap()
+    for key, row in tables.rows.items():
+        value = bytes(row.value).replace(b"max_failures", b"max_mistakes")
+        tables.rows[key] = msgspec.structs.replace(row, value=msgspec.Raw(value))
+    assert await other.poll()
+    assert other.revision() == 1
+    assert "max_mistakes" in str(other.problems()[0])
+
+
+async def test_a_check_writes_nothing(tables, keeper):
+    await write_base(keeper)
+    request = EditRequest(text="[kind new]\nteam=hub", check_only=True)
+    assert (await keeper.edit(request, "hub")).unwrap().accepted
+    assert keeper.revision() == 1
+    assert len([key for key in tables.rows if key[0] == "document-history"]) == 1
