--- /dev/null
+++ b/fuchsiascale/daemon/_access.py
@@ -0,0 +1,184 @@
+"""Who may call: tokens of peers and operators, and TLS contexts."""
+
+import hashlib
+import hmac
+import ssl
+
+import msgspec
+from aiohttp import web
+
+from fuchsiascale.api import Failure
+from fuchsiascale.daemon._http import encode_reply
+from fuchsiascale.ids import TeamId
+from fuchsiascale.states import Outcome, Refusal
+
+__all__ = [
+    "OPERATOR_KEY",
+    "Access",
+    "Operator",
+    "build_client_context",
+    "build_server_context",
+    "hash_token",
+    "require_operator_token",
+    "require_peer_token",
+]
+
+BEARER_PREFIX = "Bearer "
+UNAUTHORIZED = 401
+
+
+class Operator(msgspec.Struct, frozen=True):
+    """Whose token a call carried, and whether it may edit every section."""
+
+    team: TeamId
+    admin: bool
+
+
+OPERATOR_KEY = web.RequestKey("operator", Operator)
+
+
+class Access:
+    """Checks of the tokens that calls carry.
+
+    Parameters
+    ----------
+    settings : AccessSettings
+        The peer token and the operators' tokens, as hashes.
+    fleet : callable
+        Gives the fleet document in force, whose teams may have tokens too.
+    """
+
+    def __init__(self, settings, fleet):
+        self._settings = settings
+        self._fleet = fleet
+
+    def is_peer(self, authorization) -> bool:
+        """Return whether a header carries the peer token."""
+        token = _read_bearer(authorization)
+        return hmac.compare_digest(token.encode(), self._settings.peer_token.encode())
+
+    def identify(self, authorization) -> Operator | None:
+        """Return whose token a header carries, if anyone's.
+
+        Notes
+        -----
+        Every known hash is compared, in constant time each, so that the time taken
+        tells nothing of the token.
+        """
+        digest = hash_token(_read_bearer(authorization))
+        found = None
+        for team, sha256 in self._list_hashes():
+            if hmac.compare_digest(digest, sha256) and found is None:
+                found = team
+        if found is None:
+            return None
+        return Operator(found, admin=found == self._settings.admin)
+
+    def _list_hashes(self):
+        for token in self._settings.operators:
+            yield token.team, token.sha256
+        for team in self._fleet().teams.values():
+            if team.token_sha256 and team.team != self._settings.admin:
+                yield team.team, team.token_sha256
+
+
+def hash_token(token):
+    """Return the SHA-256 of a token, as settings and document hold it.
+
+    Examples
+    --------
+    >>> hash_token("")[:8]
+    'e3b0c442'
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def require_peer_token(access, count_refusal):
+    """Return a middleware that lets only peers pass.
+
+    Parameters
+    ----------
+    access : Access
+        The checks.
+    count_refusal : callable
+        Takes the listener's name on each refused call.
+    """
+
+    @web.middleware
+    async def check(request, handler):
+        if not access.is_peer(request.headers.get("Authorization", "")):
+            count_refusal("peer")
+            return _refuse("no peer token")
+        return await handler(request)
+
+    return check
+
+
+def require_operator_token(access, count_refusal):
+    """Return a middleware that lets only operators pass, and says which.
+
+    Parameters
+    ----------
+    access : Access
+        The checks.
+    count_refusal : callable
+        Takes the listener's name on each refused call.
+    """
+
+    @web.middleware
+    async def check(request, handler):
+        operator = access.identify(request.headers.get("Authorization", ""))
+        if operator is None:
+            count_refusal("operator")
+            return _refuse("no operator token that is known")
+        request[OPERATOR_KEY] = operator
+        return await handler(request)
+
+    return check
+
+
+def build_server_context(files) -> ssl.SSLContext | None:
+    """Return the TLS context of a listener, or None where it has no certificate.
+
+    Parameters
+    ----------
+    files : TlsFiles or None
+        With an authority, callers must show a certificate that it signed.
+    """
+    if files is None or not files.certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(files.certificate, files.key)
+    if files.authority:
+        context.load_verify_locations(files.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def build_client_context(files) -> ssl.SSLContext | None:
+    """Return the TLS context of a client, or None where no files are given.
+
+    Parameters
+    ----------
+    files : TlsFiles or None
+        The authority that servers are checked by, and the own certificate.
+    """
+    if files is None:
+        return None
+    context = ssl.create_default_context(cafile=files.authority or None)
+    if files.certificate:
+        context.load_cert_chain(files.certificate, files.key)
+    return context
+
+
+def _read_bearer(authorization):
+    if not authorization.startswith(BEARER_PREFIX):
+        return ""
+    return authorization.removeprefix(BEARER_PREFIX)
+
+
+def _refuse(detail):
+    failure = Failure(
+        outcome=Outcome.NOT_RUN, reason=Refusal.UNAUTHORIZED, detail=detail
+    )
+    return encode_reply(failure, UNAUTHORIZED)
