Add the command-line tool and the driver of membership and document

Cause: neither operators nor heartbeats had a way in. Not yet: wired to the application object; tests follow with the operator routes.

--- a/fuchsiascale/api/_operator.py
+++ b/fuchsiascale/api/_operator.py
@@ -2,6 +2,7 @@
 
 from fuchsiascale.api._caller import TaskExplanation
 from fuchsiascale.coordination import (
+    ConfirmReply,
     DocumentSection,
     EditReply,
     EditRequest,
@@ -11,6 +12,7 @@
 from fuchsiascale.platform import FencingToken, Message, Resources
 
 __all__ = [
+    "ConfirmReply",
     "DocumentReply",
     "DrainRequest",
     "EditReply",
--- /dev/null
+++ b/fuchsiascale/cli/_command.py
@@ -0,0 +1,92 @@
+"""Base of the commands: profile, output and exit codes."""
+
+import asyncio
+import os
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+from returns.result import Failure
+
+from fuchsiascale.cli._client import Client
+from fuchsiascale.cli._exits import Exit
+from fuchsiascale.cli._profile import PROFILE_OPTIONS, read_profile
+
+__all__ = ["COMMANDS", "DeploymentCommand", "register"]
+
+COMMANDS = []
+TOOL_OPTIONS = [
+    option("json", None, "Print JSON for programs."),
+    option("profile", None, "Name of the profile to use.", flag=False),
+    *(
+        option(entry.name.replace("_", "-"), None, f"{entry.meaning}.", flag=False)
+        for entry in PROFILE_OPTIONS
+    ),
+]
+
+
+def register(command):
+    """Add a command class to the tool."""
+    command.options = [*command.options, *TOOL_OPTIONS]
+    COMMANDS.append(command)
+    return command
+
+
+class DeploymentCommand(Command):
+    """A command that may call a deployment.
+
+    A command implements ``perform``, a coroutine method that takes the client
+    and returns an exit code.
+    """
+
+    arguments = []
+    options = []
+
+    async def perform(self, client):
+        """Do what the command says; return its exit code."""
+        raise NotImplementedError
+
+    def handle(self):
+        """Read the profile, run the command and return its exit code."""
+        names = ["profile", *(entry.name for entry in PROFILE_OPTIONS)]
+        given = {name: self.option(name.replace("_", "-")) for name in names}
+        profile = read_profile(given, os.environ)
+        if isinstance(profile, Failure):
+            return self.fail(profile.failure(), Exit.INVALID)
+        return int(asyncio.run(self.perform(Client(profile.unwrap()))))
+
+    def fail(self, details, exit_code):
+        """Print what went wrong to the error stream; return the exit code."""
+        for detail in details:
+            self.line_error(_escape(detail), style="error")
+        return exit_code
+
+    def fail_call(self, result):
+        """Print why a call failed; return the exit code."""
+        error = result.failure()
+        return self.fail(error.details, error.exit_code)
+
+    def show(self, message, headers, rows):
+        """Print a message as JSON, or rows as a table; return the exit code."""
+        if self.option("json"):
+            self.show_json(message)
+        elif rows:
+            table = self.table(list(headers), [list(map(str, row)) for row in rows])
+            table.set_style("compact")
+            table.render()
+        else:
+            self.line(f"no {headers[0]} to show")
+        return Exit.OK
+
+    def show_json(self, message):
+        """Print a message as JSON."""
+        self.io.write_line(_escape(msgspec.json.encode(message).decode()))
+
+    def say(self, text):
+        """Print plain text."""
+        self.io.write_line(_escape(text))
+
+
+def _escape(text):
+    """Keep text that looks like a style tag as it is."""
+    return text.replace("<", "\\<")
--- /dev/null
+++ b/fuchsiascale/cli/_jobs.py
@@ -0,0 +1,168 @@
+"""Commands on batch jobs."""
+
+from urllib.parse import quote
+
+import msgspec
+from cleo.helpers import argument, option
+from returns.result import Failure, Success
+
+from fuchsiascale.api import JobList, JobStatus
+from fuchsiascale.cli._command import DeploymentCommand, register
+from fuchsiascale.cli._exits import Exit
+from fuchsiascale.coordination import JobSpec
+
+__all__ = [
+    "JobCancelCommand",
+    "JobListCommand",
+    "JobStatusCommand",
+    "JobSubmitCommand",
+]
+
+JOBS = "/v1/jobs"
+DEMAND_OPTIONS = ("millicores", "memory_mb", "accelerators")
+SPEC_OPTIONS = (
+    ("team", "Team that the job counts for."),
+    ("kind", "Kind of the job."),
+    ("tasks", "Number of equal tasks."),
+    ("millicores", "Processors of one task, in thousandths of a core."),
+    ("memory-mb", "Memory of one task, in megabytes."),
+    ("accelerators", "Accelerators of one task."),
+    ("run-ms", "Run time of one task, in milliseconds."),
+    ("urgency", "Urgency class: urgent, normal or batch."),
+    ("deadline-ms", "Time by which the job should end, in milliseconds."),
+    ("failure-domain", "Failure domain that the job must run in."),
+    ("payload", "Text that each task gets."),
+)
+
+
+def build_spec(job, given):
+    """Return a job's description from the command line's texts, or what is wrong.
+
+    Parameters
+    ----------
+    job : str
+        Name of the job.
+    given : mapping of str to str
+        Options that were given, by option name.
+
+    Returns
+    -------
+    Result of JobSpec or str
+        The description, checked by the types of its fields.
+
+    Examples
+    --------
+    >>> build_spec("j", {"team": "hub", "kind": "review", "tasks": "2"}).unwrap().tasks
+    2
+    """
+    fields = {name.replace("-", "_"): text for name, text in given.items()}
+    demand = {name: fields.pop(name) for name in DEMAND_OPTIONS if name in fields}
+    try:
+        spec = msgspec.convert(
+            {"job": job, "demand": demand, **fields}, JobSpec, strict=False
+        )
+    except msgspec.ValidationError as error:
+        return Failure(str(error))
+    return Success(spec)
+
+
+@register
+class JobSubmitCommand(DeploymentCommand):
+    """Submits a job."""
+
+    name = "job submit"
+    description = "Submit a job; it is accepted once it is recorded."
+    arguments = [argument("job", "Name of the job; a repeat with it is safe.")]
+    options = [option(name, None, text, flag=False) for name, text in SPEC_OPTIONS]
+
+    async def perform(self, client):
+        """Send the job and print its state."""
+        given = {
+            name: self.option(name)
+            for name, _ in SPEC_OPTIONS
+            if self.option(name) is not None
+        }
+        spec = build_spec(self.argument("job"), given)
+        if isinstance(spec, Failure):
+            return self.fail((f"job: {spec.failure()}",), Exit.INVALID)
+        result = await client.call_caller("POST", JOBS, JobStatus, spec.unwrap())
+        return show_status(self, result)
+
+
+@register
+class JobStatusCommand(DeploymentCommand):
+    """Shows a job."""
+
+    name = "job status"
+    description = "Show the recorded state of a job."
+    arguments = [argument("job", "Name of the job.")]
+
+    async def perform(self, client):
+        """Print one line a task state and chunk."""
+        path = f"{JOBS}/{quote(self.argument('job'), safe='')}"
+        return show_status(self, await client.call_caller("GET", path, JobStatus))
+
+
+@register
+class JobCancelCommand(DeploymentCommand):
+    """Cancels a job."""
+
+    name = "job cancel"
+    description = "Cancel what has not ended of a job."
+    arguments = [argument("job", "Name of the job.")]
+
+    async def perform(self, client):
+        """Ask for the cancellation and print the job's state."""
+        path = f"{JOBS}/{quote(self.argument('job'), safe='')}"
+        return show_status(self, await client.call_caller("DELETE", path, JobStatus))
+
+
+@register
+class JobListCommand(DeploymentCommand):
+    """Lists jobs."""
+
+    name = "job list"
+    description = "List jobs, a page at a time."
+    options = [
+        option(
+            "after", None, "Name of the job that the page starts behind.", flag=False
+        )
+    ]
+
+    async def perform(self, client):
+        """Print one line a job."""
+        after = self.option("after")
+        query = {"after": after} if after else None
+        result = await client.call_caller("GET", JOBS, JobList, query=query)
+        if isinstance(result, Failure):
+            return self.fail_call(result)
+        reply = result.unwrap()
+        headers = ("job", "team", "kind", "tasks", "cancelled")
+        rows = [
+            (entry.job, entry.team, entry.kind, entry.tasks, entry.cancelled)
+            for entry in reply.jobs
+        ]
+        self.show(reply, headers, rows)
+        if reply.next_after and not self.option("json"):
+            self.say(f"more: job list --after {reply.next_after}")
+        return Exit.OK
+
+
+def show_status(command, result):
+    """Print a job's state by chunk; return the exit code."""
+    if isinstance(result, Failure):
+        return command.fail_call(result)
+    reply = result.unwrap()
+    if not command.option("json"):
+        command.say(f"{reply.spec.job}: {reply.state}")
+    headers = ("chunk", "shard", "tasks", "waiting", "finished", "failed", "cancelled")
+    rows = [_count_states(chunk) for chunk in reply.chunks]
+    return command.show(reply, headers, rows)
+
+
+def _count_states(chunk):
+    states = [task.state.value for task in chunk.tasks]
+    counts = [
+        states.count(state) for state in ("waiting", "finished", "failed", "cancelled")
+    ]
+    return (chunk.chunk, chunk.shard, len(states), *counts)
--- /dev/null
+++ b/fuchsiascale/cli/_profile.py
@@ -0,0 +1,141 @@
+"""Where the daemon is and which token to use: options, environment, profile."""
+
+import configparser
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.options import (
+    Option,
+    integer,
+    parse_path,
+    parse_text,
+    parse_url,
+    read_options,
+)
+
+__all__ = ["ENVIRONMENT_PREFIX", "PROFILE_OPTIONS", "Profile", "read_profile"]
+
+ENVIRONMENT_PREFIX = "FUCHSIASCALE_"
+DEFAULT_PROFILES = "~/.config/fuchsiascale.ini"
+DEFAULT_PROFILE = "default"
+
+PROFILE_OPTIONS = (
+    Option(
+        name="operator",
+        convert=parse_url,
+        default="",
+        accepts="http://IP:port or https://IP:port",
+        meaning="Operator interface of any instance",
+    ),
+    Option(
+        name="caller",
+        convert=parse_url,
+        default="",
+        accepts="http://IP:port or https://IP:port",
+        meaning="Caller interface of any instance, or the balancer's",
+    ),
+    Option(
+        name="token",
+        convert=parse_text,
+        default="",
+        accepts="text",
+        meaning="Token of the own team",
+    ),
+    Option(
+        name="token_file",
+        convert=parse_path,
+        default="",
+        accepts="path",
+        meaning="File that holds the token",
+    ),
+    Option(
+        name="authority",
+        convert=parse_path,
+        default="",
+        accepts="path",
+        meaning="PEM authority that the listeners are checked by",
+    ),
+    Option(
+        name="certificate",
+        convert=parse_path,
+        default="",
+        accepts="path",
+        meaning="PEM file with the own certificate and key",
+    ),
+    Option(
+        name="timeout_ms",
+        convert=integer(100, 600_000),
+        default=10_000,
+        unit="ms",
+        accepts="100 to 600000",
+        meaning="Time limit of one call",
+    ),
+)
+
+
+class Profile(msgspec.Struct, frozen=True, kw_only=True):
+    """How the tool reaches a deployment."""
+
+    operator: str = ""
+    caller: str = ""
+    token: str = ""
+    authority: str = ""
+    certificate: str = ""
+    timeout_ms: int = 10_000
+
+
+def read_profile(given, environment) -> Result[Profile, tuple[str, ...]]:
+    """Put a profile together; options go before the environment and the file.
+
+    Parameters
+    ----------
+    given : mapping of str to str
+        Options of the command line that were given, by option name.
+    environment : mapping of str to str
+        The process's environment.
+
+    Returns
+    -------
+    Result of Profile or tuple of str
+        All problems at once.
+    """
+    filed = _read_file(given, environment)
+    if isinstance(filed, Failure):
+        return filed
+    texts = dict(filed.unwrap())
+    for option in PROFILE_OPTIONS:
+        name = f"{ENVIRONMENT_PREFIX}{option.name.upper()}"
+        if environment.get(name):
+            texts[option.name] = environment[name]
+        if given.get(option.name):
+            texts[option.name] = given[option.name]
+    values, problems = read_options("profile", texts, PROFILE_OPTIONS)
+    if problems:
+        return Failure(tuple(str(problem) for problem in problems))
+    token_file = values.pop("token_file")
+    if token_file and not values["token"]:
+        try:
+            values["token"] = Path(token_file).read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeError) as error:
+            return Failure((f"token_file cannot be read: {error}",))
+    return Success(Profile(**values))
+
+
+def _read_file(given, environment):
+    """Return the items of the named profile; an absent default file is empty."""
+    named = environment.get(f"{ENVIRONMENT_PREFIX}PROFILES", "")
+    name = given.get("profile") or environment.get(f"{ENVIRONMENT_PREFIX}PROFILE", "")
+    path = Path(named or DEFAULT_PROFILES).expanduser()
+    if not path.exists() and not named and not name:
+        return Success({})
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
+    except (OSError, UnicodeError, configparser.Error) as error:
+        return Failure((f"{path}: {' '.join(str(error).split())}",))
+    section = name or DEFAULT_PROFILE
+    if parser.has_section(section):
+        return Success(dict(parser[section]))
+    return Failure((f"{path}: there is no [{section}]",)) if name else Success({})
--- a/fuchsiascale/coordination/_messages.py
+++ b/fuchsiascale/coordination/_messages.py
@@ -6,6 +6,7 @@
 from fuchsiascale.states import PeerState
 
 __all__ = [
+    "ConfirmReply",
     "EditReply",
     "EditRequest",
     "Heartbeat",
@@ -132,3 +133,11 @@
     revision: Revision = Revision(0)
     problems: tuple[str, ...] = ()
     conflicts: tuple[str, ...] = ()
+
+
+class ConfirmReply(Message):
+    """Which instances have a revision, or a newer one, in force."""
+
+    revision: Revision
+    confirmed: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
--- /dev/null
+++ b/fuchsiascale/daemon/_membership.py
@@ -0,0 +1,195 @@
+"""Drives membership and the fleet document over the peer interface."""
+
+import asyncio
+
+from returns.result import Failure, Success
+
+from fuchsiascale.api import (
+    ConfirmReply,
+    Heartbeat,
+    HeartbeatReply,
+    SectionsReply,
+    SectionsRequest,
+)
+from fuchsiascale.daemon._routes import PEER_ROUTES
+from fuchsiascale.states import PeerState
+
+__all__ = ["HEARTBEAT_PATH", "SECTIONS_PATH", "MembershipDriver"]
+
+HEARTBEAT_PATH = "/peer/v1/heartbeat"
+SECTIONS_PATH = "/peer/v1/sections"
+MAX_CONCURRENT_CALLS = 16
+PULL_PEERS = 3
+
+
+class MembershipDriver:
+    """Sends heartbeats, reads the list and keeps the document up to date.
+
+    Parameters
+    ----------
+    membership : Membership
+        What is known of peers and upstreams.
+    documents : DocumentKeeper
+        What is known of the fleet document.
+    peers : PeerClient
+        Client of the peer interface.
+    instance_list : InstanceList
+        Port to the platform's list.
+    """
+
+    def __init__(self, membership, documents, peers, instance_list):
+        self._membership = membership
+        self._documents = documents
+        self._peers = peers
+        self._instance_list = instance_list
+        self._calls = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
+        self._news = asyncio.Event()
+        self._pulling = asyncio.Lock()
+        self._stale = asyncio.Event()
+
+    def observe_heartbeat(self, heartbeat) -> HeartbeatReply:
+        """Answer a peer's heartbeat."""
+        self._membership.update(revision=self._documents.revision())
+        reply = self._membership.observe_heartbeat(heartbeat)
+        self._notice()
+        return reply
+
+    async def beat(self):
+        """Send one heartbeat to a random peer, and to those owed news."""
+        self._membership.update(revision=self._documents.revision())
+        await self._send(self._membership.choose_targets())
+
+    async def tell_news(self):
+        """Tell peers of news as soon as there is any; runs until cancelled."""
+        while True:
+            await self._news.wait()
+            self._news.clear()
+            self._membership.update(revision=self._documents.revision())
+            await self._send(self._membership.owed())
+
+    async def follow_peers(self):
+        """Catch up with revisions that peers told of; runs until cancelled."""
+        while True:
+            await self._stale.wait()
+            self._stale.clear()
+            await self.poll_document()
+
+    def announce(self, everywhere=False):
+        """Tell all members at once of the own state and revision."""
+        self._membership.update(revision=self._documents.revision())
+        self._membership.announce(everywhere=everywhere)
+        self._news.set()
+
+    def mark_leaving(self, upstreams):
+        """Spread that upstreams said themselves that they are leaving."""
+        self._membership.mark_leaving(upstreams)
+        self._notice()
+
+    def leave(self):
+        """Tell all members that this instance is stopping."""
+        self._membership.update(state=PeerState.LEAVING)
+        self._news.set()
+
+    async def read_list(self) -> bool:
+        """Read the platform's list; return whether it answered."""
+        found = await self._instance_list.fetch()
+        if isinstance(found, Success):
+            self._membership.observe_list(found.unwrap())
+            self._notice()
+        return isinstance(found, Success)
+
+    async def poll_document(self):
+        """Read the document from the store, or from peers while it is away."""
+        async with self._pulling:
+            before = self._documents.revision()
+            answered = await self._documents.poll()
+            if not answered:
+                await self._documents.pull(self._find_sources())
+            if self._documents.revision() == before:
+                return
+            if answered:
+                self._membership.update(revision=self._documents.revision())
+            else:
+                self.announce()
+
+    async def confirm(self, revision) -> ConfirmReply:
+        """Ask every instance that has not yet confirmed a revision.
+
+        Parameters
+        ----------
+        revision : Revision
+            The revision that should be in force.
+        """
+        entries = self._membership.entries()
+        behind = self._find_behind(entries, revision)
+        await self._send([entry.address for entry in behind])
+        missing = {entry.instance for entry in self._find_behind(entries, revision)}
+        own = self._membership.digest()
+        names = {entry.instance for entry in entries}
+        ahead = self._documents.revision() >= revision
+        (names if ahead else missing).add(own.instance)
+        return ConfirmReply(
+            revision=revision,
+            confirmed=tuple(sorted(names - missing)),
+            missing=tuple(sorted(missing)),
+        )
+
+    async def fetch_sections(self, address, request) -> SectionsReply | None:
+        """Ask a peer for the sections that changed after a revision."""
+        result = await self._peers.call(address, SECTIONS_PATH, request, SectionsReply)
+        return result.value_or(None)
+
+    def _find_behind(self, entries, revision):
+        known = {digest.instance: digest for digest in self._membership.digests()}
+        return [
+            entry
+            for entry in entries
+            if entry.instance not in known or known[entry.instance].revision < revision
+        ]
+
+    def _find_sources(self):
+        """Return addresses of peers that hold a newer document, newest first."""
+        own = self._documents.revision()
+        digests = [
+            digest for digest in self._membership.digests() if digest.revision > own
+        ]
+        digests.sort(key=lambda digest: -digest.revision)
+        return [digest.address for digest in digests[:PULL_PEERS]]
+
+    def _notice(self):
+        """Wake the tasks that have something to do after an observation."""
+        if self._membership.owed():
+            self._news.set()
+        if self._membership.newest_revision() > self._documents.revision():
+            self._stale.set()
+
+    async def _send(self, addresses):
+        if not addresses:
+            return
+        heartbeat = self._membership.heartbeat()
+        calls = (self._exchange(address, heartbeat) for address in addresses)
+        await asyncio.gather(*calls)
+        if self._membership.newest_revision() > self._documents.revision():
+            self._stale.set()
+
+    async def _exchange(self, address, heartbeat):
+        async with self._calls:
+            result = await self._peers.call(
+                address, HEARTBEAT_PATH, heartbeat, HeartbeatReply
+            )
+        if isinstance(result, Failure):
+            self._membership.observe_failure(address)
+        else:
+            self._membership.observe_reply(result.unwrap())
+
+
+@PEER_ROUTES.route("POST", HEARTBEAT_PATH, Heartbeat)
+async def answer_heartbeat(application, message, request):
+    """Answer a heartbeat of a peer."""
+    return application.membership_driver.observe_heartbeat(message)
+
+
+@PEER_ROUTES.route("POST", SECTIONS_PATH, SectionsRequest)
+async def answer_sections(application, message, request):
+    """Answer a peer that lacks sections of the document."""
+    return application.documents.reply_sections(message)
