--- a/fuchsiascale/api/_peer.py
+++ b/fuchsiascale/api/_peer.py
@@ -6,26 +6,28 @@
     CreditReply,
     CreditRequest,
     CreditWish,
-    DocumentSection,
+    Heartbeat,
+    HeartbeatReply,
     LedgerReply,
     LedgerRequest,
+    PeerDigest,
+    SectionsReply,
+    SectionsRequest,
+    ShardDigest,
 )
 from fuchsiascale.ids import (
     ChunkId,
-    FailureDomainId,
     InstanceId,
-    RegionId,
-    Revision,
     ShardId,
+    TeamId,
 )
 from fuchsiascale.platform import (
     FencingToken,
     Message,
-    Resources,
     UpstreamAnswer,
     UpstreamRequest,
 )
-from fuchsiascale.states import Outcome, PeerState, Refusal
+from fuchsiascale.states import Outcome, Refusal, Urgency
 
 __all__ = [
     "CreditGrant",
@@ -38,6 +40,7 @@
     "HeartbeatReply",
     "KeyClaimReply",
     "KeyClaimRequest",
+    "KeySettleReply",
     "KeySettleRequest",
     "LedgerReply",
     "LedgerRequest",
@@ -50,74 +53,6 @@
 ]
 
 
-class ShardDigest(Message):
-    """What an owner tells of a shard it holds.
-
-    Parameters
-    ----------
-    free : Resources
-        Uncommitted resources over all claimed workers.
-    waiting : int
-        Tasks assigned to the shard and not running.
-    """
-
-    shard: ShardId
-    token: FencingToken
-    free: Resources = Resources()
-    waiting: int = 0
-
-
-class PeerDigest(Message):
-    """What is spread about one instance; a higher incarnation or beat is newer.
-
-    Parameters
-    ----------
-    incarnation : int
-        Start time of the process, in milliseconds of wall-clock time.
-    beat : int
-        Count of heartbeats sent since the start.
-    in_flight : int
-        Requests that the instance has in hand.
-    """
-
-    instance: InstanceId
-    address: str
-    failure_domain: FailureDomainId
-    region: RegionId
-    incarnation: int
-    beat: int
-    state: PeerState = PeerState.ALIVE
-    revision: Revision = Revision(0)
-    in_flight: int = 0
-    shards: tuple[ShardDigest, ...] = ()
-    leaving_upstreams: tuple[str, ...] = ()
-
-
-class Heartbeat(Message):
-    """Digests of the sender and of a few peers, newest known first."""
-
-    digests: tuple[PeerDigest, ...]
-
-
-class HeartbeatReply(Message):
-    """Digests that the receiver holds newer than the sender."""
-
-    digests: tuple[PeerDigest, ...]
-
-
-class SectionsRequest(Message):
-    """Asks for the sections that changed after a revision."""
-
-    after: Revision
-
-
-class SectionsReply(Message):
-    """Sections changed after the asked revision, and the newest revision."""
-
-    revision: Revision
-    sections: tuple[DocumentSection, ...] = ()
-
-
 class KeyClaimRequest(Message):
     """Asks a key's home instance to insert the claim row before the send."""
 
@@ -130,12 +65,20 @@
     granted: bool
     refusal: Refusal | None = None
     record: ClaimRecord | None = None
+    version: int = 0
 
 
 class KeySettleRequest(Message):
-    """Records the end of a claimed request."""
+    """Records the end of a claimed request at the version of its claim."""
 
     record: ClaimRecord
+    version: int = 0
+
+
+class KeySettleReply(Message):
+    """Whether the end is in the store."""
+
+    settled: bool
 
 
 class ForwardRequest(Message):
@@ -143,6 +86,8 @@
 
     request: UpstreamRequest
     idempotent: bool
+    team: TeamId = TeamId("")
+    urgency: Urgency = Urgency.URGENT
 
 
 class ForwardReply(Message):
--- a/fuchsiascale/coordination/_claims.py
+++ b/fuchsiascale/coordination/_claims.py
@@ -1,5 +1,13 @@
-"""Claims of idempotency keys: a keyed request is sent upstream once at most."""
+"""Claims of idempotency keys: a keyed request is sent upstream once at most.
 
+Notes
+-----
+The claim row is inserted before the send, and the table service is the arbiter: of
+all instances that claim a key one gets the row. Each claim carries a nonce, so that a
+claim whose reply was lost is told from that of another request.
+"""
+
+import asyncio
 import hashlib
 
 import msgspec
@@ -10,22 +18,32 @@
 from fuchsiascale.ids import WriteId
 from fuchsiascale.platform import (
     Conflict,
+    Delete,
     Message,
     Put,
     Transaction,
     Unavailable,
+    Uncertain,
 )
 from fuchsiascale.states import Outcome
 
 __all__ = [
+    "MAX_PENDING_ENDS",
     "ClaimError",
     "ClaimGranted",
     "ClaimStands",
     "ClaimUnavailable",
     "KeyClaims",
+    "RowCommitter",
+    "draw_nonce",
     "format_claim_key",
 ]
 
+MAX_GROUP_ROWS = 64
+MAX_PENDING_ENDS = 4_096
+SWEEP_PREFIXES = 256
+SWEEP_ROWS = 64
+
 
 class ClaimGranted(Message):
     """The claim row is in the store and names this request."""
@@ -61,6 +79,114 @@
     return hashlib.sha1(f"{team}\0{key}".encode(), usedforsecurity=False).hexdigest()
 
 
+def draw_nonce(random):
+    """Return a nonce that tells one claim from all others."""
+    return f"{random.getrandbits(96):024x}"
+
+
+class RowCommitter:
+    """Writes rows one by one for its callers, many in one transaction.
+
+    Parameters
+    ----------
+    tables : Tables
+        The platform's table service.
+    random : random.Random
+        Source of write ids.
+
+    Notes
+    -----
+    Rows that arrive while a transaction is under way share the next one. One that
+    meets a conflict is taken out, and the rest of its group is tried again.
+    """
+
+    def __init__(self, tables, random):
+        self._tables = tables
+        self._random = random
+        self._queue = []
+        self._task = None
+
+    async def write(self, put):
+        """Write one row.
+
+        Parameters
+        ----------
+        put : Put
+            The conditional write.
+
+        Returns
+        -------
+        Result of int
+            The row's new version, or the error of the tables port.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._queue.append((put, future))
+        if self._task is None:
+            self._task = asyncio.ensure_future(self._drain())
+        return await future
+
+    async def _drain(self):
+        try:
+            while self._queue:
+                group = self._cut_group()
+                await self._commit(group)
+        finally:
+            self._task = None
+
+    def _cut_group(self):
+        """Take rows off the queue, none of them twice."""
+        group = {}
+        left = []
+        for put, future in self._queue:
+            if put.key in group or len(group) >= MAX_GROUP_ROWS:
+                left.append((put, future))
+            else:
+                group[put.key] = (put, future)
+        self._queue = left
+        return group
+
+    async def _commit(self, group):
+        while group:
+            try:
+                result = await self._transact(group)
+            except Exception as error:
+                result = Failure(Uncertain(detail=repr(error)))
+            if isinstance(result, Success):
+                _resolve_all(group, result.unwrap())
+                return
+            error = result.failure()
+            refused = [row for row in getattr(error, "rows", ()) if row.key in group]
+            if not isinstance(error, Conflict) or not refused:
+                for _, future in group.values():
+                    _resolve(future, result)
+                return
+            for row in refused:
+                _, future = group.pop(row.key)
+                _resolve(future, Failure(Conflict(rows=(row,))))
+
+    async def _transact(self, group):
+        transaction = Transaction(
+            write_id=WriteId(draw_nonce(self._random)),
+            puts=tuple(put for put, _ in group.values()),
+        )
+        return await self._tables.transact(transaction)
+
+
+def _resolve_all(group, rows):
+    versions = {row.key: row.version for row in rows}
+    for put, future in group.values():
+        version = versions.get(put.key)
+        if version is None:
+            _resolve(future, Failure(Uncertain(detail="the row was not returned")))
+        else:
+            _resolve(future, Success(version))
+
+
+def _resolve(future, result):
+    if not future.done():
+        future.set_result(result)
+
+
 class KeyClaims:
     """Inserts and settles claim rows, with the store as the arbiter.
 
@@ -75,40 +201,76 @@
     def __init__(self, tables, random):
         self._tables = tables
         self._random = random
+        self._committer = RowCommitter(tables, random)
+        self._ends = {}
+
+    @property
+    def pending(self):
+        """Number of claims whose end is not recorded yet."""
+        return len(self._ends)
 
-    async def claim(self, record: ClaimRecord) -> Result[ClaimGranted, ClaimError]:
+    async def claim(
+        self, record: ClaimRecord, doubtful=False
+    ) -> Result[ClaimGranted, ClaimError]:
         """Insert the claim row, or return what stands in its place.
 
         Parameters
         ----------
         record : ClaimRecord
-            The row to insert, not settled.
+            The row to insert, not settled, with a nonce of its own.
+        doubtful : bool
+            Whether another instance may have inserted the same row already.
 
         Returns
         -------
         Result
             The granted claim, or why the request must not be sent.
+
+        Notes
+        -----
+        A claim that the store did not confirm is never used. Since its row may
+        stand, or be written yet, it is recorded as not run as soon as the store
+        can be reached; until then a repeat finds it unsettled.
         """
+        if len(self._ends) >= MAX_PENDING_ENDS:
+            detail = "too many claims wait for the store"
+            return Failure(ClaimUnavailable(detail=detail))
         written = await self._write(record, 0)
+        if isinstance(written, Success):
+            return written
+        if not isinstance(written.failure(), Conflict):
+            return Failure(self._give_up(record, written.failure(), doubtful))
+        found = await self._read(record, written.failure())
+        if isinstance(found, Failure):
+            return Failure(self._give_up(record, found.failure(), doubtful))
+        return await self._meet(record, found.unwrap())
+
+    async def _meet(self, record, standing):
+        """Decide on a claim that met a row."""
+        if standing is None:
+            return Failure(ClaimUnavailable(detail="the claim row was removed"))
+        old = standing.record
+        if old.nonce == record.nonce and not old.settled:
+            return Success(standing)
+        not_run = old.settled and old.outcome is Outcome.NOT_RUN
+        if not not_run or old.body_digest != record.body_digest:
+            return Failure(ClaimStands(record=old))
+        written = await self._write(record, standing.version)
         if isinstance(written, Success):
             return written
         error = written.failure()
         if not isinstance(error, Conflict):
-            return Failure(ClaimUnavailable(detail=error.detail))
-        standing = await self._read(record, error)
-        if isinstance(standing, ClaimUnavailable):
-            return Failure(standing)
-        old, version = standing
-        if not (old.settled and old.outcome is Outcome.NOT_RUN):
-            return Failure(ClaimStands(record=old))
-        if old.body_digest != record.body_digest:
-            return Failure(ClaimStands(record=old))
-        return (await self._write(record, version)).alt(
-            lambda problem: ClaimUnavailable(detail=problem.detail)
-        )
+            return Failure(self._give_up(record, error))
+        found = await self._read(record, error)
+        again = found.value_or(None)
+        if again is None:
+            return Failure(ClaimUnavailable(detail="the claim row changed"))
+        if again.record.nonce == record.nonce and not again.record.settled:
+            return Success(again)
+        return Failure(ClaimStands(record=again.record))
 
     async def settle(self, granted, record):
-        """Record the end of a claimed request.
+        """Record the end of a claimed request, now or once the store is back.
 
         Parameters
         ----------
@@ -119,21 +281,98 @@
 
         Returns
         -------
-        Result
-            The row as written, or the store's error.
+        bool
+            Whether the end is in the store.
+        """
+        record = replace(record, settled=True)
+        written = await self._write(record, granted.version)
+        if isinstance(written, Success):
+            return True
+        self._ends[record.nonce] = record
+        return False
+
+    async def record_ends(self):
+        """Try again to record the ends that the store has not taken.
+
+        Returns
+        -------
+        int
+            How many are left.
+        """
+        for nonce, record in list(self._ends.items()):
+            if not await self._record_end(record):
+                break
+            self._ends.pop(nonce, None)
+        return len(self._ends)
+
+    async def sweep(self, now_ms):
+        """Remove expired rows of a part of the table, drawn at random.
+
+        Parameters
+        ----------
+        now_ms : int
+            Wall-clock time, in milliseconds.
+
+        Returns
+        -------
+        int
+            How many rows were removed.
         """
-        return await self._write(replace(record, settled=True), granted.version)
+        prefix = f"{self._random.randrange(SWEEP_PREFIXES):02x}"
+        page = await self._tables.scan(CLAIMS_TABLE, prefix)
+        if isinstance(page, Failure):
+            return 0
+        expired = [
+            Delete(table=CLAIMS_TABLE, key=row.key, expected_version=row.version)
+            for row in page.unwrap().rows
+            if _decode(row).record.expires_ms < now_ms
+        ][:SWEEP_ROWS]
+        if not expired:
+            return 0
+        write_id = WriteId(draw_nonce(self._random))
+        transaction = Transaction(write_id=write_id, deletes=tuple(expired))
+        removed = await self._tables.transact(transaction)
+        return len(expired) if isinstance(removed, Success) else 0
+
+    def _give_up(self, record, error, doubtful=False):
+        """Note a claim that may stand though its request is never sent."""
+        if doubtful or not isinstance(error, Unavailable):
+            not_run = replace(record, outcome=Outcome.NOT_RUN, settled=True)
+            self._ends[record.nonce] = not_run
+        return ClaimUnavailable(detail=error.detail)
+
+    async def _record_end(self, record):
+        found = await self._get(record)
+        if isinstance(found, Failure):
+            return False
+        standing = found.unwrap()
+        if standing is None and record.outcome is not Outcome.NOT_RUN:
+            return True
+        if standing is not None and standing.record.nonce != record.nonce:
+            return await self._fence(standing)
+        if standing is not None and standing.record.settled:
+            return True
+        version = 0 if standing is None else standing.version
+        return isinstance(await self._write(record, version), Success)
+
+    async def _fence(self, standing):
+        """Keep a claim that is still under way from replacing a row not run."""
+        old = standing.record
+        if not old.settled or old.outcome is not Outcome.NOT_RUN:
+            return True
+        return isinstance(await self._write(old, standing.version), Success)
 
     async def _read(self, record, conflict):
         key = format_claim_key(record.team, record.key)
         for row in conflict.rows:
             if row.key == key and row.version:
-                return msgspec.json.decode(row.value, type=ClaimRecord), row.version
+                return Success(_decode(row))
+        return await self._get(record)
+
+    async def _get(self, record):
+        key = format_claim_key(record.team, record.key)
         found = await self._tables.get(CLAIMS_TABLE, key)
-        if isinstance(found, Failure) or found.unwrap() is None:
-            return ClaimUnavailable(detail="the standing claim could not be read")
-        row = found.unwrap()
-        return msgspec.json.decode(row.value, type=ClaimRecord), row.version
+        return found.map(lambda row: None if row is None else _decode(row))
 
     async def _write(self, record, expected_version):
         put = Put(
@@ -142,13 +381,10 @@
             expected_version=expected_version,
             value=msgspec.Raw(msgspec.json.encode(record)),
         )
-        write_id = WriteId(f"{self._random.getrandbits(96):024x}")
-        result = await self._tables.transact(
-            Transaction(write_id=write_id, puts=(put,))
-        )
-        if isinstance(result, Failure):
-            return result
-        for row in result.unwrap():
-            if row.key == put.key:
-                return Success(ClaimGranted(record=record, version=row.version))
-        return Failure(Unavailable(detail="the store did not return the row"))
+        written = await self._committer.write(put)
+        return written.map(lambda version: ClaimGranted(record=record, version=version))
+
+
+def _decode(row):
+    record = msgspec.json.decode(row.value, type=ClaimRecord)
+    return ClaimGranted(record=record, version=row.version)
--- a/fuchsiascale/coordination/_records.py
+++ b/fuchsiascale/coordination/_records.py
@@ -28,6 +28,7 @@
     "DOCUMENT_TABLE",
     "JOBS_TABLE",
     "MAX_CHUNK_TASKS",
+    "NO_REVISION",
     "Assignment",
     "ChunkRecord",
     "ClaimRecord",
@@ -53,6 +54,7 @@
 DOCUMENT_HISTORY_TABLE = "document-history"
 
 MAX_CHUNK_TASKS = 256
+NO_REVISION = Revision(0)
 
 
 class JobSpec(Message):
@@ -150,6 +152,8 @@
         The recorded answer's body, empty until it is recorded.
     expires_ms : int
         Wall-clock time after which the row may be removed, in milliseconds.
+    nonce : str
+        Tells this claim from every other, also of the same request id.
     """
 
     key: IdempotencyKey
@@ -163,6 +167,7 @@
     answer: bytes = b""
     content_type: str = ""
     expires_ms: int = 0
+    nonce: str = ""
 
 
 class DocumentOption(Message):
--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -13,10 +13,16 @@
 
 
 class Slot(msgspec.Struct, eq=False):
-    """One slot of a runner, taken until it is released."""
+    """One slot of a runner, taken until it is released.
+
+    Parameters
+    ----------
+    handed : bool
+        Whether an exchange with the runner has begun, which releases the slot.
+    """
 
     runner: ListedInstance
-    taken_s: float = 0.0
+    handed: bool = False
     released: bool = False
 
 
@@ -101,7 +107,7 @@
             return None
         credit.in_use += 1
         credit.peak = max(credit.peak, credit.in_use)
-        return Slot(runner=runner, taken_s=self._clock.monotonic())
+        return Slot(runner=runner)
 
     def release(self, slot):
         """Give a slot back, once."""
--- a/fuchsiascale/pipelines/_calls.py
+++ b/fuchsiascale/pipelines/_calls.py
@@ -12,12 +12,12 @@
     ClusterView,
     Fleet,
     KeyClaims,
-    Member,
     ServiceSettings,
-    SlotHolder,
 )
+from fuchsiascale.decisions import RetryBudget
 from fuchsiascale.ids import IdempotencyKey, RequestId, RunnerId, ServiceId, TeamId
-from fuchsiascale.platform import Message, Runners, UpstreamAnswer, UpstreamRequest
+from fuchsiascale.pipelines._hooks import NoMeters, NoTraces
+from fuchsiascale.platform import Message, Runners, UpstreamAnswer
 from fuchsiascale.states import Outcome, Refusal, Urgency
 
 __all__ = [
@@ -27,7 +27,9 @@
     "CallAnswer",
     "CallHeaders",
     "RequestPorts",
-    "complete",
+    "RetryMeter",
+    "make_answer",
+    "make_refusal",
     "refuse",
 ]
 
@@ -69,8 +71,6 @@
         The upstream's status; 0 lets the outcome and refusal decide.
     retry_after_ms : int
         When a request that was not run may be tried again, in milliseconds.
-    retriable : bool
-        Whether another upstream may take the request.
     """
 
     outcome: Outcome
@@ -81,7 +81,6 @@
     refusal: Refusal | None = None
     detail: str = ""
     retry_after_ms: int = DEFAULT_RETRY_AFTER_MS
-    retriable: bool = False
 
 
 class Call(Message):
@@ -101,6 +100,10 @@
         Handle of the admission that this request holds.
     slot : object or None
         Handle of the runner slot that this request holds.
+    turned : CallAnswer or None
+        Why no local runner takes the request.
+    span : object or None
+        Span of a sampled request.
     answer : CallAnswer or None
         Set by the filter that ends the request.
     """
@@ -122,11 +125,15 @@
     claim: Any = None
     admission: Any = None
     slot: Any = None
+    turned: CallAnswer | None = None
     span: Any = None
     answer: CallAnswer | None = None
 
 
-Forward = Callable[[Member, UpstreamRequest, bool], Awaitable[CallAnswer]]
+class RetryMeter(msgspec.Struct):
+    """The retry budget of this instance, and its fresh traffic."""
+
+    budget: RetryBudget = RetryBudget()
 
 
 class RequestPorts(msgspec.Struct, frozen=True, kw_only=True):
@@ -142,12 +149,16 @@
         Source of time.
     random : random.Random
         Source of request ids, jitter and choices.
-    slots : SlotHolder
-        Slots of the runners.
+    dispatcher : Dispatcher
+        Admission and slots.
     claims : KeyClaims
         Claims of idempotency keys.
-    forward : callable or None
-        Sends a request to an instance of another failure domain.
+    forwarder : Forwarder or None
+        Sends requests to other failure domains; None where that is not allowed.
+    retries : RetryMeter
+        The budget of retries.
+    meters, traces : object
+        Counters and spans.
     """
 
     runners: Runners
@@ -155,18 +166,19 @@
     fleet: Callable[[], Fleet]
     clock: Clock
     random: Random
-    slots: SlotHolder
+    dispatcher: Any
     claims: KeyClaims
-    forward: Forward | None = None
+    forwarder: Any = None
+    retries: RetryMeter = msgspec.field(default_factory=RetryMeter)
+    meters: NoMeters = msgspec.field(default_factory=NoMeters)
+    traces: NoTraces = msgspec.field(default_factory=NoTraces)
 
 
-def refuse(call, refusal, detail="", retry_after_ms=DEFAULT_RETRY_AFTER_MS):
-    """Return the call, ended as surely not run.
+def make_refusal(refusal, detail="", retry_after_ms=DEFAULT_RETRY_AFTER_MS):
+    """Return the answer of a request that was surely not run.
 
     Parameters
     ----------
-    call : Call
-        The request.
     refusal : Refusal
         The reason.
     detail : str
@@ -176,25 +188,29 @@
 
     Returns
     -------
-    Call
-        The call with its answer set.
+    CallAnswer
+        The answer.
     """
-    answer = CallAnswer(
+    return CallAnswer(
         outcome=Outcome.NOT_RUN,
         refusal=refusal,
         detail=detail,
-        retry_after_ms=retry_after_ms,
+        retry_after_ms=int(retry_after_ms),
     )
+
+
+def refuse(call, refusal, detail="", retry_after_ms=DEFAULT_RETRY_AFTER_MS):
+    """Return the call, ended as surely not run."""
+    answer = make_refusal(refusal, detail, retry_after_ms)
     return msgspec.structs.replace(call, answer=answer)
 
 
-def complete(call, upstream: UpstreamAnswer):
-    """Return the call, ended by a runner's whole answer."""
-    answer = CallAnswer(
+def make_answer(upstream: UpstreamAnswer):
+    """Return the answer of a request that a runner answered whole."""
+    return CallAnswer(
         outcome=Outcome.DONE,
         status=upstream.status,
         body=upstream.body,
         content_type=upstream.content_type,
         runner=upstream.runner,
     )
-    return msgspec.structs.replace(call, answer=answer)
--- /dev/null
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -0,0 +1,333 @@
+"""Admission to the runners of a service and the choice of a runner."""
+
+import asyncio
+
+import msgspec
+
+from fuchsiascale.coordination import RunnerIndex
+from fuchsiascale.decisions import (
+    AdmissionPool,
+    ClassFloor,
+    LatencyEstimate,
+    RunnerLoad,
+    ShareKey,
+    Ticket,
+    Verdict,
+    VerdictKind,
+    cancel_ticket,
+    choose_runner,
+    configure_pool,
+    estimate_latency,
+    observe_latency,
+    offer_ticket,
+    release_ticket,
+    resize_pool,
+)
+from fuchsiascale.states import Refusal, Urgency
+
+__all__ = ["RUNNER_GRACE_S", "Admission", "Dispatcher"]
+
+RUNNER_GRACE_S = 0.5
+SAMPLED_RUNNERS = 4
+NO_RUNNER_RETRY_MS = 1_000.0
+
+
+class Admission(msgspec.Struct, eq=False):
+    """A request's admission, from its ticket until its last slot is free."""
+
+    pool: "ServicePool"
+    ticket: Ticket
+    admitted_s: float
+    slots: int = 0
+    left: bool = False
+
+
+class Turned(msgspec.Struct):
+    """A request that was not admitted."""
+
+    refusal: Refusal
+    retry_after_ms: float
+
+
+class ServicePool(msgspec.Struct, eq=False):
+    """Admission and measured latencies of one service."""
+
+    admission: AdmissionPool
+    revision: int = -1
+    waiters: dict = {}
+    latencies: dict = {}
+    typical: LatencyEstimate = LatencyEstimate()
+
+
+class Dispatcher:
+    """Admits requests and gives them slots of runners.
+
+    Parameters
+    ----------
+    slots : SlotHolder
+        Credits of this instance.
+    view, fleet : callable
+        Return the current views.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of choices.
+    demand : callable, optional
+        Called without arguments when requests begin to wait for credits.
+    """
+
+    def __init__(self, slots, view, fleet, clock, random, demand=None):
+        self.slots = slots
+        self._view = view
+        self._fleet = fleet
+        self._clock = clock
+        self._random = random
+        self._demand = demand or _ignore
+        self._index = RunnerIndex()
+        self._exchanges = set()
+        self._pools = {}
+
+    def keep(self, exchange):
+        """Run an exchange with a runner to its end, whoever waits for it.
+
+        Parameters
+        ----------
+        exchange : coroutine
+            The exchange.
+
+        Returns
+        -------
+        asyncio.Task
+            The task that runs it.
+        """
+        task = asyncio.ensure_future(exchange)
+        self._exchanges.add(task)
+        task.add_done_callback(self._exchanges.discard)
+        return task
+
+    async def settle(self):
+        """Wait until no exchange with a runner is under way."""
+        while self._exchanges:
+            await asyncio.wait(self._exchanges)
+
+    def count_waiting(self, service):
+        """Return the number of requests that wait for a slot of a service."""
+        pool = self._pools.get(service)
+        return 0 if pool is None else pool.admission.queued
+
+    def find_runners(self, service):
+        """Return the runners that may get requests of a service."""
+        return self._index.find(self._view(), service)
+
+    def refresh(self):
+        """Take in changes of credits, runners and the fleet document."""
+        for name, pool in self._pools.items():
+            self._resize(name, pool)
+
+    async def enter(self, call):
+        """Wait for admission.
+
+        Parameters
+        ----------
+        call : Call
+            The request, with service, team, urgency and deadline.
+
+        Returns
+        -------
+        Admission or Turned
+            Whether the request may go on.
+        """
+        if not self.find_runners(call.service_id):
+            return Turned(Refusal.NO_UPSTREAM, NO_RUNNER_RETRY_MS)
+        pool = self._find_pool(call.service_id)
+        ticket = Ticket(
+            request=call.request_id,
+            share=ShareKey(team=call.team, kind=call.service_id, urgency=call.urgency),
+            deadline_ms=call.deadline_s * 1000,
+        )
+        first, *others = offer_ticket(pool.admission, ticket, self._now_ms())
+        self._announce(pool, others)
+        if first.kind is VerdictKind.QUEUED:
+            first = await self._wait(pool, ticket, call.deadline_s)
+        if first.kind is VerdictKind.REFUSED:
+            return Turned(first.refusal, first.retry_after_ms)
+        return Admission(pool, ticket, self._clock.monotonic())
+
+    def leave(self, admission):
+        """Give an admission back, once its last slot is free."""
+        admission.left = True
+        self._free(admission)
+
+    def take_slot(self, call, excluded=frozenset()):
+        """Take a slot of the better of two runners drawn at random.
+
+        Parameters
+        ----------
+        call : Call
+            An admitted request.
+        excluded : frozenset of RunnerId
+            Runners that may not be used.
+
+        Returns
+        -------
+        Slot or None
+            None where no credit covers the request.
+        """
+        end_s = call.deadline_s + RUNNER_GRACE_S
+        runners = self.find_runners(call.service_id)
+        pool = call.admission.pool
+        loads = self._sample(pool, runners, end_s, excluded)
+        chosen = choose_runner(loads, self._random)
+        if chosen is None:
+            return None
+        runner = next(each for each in runners if each.instance_id == chosen.runner)
+        slot = self.slots.acquire(runner, end_s)
+        if slot is not None:
+            call.admission.slots += 1
+        return slot
+
+    def end_slot(self, admission, slot):
+        """Give a slot back, after its request has surely ended upstream."""
+        if slot.released:
+            return
+        self.slots.release(slot)
+        admission.slots -= 1
+        self._free(admission)
+
+    def observe(self, admission, slot, latency_s):
+        """Take in the latency of a runner, measured or at least that long."""
+        pool = admission.pool
+        now_s = self._clock.monotonic()
+        name = slot.runner.instance_id
+        before = pool.latencies.get(name, LatencyEstimate())
+        pool.latencies[name] = observe_latency(before, latency_s * 1000, now_s)
+        pool.typical = observe_latency(pool.typical, latency_s * 1000, now_s)
+
+    def expect_ms(self, admission):
+        """Return how long a request of the service usually takes, in ms."""
+        return admission.pool.typical.mean_ms
+
+    def _free(self, admission):
+        if not admission.left or admission.slots:
+            return
+        held_s = self._clock.monotonic() - admission.admitted_s
+        verdicts = release_ticket(
+            admission.pool.admission, admission.ticket, held_s * 1000, self._now_ms()
+        )
+        self._announce(admission.pool, verdicts)
+
+    def _sample(self, pool, runners, end_s, excluded):
+        count = len(runners)
+        loads = []
+        if count > SAMPLED_RUNNERS:
+            start = int(self._random.random() * count)
+            step = 1 + int(self._random.random() * (count - 1))
+            for turn in range(SAMPLED_RUNNERS):
+                runner = runners[(start + turn * step) % count]
+                self._add_load(loads, pool, runner, end_s, excluded)
+                if len(loads) == 2:
+                    return loads
+            loads = []
+        for runner in runners:
+            self._add_load(loads, pool, runner, end_s, excluded)
+        return loads
+
+    def _add_load(self, loads, pool, runner, end_s, excluded):
+        name = runner.instance_id
+        credit = self.slots.count_usable(name, end_s)
+        used = self.slots.count_in_use(name)
+        if used >= credit or name in excluded:
+            return
+        estimate = pool.latencies.get(name)
+        latency_ms = pool.typical.mean_ms
+        if estimate is not None:
+            latency_ms = estimate_latency(estimate, latency_ms, self._clock.monotonic())
+        loads.append(
+            RunnerLoad(
+                runner=name, credits=credit, in_flight=used, latency_ms=latency_ms
+            )
+        )
+
+    def _find_pool(self, name):
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = ServicePool(
+                admission=AdmissionPool(
+                    capacity=0, shares={}, classes={}, held={}, floors={}, weights={}
+                ),
+                waiters={},
+                latencies={},
+            )
+            self._pools[name] = pool
+            self._resize(name, pool)
+        return pool
+
+    def _resize(self, name, pool):
+        fleet = self._fleet()
+        service = fleet.services.get(name)
+        if service is None:
+            return
+        if fleet.revision != pool.revision:
+            pool.revision = fleet.revision
+            weights = {team: each.weight for team, each in fleet.teams.items()}
+            configure_pool(pool.admission, _list_floors(fleet.policy), weights)
+        end_s = self._clock.monotonic() + service.deadline_ms / 1000 + RUNNER_GRACE_S
+        capacity = sum(
+            self.slots.count_usable(runner.instance_id, end_s)
+            for runner in self.find_runners(name)
+        )
+        verdicts = resize_pool(pool.admission, capacity, self._now_ms())
+        self._announce(pool, verdicts)
+
+    async def _wait(self, pool, ticket, deadline_s):
+        future = asyncio.get_running_loop().create_future()
+        pool.waiters[ticket] = future
+        self._demand()
+        timeout_s = max(0.0, deadline_s - self._clock.monotonic())
+        try:
+            done, _ = await asyncio.wait({future}, timeout=timeout_s)
+        except asyncio.CancelledError:
+            self._withdraw(pool, ticket, future)
+            raise
+        finally:
+            pool.waiters.pop(ticket, None)
+        if done:
+            return future.result()
+        self._withdraw(pool, ticket, future)
+        return Verdict(
+            ticket=ticket,
+            kind=VerdictKind.REFUSED,
+            refusal=Refusal.DEADLINE,
+            retry_after_ms=pool.admission.service_ms,
+        )
+
+    def _withdraw(self, pool, ticket, future):
+        """Take a ticket back whose caller no longer waits."""
+        if cancel_ticket(pool.admission, ticket) or not future.done():
+            return
+        if future.result().kind is VerdictKind.ADMITTED:
+            verdicts = release_ticket(
+                pool.admission, ticket, pool.admission.service_ms, self._now_ms()
+            )
+            self._announce(pool, verdicts)
+
+    def _announce(self, pool, verdicts):
+        for verdict in verdicts:
+            future = pool.waiters.get(verdict.ticket)
+            if future is not None and not future.done():
+                future.set_result(verdict)
+
+    def _now_ms(self):
+        return self._clock.monotonic() * 1000
+
+
+def _list_floors(policy):
+    return (
+        ClassFloor(urgency=Urgency.URGENT, fraction=policy.urgent_floor),
+        ClassFloor(urgency=Urgency.NORMAL, fraction=policy.normal_floor),
+        ClassFloor(urgency=Urgency.BATCH, fraction=policy.batch_floor),
+    )
+
+
+def _ignore():
+    """Do nothing."""
--- a/fuchsiascale/pipelines/tests/_fakes.py
+++ b/fuchsiascale/pipelines/tests/_fakes.py
@@ -14,11 +14,15 @@
     Member,
     ServiceSettings,
     SlotHolder,
+    SlotLedger,
     TeamSettings,
+    Tenure,
 )
-from fuchsiascale.pipelines import Call, CallHeaders, RequestPorts
+from fuchsiascale.pipelines import Call, CallHeaders, Dispatcher, RequestPorts
 from fuchsiascale.platform import (
+    NO_TOKEN,
     Conflict,
+    FencingToken,
     ListedInstance,
     Row,
     Unavailable,
@@ -140,16 +144,37 @@
         )
 
 
-def make_ports(**changed):
+def make_slots(clock, runners, slots=8):
+    """Return a holder that its own ledger has lent all slots to."""
+    ledger = SlotLedger(clock)
+    now_s = clock.monotonic()
+    token = FencingToken(counter=1, holder="a")
+    tenure = Tenure(token=token, previous=NO_TOKEN, claimed_s=now_s, confirmed_s=now_s)
+    holder = SlotHolder("a", clock)
+    request = holder.make_request("porto:r1", runners, extra=slots - 1)
+    tenures = dict.fromkeys(runners, tenure)
+    holder.apply(request, ledger.lend(request, tenures, slots, 1))
+    return holder
+
+
+def make_ports(runner_names=("runner-1",), slots=8, **changed):
     fleet = make_fleet()
-    view = make_view()
+    view = changed.pop("seen", None) or make_view(runner_names)
+    clock = changed.pop("clock", None) or ManualClock()
+    dispatcher = Dispatcher(
+        slots=make_slots(clock, runner_names, slots),
+        view=lambda: view,
+        fleet=lambda: fleet,
+        clock=clock,
+        random=Random(9),
+    )
     fields = {
         "runners": FakeRunners(),
         "view": lambda: view,
         "fleet": lambda: fleet,
-        "clock": ManualClock(),
+        "clock": clock,
         "random": Random(7),
-        "slots": SlotHolder(),
+        "dispatcher": dispatcher,
         "claims": KeyClaims(FakeTables(), Random(8)),
     }
     return RequestPorts(**{**fields, **changed})
