Run batch work: shard state machine, keeper and job pipeline

Cause: the thin path needs jobs that are recorded, assigned, placed, run under leases and recorded as finished. Change: rendezvous ownership, a sans-I/O shard (claims, inventories, rows read after the claims, starts, acknowledgement after the record), a group committer, the keeper that drives shards, and the job pipeline over the ports. Ruled out: a store write per start; acknowledging from memory. Open: roster of workers, lease by the worker's clock, lapse, eviction, moves.

--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -1,4 +1,12 @@
 """Coordination parts: no HTTP, clock and random source passed in."""
 
+from fuchsiascale.coordination._attempts import *  # noqa: F403
+from fuchsiascale.coordination._commits import *  # noqa: F403
+from fuchsiascale.coordination._leases import *  # noqa: F403
+from fuchsiascale.coordination._livechunks import *  # noqa: F403
+from fuchsiascale.coordination._ownership import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403
+from fuchsiascale.coordination._shardcommands import *  # noqa: F403
+from fuchsiascale.coordination._shards import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
+from fuchsiascale.coordination._workerlinks import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/coordination/_commits.py
@@ -0,0 +1,141 @@
+"""Group commits: chunk rows that wait while a transaction is under way share one."""
+
+import asyncio
+
+import msgspec
+from returns.result import Failure, Success
+
+from fuchsiascale.coordination._records import (
+    ASSIGNMENTS_TABLE,
+    CHUNKS_TABLE,
+    format_assignment_key,
+)
+from fuchsiascale.ids import WriteId
+from fuchsiascale.platform import Conflict, Delete, Put, Transaction, Unavailable
+
+__all__ = ["MAX_GROUP_ROWS", "GroupCommitter", "build_write_id"]
+
+MAX_GROUP_ROWS = 64
+
+
+def build_write_id(instance, random):
+    """Return an id for a write that no other write has."""
+    return WriteId(f"{instance}-{random.getrandbits(64):016x}")
+
+
+class GroupCommitter:
+    """Writes chunk rows, as many a transaction as wait, one transaction at a time.
+
+    Parameters
+    ----------
+    instance : InstanceId
+    tables : Tables
+    random : random.Random
+        Source of write ids.
+
+    Notes
+    -----
+    Under load a transaction takes all rows that gathered during the last one, so
+    the number of transactions does not follow the number of completions.
+    """
+
+    def __init__(self, instance, tables, random):
+        self._instance = instance
+        self._tables = tables
+        self._random = random
+        self._queue = []
+        self._task = None
+
+    async def write_chunk(self, write):
+        """Write one chunk row.
+
+        Parameters
+        ----------
+        write : ChunkWrite
+
+        Returns
+        -------
+        Result of int
+            The new version of the row, or the error of the tables port.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._queue.append((write, future))
+        if self._task is None:
+            self._task = asyncio.create_task(self._drain())
+        return await future
+
+    async def close(self):
+        """Wait until all that is queued is answered."""
+        while self._task is not None:
+            await asyncio.wait([self._task])
+
+    async def _drain(self):
+        try:
+            while self._queue:
+                group = self._queue[:MAX_GROUP_ROWS]
+                del self._queue[: len(group)]
+                await self._commit_group(group)
+        finally:
+            self._task = None
+            for _, future in self._queue:
+                _resolve(future, Failure(Unavailable(detail="the committer stopped")))
+            self._queue = []
+
+    async def _commit_group(self, group):
+        try:
+            result = await self._transact([write for write, _ in group])
+        except Exception:
+            for _, future in group:
+                _resolve(future, Failure(Unavailable(detail="the write failed")))
+            raise
+        if isinstance(result, Success):
+            _resolve_versions(group, result.unwrap())
+        elif isinstance(result.failure(), Conflict) and len(group) > 1:
+            for entry in group:
+                await self._commit_group([entry])
+        else:
+            for _, future in group:
+                _resolve(future, result)
+
+    async def _transact(self, writes):
+        puts = []
+        deletes = []
+        for write in writes:
+            puts.append(_build_put(write))
+            if write.record.final and write.assignment_version:
+                deletes.append(_build_delete(write))
+        transaction = Transaction(
+            write_id=build_write_id(self._instance, self._random),
+            puts=tuple(puts),
+            deletes=tuple(deletes),
+        )
+        return await self._tables.transact(transaction)
+
+
+def _build_put(write):
+    return Put(
+        table=CHUNKS_TABLE,
+        key=write.record.chunk,
+        expected_version=write.expected_version,
+        value=msgspec.Raw(msgspec.json.encode(write.record)),
+    )
+
+
+def _build_delete(write):
+    record = write.record
+    return Delete(
+        table=ASSIGNMENTS_TABLE,
+        key=format_assignment_key(record.shard, record.chunk),
+        expected_version=write.assignment_version,
+    )
+
+
+def _resolve_versions(group, rows):
+    versions = {row.key: row.version for row in rows if row.table == CHUNKS_TABLE}
+    for write, future in group:
+        _resolve(future, Success(versions[write.record.chunk]))
+
+
+def _resolve(future, result):
+    if not future.done():
+        future.set_result(result)
--- /dev/null
+++ b/fuchsiascale/coordination/_leases.py
@@ -0,0 +1,54 @@
+"""Leases as their granter sees them, by its own monotonic clock."""
+
+import msgspec
+
+__all__ = ["CLOCK_DRIFT", "LEASE_MARGIN_S", "LEASE_S", "Lease"]
+
+LEASE_S = 15.0
+LEASE_MARGIN_S = 1.0
+CLOCK_DRIFT = 0.01
+
+
+class Lease(msgspec.Struct):
+    """A worker's lease, followed by the owner that grants it.
+
+    Parameters
+    ----------
+    duration_s : float
+        Length of one grant, in seconds.
+    sent_s : float or None
+        Monotonic time of the last grant that may have arrived, in seconds.
+
+    Examples
+    --------
+    >>> lease = Lease(duration_s=10.0)
+    >>> lease.surely_over(0.0)
+    False
+    >>> lease.grant(0.0)
+    >>> lease.surely_over(10.5), lease.surely_over(11.2)
+    (False, True)
+    """
+
+    duration_s: float = LEASE_S
+    sent_s: float | None = None
+
+    def grant(self, now_s):
+        """Note that a grant is sent now."""
+        self.sent_s = now_s
+
+    def surely_over(self, now_s):
+        """Tell whether the lease has run out at the worker, whatever its clock.
+
+        A lease never granted here is never known to be over: another owner may
+        have granted one.
+        """
+        if self.sent_s is None:
+            return False
+        bound_s = self.duration_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+        return now_s - self.sent_s > bound_s
+
+    def surely_alive(self, now_s):
+        """Tell whether at least half of the last grant is left."""
+        if self.sent_s is None:
+            return False
+        return now_s - self.sent_s < self.duration_s / 2
--- /dev/null
+++ b/fuchsiascale/coordination/_ownership.py
@@ -0,0 +1,62 @@
+"""Choice of the instance that owns a shard, and tokens that fence others.
+
+References
+----------
+.. [1] D. Thaler, C. Ravishankar, "Using name-based mappings to increase hit
+   rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+import xxhash
+
+from fuchsiascale.platform import FencingToken
+
+__all__ = ["find_owner", "raise_token", "rank_owners"]
+
+
+def rank_owners(shard, members):
+    """Return the members in the order in which they should own a shard.
+
+    Parameters
+    ----------
+    shard : str
+        Any id; the order differs from id to id.
+    members : iterable of Member
+
+    Returns
+    -------
+    tuple of Member
+        Best first, by rendezvous hashing.
+
+    Notes
+    -----
+    Where a member leaves, only the shards that it owned change their owner.
+
+    Examples
+    --------
+    >>> rank_owners("north:r1", ())
+    ()
+    """
+    ranked = sorted(members, key=lambda member: _weigh(shard, member), reverse=True)
+    return tuple(ranked)
+
+
+def find_owner(shard, members):
+    """Return the id of a shard's owner, or None where there are no members."""
+    best = max(members, key=lambda member: _weigh(shard, member), default=None)
+    return None if best is None else best.instance
+
+
+def raise_token(highest, instance):
+    """Return a token of an instance that outranks the highest one seen.
+
+    Examples
+    --------
+    >>> raise_token(FencingToken(counter=4, holder="a"), "b").counter
+    5
+    """
+    return FencingToken(counter=highest.counter + 1, holder=instance)
+
+
+def _weigh(shard, member):
+    digest = xxhash.xxh3_64_intdigest(f"{shard}|{member.instance}".encode())
+    return digest, member.instance
--- /dev/null
+++ b/fuchsiascale/daemon/tests/test_shardkeeper.py
@@ -0,0 +1,225 @@
+"""Tests of the shard keeper and the job pipeline over in-memory services."""
+
+import random
+
+from returns.result import Success
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.coordination import (
+    CHUNKS_TABLE,
+    ChunkRecord,
+    ClusterView,
+    Fleet,
+    JobSpec,
+    Member,
+)
+from fuchsiascale.coordination.tests.fakes import FakeTables, FakeWorker, FakeWorkers
+from fuchsiascale.daemon._shardkeeper import ShardKeeper
+from fuchsiascale.pipelines import (
+    JobConflict,
+    JobNotFound,
+    JobPorts,
+    JobRejected,
+    ShardOffer,
+    cancel_job,
+    list_jobs,
+    read_job,
+    submit_job,
+)
+from fuchsiascale.platform import ListedInstance, Resources
+from fuchsiascale.states import InstanceRole, TaskState
+from fuchsiascale.testing import collect_functions, fixture
+
+load_tests = collect_functions(__name__)
+
+CAPACITY = Resources(millicores=4000, memory_mb=4096)
+DEMAND = Resources(millicores=1000, memory_mb=1024)
+
+
+class Deployment:
+    """One failure domain with one rack: entry instances, workers, a store."""
+
+    def __init__(self, members=("a", "b"), workers=("w1", "w2")):
+        self.clock = ManualClock(start_s=100.0)
+        self.tables = FakeTables()
+        self.workers = FakeWorkers()
+        self.members = tuple(_build_member(name) for name in members)
+        self.upstreams = tuple(_build_worker(name) for name in workers)
+        self.fleet = Fleet()
+        for upstream in self.upstreams:
+            worker = FakeWorker(self.clock, upstream.worker, CAPACITY)
+            self.workers.by_address[upstream.address] = worker
+        self.keepers = {name: self.build_keeper(name) for name in members}
+        self.ports = JobPorts(
+            instance="a",
+            tables=self.tables,
+            clock=self.clock,
+            random=random.Random(1),
+            offers=lambda: (
+                ShardOffer(
+                    shard="north:r1", failure_domain="north", shapes=(CAPACITY,)
+                ),
+            ),
+            notify=self.notify,
+        )
+
+    def build_keeper(self, name):
+        """Return a keeper as after a start of its process."""
+        return ShardKeeper(
+            instance=name,
+            tables=self.tables,
+            workers=self.workers,
+            clock=self.clock,
+            random=random.Random(name),
+            view=lambda: self.view(name),
+            fleet=lambda: self.fleet,
+        )
+
+    def view(self, name):
+        """Return what an instance believes."""
+        return ClusterView(
+            instance=name,
+            failure_domain="north",
+            region="n",
+            members=self.members,
+            upstreams=self.upstreams,
+        )
+
+    def worker(self, name):
+        """Return a worker by its id."""
+        return self.workers.by_address[f"{name}:1"]
+
+    async def notify(self, notice):
+        """Tell every keeper."""
+        for keeper in self.keepers.values():
+            await keeper.notice(notice)
+
+    async def run(self, seconds, step_s=0.25):
+        """Let time pass; each keeper runs once a step."""
+        for _ in range(int(seconds / step_s)):
+            for keeper in list(self.keepers.values()):
+                await keeper.run_once()
+            for keeper in list(self.keepers.values()):
+                await keeper.settle()
+            self.clock.advance(step_s)
+
+    def chunk(self, name):
+        """Return a durable chunk record."""
+        return self.tables.read(CHUNKS_TABLE, name, ChunkRecord)
+
+
+def _build_member(name):
+    return Member(
+        instance=name, address=f"{name}:1", failure_domain="north", region="n"
+    )
+
+
+def _build_worker(name):
+    return ListedInstance(
+        instance_id=name,
+        role=InstanceRole.WORKER,
+        address=f"{name}:1",
+        failure_domain="north",
+        region="n",
+        rack="r1",
+        worker=name,
+    )
+
+
+def build_spec(job="tune", tasks=3, run_ms=1000, demand=DEMAND):
+    return JobSpec(
+        job=job, team="t", kind="k", tasks=tasks, demand=demand, run_ms=run_ms
+    )
+
+
+@fixture
+def deployment():
+    yield Deployment()
+
+
+async def test_a_job_runs_to_its_end(deployment):
+    await deployment.run(1)
+    assert isinstance(await submit_job(build_spec(), deployment.ports), Success)
+    await deployment.run(6)
+    status = (await read_job("tune", deployment.ports)).unwrap()
+    assert status.state == "finished"
+    started = [s for w in ("w1", "w2") for s in deployment.worker(w).started]
+    assert len(started) == 3
+    assert not deployment.worker("w1").attempts
+
+
+async def test_more_tasks_than_room_wait_for_room(deployment):
+    await submit_job(build_spec(tasks=30), deployment.ports)
+    await deployment.run(2)
+    running = [deployment.worker(w).list_running() for w in ("w1", "w2")]
+    assert [len(reports) for reports in running] == [4, 4]
+    keeper = next(k for k in deployment.keepers.values() if k.digests())
+    explained = keeper.explain("tune.0")
+    assert {e.state for e in explained} == {"running", "waiting"}
+    assert keeper.statuses()[0].running == 8
+    await deployment.run(20)
+    status = (await read_job("tune", deployment.ports)).unwrap()
+    assert status.state == "finished"
+
+
+async def test_only_the_ranked_owner_claims(deployment):
+    await deployment.run(3)
+    holders = {deployment.worker(w).highest.holder for w in ("w1", "w2")}
+    assert len(holders) == 1
+    held = [k for k in deployment.keepers.values() if k.digests()]
+    assert len(held) == 1
+
+
+async def test_work_goes_on_under_the_next_owner_without_a_second_run(deployment):
+    await submit_job(build_spec(run_ms=8000), deployment.ports)
+    await deployment.run(2)
+    owner = deployment.worker("w1").highest.holder
+    del deployment.keepers[owner]
+    deployment.members = tuple(m for m in deployment.members if m.instance != owner)
+    await deployment.run(14)
+    started = [s for w in ("w1", "w2") for s in deployment.worker(w).started]
+    assert sorted(s.task for s in started) == ["tune.0.0", "tune.0.1", "tune.0.2"]
+    states = {task.state for task in deployment.chunk("tune.0").tasks}
+    assert states == {TaskState.FINISHED}
+
+
+async def test_hand_over_releases_and_stops_placing(deployment):
+    await deployment.run(2)
+    owner = deployment.worker("w1").highest.holder
+    await submit_job(build_spec(), deployment.ports)
+    assert await deployment.keepers[owner].hand_over() == ("north:r1",)
+    assert not deployment.keepers[owner].digests()
+
+
+async def test_the_same_job_again_is_accepted_once(deployment):
+    first = await submit_job(build_spec(), deployment.ports)
+    again = await submit_job(build_spec(), deployment.ports)
+    assert first.unwrap() == again.unwrap()
+    other = await submit_job(build_spec(tasks=4), deployment.ports)
+    assert isinstance(other.failure(), JobConflict)
+    assert "tune" in other.failure().detail
+
+
+async def test_a_job_that_fits_nowhere_is_rejected_with_the_reason(deployment):
+    spec = build_spec(demand=Resources(millicores=5000))
+    rejected = (await submit_job(spec, deployment.ports)).failure()
+    assert isinstance(rejected, JobRejected)
+    assert "5000 millicores" in rejected.detail
+    assert not deployment.tables.rows
+
+
+async def test_a_cancelled_job_stops_and_runs_no_more(deployment):
+    await submit_job(build_spec(tasks=12, run_ms=60_000), deployment.ports)
+    await deployment.run(2)
+    assert isinstance(await cancel_job("tune", deployment.ports), Success)
+    await deployment.run(3)
+    status = (await read_job("tune", deployment.ports)).unwrap()
+    assert status.state == "cancelled"
+    assert not deployment.worker("w1").list_running()
+    listed = (await list_jobs(deployment.ports)).unwrap()
+    assert [job.cancelled for job in listed.jobs] == [True]
+
+
+async def test_an_unknown_job_is_not_found(deployment):
+    missing = (await read_job("none", deployment.ports)).failure()
+    assert isinstance(missing, JobNotFound)
