Mount the parts into the daemon: the thin path

Cause: the parts stood side by side and nothing served a request end to end. Ruled out: one large start function, since the order of stopping is not the reverse of what a reader would write there. Before: no process served anything. Conclusion: the path stands, thin.

--- a/.ci/suite.py
+++ b/.ci/suite.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import faulthandler
 import json
 import subprocess
 import sys
@@ -13,6 +14,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+TEST_TIMEOUT_S = 120
 TEST_ROOTS = ("fuchsiascale", "standins", "measurements")
 
 
@@ -33,6 +35,20 @@
     )
 
 
+class TimedResult(unittest.TextTestResult):
+    """Ends the run with a traceback where one test hangs."""
+
+    def startTest(self, test):  # noqa: N802
+        """Arm the timeout for one test."""
+        faulthandler.dump_traceback_later(TEST_TIMEOUT_S, exit=True)
+        super().startTest(test)
+
+    def stopTest(self, test):  # noqa: N802
+        """Disarm the timeout."""
+        faulthandler.cancel_dump_traceback_later()
+        super().stopTest(test)
+
+
 def find_cases(suite):
     """Yield every test case of a nested suite."""
     for item in suite:
@@ -50,7 +66,7 @@
         found = loader.discover(root, pattern="test_*.py", top_level_dir=str(ROOT))
         suite.addTests(case for case in find_cases(found) if match in case.id())
     names = {case.id() for case in find_cases(suite)}
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    result = unittest.TextTestRunner(verbosity=1, resultclass=TimedResult).run(suite)
     bad = {case.id() for case, _ in result.failures + result.errors}
     bad |= {case.id() for case in result.unexpectedSuccesses}
     return names - bad, bad
--- /dev/null
+++ b/fuchsiascale/coordination/tests/workfakes.py
@@ -0,0 +1,259 @@
+"""In-memory platform services for tests, on a clock that the test moves."""
+
+import msgspec
+from returns.result import Failure, Success
+
+from fuchsiascale.platform import (
+    NO_TOKEN,
+    AttemptReport,
+    ClaimReply,
+    Conflict,
+    ExchangeReply,
+    Resources,
+    Row,
+    ScanPage,
+    StartReply,
+    StartResult,
+    TransactionReply,
+    Unavailable,
+    Uncertain,
+    WorkerInventory,
+)
+from fuchsiascale.states import AttemptState
+
+__all__ = ["FakeTables", "FakeWorker", "FakeWorkers"]
+
+
+class FakeTables:
+    """Conditional rows; can be down, and can lose replies after the write."""
+
+    def __init__(self):
+        self.rows = {}
+        self.down = False
+        self.lose_replies = 0
+        self.transactions = 0
+
+    async def get(self, table, key):
+        """Read one row."""
+        if self.down:
+            return Failure(Unavailable(detail="down"))
+        return Success(self.rows.get((table, key)))
+
+    async def scan(self, table, prefix, after="", limit=500):
+        """Read rows in key order."""
+        if self.down:
+            return Failure(Unavailable(detail="down"))
+        keys = sorted(
+            key
+            for name, key in self.rows
+            if name == table and key.startswith(prefix) and key > after
+        )
+        page = tuple(self.rows[table, key] for key in keys[:limit])
+        more = len(keys) > limit
+        return Success(ScanPage(rows=page, next_after=page[-1].key if more else ""))
+
+    async def transact(self, transaction):
+        """Apply conditional writes."""
+        if self.down:
+            return Failure(Unavailable(detail="down"))
+        reply = self.apply(transaction)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return Failure(Uncertain(detail="reply lost"))
+        if not reply.applied:
+            return Failure(Conflict(rows=reply.conflicts))
+        return Success(tuple(self.rows[put.table, put.key] for put in transaction.puts))
+
+    def apply(self, transaction):
+        """Apply a transaction or none of it."""
+        self.transactions += 1
+        items = transaction.puts + transaction.deletes
+        conflicts = tuple(
+            self._find(item)
+            for item in items
+            if self._find(item).version != item.expected_version
+        )
+        if conflicts:
+            return TransactionReply(applied=False, conflicts=conflicts)
+        for put in transaction.puts:
+            self.rows[put.table, put.key] = Row(
+                table=put.table,
+                key=put.key,
+                version=put.expected_version + 1,
+                write_id=transaction.write_id,
+                value=put.value,
+            )
+        for delete in transaction.deletes:
+            self.rows.pop((delete.table, delete.key), None)
+        return TransactionReply(applied=True)
+
+    def read(self, table, key, record_type):
+        """Return a decoded row, or None."""
+        row = self.rows.get((table, key))
+        return row and msgspec.json.decode(row.value, type=record_type)
+
+    def _find(self, item):
+        absent = Row(
+            table=item.table,
+            key=item.key,
+            version=0,
+            write_id="",
+            value=msgspec.Raw(b"null"),
+        )
+        return self.rows.get((item.table, item.key), absent)
+
+
+class FakeWorker:
+    """A worker: arbiter of its own capacity, with leases and fencing."""
+
+    def __init__(self, clock, worker, capacity, reserved=None):
+        self._clock = clock
+        self.worker = worker
+        self.capacity = capacity
+        self.reserved = reserved or Resources()
+        self.highest = NO_TOKEN
+        self.lease_end_s = 0.0
+        self.attempts = {}
+        self.ends_s = {}
+        self.leaving = False
+        self.fail_starts = False
+        self.started = []
+
+    def claim(self, request):
+        """Grant a claim under a token higher than all seen."""
+        self._lapse()
+        if request.token <= self.highest:
+            return ClaimReply(granted=False, highest=self.highest)
+        self.highest = request.token
+        self._extend(request.lease_ms)
+        inventory = self.inventory()
+        return ClaimReply(granted=True, highest=self.highest, inventory=inventory)
+
+    def start(self, request):
+        """Start attempts under the highest token and a lease."""
+        self._lapse()
+        if request.token != self.highest:
+            return StartReply(accepted=False, highest=self.highest)
+        results = tuple(self._start_one(start) for start in request.starts)
+        return StartReply(accepted=True, highest=self.highest, results=results)
+
+    def exchange(self, request):
+        """Renew the lease and carry out commands under the highest token."""
+        self._lapse()
+        self.progress()
+        if request.token != self.highest:
+            return ExchangeReply(accepted=False, highest=self.highest)
+        self._extend(request.lease_ms)
+        for key in request.acknowledged:
+            report = self.attempts.get(key)
+            if report is not None and report.state.ended:
+                del self.attempts[key]
+        for key in request.stops:
+            self._end(key, AttemptState.STOPPED)
+        for key in request.checkpoints:
+            checkpoint = f"checkpoint/{key.task}/{key.attempt}"
+            self._end(key, AttemptState.CHECKPOINTED, checkpoint)
+        inventory = self.inventory()
+        return ExchangeReply(accepted=True, highest=self.highest, inventory=inventory)
+
+    def inventory(self):
+        """Return all that the worker holds."""
+        left_ms = max(0, int((self.lease_end_s - self._clock.monotonic()) * 1000))
+        return WorkerInventory(
+            worker=self.worker,
+            token=self.highest,
+            capacity=self.capacity,
+            reserved=self.reserved,
+            attempts=tuple(self.attempts.values()),
+            lease_ms=left_ms,
+            leaving=self.leaving,
+        )
+
+    def progress(self):
+        """Finish the attempts whose time is up."""
+        for key, report in list(self.attempts.items()):
+            over = self._clock.monotonic() >= self.ends_s[key]
+            if over and not report.state.ended:
+                self._end(key, AttemptState.FINISHED)
+
+    def list_running(self):
+        """Return the reports of running attempts."""
+        self._lapse()
+        return [r for r in self.attempts.values() if not r.state.ended]
+
+    def _extend(self, lease_ms):
+        end_s = self._clock.monotonic() + lease_ms / 1000
+        self.lease_end_s = max(self.lease_end_s, end_s)
+
+    def _lapse(self):
+        if self._clock.monotonic() < self.lease_end_s:
+            return
+        for key in list(self.attempts):
+            self._end(key, AttemptState.STOPPED)
+
+    def _end(self, key, state, checkpoint=None):
+        report = self.attempts.get(key)
+        if report is not None and not report.state.ended:
+            self.attempts[key] = msgspec.structs.replace(
+                report, state=state, checkpoint=checkpoint
+            )
+
+    def _start_one(self, start):
+        report = AttemptReport(
+            task=start.task,
+            attempt=start.attempt,
+            kind=start.kind,
+            state=AttemptState.RUNNING,
+            demand=start.demand,
+        )
+        reason = self._refuse(start)
+        if not reason and report.key not in self.attempts:
+            self.started.append(start)
+            now_s = self._clock.monotonic()
+            self.ends_s[report.key] = now_s + start.run_ms / 1000
+            self.attempts[report.key] = report
+            if self.fail_starts:
+                self._end(report.key, AttemptState.FAILED)
+        return StartResult(
+            task=start.task,
+            attempt=start.attempt,
+            started=not reason,
+            reason=reason,
+        )
+
+    def _refuse(self, start):
+        if self._clock.monotonic() >= self.lease_end_s:
+            return "no lease"
+        held = [r.demand for r in self.list_running()] + [self.reserved, start.demand]
+        committed = sum(held, start=Resources())
+        return "" if committed.fits(self.capacity) else "no room"
+
+
+class FakeWorkers:
+    """The workers port; a worker can be cut off, and replies can be lost."""
+
+    def __init__(self):
+        self.by_address = {}
+        self.cut = set()
+        self.lost = set()
+
+    async def claim(self, address, request):
+        """Claim a worker."""
+        return self._call(address, "claim", request)
+
+    async def start(self, address, request):
+        """Start attempts."""
+        return self._call(address, "start", request)
+
+    async def exchange(self, address, request):
+        """Exchange with a worker."""
+        return self._call(address, "exchange", request)
+
+    def _call(self, address, method, request):
+        if address in self.cut:
+            return Failure(Unavailable(detail="cut"))
+        reply = getattr(self.by_address[address], method)(request)
+        if (address, method) in self.lost:
+            self.lost.discard((address, method))
+            return Failure(Uncertain(detail="reply lost"))
+        return Success(reply)
--- a/fuchsiascale/daemon/__init__.py
+++ b/fuchsiascale/daemon/__init__.py
@@ -1,1 +1,13 @@
-"""To be filled."""
+"""The daemon: application object, listeners and drivers of the parts."""
+
+from fuchsiascale.daemon import (  # noqa: F401
+    _control,
+    _jobs_api,
+    _listeners,
+    _membership,
+    _requests,
+    _work,
+)
+from fuchsiascale.daemon._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/fuchsiascale/daemon/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the daemon: ``python -m fuchsiascale.daemon --settings FILE``."""
+
+from fuchsiascale.daemon import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fuchsiascale/daemon/_application.py
@@ -0,0 +1,144 @@
+"""The daemon's application object: owns every part, starts and stops it."""
+
+import asyncio
+import contextlib
+import random
+import signal
+from enum import Enum
+
+import aiohttp
+import logbook
+
+from fuchsiascale.clock import SystemClock
+from fuchsiascale.daemon import _lifecycle
+from fuchsiascale.daemon._peers import PeerClient
+from fuchsiascale.platform import (
+    HttpInstanceList,
+    HttpObjects,
+    HttpRunners,
+    HttpTables,
+    HttpWorkers,
+)
+
+__all__ = ["Application", "ApplicationState"]
+
+CONNECTIONS_IN_ALL = 2_048
+RUNNER_TIMEOUT_S = 30.0
+
+
+class ApplicationState(Enum):
+    """Where the daemon stands between start and exit."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    STOPPING = "stopping"
+
+
+class Application:
+    """Owner of the daemon's parts, which the life-cycle hooks fill in.
+
+    Parameters
+    ----------
+    settings : Settings
+        The checked settings of this instance.
+    clock : Clock, optional
+        Source of time.
+    source : random.Random, optional
+        Source of randomness.
+    """
+
+    def __init__(self, settings, clock=None, source=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.random = source or random.Random()
+        self.log = logbook.Logger("fuchsiascaled")
+        self.state = ApplicationState.STARTING
+        self.started_ms = self.clock.wall_ms()
+        self.stop_requested = asyncio.Event()
+        self.session = None
+        self.tables = None
+        self.objects = None
+        self.instance_list = None
+        self.workers = None
+        self.runners = None
+        self.peers = None
+        self.membership = None
+        self.membership_driver = None
+        self.documents = None
+        self.shards = None
+        self.calls = None
+        self.listeners = []
+        self._keepers = []
+
+    def connect(self):
+        """Make the clients of the platform, the upstreams and the peers."""
+        settings = self.settings
+        timeout_s = settings.platform.timeout_ms / 1000
+        connector = aiohttp.TCPConnector(limit=CONNECTIONS_IN_ALL, limit_per_host=0)
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self.tables = HttpTables(self.session, settings.platform.tables, timeout_s)
+        self.objects = HttpObjects(self.session, settings.platform.objects, timeout_s)
+        self.instance_list = HttpInstanceList(
+            self.session, settings.platform.instances, timeout_s
+        )
+        self.workers = HttpWorkers(self.session, timeout_s)
+        self.runners = HttpRunners(self.session, RUNNER_TIMEOUT_S)
+        self.peers = PeerClient(self.session, settings.access.peer_token, timeout_s)
+
+    async def run(self):
+        """Start all parts, serve until asked to stop, and stop gracefully."""
+        self._watch_signals()
+        try:
+            await _lifecycle.run_start_hooks(self)
+            self._start_keepers()
+            self.state = ApplicationState.SERVING
+            self.log.info("serving")
+            await self.stop_requested.wait()
+        finally:
+            self.state = ApplicationState.STOPPING
+            self.log.info("stopping")
+            await _lifecycle.run_stop_hooks(self)
+            self.log.info("stopped")
+
+    @property
+    def stopping(self):
+        """Whether a graceful stop has begun."""
+        return self.stop_requested.is_set()
+
+    def is_ready(self):
+        """Return whether the balancer should send requests here."""
+        serving = self.state is ApplicationState.SERVING
+        return serving and not self.stopping and self.documents.ready()
+
+    def count_refusal(self, listener):
+        """Note a call that was refused for want of a token."""
+        self.log.warning("refused a call without a valid token at {}", listener)
+
+    def request_stop(self):
+        """Ask for a graceful stop; more calls change nothing."""
+        self.stop_requested.set()
+
+    async def stop_keepers(self):
+        """Cancel the periodic tasks and wait until they have ended."""
+        for task in self._keepers:
+            task.cancel()
+        await asyncio.gather(*self._keepers, return_exceptions=True)
+        self._keepers.clear()
+
+    def keep(self, coroutine):
+        """Run a coroutine in the background until the daemon stops."""
+        self._keepers.append(asyncio.create_task(coroutine))
+
+    def _watch_signals(self):
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with contextlib.suppress(NotImplementedError):
+                loop.add_signal_handler(number, self.request_stop)
+
+    def _start_keepers(self):
+        for entry in _lifecycle.KEEPERS:
+            self.keep(_lifecycle.run_keeper(self, entry))
--- /dev/null
+++ b/fuchsiascale/daemon/_control.py
@@ -0,0 +1,86 @@
+"""Mounts membership and the fleet document into the application."""
+
+import asyncio
+import contextlib
+
+from fuchsiascale.coordination import DocumentKeeper, Member, Membership
+from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
+from fuchsiascale.daemon._membership import MembershipDriver
+
+LEAVE_TIMEOUT_S = 1.0
+
+
+@on_start(Phase.MEMBERSHIP)
+async def start_membership(application):
+    """Make membership, document and their driver, and read list and document."""
+    settings = application.settings
+    member = Member(
+        instance=settings.instance,
+        address=settings.peer.address,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+    )
+    clock, random = application.clock, application.random
+    application.membership = Membership(member, clock, random, seeds=settings.seeds)
+    application.documents = DocumentKeeper(
+        settings.instance,
+        application.tables,
+        fetch_sections(application),
+        clock,
+        random,
+    )
+    application.membership_driver = MembershipDriver(
+        application.membership,
+        application.documents,
+        application.peers,
+        application.instance_list,
+    )
+    await application.membership_driver.read_list()
+    await application.membership_driver.poll_document()
+
+
+def fetch_sections(application):
+    """Return the function by which the document keeper asks a peer."""
+
+    async def fetch(address, request):
+        return await application.membership_driver.fetch_sections(address, request)
+
+    return fetch
+
+
+@on_start(Phase.READINESS)
+async def start_followers(application):
+    """Start the tasks that act on news at once."""
+    driver = application.membership_driver
+    application.keep(driver.tell_news())
+    application.keep(driver.follow_peers())
+
+
+@keeper("instance list", lambda settings: settings.timers.list_poll_ms)
+async def read_list(application):
+    """Read the platform's instance list; the last one stands where it is down."""
+    await application.membership_driver.read_list()
+
+
+@keeper("heartbeat", lambda settings: settings.timers.heartbeat_ms)
+async def send_heartbeat(application):
+    """Send one beat with the present figures."""
+    application.membership.update(
+        in_flight=application.calls.in_flight, shards=application.shards.digests()
+    )
+    await application.membership_driver.beat()
+
+
+@keeper("document", lambda settings: settings.timers.document_poll_ms)
+async def poll_document(application):
+    """Read the head row of the document, and what changed."""
+    await application.membership_driver.poll_document()
+
+
+@on_stop(Phase.READINESS)
+async def announce_leaving(application):
+    """Tell the members that this instance owns no shards from now on."""
+    application.membership_driver.leave()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LEAVE_TIMEOUT_S):
+            await application.membership_driver.beat()
--- a/fuchsiascale/daemon/_http.py
+++ b/fuchsiascale/daemon/_http.py
@@ -29,17 +29,20 @@
     ----------
     status : int
         HTTP status.
-    reason : Refusal
+    reason : Refusal or None
         Why the request was not run.
     detail : str
         What was wrong, by name.
+    outcome : Outcome, optional
+        What became of the request.
     """
 
-    def __init__(self, status, reason, detail):
+    def __init__(self, status, reason, detail, outcome=Outcome.NOT_RUN):
         super().__init__(detail)
         self.status = status
         self.reason = reason
         self.detail = detail
+        self.outcome = outcome
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -86,7 +89,7 @@
             reply = await entry.handler(application, message, request)
         except Refused as refused:
             failure = Failure(
-                outcome=Outcome.NOT_RUN, reason=refused.reason, detail=refused.detail
+                outcome=refused.outcome, reason=refused.reason, detail=refused.detail
             )
             return encode_reply(failure, refused.status)
         return encode_reply(reply)
--- /dev/null
+++ b/fuchsiascale/daemon/_jobs_api.py
@@ -0,0 +1,77 @@
+"""Handlers of the caller interface for jobs."""
+
+import http
+
+from returns.result import Success
+
+from fuchsiascale.coordination import JobSpec
+from fuchsiascale.daemon._http import Refused
+from fuchsiascale.daemon._routes import CALLER_ROUTES
+from fuchsiascale.daemon._work import make_job_ports
+from fuchsiascale.pipelines import (
+    JobConflict,
+    JobNotFound,
+    JobRejected,
+    JobUnavailable,
+    JobUncertain,
+    cancel_job,
+    list_jobs,
+    read_job,
+    submit_job,
+)
+from fuchsiascale.states import Outcome, Refusal
+
+JOBS_PATH = "/v1/jobs"
+JOB_PATH = "/v1/jobs/{job}"
+MAX_PAGE_JOBS = 500
+
+JOB_ERROR_STATUS = {
+    JobRejected: (http.HTTPStatus.UNPROCESSABLE_ENTITY, Refusal.BAD_REQUEST),
+    JobConflict: (http.HTTPStatus.CONFLICT, Refusal.KEY_CONFLICT),
+    JobNotFound: (http.HTTPStatus.NOT_FOUND, Refusal.BAD_REQUEST),
+    JobUnavailable: (
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        Refusal.STORE_UNAVAILABLE,
+    ),
+    JobUncertain: (http.HTTPStatus.GATEWAY_TIMEOUT, None),
+}
+
+
+@CALLER_ROUTES.route("POST", JOBS_PATH, JobSpec)
+async def post_job(application, message, request):
+    """Accept a job."""
+    return _unwrap(await submit_job(message, make_job_ports(application)))
+
+
+@CALLER_ROUTES.route("GET", JOBS_PATH)
+async def get_jobs(application, message, request):
+    """List jobs in pages."""
+    after = request.query.get("after", "")
+    text = request.query.get("limit", "100")
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_PAGE_JOBS:
+        detail = f"limit is {text!r}; it must be from 1 to {MAX_PAGE_JOBS}"
+        raise Refused(http.HTTPStatus.BAD_REQUEST, Refusal.BAD_REQUEST, detail)
+    return _unwrap(await list_jobs(make_job_ports(application), after, int(text)))
+
+
+@CALLER_ROUTES.route("GET", JOB_PATH)
+async def get_job(application, message, request):
+    """Read the durable state of a job."""
+    job = request.match_info["job"]
+    return _unwrap(await read_job(job, make_job_ports(application)))
+
+
+@CALLER_ROUTES.route("DELETE", JOB_PATH)
+async def delete_job(application, message, request):
+    """Cancel a job."""
+    job = request.match_info["job"]
+    return _unwrap(await cancel_job(job, make_job_ports(application)))
+
+
+def _unwrap(result):
+    if isinstance(result, Success):
+        return result.unwrap()
+    error = result.failure()
+    status, reason = JOB_ERROR_STATUS[type(error)]
+    outcome = Outcome.UNKNOWN if isinstance(error, JobUncertain) else Outcome.NOT_RUN
+    raise Refused(status, reason, error.detail, outcome)
--- /dev/null
+++ b/fuchsiascale/daemon/_listeners.py
@@ -0,0 +1,107 @@
+"""The three HTTP listeners of the daemon."""
+
+import http
+
+from aiohttp import web
+
+from fuchsiascale.api import StatusReply
+from fuchsiascale.daemon import _http
+from fuchsiascale.daemon._access import (
+    Access,
+    require_operator_token,
+    require_peer_token,
+)
+from fuchsiascale.daemon._caller import make_caller_routes
+from fuchsiascale.daemon._lifecycle import Phase, on_start, on_stop
+from fuchsiascale.daemon._routes import CALLER_ROUTES, OPERATOR_ROUTES, PEER_ROUTES
+
+__all__ = ["build_status"]
+
+MAX_PEER_BODY_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+LINGER_S = 1.0
+
+
+@on_start(Phase.LISTENERS)
+async def start_listeners(application):
+    """Open the caller, peer and operator listeners."""
+    settings = application.settings
+    caller = _make_web_application(application, CALLER_ROUTES)
+    caller.add_routes(make_caller_routes(application.calls, application.clock))
+    access = Access(settings.access, application.documents.fleet)
+    check_peer = require_peer_token(access, application.count_refusal)
+    check_operator = require_operator_token(access, application.count_refusal)
+    peer = _make_web_application(application, PEER_ROUTES, check_peer)
+    operator = _make_web_application(application, OPERATOR_ROUTES, check_operator)
+    for listen, web_application in (
+        (settings.caller, caller),
+        (settings.peer, peer),
+        (settings.operator, operator),
+    ):
+        runner = web.AppRunner(
+            web_application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=LINGER_S,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, listen.host, listen.port).start()
+        application.listeners.append(runner)
+
+
+@on_stop(Phase.CLIENTS)
+async def stop_listeners(application):
+    """Close the listeners last, after the parts behind them have stopped."""
+    await application.stop_keepers()
+    for runner in application.listeners:
+        await runner.cleanup()
+    if application.session is not None:
+        await application.session.close()
+
+
+@on_start(Phase.CLIENTS)
+async def start_clients(application):
+    """Make the clients of platform, upstreams and peers."""
+    application.connect()
+
+
+def _make_web_application(application, routes, check=None):
+    middlewares = [] if check is None else [check]
+    web_application = web.Application(
+        client_max_size=MAX_PEER_BODY_BYTES, middlewares=middlewares
+    )
+    web_application[_http.APPLICATION_KEY] = application
+    routes.add_to(web_application)
+    return web_application
+
+
+@CALLER_ROUTES.route("GET", "/healthz")
+async def get_health(application, message, request):
+    """Tell that the process runs."""
+    return build_status(application)
+
+
+@CALLER_ROUTES.route("GET", "/readyz")
+async def get_readiness(application, message, request):
+    """Tell whether the balancer should send requests here."""
+    status = build_status(application)
+    if not status.ready:
+        raise _http.Refused(
+            http.HTTPStatus.SERVICE_UNAVAILABLE, None, "the instance is not ready"
+        )
+    return status
+
+
+def build_status(application):
+    """Return the summary of this instance."""
+    return StatusReply(
+        instance=application.settings.instance,
+        failure_domain=application.settings.failure_domain,
+        ready=application.is_ready(),
+        stopping=application.stopping,
+        revision=application.documents.revision(),
+        store_reachable=application.documents.store_reachable(),
+        in_flight=application.calls.in_flight,
+        shards_held=len(application.shards.digests()),
+    )
--- /dev/null
+++ b/fuchsiascale/daemon/_main.py
@@ -0,0 +1,31 @@
+"""Entry point of the daemon."""
+
+import argparse
+import asyncio
+import sys
+
+from returns.result import Success
+
+from fuchsiascale.daemon._application import Application
+from fuchsiascale.daemon._settings import read_settings
+
+__all__ = ["main"]
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main(arguments=None):
+    """Read the settings and run the daemon until it is asked to stop."""
+    parser = argparse.ArgumentParser(prog="fuchsiascaled", description=__doc__)
+    parser.add_argument("--settings", required=True, help="path of the INI file")
+    options = parser.parse_args(arguments)
+    found = read_settings(options.settings)
+    if not isinstance(found, Success):
+        for problem in found.failure():
+            print(problem, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    asyncio.run(_serve(found.unwrap()))
+
+
+async def _serve(settings):
+    await Application(settings).run()
--- /dev/null
+++ b/fuchsiascale/daemon/_work.py
@@ -0,0 +1,121 @@
+"""Drives batch work: the shard keeper, its notices, and its hand-over."""
+
+from fuchsiascale.api import WorkNotice
+from fuchsiascale.coordination import find_owner, format_shard_id
+from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
+from fuchsiascale.daemon._routes import PEER_ROUTES
+from fuchsiascale.daemon._shardkeeper import ShardKeeper
+from fuchsiascale.ids import ShardId
+from fuchsiascale.pipelines import JobPorts, ShardOffer
+from fuchsiascale.platform import Message
+from fuchsiascale.states import InstanceRole
+
+__all__ = ["Accepted", "find_shard_owner", "make_job_ports"]
+
+WORK_PATH = "/peer/v1/work"
+KEEPER_PERIOD_MS = 250
+
+
+class Accepted(Message):
+    """An answer that carries nothing but that the message was taken."""
+
+
+@on_start(Phase.WORK)
+async def start_work(application):
+    """Make the keeper of the shards that fall to this instance."""
+    application.shards = ShardKeeper(
+        application.settings.instance,
+        application.tables,
+        application.workers,
+        application.clock,
+        application.random,
+        application.membership.view,
+        application.documents.fleet,
+    )
+
+
+@keeper("shards", lambda settings: KEEPER_PERIOD_MS)
+async def keep_shards(application):
+    """Let the shard keeper do what is due."""
+    await application.shards.run_once()
+
+
+@on_stop(Phase.WORK)
+async def hand_over_work(application):
+    """Record all ends and release the workers to the next owner."""
+    await application.shards.hand_over()
+
+
+@PEER_ROUTES.route("POST", WORK_PATH, WorkNotice)
+async def take_notice(application, message, request):
+    """Take in a peer's word that chunk rows of a shard were written."""
+    await application.shards.notice(message)
+    return Accepted()
+
+
+def make_job_ports(application):
+    """Return what the job pipeline needs of the application."""
+
+    async def notify(notice):
+        await notify_owner(application, notice)
+
+    return JobPorts(
+        instance=application.settings.instance,
+        tables=application.tables,
+        clock=application.clock,
+        random=application.random,
+        offers=lambda: list_offers(application),
+        notify=notify,
+    )
+
+
+def list_offers(application):
+    """Return every shard known, with what its owner last told of it."""
+    offers = {}
+    for upstream in application.membership.view().upstreams:
+        if upstream.role is not InstanceRole.WORKER:
+            continue
+        shard = format_shard_id(upstream.failure_domain, upstream.rack)
+        offers[shard] = ShardOffer(shard=shard, failure_domain=upstream.failure_domain)
+    for digest in _list_shard_digests(application):
+        if digest.shard in offers:
+            offers[digest.shard] = ShardOffer(
+                shard=digest.shard,
+                failure_domain=offers[digest.shard].failure_domain,
+                free=digest.free,
+                waiting=digest.waiting,
+            )
+    return tuple(offers.values())
+
+
+def _list_shard_digests(application):
+    for peer in application.membership.digests():
+        yield from peer.shards
+    yield from application.shards.digests()
+
+
+async def notify_owner(application, notice):
+    """Pass a notice to the shard's owner; a lost one is made good by a scan."""
+    address = find_shard_owner(application, notice.shard)
+    if address == application.settings.peer.address:
+        await application.shards.notice(notice)
+    elif address is not None:
+        await application.peers.call(address, WORK_PATH, notice, Accepted)
+
+
+def find_shard_owner(application, shard: ShardId):
+    """Return the peer address of the instance that should own a shard."""
+    view = application.membership.view()
+    local = {
+        format_shard_id(entry.failure_domain, entry.rack)
+        for entry in view.upstreams
+        if entry.failure_domain == view.failure_domain
+    }
+    if shard in local:
+        owner = find_owner(shard, view.members)
+        found = [m.address for m in view.members if m.instance == owner]
+        return found[0] if found else None
+    for peer in application.membership.digests():
+        if any(digest.shard == shard for digest in peer.shards):
+            return peer.address
+    return None
--- a/fuchsiascale/daemon/tests/test_shardkeeper.py
+++ b/fuchsiascale/daemon/tests/test_shardkeeper.py
@@ -13,7 +13,11 @@
     JobSpec,
     Member,
 )
-from fuchsiascale.coordination.tests.fakes import FakeTables, FakeWorker, FakeWorkers
+from fuchsiascale.coordination.tests.workfakes import (
+    FakeTables,
+    FakeWorker,
+    FakeWorkers,
+)
 from fuchsiascale.daemon._shardkeeper import ShardKeeper
 from fuchsiascale.pipelines import (
     JobConflict,
