--- a/fuchsiascale/daemon/_http.py
+++ b/fuchsiascale/daemon/_http.py
@@ -55,7 +55,7 @@
     """Routes that decorated handler functions fill.
 
     A handler takes the application, the decoded message and the aiohttp
-    request, and returns a message.
+    request, and returns a message, or a response where the status tells more.
     """
 
     def __init__(self):
@@ -89,6 +89,8 @@
                 outcome=Outcome.NOT_RUN, reason=refused.reason, detail=refused.detail
             )
             return encode_reply(failure, refused.status)
+        if isinstance(reply, web.StreamResponse):
+            return reply
         return encode_reply(reply)
 
     return handle
--- /dev/null
+++ b/fuchsiascale/daemon/_operator.py
@@ -0,0 +1,240 @@
+"""Handlers of the operator interface on the document and the instances."""
+
+import http
+
+from returns.result import Failure, Success
+
+import fuchsiascale
+from fuchsiascale.api import (
+    DocumentReply,
+    DrainRequest,
+    EditReply,
+    EditRequest,
+    HistoryReply,
+    InstancesReply,
+    InstanceStatus,
+    StatusReply,
+)
+from fuchsiascale.coordination import (
+    EditConflict,
+    EditForbidden,
+    EditInvalid,
+    EditUnavailable,
+    EditUncertain,
+)
+from fuchsiascale.daemon._access import OPERATOR_KEY
+from fuchsiascale.daemon._http import Refused, encode_reply
+from fuchsiascale.daemon._routes import OPERATOR_ROUTES
+from fuchsiascale.ids import Revision
+from fuchsiascale.states import InstanceRole, PeerState, Refusal
+
+__all__ = ["BASE"]
+
+BASE = "/operator/v1"
+MAX_HISTORY = 500
+DEFAULT_HISTORY = 50
+EDIT_STATUS = {
+    EditInvalid: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    EditForbidden: http.HTTPStatus.FORBIDDEN,
+    EditConflict: http.HTTPStatus.CONFLICT,
+    EditUnavailable: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    EditUncertain: http.HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
+@OPERATOR_ROUTES.route("GET", f"{BASE}/document")
+async def show_document(application, message, request):
+    """Return the document in force here."""
+    documents = application.documents
+    sections = tuple(section for section in documents.sections() if not section.removed)
+    return DocumentReply(
+        revision=documents.revision(), sections=sections, text=documents.text()
+    )
+
+
+@OPERATOR_ROUTES.route("POST", f"{BASE}/edits", EditRequest)
+async def edit_document(application, message, request):
+    """Check and write an edit, and tell the peers of it."""
+    operator = request[OPERATOR_KEY]
+    before = application.documents.revision()
+    result = await application.documents.edit(message, operator.team, operator.admin)
+    if isinstance(result, Failure):
+        error = result.failure()
+        status = EDIT_STATUS[type(error)]
+        return encode_reply(_build_refusal(error, application), status)
+    reply = result.unwrap()
+    if reply.revision > before:
+        application.membership_driver.announce(everywhere=True)
+        application.log.info(
+            "revision {} was accepted from team {}", reply.revision, operator.team
+        )
+    return reply
+
+
+@OPERATOR_ROUTES.route("GET", f"{BASE}/history")
+async def show_history(application, message, request):
+    """Return the last accepted edits."""
+    limit = _read_number(request, "limit", DEFAULT_HISTORY, MAX_HISTORY)
+    result = await application.documents.history(limit)
+    if isinstance(result, Success):
+        return HistoryReply(entries=result.unwrap())
+    detail = result.failure().detail
+    raise Refused(
+        http.HTTPStatus.SERVICE_UNAVAILABLE, Refusal.STORE_UNAVAILABLE, detail
+    )
+
+
+@OPERATOR_ROUTES.route("GET", f"{BASE}/confirmations")
+async def show_confirmations(application, message, request):
+    """Return which instances have a revision in force."""
+    newest = int(application.documents.revision())
+    revision = _read_number(request, "revision", newest, 2**53)
+    return await application.membership_driver.confirm(Revision(revision))
+
+
+@OPERATOR_ROUTES.route("GET", f"{BASE}/instances")
+async def list_instances(application, message, request):
+    """Return the instances and upstreams known here."""
+    view = application.view()
+    membership = application.membership
+    known = {digest.instance: digest for digest in membership.digests()}
+    known[view.instance] = membership.digest()
+    entries = {entry.instance: entry for entry in membership.entries()}
+    entries |= {digest.instance: digest for digest in known.values()}
+    instances = [
+        InstanceStatus(
+            instance=name,
+            role=InstanceRole.ENTRY.value,
+            address=entry.address,
+            failure_domain=entry.failure_domain,
+            region=entry.region,
+            state=_name_state(membership, known, name, view.instance),
+            revision=known[name].revision if name in known else Revision(0),
+            in_flight=known[name].in_flight if name in known else 0,
+        )
+        for name, entry in sorted(entries.items())
+    ]
+    instances += [
+        InstanceStatus(
+            instance=entry.instance_id,
+            role=entry.role.value,
+            address=entry.address,
+            failure_domain=entry.failure_domain,
+            region=entry.region,
+            state="leaving" if entry.instance_id in view.leaving else entry.state.value,
+        )
+        for entry in view.upstreams
+    ]
+    return InstancesReply(instances=tuple(instances))
+
+
+@OPERATOR_ROUTES.route("POST", f"{BASE}/drain", DrainRequest)
+async def drain_instance(application, message, request):
+    """Stop an instance gracefully, or cordon an upstream in the document."""
+    operator = request[OPERATOR_KEY]
+    if not operator.admin:
+        detail = f"team {operator.team} may not drain instances"
+        raise Refused(http.HTTPStatus.FORBIDDEN, Refusal.UNAUTHORIZED, detail)
+    view = application.view()
+    if message.instance == view.instance:
+        application.request_stop()
+    elif message.instance in {entry.instance_id for entry in view.upstreams}:
+        await _cordon(application, message.instance, operator)
+    else:
+        await _drain_peer(application, message)
+    return _build_status(application)
+
+
+@OPERATOR_ROUTES.route("GET", f"{BASE}/status")
+async def show_status(application, message, request):
+    """Return a summary of this instance."""
+    return _build_status(application, request[OPERATOR_KEY].team)
+
+
+def _build_refusal(error, application):
+    if isinstance(error, EditConflict):
+        problems, conflicts = (), error.conflicts
+    elif isinstance(error, EditInvalid | EditForbidden):
+        problems, conflicts = tuple(map(str, error.problems)), ()
+    elif isinstance(error, EditUncertain):
+        text = (
+            f"the edit may have been accepted as revision {error.revision}; "
+            "see the history, or send it again"
+        )
+        problems, conflicts = (text,), ()
+    else:
+        problems, conflicts = (error.detail,), ()
+    return EditReply(
+        accepted=False,
+        revision=application.documents.revision(),
+        problems=problems,
+        conflicts=conflicts,
+    )
+
+
+def _read_number(request, name, default, most):
+    text = request.query.get(name, str(default))
+    if not text.isdecimal() or int(text) > most:
+        detail = f"{name}: {text!r} is not from 0 to {most}"
+        raise Refused(http.HTTPStatus.BAD_REQUEST, Refusal.BAD_REQUEST, detail)
+    return int(text)
+
+
+def _name_state(membership, known, name, own):
+    if name == own:
+        return known[own].state.value
+    if name not in known:
+        return PeerState.GONE.value
+    return membership.state_of(name).value
+
+
+async def _cordon(application, upstream, operator):
+    """Write ``cordoned = yes`` into the upstream's section."""
+    known = {section.name: section for section in application.documents.sections()}
+    name = f"instance {upstream}"
+    section = known.get(name)
+    lines = [f"[{name}]", f"team = {section.team if section else operator.team}"]
+    for option in section.options if section else ():
+        if option.name != "cordoned":
+            lines.append(f"{option.name} = {option.value}")
+    text = "\n".join([*lines, "cordoned = yes", ""])
+    edit = EditRequest(
+        text=text, expected=(section,) if section else (), author="drain"
+    )
+    result = await application.documents.edit(edit, operator.team, operator.admin)
+    if isinstance(result, Failure):
+        error = result.failure()
+        detail = "; ".join((*_build_refusal(error, application).problems, error.detail))
+        raise Refused(EDIT_STATUS[type(error)], Refusal.BAD_REQUEST, detail)
+    application.membership_driver.announce(everywhere=True)
+
+
+async def _drain_peer(application, message):
+    """Pass the request on to the instance that it names."""
+    entries = {entry.instance: entry for entry in application.membership.entries()}
+    entry = entries.get(message.instance)
+    if entry is None:
+        detail = f"no instance or upstream {message.instance!r} is known"
+        raise Refused(http.HTTPStatus.NOT_FOUND, Refusal.NO_UPSTREAM, detail)
+    result = await application.peers.call(
+        entry.address, "/peer/v1/stop", message, StatusReply
+    )
+    if isinstance(result, Failure):
+        detail = f"{message.instance} did not answer: {result.failure().detail}"
+        raise Refused(http.HTTPStatus.BAD_GATEWAY, Refusal.NO_UPSTREAM, detail)
+
+
+def _build_status(application, team=""):
+    digest = application.membership.digest()
+    return StatusReply(
+        instance=digest.instance,
+        team=team,
+        failure_domain=digest.failure_domain,
+        ready=application.is_ready(),
+        stopping=application.stopping,
+        revision=application.documents.revision(),
+        store_reachable=application.documents.store_reachable(),
+        in_flight=digest.in_flight,
+        shards_held=len(digest.shards),
+        version=fuchsiascale.__version__,
+    )
