--- a/fuchsiascale/daemon/_http.py
+++ b/fuchsiascale/daemon/_http.py
@@ -58,7 +58,7 @@
     """Routes that decorated handler functions fill.
 
     A handler takes the application, the decoded message and the aiohttp
-    request, and returns a message.
+    request, and returns a message, or a response where the status tells more.
     """
 
     def __init__(self):
@@ -92,6 +92,8 @@
                 outcome=refused.outcome, reason=refused.reason, detail=refused.detail
             )
             return encode_reply(failure, refused.status)
+        if isinstance(reply, web.StreamResponse):
+            return reply
         return encode_reply(reply)
 
     return handle
