--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -1,8 +1,8 @@
 """Tests of the tool against the daemon's operator routes on a loopback port."""
 
 import asyncio
+import contextlib
 import json
-import os
 import random
 import tempfile
 import threading
@@ -241,11 +241,11 @@
         ("hub", ("job", "status", "j"), 2, "--caller"),
         ("hub", ("job", "submit", "j", "--tasks", "x"), 2, "tasks"),
     )
-    os.chdir(folder)
-    for team, words, code, named in table:
-        found = call(daemon, *words, team=team)
-        assert found[0] == code, (words, found)
-        assert named in found[2], (words, found)
+    with contextlib.chdir(folder):
+        for team, words, code, named in table:
+            found = call(daemon, *words, team=team)
+            assert found[0] == code, (words, found)
+            assert named in found[2], (words, found)
     assert daemon.counted == ["operator"]
     assert daemon.documents.revision() == 1
 
--- a/fuchsiascale/daemon/__init__.py
+++ b/fuchsiascale/daemon/__init__.py
@@ -5,6 +5,7 @@
     _jobs_api,
     _listeners,
     _membership,
+    _operator,
     _requests,
     _work,
 )
