--- /dev/null
+++ b/scenarios/environment.py
@@ -0,0 +1,37 @@
+"""Hooks of behave: one deployment a scenario, checked and stopped at its end."""
+
+import random
+
+from standins.checker import check_all
+
+SEED = 20_260
+
+
+def before_scenario(context, scenario):
+    context.deployment = None
+    context.callers = None
+    context.load = None
+    context.random = random.Random(SEED)
+    context.entries = None
+
+
+def after_scenario(context, scenario):
+    if context.load is not None:
+        context.load.stop()
+    if context.deployment is None:
+        return
+    try:
+        violations = check_all(context.deployment.read_journals())
+        if scenario.status == "failed" or violations:
+            print_outputs(context.deployment)
+    finally:
+        context.deployment.stop()
+    if violations:
+        raise AssertionError("\n".join(f"{v.rule}: {v.detail}" for v in violations))
+
+
+def print_outputs(deployment):
+    """Print the last lines of each daemon, to explain a failure."""
+    for instance in deployment.callers:
+        tail = deployment.log(instance).read_text(errors="replace")[-2_000:]
+        print(f"--- {instance}\n{tail}")
--- /dev/null
+++ b/scenarios/steps/deployments.py
@@ -0,0 +1,199 @@
+"""Steps that start a deployment and bring about failures in it."""
+
+import json
+import time
+
+from behave import given, then, when
+
+from standins._journal import Event
+from standins.callers import Callers
+from standins.clients import apply_fleet, is_ready
+from standins.deployment import DEFAULT_FLEET, Deployment, Plan, Site
+
+SITE_OPTIONS = ("instances", "workers", "racks")
+PLAN_NUMBERS = (
+    "service_ms",
+    "slots",
+    "connections",
+    "millicores",
+    "memory_mb",
+    "accelerators",
+    "list_lag_ms",
+    "usage_lag_ms",
+    "platform_timeout_ms",
+)
+PLAN_FLAGS = ("guards", "links")
+TIMERS = {
+    "heartbeat_ms": 300,
+    "list_poll_ms": 500,
+    "document_poll_ms": 500,
+    "exchange_ms": 500,
+    "lease_ms": 2_000,
+}
+READY_LIMIT_S = 20.0
+
+
+def read_plan(table):
+    """Return the plan that a step's table describes."""
+    options = {row["option"]: row["value"] for row in table or ()}
+    site = {name: int(options.pop(name)) for name in SITE_OPTIONS if name in options}
+    domains = options.pop("domains", "porto").split()
+    region = options.pop("region", "norte")
+    timers = TIMERS | {
+        name: int(options.pop(name)) for name in TIMERS if name in options
+    }
+    fields = {name: int(options.pop(name)) for name in PLAN_NUMBERS if name in options}
+    fields |= {
+        name: options.pop(name) == "yes" for name in PLAN_FLAGS if name in options
+    }
+    assert not options, f"unknown options: {options}"
+    sites = tuple(
+        Site(failure_domain=domain, region=region, **site) for domain in domains
+    )
+    return Plan(sites=sites, timers=timers, **fields)
+
+
+@given("a deployment")
+def start_deployment(context):
+    context.deployment = Deployment(read_plan(context.table))
+    context.deployment.__enter__()
+    first = next(iter(context.deployment.operators.values()))
+    apply_fleet(first, DEFAULT_FLEET)
+    wait_all_ready(context)
+    journal = context.deployment.journal("callers")
+    context.callers = Callers(journal, context.deployment.plan.service, "shop")
+
+
+def wait_all_ready(context):
+    """Wait until every daemon is ready."""
+    for instance, address in context.deployment.callers.items():
+        context.deployment.wait_until(
+            lambda address=address: is_ready(address),
+            f"{instance} is ready",
+            READY_LIMIT_S,
+        )
+
+
+@given('every worker of "{domain}" is claimed')
+def wait_claimed(context, domain):
+    names = [
+        name for name in context.deployment.callers if name.startswith(f"{domain}-")
+    ]
+    workers = [
+        entry for entry in context.deployment.listed if entry.startswith(f"{domain}-w")
+    ]
+
+    def claimed():
+        return all(find_owner(context, worker) in names for worker in workers)
+
+    context.deployment.wait_until(claimed, "every worker is claimed")
+
+
+def find_owner(context, worker):
+    """Return the instance that claimed a worker last, by the worker's journal."""
+    owners = [
+        entry.token.partition("/")[2]
+        for entry in context.deployment.read_journals()
+        if entry.event is Event.CLAIMED and entry.source == worker
+    ]
+    return owners[-1] if owners else None
+
+
+def find_name(context, text):
+    """Return the process that a step names: itself, or "the owner of WORKER"."""
+    prefix = "the owner of "
+    if not text.startswith(prefix):
+        return text
+    owner = find_owner(context, text.removeprefix(prefix))
+    assert owner is not None, f"{text} is not known"
+    return owner
+
+
+@when('"{name}" is killed')
+def kill(context, name):
+    context.name = find_name(context, name)
+    context.deployment.kill(context.name)
+
+
+@when('"{name}" is paused')
+def pause(context, name):
+    context.name = find_name(context, name)
+    context.deployment.pause(context.name)
+
+
+@when("it is resumed")
+def resume(context):
+    context.deployment.resume(context.name)
+
+
+@when("it is started again")
+def start_again(context):
+    if context.name in context.deployment.callers:
+        context.deployment.start_daemon(context.name)
+    else:
+        context.deployment.restart_standin(context.name)
+
+
+@when('"{name}" is asked to stop')
+def ask_to_stop(context, name):
+    context.name = find_name(context, name)
+    context.deployment.ask_to_stop(context.name)
+
+
+@then('"{name}" exits with status {status:d} within {seconds:d} s')
+def check_exit(context, name, status, seconds):
+    found = context.deployment.wait_for_exit(name, seconds)
+    assert found == status, f"{name} exited with {found}"
+
+
+@then("it exits with status {status:d} within {seconds:d} s")
+def check_its_exit(context, status, seconds):
+    check_exit(context, context.name, status, seconds)
+
+
+@when('"{name}" gets the faults {faults}')
+def set_faults(context, name, faults):
+    context.deployment.set_faults(name, **json.loads(faults))
+
+
+@when('every {kind} of "{domain}" gets the faults {faults}')
+def set_all_faults(context, kind, domain, faults):
+    start = f"{domain}-{kind[0]}"
+    for name in context.deployment.controls:
+        if name.startswith(start):
+            context.deployment.set_faults(name, **json.loads(faults))
+
+
+@when('the faults of "{name}" end')
+def end_faults(context, name):
+    context.deployment.set_faults(name)
+
+
+@when('the link "{name}" is {state}')
+def set_link(context, name, state):
+    context.deployment.set_link(name, state=state)
+
+
+@when('"{name}" leaves, by the list')
+def leave_listed(context, name):
+    context.deployment.leave(name, told=False)
+
+
+@when('"{name}" leaves, by its own word')
+def leave_told(context, name):
+    context.deployment.leave(name, listed=False)
+
+
+@when('"{name}" leaves')
+def leave(context, name):
+    context.deployment.leave(name)
+
+
+@when('"{name}" is gone from the list')
+def remove(context, name):
+    context.deployment.remove_from_list(name)
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    time.sleep(seconds)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import select
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -136,6 +137,16 @@
         connection.close()
 
 
+def open_connection(connection):
+    """Connect, also where the other side has closed a kept connection."""
+    if connection.sock is not None:
+        readable, _, _ = select.select([connection.sock], [], [], 0)
+        if not readable:
+            return
+        connection.close()
+    connection.connect()
+
+
 class Callers:
     """Callers of one service.
 
@@ -206,8 +217,7 @@
         path = f"/v1/services/{self._service}/{operation.name}"
         headers = self._list_headers(request, operation, deadline_ms)
         try:
-            if connection.sock is None:
-                connection.connect()
+            open_connection(connection)
         except OSError:
             return Told(request=request, outcome=NOT_SENT)
         try:
--- /dev/null
+++ b/standins/clients.py
@@ -0,0 +1,98 @@
+"""Calls of the operator and job interfaces, for tests and examples."""
+
+import contextlib
+import http.client
+import time
+
+from fuchsiascale.api import DocumentReply, EditReply, EditRequest, JobStatus
+from fuchsiascale.coordination import DocumentSection
+from standins._plans import ADMIN_TOKEN
+from standins.callers import call_json
+
+__all__ = [
+    "apply_fleet",
+    "edit_document",
+    "is_ready",
+    "read_document",
+    "read_job",
+    "submit_job",
+]
+
+CALL_ERRORS = (OSError, http.client.HTTPException)
+RETRY_INTERVAL_S = 0.1
+
+
+def is_ready(address):
+    """Return whether a daemon says that it is ready."""
+    with contextlib.suppress(*CALL_ERRORS):
+        return call_json(address, "GET", "/readyz").status == 200
+    return False
+
+
+def submit_job(address, spec, token=""):
+    """Submit a job and return the answer."""
+    return call_json(address, "POST", "/v1/jobs", spec, token, spec.team)
+
+
+def read_job(address, job, team=""):
+    """Return a job's status, or None where it can't be read."""
+    with contextlib.suppress(*CALL_ERRORS):
+        answer = call_json(address, "GET", f"/v1/jobs/{job}", team=team)
+        if answer.status == 200:
+            return answer.decode(JobStatus)
+    return None
+
+
+def read_document(address, token=ADMIN_TOKEN):
+    """Return the document in force at an instance, or None."""
+    with contextlib.suppress(*CALL_ERRORS):
+        answer = call_json(address, "GET", "/operator/v1/document", token=token)
+        if answer.status == 200:
+            return answer.decode(DocumentReply)
+    return None
+
+
+def edit_document(address, text, expected=(), token=ADMIN_TOKEN, author="scenario"):
+    """Send one edit and return the reply, or None where none came."""
+    expected = tuple(
+        DocumentSection(name=section.name, team=section.team, revision=section.revision)
+        for section in expected
+    )
+    request = EditRequest(text=text, expected=expected, author=author)
+    with contextlib.suppress(*CALL_ERRORS):
+        answer = call_json(address, "POST", "/operator/v1/edits", request, token)
+        return answer.decode(EditReply)
+    return None
+
+
+def apply_fleet(address, text, timeout_s=20.0):
+    """Write a whole first document; retried until an instance takes it.
+
+    Parameters
+    ----------
+    address : str
+        An operator listener, as ``host:port``.
+    text : str
+        The document.
+    timeout_s : float, optional
+        Bound of the retries, in seconds.
+
+    Returns
+    -------
+    EditReply
+        The reply that accepted it.
+
+    Raises
+    ------
+    RuntimeError
+        Where it was refused, or not taken in time.
+    """
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        reply = edit_document(address, text)
+        if reply is not None and reply.accepted:
+            return reply
+        if reply is not None and (reply.problems or reply.conflicts):
+            raise RuntimeError(f"the document was refused: {reply}")
+        time.sleep(RETRY_INTERVAL_S)
+    raise RuntimeError("no instance took the document")
