--- a/fuchsiascale/coordination/_messages.py
+++ b/fuchsiascale/coordination/_messages.py
@@ -6,6 +6,7 @@
 from fuchsiascale.states import PeerState
 
 __all__ = [
+    "ConfirmReply",
     "EditReply",
     "EditRequest",
     "Heartbeat",
@@ -90,10 +91,18 @@
 
 
 class SectionsReply(Message):
-    """Sections changed after the asked revision, and the newest revision."""
+    """Sections changed after the asked revision, and the newest revision.
+
+    Parameters
+    ----------
+    complete : bool
+        Whether the sections are the whole document, since what was removed
+        after the asked revision is no longer known.
+    """
 
     revision: Revision
     sections: tuple[DocumentSection, ...] = ()
+    complete: bool = False
 
 
 class EditRequest(Message):
@@ -124,3 +133,11 @@
     revision: Revision = Revision(0)
     problems: tuple[str, ...] = ()
     conflicts: tuple[str, ...] = ()
+
+
+class ConfirmReply(Message):
+    """Which instances have a revision, or a newer one, in force."""
+
+    revision: Revision
+    confirmed: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
