--- a/fuchsiascale/platform/_messages.py
+++ b/fuchsiascale/platform/_messages.py
@@ -339,10 +339,17 @@
 
 
 class UpstreamAnswer(Message):
-    """A runner's whole answer, checked against length and request id."""
+    """A runner's whole answer, checked against length and request id.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether the runner says that it leaves and wants no new work.
+    """
 
     request_id: RequestId
     runner: RunnerId
     status: int
     body: bytes = b""
     content_type: str = "application/octet-stream"
+    leaving: bool = False
--- a/fuchsiascale/platform/_runners.py
+++ b/fuchsiascale/platform/_runners.py
@@ -22,6 +22,8 @@
 RUNNER_HEADER = "X-Runner"
 RUN_STATE_HEADER = "X-Run-State"
 NOT_RUN = "not-run"
+LEAVING_HEADER = "X-Leaving"
+LEAVING = "true"
 NOT_RUN_STATUS = 503
 
 
@@ -118,6 +120,7 @@
             status=answer.status,
             body=body,
             content_type=answer.headers.get("Content-Type", "application/octet-stream"),
+            leaving=answer.headers.get(LEAVING_HEADER) == LEAVING,
         )
     )
 
--- a/fuchsiascale/platform/tests/test_runners.py
+++ b/fuchsiascale/platform/tests/test_runners.py
@@ -119,3 +119,12 @@
         assert sort_result(await sending) is RequestUncertain
         again = await runners.send(runner_standin.address, make_request("again"))
         assert sort_result(again) is RequestNotRun
+
+
+async def test_a_leaving_runner_says_so(runner_standin):
+    async with aiohttp.ClientSession() as session:
+        runners = HttpRunners(session, TIMEOUT_S)
+        address = runner_standin.address
+        assert not (await runners.send(address, make_request("a"))).unwrap().leaving
+        await set_faults(runner_standin, leaving=True)
+        assert (await runners.send(address, make_request("b"))).unwrap().leaving
--- a/scenarios/steps/deployments.py
+++ b/scenarios/steps/deployments.py
@@ -174,6 +174,13 @@
     context.deployment.set_link(name, state=state)
 
 
+@when("all links are {state}")
+def set_all_links(context, state):
+    for name in context.deployment.controls:
+        if name.startswith("link-"):
+            context.deployment.set_link(name, state=state)
+
+
 @when('"{name}" leaves, by the list')
 def leave_listed(context, name):
     context.deployment.leave(name, told=False)
--- /dev/null
+++ b/scenarios/steps/documents.py
@@ -0,0 +1,129 @@
+"""Steps that edit the fleet document and watch where it is in force."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+
+from standins.clients import edit_document, read_document
+
+SECTION = "kind report"
+OPTION = "max_failures"
+POLL_INTERVAL_S = 0.1
+RACE_VALUES = range(10, 18)
+
+
+def format_edit(value):
+    """Return the section with the option at a value."""
+    return f"[{SECTION}]\nteam = shop\n{OPTION} = {value}\n"
+
+
+def read_value(address):
+    """Return the option's value in force at an instance, or None."""
+    document = read_document(address)
+    if document is None:
+        return None
+    for section in document.sections:
+        if section.name == SECTION:
+            values = {option.name: option.value for option in section.options}
+            return values.get(OPTION, "")
+    return None
+
+
+def find_section(address):
+    """Return the section as an instance shows it."""
+    sections = read_document(address).sections
+    return next(section for section in sections if section.name == SECTION)
+
+
+class Watch:
+    """Polls every instance and keeps the revisions that each has shown."""
+
+    def __init__(self, operators):
+        self._operators = operators
+        self._stopped = threading.Event()
+        self.seen = {name: [] for name in operators}
+        self._threads = [
+            threading.Thread(target=self._run, args=(name,)) for name in operators
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self, name):
+        while not self._stopped.wait(POLL_INTERVAL_S):
+            document = read_document(self._operators[name])
+            if document is not None:
+                self.seen[name].append(document.revision)
+
+    def stop(self):
+        """Stop polling."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+
+@when('an edit through "{instance}" sets max_failures to {value:d}')
+def edit(context, instance, value):
+    context.watch = Watch(context.deployment.operators)
+    context.add_cleanup(context.watch.stop)
+    address = context.deployment.operators[instance]
+
+    def accepted():
+        reply = edit_document(address, format_edit(value), (find_section(address),))
+        return reply is not None and reply.accepted
+
+    context.deployment.wait_until(accepted, "the edit is accepted")
+
+
+@then("every instance has max_failures at {value:d} within {seconds:d} s")
+def check_in_force(context, value, seconds):
+    deployment = context.deployment
+    running = [
+        deployment.operators[name]
+        for name in deployment.operators
+        if deployment.processes[name].poll() is None
+    ]
+
+    def in_force():
+        return all(read_value(address) == str(value) for address in running)
+
+    deployment.wait_until(in_force, f"max_failures is {value}", seconds)
+
+
+@when("8 operators edit the same section at once through all instances")
+def race(context):
+    addresses = list(context.deployment.operators.values())
+    expected = (find_section(addresses[0]),)
+
+    def send(number, value):
+        address = addresses[number % len(addresses)]
+        return edit_document(address, format_edit(value), expected)
+
+    with ThreadPoolExecutor(len(RACE_VALUES)) as pool:
+        sending = [pool.submit(send, n, value) for n, value in enumerate(RACE_VALUES)]
+    context.replies = [future.result() for future in sending]
+
+
+@then("exactly one of them was accepted")
+def check_one_accepted(context):
+    accepted = [
+        value
+        for value, reply in zip(RACE_VALUES, context.replies, strict=True)
+        if reply is not None and reply.accepted
+    ]
+    assert len(accepted) == 1, context.replies
+    context.accepted = accepted[0]
+    refused = [reply for reply in context.replies if reply and not reply.accepted]
+    assert all(reply.conflicts for reply in refused), refused
+
+
+@then("every instance has the accepted value within {seconds:d} s")
+def check_accepted(context, seconds):
+    check_in_force(context, context.accepted, seconds)
+
+
+@then("no instance ever went back")
+def check_forward_only(context):
+    context.watch.stop()
+    for name, revisions in context.watch.seen.items():
+        assert revisions == sorted(revisions), f"{name} showed {revisions}"
--- a/scenarios/steps/jobs.py
+++ b/scenarios/steps/jobs.py
@@ -145,3 +145,10 @@
     runs = find_runs(context.deployment.read_journals())
     retried = {run.task for run in runs if run.attempt > 1}
     assert len(retried) >= count, f"{len(retried)} tasks were tried again"
+
+
+@then("no attempt was stopped or lost")
+def check_none_stopped(context):
+    runs = find_runs(context.deployment.read_journals())
+    bad = [run for run in runs if run.state == AttemptState.STOPPED.value or run.lost]
+    assert not bad, f"{len(bad)} attempts: {bad[:3]}"
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -169,9 +169,14 @@
         self._journal.close()
 
     def send(
-        self, address, operation, deadline_ms=DEFAULT_DEADLINE_MS, connection=None
+        self,
+        address,
+        operation,
+        deadline_ms=DEFAULT_DEADLINE_MS,
+        connection=None,
+        request=None,
     ):
-        """Send an operation once, under a new request id.
+        """Send an operation once, under a new request id unless one is given.
 
         Parameters
         ----------
@@ -183,13 +188,15 @@
             Deadline, in milliseconds.
         connection : http.client.HTTPConnection, optional
             Open connection to use, which is left open.
+        request : RequestId, optional
+            Request id to use.
 
         Returns
         -------
         Told
             What the caller was told.
         """
-        request = RequestId(f"q{next(self._numbers)}-{operation.name}")
+        request = request or RequestId(f"q{next(self._numbers)}-{operation.name}")
         body = operation.encode_body()
         self._journal.record(
             Event.SENT,
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -14,6 +14,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 RUNNER_HEADER = "X-Runner"
 RUN_STATE_HEADER = "X-Run-State"
+LEAVING_HEADER = "X-Leaving"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 NOT_RUN = "not-run"
 
@@ -84,10 +85,13 @@
         return web.Response(body=body, headers=headers, content_type=content_type)
 
     def _list_headers(self, request):
-        return {
+        headers = {
             REQUEST_ID_HEADER: request.headers.get(REQUEST_ID_HEADER, ""),
             RUNNER_HEADER: self._options.runner_id,
         }
+        if self.standin.faults.leaving:
+            headers[LEAVING_HEADER] = "true"
+        return headers
 
     def _record(self, event, request, **fields):
         self.standin.journal.record(
--- a/standins/tests/test_worker_rules.py
+++ b/standins/tests/test_worker_rules.py
@@ -231,5 +231,12 @@
     clock.advance(0.1)
     rules.advance()
     assert list_states(rules)[name_attempt(task="d")] is AttemptState.FAILED
-    rules.leaving = True
+    rules.refuse_starts = True
     assert not start(rules, "e")
+
+
+def test_a_leaving_worker_says_so_and_leaves_starts_to_its_owner(rules):
+    claim(rules)
+    rules.leaving = True
+    assert exchange(rules).inventory.leaving
+    assert start(rules)
