--- a/fuchsiascale/platform/_runners.py
+++ b/fuchsiascale/platform/_runners.py
@@ -9,6 +9,8 @@
     CONNECT_FAILURES,
     SendOnce,
     SentTwice,
+    limit_time,
+    read_whole,
 )
 from fuchsiascale.platform._errors import RequestNotRun, RequestUncertain
 from fuchsiascale.platform._messages import UpstreamAnswer, UpstreamRequest
@@ -22,6 +24,8 @@
 RUNNER_HEADER = "X-Runner"
 RUN_STATE_HEADER = "X-Run-State"
 NOT_RUN = "not-run"
+LEAVING_HEADER = "X-Leaving"
+LEAVING = "true"
 NOT_RUN_STATUS = 503
 
 
@@ -71,7 +75,7 @@
                 auto_decompress=False,
                 middlewares=(SendOnce(),),
             ) as answer:
-                return check_answer(request, answer, await answer.read())
+                return check_answer(request, answer, await read_whole(answer))
         except CONNECT_FAILURES as error:
             return Failure(RequestNotRun(detail=repr(error)))
         except (*CALL_FAILURES, SentTwice) as error:
@@ -81,7 +85,7 @@
         seconds = self._timeout_s
         if request.deadline_ms > 0:
             seconds = min(seconds, request.deadline_ms / 1000)
-        return aiohttp.ClientTimeout(total=seconds)
+        return limit_time(seconds)
 
 
 def list_headers(request):
@@ -118,6 +122,7 @@
             status=answer.status,
             body=body,
             content_type=answer.headers.get("Content-Type", "application/octet-stream"),
+            leaving=answer.headers.get(LEAVING_HEADER) == LEAVING,
         )
     )
 
