--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -3,6 +3,8 @@
 from fuchsiascale.coordination._attempts import *  # noqa: F403
 from fuchsiascale.coordination._claims import *  # noqa: F403
 from fuchsiascale.coordination._commits import *  # noqa: F403
+from fuchsiascale.coordination._credit_messages import *  # noqa: F403
+from fuchsiascale.coordination._credits import *  # noqa: F403
 from fuchsiascale.coordination._documents import *  # noqa: F403
 from fuchsiascale.coordination._edits import *  # noqa: F403
 from fuchsiascale.coordination._leases import *  # noqa: F403
