--- /dev/null
+++ b/fuchsiascale/coordination/_documents.py
@@ -0,0 +1,364 @@
+"""The fleet document: stored by section, edited conditionally, forward only."""
+
+import asyncio
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.coordination._document_rows import (
+    delete_history,
+    delete_sections,
+    read_entries,
+    read_head,
+    read_sections,
+    write_entry,
+)
+from fuchsiascale.coordination._edits import (
+    EditConflict,
+    EditError,
+    EditUnavailable,
+    EditUncertain,
+    plan_edit,
+)
+from fuchsiascale.coordination._messages import (
+    EditReply,
+    SectionsReply,
+    SectionsRequest,
+)
+from fuchsiascale.coordination._records import (
+    NO_REVISION,
+    DocumentSection,
+    HistoryEntry,
+)
+from fuchsiascale.coordination._schema import (
+    amend_fleet,
+    build_fleet,
+    format_sections,
+)
+from fuchsiascale.coordination._view import Fleet
+from fuchsiascale.ids import Revision, WriteId
+from fuchsiascale.options import OptionProblem
+from fuchsiascale.platform import Conflict, Uncertain
+
+__all__ = ["DocumentKeeper"]
+
+EDIT_TRIES = 16
+RETRY_DELAY_S = 0.02
+MAX_RETRY_DELAY_S = 0.5
+HISTORY_KEPT = 2_000
+COMPACT_EVERY = 50
+STORE_SILENT = "the table service did not answer"
+
+
+class DocumentKeeper:
+    """Keeps the newest document that one instance has got hold of.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        The instance itself, for write ids.
+    tables : Tables
+        Port to the table service.
+    fetch : callable
+        Coroutine function of a peer's address and a SectionsRequest that
+        returns a SectionsReply, or None where the peer did not answer.
+    clock : Clock
+        Source of time, for history entries.
+    random : random.Random
+        Source of write ids and of retry delays.
+    sleep : callable
+        Coroutine function that waits for some seconds.
+    history_kept : int
+        Number of edits that the history holds.
+    """
+
+    def __init__(
+        self,
+        instance,
+        tables,
+        fetch,
+        clock,
+        random,
+        sleep=asyncio.sleep,
+        history_kept=HISTORY_KEPT,
+    ):
+        self._instance = instance
+        self._tables = tables
+        self._fetch = fetch
+        self._clock = clock
+        self._random = random
+        self._sleep = sleep
+        self._history_kept = history_kept
+        self._sections = {}
+        self._fleet = Fleet()
+        self._ready = False
+        self._store_reachable = False
+        self._problems = ()
+        self._refused = NO_REVISION
+        self._accepted = 0
+        self._editing = asyncio.Lock()
+        self._reading = asyncio.Lock()
+
+    def fleet(self) -> Fleet:
+        """Return the document in force."""
+        return self._fleet
+
+    def revision(self) -> Revision:
+        """Return the revision of the document in force."""
+        return self._fleet.revision
+
+    def ready(self) -> bool:
+        """Return whether a document, or the lack of one, is known."""
+        return self._ready
+
+    def store_reachable(self) -> bool:
+        """Return whether the last call to the store was answered."""
+        return self._store_reachable
+
+    def problems(self) -> tuple[OptionProblem, ...]:
+        """Return why a newer document could not be put into force, if so."""
+        return self._problems
+
+    def sections(self, after=NO_REVISION) -> tuple[DocumentSection, ...]:
+        """Return the sections that changed after a revision, by name."""
+        return tuple(
+            section
+            for _, section in sorted(self._sections.items())
+            if section.revision > after
+        )
+
+    def text(self) -> str:
+        """Return the document in force as INI text."""
+        return format_sections(
+            section for section in self.sections() if not section.removed
+        )
+
+    def reply_sections(self, request) -> SectionsReply:
+        """Answer a peer that asks for what it lacks."""
+        complete = request.after <= self._horizon()
+        sections = self.sections(NO_REVISION if complete else request.after)
+        return SectionsReply(
+            revision=self.revision(), sections=sections, complete=complete
+        )
+
+    async def poll(self) -> bool:
+        """Read the head row, and what changed where it is newer.
+
+        Returns
+        -------
+        bool
+            Whether the store answered.
+        """
+        async with self._reading:
+            head = await read_head(self._tables)
+            self._store_reachable = isinstance(head, Success)
+            if not self._store_reachable:
+                return False
+            if head.unwrap().revision > max(self.revision(), self._refused):
+                read = await self._read_changes(head.unwrap().revision)
+                self._store_reachable = isinstance(read, Success)
+            self._ready = self._ready or self._store_reachable
+            return self._store_reachable
+
+    async def pull(self, addresses) -> bool:
+        """Ask peers for what they hold newer; for use while the store is away.
+
+        Parameters
+        ----------
+        addresses : iterable of str
+            Peers to ask, each once.
+
+        Returns
+        -------
+        bool
+            Whether the document moved forward.
+        """
+        before = self.revision()
+        for address in addresses:
+            request = SectionsRequest(after=self.revision())
+            reply = await self._fetch(address, request)
+            if reply is None or reply.revision <= self.revision():
+                continue
+            if reply.complete:
+                self._replace(reply.sections, reply.revision)
+            else:
+                self._amend(reply.sections, reply.revision)
+        self._ready = self._ready or self.revision() > NO_REVISION
+        return self.revision() > before
+
+    async def history(
+        self, limit=50
+    ) -> Result[tuple[HistoryEntry, ...], EditUnavailable]:
+        """Return the last accepted edits, newest first."""
+        head = await read_head(self._tables)
+        if isinstance(head, Failure):
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        after = max(0, head.unwrap().revision - limit)
+        found = await read_entries(self._tables, after, limit)
+        if isinstance(found, Failure):
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        return Success(found.unwrap()[::-1])
+
+    async def edit(self, request, team, admin=False) -> Result[EditReply, EditError]:
+        """Check an edit against the whole document and write it.
+
+        Parameters
+        ----------
+        request : EditRequest
+            The sections to write and to remove.
+        team : TeamId
+            Team of the operator.
+        admin : bool
+            Whether the operator may edit sections of every team.
+
+        Returns
+        -------
+        Result of EditReply or EditError
+            The revision that the edit made, or why it changed nothing.
+        """
+        async with self._editing:
+            for number in range(EDIT_TRIES):
+                result = await self._try_edit(request, team, admin)
+                if result is not None:
+                    return result
+                limit_s = min(RETRY_DELAY_S * 2**number, MAX_RETRY_DELAY_S)
+                await self._sleep(self._random.uniform(0, limit_s))
+        detail = f"lost the race for the head row {EDIT_TRIES} times"
+        return Failure(EditConflict(conflicts=(detail,)))
+
+    def compaction_due(self) -> bool:
+        """Return whether this instance accepted enough edits since the last one."""
+        return self._accepted >= COMPACT_EVERY
+
+    async def compact(self) -> bool:
+        """Delete history rows, and rows of removed sections, past their time."""
+        self._accepted = 0
+        horizon = self._horizon()
+        if horizon <= NO_REVISION:
+            return True
+        names = [
+            section.name
+            for section in self._sections.values()
+            if section.removed and section.revision <= horizon
+        ]
+        deleted = await delete_sections(self._tables, names, horizon)
+        for name in names if deleted else ():
+            del self._sections[name]
+        return await delete_history(self._tables, horizon) and deleted
+
+    async def _try_edit(self, request, team, admin):
+        """Try once; None where other edits won the race for the head row."""
+        if not await self.poll():
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        head = await read_head(self._tables)
+        if isinstance(head, Failure):
+            return Failure(EditUnavailable(detail=STORE_SILENT))
+        if head.unwrap().revision != self.revision():
+            return None
+        plan = plan_edit(self._fleet, self._sections, request, team, admin)
+        if isinstance(plan, Failure) or request.check_only or not plan.unwrap():
+            return plan.map(lambda _: self._accept())
+        entry = self._build_entry(plan.unwrap(), team, request.author)
+        return await self._write(head.unwrap().version, entry)
+
+    def _build_entry(self, changed, team, author):
+        revision = Revision(self.revision() + 1)
+        return HistoryEntry(
+            revision=revision,
+            team=team,
+            author=author,
+            at_ms=self._clock.wall_ms(),
+            sections=tuple(
+                msgspec.structs.replace(section, revision=revision)
+                for section in changed
+            ),
+        )
+
+    async def _write(self, head_version, entry):
+        write_id = WriteId(f"{self._instance}-{self._random.getrandbits(64):016x}")
+        written = await write_entry(
+            self._tables, head_version, entry, write_id, self._sleep
+        )
+        if isinstance(written, Success):
+            self._amend(entry.sections, entry.revision)
+            self._accepted += 1
+            return Success(self._accept(entry.revision))
+        error = written.failure()
+        if isinstance(error, Conflict):
+            return None
+        if isinstance(error, Uncertain):
+            return Failure(EditUncertain(revision=entry.revision, detail=error.detail))
+        return Failure(EditUnavailable(detail=error.detail or STORE_SILENT))
+
+    def _accept(self, revision=None):
+        return EditReply(accepted=True, revision=revision or self.revision())
+
+    async def _read_changes(self, newest):
+        """Read the history behind the own revision, or all where that fails."""
+        while self.revision() < newest:
+            before = self.revision()
+            found = await read_entries(self._tables, before)
+            if isinstance(found, Failure):
+                return found
+            if self._follow(found.unwrap()):
+                continue
+            found = await self._read_all()
+            if isinstance(found, Failure):
+                return found
+            if self.revision() == before:
+                self._refused = newest
+                break
+        return Success(self.revision())
+
+    def _follow(self, entries):
+        """Apply entries in order; return whether none was missing or unsound."""
+        if not entries or entries[0].revision > self.revision() + 1:
+            return False
+        return all(self._amend(entry.sections, entry.revision) for entry in entries)
+
+    async def _read_all(self):
+        """Read all section rows; the head read first bounds what they lack."""
+        head = await read_head(self._tables)
+        found = await read_sections(self._tables)
+        if isinstance(head, Failure) or isinstance(found, Failure):
+            return head if isinstance(head, Failure) else found
+        self._replace(found.unwrap(), head.unwrap().revision)
+        return found
+
+    def _amend(self, sections, revision):
+        """Put changed sections into force; what is older is passed over."""
+        if revision <= self.revision():
+            return True
+        newer = [
+            section
+            for section in sections
+            if section.revision > self._revision_of(section.name)
+        ]
+        kept = {**self._sections}
+        kept.update((section.name, section) for section in newer)
+        amended = amend_fleet(self._fleet, newer, revision)
+        return self._put_into_force(amended, kept)
+
+    def _replace(self, sections, revision):
+        """Put a whole document into force, unless it is older."""
+        if revision <= self.revision():
+            return True
+        kept = {section.name: section for section in sections}
+        return self._put_into_force(build_fleet(sections, revision), kept)
+
+    def _put_into_force(self, built, sections):
+        if isinstance(built, Failure):
+            self._problems = built.failure()
+            return False
+        self._problems = ()
+        self._fleet = built.unwrap()
+        self._sections = sections
+        return True
+
+    def _revision_of(self, name):
+        section = self._sections.get(name)
+        return NO_REVISION if section is None else section.revision
+
+    def _horizon(self):
+        """Return the revision up to which history is no longer kept."""
+        return max(NO_REVISION, self.revision() - self._history_kept)
