Keep a shard owner's decisions in one policy object

Cause: a shard's owner needs one place that keeps what it has learnt (usage, interference, health, responses) and turns it into inputs of the decisions.

Ruled out: keeping this state in the shard's state machine, which is long already and whose safety must not depend on it.

Starts that have run for 5 s no longer count against an unproven worker: before, a worker new to the owner ran 4 tasks until one ended.

--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -7,5 +7,6 @@
 from fuchsiascale.coordination._messages import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403
 from fuchsiascale.coordination._schema import *  # noqa: F403
+from fuchsiascale.coordination._shard_policy import *  # noqa: F403
 from fuchsiascale.coordination._slots import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/coordination/_shard_policy.py
@@ -0,0 +1,365 @@
+"""What a shard's owner has learnt, and the decisions that it takes by it.
+
+The decisions themselves are the pure functions of `fuchsiascale.decisions`; here
+their state is kept for the workers of one shard, and their inputs are gathered.
+"""
+
+import msgspec
+
+from fuchsiascale.coordination._placement_round import (
+    PlacementRound,
+    TeamTerms,
+    scale_quota,
+)
+from fuchsiascale.decisions import (
+    QUIET_EXCESS,
+    HealthLog,
+    InterferenceTable,
+    KindLoad,
+    PolicyWeights,
+    ResponseState,
+    ResponseStep,
+    UsageEstimate,
+    VictimCandidate,
+    WorkerStanding,
+    allow_starts,
+    choose_step,
+    choose_victim,
+    derive_thresholds,
+    estimate_demand,
+    estimate_excess,
+    expect_slowdown,
+    forget_job,
+    judge_job,
+    may_place,
+    observe_slowdown,
+    observe_usage,
+    record_failure,
+    record_lost,
+    record_start,
+    record_success,
+    step_pressure,
+    suits_trial,
+)
+from fuchsiascale.platform import AttemptKey, Message, Throttle
+from fuchsiascale.states import AttemptState
+
+__all__ = ["ServiceLatency", "ShardPolicy", "WorkerResponse", "parse_job_id"]
+
+BASELINE_GROWTH = 1.001
+BASELINE_QUANTILE = 0.2
+MIN_WEIGHT = 0.001
+
+
+class ServiceLatency(Message):
+    """Mean latency of a service's runner on a worker, as measured of late."""
+
+    worker: str
+    service: str
+    latency_ms: float
+
+
+class WorkerResponse(Message):
+    """What is to be done to the attempts of a worker."""
+
+    throttles: tuple[Throttle, ...] = ()
+    checkpoints: tuple[AttemptKey, ...] = ()
+
+
+class _WorkerState(msgspec.Struct):
+    """Last known load of a worker, and the response in force there."""
+
+    services: tuple = ()
+    attempts: tuple = ()
+    response: ResponseState = ResponseState()
+    latencies: dict = {}
+
+
+def parse_job_id(task):
+    """Return the job that a task id names.
+
+    Examples
+    --------
+    >>> parse_job_id("tune.2026.0.17")
+    'tune.2026'
+    """
+    return task.rsplit(".", 2)[0]
+
+
+class ShardPolicy:
+    """Decides on placement, throttling, eviction and quarantine in a shard.
+
+    Parameters
+    ----------
+    clock : Clock
+    random : random.Random
+    lag_s : float
+        Lag of the usage that workers report, in seconds.
+    """
+
+    def __init__(self, clock, random, lag_s=5.0):
+        self._clock = clock
+        self._random = random
+        self._lag_s = lag_s
+        self._health = HealthLog()
+        self._table = InterferenceTable()
+        self._usage = {}
+        self._workers = {}
+        self._baselines = {}
+        self._job_teams = {}
+        self._kinds = {}
+        self._teams = {}
+        self._quota_share = 1.0
+        self.configure({}, {}, PolicyWeights())
+
+    def configure(self, kinds, teams, weights, quota_share=1.0):
+        """Put settings of the fleet document in force.
+
+        Parameters
+        ----------
+        kinds : mapping of JobKindId to KindSettings
+        teams : mapping of TeamId to TeamSettings
+        weights : PolicyWeights
+        quota_share : float
+            Part of the fleet's workers that are in this shard.
+        """
+        self._kinds = kinds
+        self._teams = teams
+        self._weights = weights
+        self._quota_share = quota_share
+        self._thresholds = derive_thresholds(weights, self._lag_s)
+
+    def note_job(self, job, team):
+        """Note which team a job belongs to."""
+        self._job_teams[job] = team
+
+    # Placement
+
+    def place(self, workers, requests):
+        """Choose workers for tasks.
+
+        Parameters
+        ----------
+        workers : iterable of WorkerFree
+        requests : sequence of PlacementRequest
+
+        Returns
+        -------
+        list of Placement
+            One for each request, in order.
+        """
+        entries = [
+            msgspec.structs.replace(entry, pressure=self.pressure(entry.worker))
+            for entry in workers
+        ]
+        allowances = {entry.worker: self.allowance(entry.worker) for entry in entries}
+        placing = PlacementRound(entries, allowances, self, self._random)
+        self._count_running(placing)
+        estimated = []
+        for request in requests:
+            self._job_teams[request.job] = request.team
+            demand = self.estimate(request)
+            estimated.append(msgspec.structs.replace(request, demand=demand))
+        return placing.place_all(estimated, 1.0 + self._thresholds.hold)
+
+    def estimate(self, request):
+        """Return the demand that would be committed for a request."""
+        estimate = self._usage.get(request.job) or self._usage.get(request.kind)
+        return estimate_demand(request.demand, estimate)
+
+    def expect_slowdown(self, services, kind):
+        """Return the expected slowdown of services by one core of a kind."""
+        return expect_slowdown(self._table, services, kind)
+
+    def judge_job(self, job):
+        """Return the standing of a job."""
+        return judge_job(self._health, job)
+
+    def blocks(self, worker, request, standing):
+        """Return whether a worker takes no start of a kind or job now."""
+        if standing is WorkerStanding.ON_TRIAL and not suits_trial(
+            self._health, worker, request.job
+        ):
+            return True
+        state = self._find_worker(worker)
+        if state.response.step is ResponseStep.NONE:
+            return False
+        return not may_place(state.response, self._excess_per_core(state, request.kind))
+
+    def describe_team(self, team):
+        """Return a team's weight, and its quota in this shard or None."""
+        settings = self._teams.get(team)
+        if settings is None:
+            return TeamTerms()
+        quota = settings.quota
+        if quota is not None:
+            quota = scale_quota(quota, self._quota_share)
+        return TeamTerms(weight=max(MIN_WEIGHT, settings.weight), quota=quota)
+
+    def _count_running(self, placing):
+        for state in self._workers.values():
+            for report in state.attempts:
+                job = parse_job_id(report.task)
+                team = self._job_teams.get(job, "")
+                placing.count(job, team, report.demand)
+
+    # Health
+
+    def record_start(self, worker, task):
+        """Note that an attempt was sent to a worker."""
+        record_start(self._health, worker, parse_job_id(task), self._clock.monotonic())
+
+    def record_end(self, worker, task, state):
+        """Note how an attempt ended.
+
+        Parameters
+        ----------
+        worker : WorkerId
+        task : TaskId
+        state : AttemptState
+        """
+        job = parse_job_id(task)
+        if state is AttemptState.FINISHED:
+            record_success(self._health, worker, job)
+        elif state is AttemptState.FAILED:
+            record_failure(self._health, worker, job, self._clock.monotonic())
+        else:
+            record_lost(self._health, worker)
+
+    def forget_job(self, job):
+        """Drop what is known of a job that has ended."""
+        forget_job(self._health, job)
+        self._usage.pop(job, None)
+        self._job_teams.pop(job, None)
+
+    def allowance(self, worker):
+        """Return how many starts a worker may take now, and its standing."""
+        return allow_starts(self._health, worker, self._clock.monotonic())
+
+    # Interference
+
+    def observe_inventory(self, worker, services, inventory):
+        """Take in the load that a worker reports."""
+        state = self._find_worker(worker)
+        state.services = services
+        running = [entry for entry in inventory.attempts if not entry.state.ended]
+        state.attempts = tuple(running)
+        for report in running:
+            if report.used.millicores and report.state is AttemptState.RUNNING:
+                self._observe_usage(parse_job_id(report.task), report)
+                self._observe_usage(report.kind, report)
+
+    def observe_latency(self, measured):
+        """Learn from a service's latency at a worker, and respond to it.
+
+        Parameters
+        ----------
+        measured : ServiceLatency
+
+        Returns
+        -------
+        WorkerResponse
+            What to do at the worker now.
+        """
+        state = self._find_worker(measured.worker)
+        state.latencies[measured.service] = measured.latency_ms
+        baseline_ms = self._update_baseline(measured.service)
+        slowdown = measured.latency_ms / max(0.001, baseline_ms)
+        observe_slowdown(self._table, measured.service, _sum_loads(state), slowdown)
+        now_s = self._clock.monotonic()
+        response = choose_step(state.response, slowdown, self._thresholds, now_s)
+        changed = response.throttle_permille != state.response.throttle_permille
+        state.response = response
+        return self._respond(state, changed)
+
+    def pressure(self, worker):
+        """Return the step of noisy work that a worker holds."""
+        state = self._find_worker(worker)
+        return step_pressure(
+            sum(self._excess(state, report) for report in state.attempts)
+        )
+
+    def step(self, worker):
+        """Return the step of the response in force at a worker."""
+        return self._find_worker(worker).response.step
+
+    def _respond(self, state, changed):
+        noisy = [
+            report
+            for report in state.attempts
+            if self._excess_per_core(state, report.kind) > QUIET_EXCESS
+        ]
+        throttles = ()
+        if changed:
+            share = state.response.throttle_permille
+            throttles = tuple(
+                Throttle(task=entry.task, attempt=entry.attempt, share_permille=share)
+                for entry in noisy
+            )
+        victim = self._choose_victim(state, noisy) if state.response.evict else None
+        checkpoints = () if victim is None else (victim.key,)
+        return WorkerResponse(throttles=throttles, checkpoints=checkpoints)
+
+    def _choose_victim(self, state, reports):
+        by_task = {report.task: report for report in reports}
+        chosen = choose_victim(
+            [self._describe_victim(state, report) for report in reports], self._weights
+        )
+        return None if chosen is None else by_task[chosen.task]
+
+    def _describe_victim(self, state, report):
+        kind = self._kinds.get(report.kind)
+        return VictimCandidate(
+            task=report.task,
+            kind=report.kind,
+            excess=self._excess(state, report),
+            evictable=kind is None or kind.evictable,
+            checkpointable=kind is None or kind.checkpointable,
+        )
+
+    def _excess(self, state, report):
+        cores = (report.used.millicores or report.demand.millicores) / 1_000
+        return cores * self._excess_per_core(state, report.kind)
+
+    def _excess_per_core(self, state, kind):
+        return max(
+            (estimate_excess(self._table, name, kind) for name in state.services),
+            default=0.0,
+        )
+
+    def _observe_usage(self, key, report):
+        estimate = self._usage.get(key)
+        if estimate is None:
+            estimate = UsageEstimate()
+        self._usage[key] = observe_usage(estimate, report.demand, report.used)
+
+    def _update_baseline(self, service):
+        known = sorted(
+            state.latencies[service]
+            for state in self._workers.values()
+            if service in state.latencies
+        )
+        low_ms = known[int(BASELINE_QUANTILE * (len(known) - 1))]
+        before_ms = self._baselines.get(service, low_ms)
+        baseline_ms = min(low_ms, before_ms * BASELINE_GROWTH)
+        self._baselines[service] = baseline_ms
+        return baseline_ms
+
+    def _find_worker(self, worker):
+        state = self._workers.get(worker)
+        if state is None:
+            state = self._workers[worker] = _WorkerState(latencies={})
+        return state
+
+    def forget_worker(self, worker):
+        """Drop what is known of a worker that is gone."""
+        self._workers.pop(worker, None)
+        self._health.workers.pop(worker, None)
+
+
+def _sum_loads(state):
+    cores = {}
+    for report in state.attempts:
+        used = report.used.millicores / 1_000
+        cores[report.kind] = cores.get(report.kind, 0.0) + used
+    return tuple(KindLoad(kind=kind, cores=value) for kind, value in cores.items())
--- a/fuchsiascale/decisions/_placement.py
+++ b/fuchsiascale/decisions/_placement.py
@@ -14,8 +14,9 @@
 
 import msgspec
 
-from fuchsiascale.ids import JobKindId, ServiceId, WorkerId
+from fuchsiascale.ids import JobId, JobKindId, ServiceId, TeamId, WorkerId
 from fuchsiascale.platform import Message, Resources
+from fuchsiascale.states import Urgency
 
 __all__ = [
     "MAX_CANDIDATES",
@@ -63,11 +64,20 @@
 
 
 class PlacementRequest(Message):
-    """One task to place; ``demand`` is the larger of declared and measured."""
+    """One task to place.
+
+    Parameters
+    ----------
+    demand : Resources
+        What the task is taken to need.
+    """
 
     task: str
     kind: JobKindId
     demand: Resources
+    job: JobId = JobId("")
+    team: TeamId = TeamId("")
+    urgency: Urgency = Urgency.BATCH
 
 
 class Placement(Message):
@@ -77,6 +87,8 @@
     ----------
     worker : WorkerId or None
         None where no worker has room.
+    demand : Resources
+        What is to be committed for it.
     slowdown : float
         Expected slowdown of the services beside it, as a factor.
     spare_millicores : int
@@ -87,6 +99,7 @@
 
     task: str
     worker: WorkerId | None = None
+    demand: Resources = Resources()
     slowdown: float = 1.0
     spare_millicores: int = 0
     reason: str = ""
@@ -438,6 +451,7 @@
     return Placement(
         task=request.task,
         worker=entry.worker,
+        demand=request.demand,
         slowdown=slowdown,
         spare_millicores=entry.free.millicores - request.demand.millicores,
     )
--- a/fuchsiascale/decisions/_quarantine.py
+++ b/fuchsiascale/decisions/_quarantine.py
@@ -5,8 +5,11 @@
 A failure speaks against the worker only as far as the same job's tasks do not
 fail elsewhere. The likelihood of a run of failures at a sound worker is the
 product of the job's failure rates at all other workers; a small one puts the
-worker under quarantine. This is a sequential likelihood test [1]_. A run of
-failures without such evidence only holds the worker back for a while.
+worker under quarantine. A worker that has not finished anything since its last
+failure takes few starts at a time; those that have run for ``SURVIVAL_S`` do not
+count, so that long tasks do not keep it idle. This is a sequential likelihood
+test [1]_. A run of failures without such evidence only holds the worker back for a
+while.
 
 References
 ----------
@@ -44,7 +47,8 @@
 MIN_QUARANTINE_FAILURES = 3
 HOLD_FAILURES = 4
 UNPROVEN_STARTS = 4
-PROVEN_STARTS = 64
+PROVEN_STARTS = 1_024
+SURVIVAL_S = 5.0
 EVIDENCE_STARTS = 4
 TRIAL_RATE = 0.2
 HOLD_S = 10.0
@@ -93,8 +97,8 @@
     ----------
     failures : dict of JobId to int
         Failures by job since the last success.
-    open_starts : int
-        Attempts started that have not ended.
+    starts : list of float
+        Monotonic times of starts of late that have not ended, in seconds.
     until_s : float
         Monotonic time at which a hold or a quarantine gives way to a trial.
     terms : int
@@ -102,7 +106,7 @@
     """
 
     failures: dict[JobId, int] = {}
-    open_starts: int = 0
+    starts: list[float] = []
     proven: bool = False
     standing: WorkerStanding = WorkerStanding.SOUND
     until_s: float = 0.0
@@ -123,17 +127,15 @@
     standing: WorkerStanding
 
 
-def record_start(log, worker, job):
+def record_start(log, worker, job, now_s):
     """Note that an attempt was sent to a worker."""
-    tally = _find_worker(log, worker)
-    tally.open_starts += 1
+    _find_worker(log, worker).starts.append(now_s)
     _find_job(log, job)
 
 
 def record_lost(log, worker):
     """Note that an attempt ended in a way that speaks for or against nobody."""
-    tally = _find_worker(log, worker)
-    tally.open_starts = max(0, tally.open_starts - 1)
+    _end_start(_find_worker(log, worker))
 
 
 def record_success(log, worker, job):
@@ -147,7 +149,7 @@
     job : JobId
     """
     tally = _find_worker(log, worker)
-    tally.open_starts = max(0, tally.open_starts - 1)
+    _end_start(tally)
     tally.failures = {}
     tally.proven = True
     tally.standing = WorkerStanding.SOUND
@@ -180,7 +182,7 @@
     ['sound', 'sound', 'sound', 'quarantined']
     """
     tally = _find_worker(log, worker)
-    tally.open_starts = max(0, tally.open_starts - 1)
+    _end_start(tally)
     tally.proven = False
     tally.failures[job] = tally.failures.get(job, 0) + 1
     _count(log, worker, job, failed=1)
@@ -238,8 +240,9 @@
     """
     standing = judge_worker(log, worker, now_s)
     tally = log.workers[worker]
+    tally.starts = [at_s for at_s in tally.starts if now_s - at_s < SURVIVAL_S]
     limit = _limit_starts(tally, standing)
-    starts = max(0, limit - tally.open_starts)
+    starts = max(0, limit - len(tally.starts))
     return StartAllowance(starts=starts, standing=standing)
 
 
@@ -301,10 +304,15 @@
 def _find_worker(log, worker):
     tally = log.workers.get(worker)
     if tally is None:
-        tally = log.workers[worker] = WorkerTally(failures={})
+        tally = log.workers[worker] = WorkerTally(failures={}, starts=[])
     return tally
 
 
+def _end_start(tally):
+    if tally.starts:
+        tally.starts.pop()
+
+
 def _find_job(log, job):
     tally = log.jobs.get(job)
     if tally is None:
--- a/measurements/quarantine.py
+++ b/measurements/quarantine.py
@@ -45,7 +45,7 @@
                 job = random.randrange(3)
                 if guarded and judge_job(log, job) is JobStanding.BAD:
                     continue
-                record_start(log, worker, job)
+                record_start(log, worker, job, float(second))
                 taken[worker] += not quarantined[worker]
                 started.append((worker, job))
         for worker, job in started:
