--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -14,6 +14,7 @@
 from fuchsiascale.coordination._schema import *  # noqa: F403
 from fuchsiascale.coordination._shardcommands import *  # noqa: F403
 from fuchsiascale.coordination._shards import *  # noqa: F403
+from fuchsiascale.coordination._shard_policy import *  # noqa: F403
 from fuchsiascale.coordination._slots import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
 from fuchsiascale.coordination._workerlinks import *  # noqa: F403
