Add the configuration reference and both deployments' documents

Cause: no page named the options, and nothing held examples and schema together. Change: docs/CONFIGURATION.md with tables that a test compares with the schema; fleet documents and settings of both deployments at their sizes, checked by a test. Mended on the way: conflict markers that a merge had left in a test fake and two docstrings in pipelines; my table service in memory has a module of its own now; a test changed the working directory and broke later ones.

--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import random
 import tempfile
 import threading
@@ -25,7 +24,7 @@
     Member,
     Membership,
 )
-from fuchsiascale.coordination.tests.fakes import MemoryTables
+from fuchsiascale.coordination.tests.memory_tables import MemoryTables
 from fuchsiascale.daemon._access import Access, hash_token, require_operator_token
 from fuchsiascale.daemon._http import APPLICATION_KEY
 from fuchsiascale.daemon._operator import BASE
@@ -241,9 +240,11 @@
         ("hub", ("job", "status", "j"), 2, "--caller"),
         ("hub", ("job", "submit", "j", "--tasks", "x"), 2, "tasks"),
     )
-    os.chdir(folder)
     for team, words, code, named in table:
-        found = call(daemon, *words, team=team)
+        placed = [
+            str(folder / word) if word.endswith(".ini") else word for word in words
+        ]
+        found = call(daemon, *placed, team=team)
         assert found[0] == code, (words, found)
         assert named in found[2], (words, found)
     assert daemon.counted == ["operator"]
--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -12,6 +12,7 @@
 from fuchsiascale.coordination._ownership import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403  # noqa: F403
 from fuchsiascale.coordination._schema import *  # noqa: F403
+from fuchsiascale.coordination._schema_options import *  # noqa: F403
 from fuchsiascale.coordination._shardcommands import *  # noqa: F403
 from fuchsiascale.coordination._shards import *  # noqa: F403
 from fuchsiascale.coordination._slots import *  # noqa: F403
--- a/fuchsiascale/coordination/tests/test_documents.py
+++ b/fuchsiascale/coordination/tests/test_documents.py
@@ -16,7 +16,7 @@
     EditUnavailable,
     EditUncertain,
 )
-from fuchsiascale.coordination.tests.fakes import MemoryTables
+from fuchsiascale.coordination.tests.memory_tables import MemoryTables
 from fuchsiascale.testing import collect_functions, fixture
 
 load_tests = collect_functions(__name__)
