--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -24,7 +24,7 @@
     Member,
     Membership,
 )
-from fuchsiascale.coordination.tests.memory_tables import MemoryTables
+from fuchsiascale.coordination.tests.fakes import MemoryTables
 from fuchsiascale.daemon._access import Access, hash_token, require_operator_token
 from fuchsiascale.daemon._http import APPLICATION_KEY
 from fuchsiascale.daemon._operator import BASE
