--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -1,7 +1,6 @@
 """Tests of the tool against the daemon's operator routes on a loopback port."""
 
 import asyncio
-import contextlib
 import json
 import random
 import tempfile
@@ -241,11 +240,13 @@
         ("hub", ("job", "status", "j"), 2, "--caller"),
         ("hub", ("job", "submit", "j", "--tasks", "x"), 2, "tasks"),
     )
-    with contextlib.chdir(folder):
-        for team, words, code, named in table:
-            found = call(daemon, *words, team=team)
-            assert found[0] == code, (words, found)
-            assert named in found[2], (words, found)
+    for team, words, code, named in table:
+        placed = [
+            str(folder / word) if word.endswith(".ini") else word for word in words
+        ]
+        found = call(daemon, *placed, team=team)
+        assert found[0] == code, (words, found)
+        assert named in found[2], (words, found)
     assert daemon.counted == ["operator"]
     assert daemon.documents.revision() == 1
 
