Measure the slopes of messages and state by size

Cause: docs/CAPACITY.md must be worked out from measured slopes. Change: sixteen costs at three sizes each, fitted by least squares.

--- /dev/null
+++ b/measurements/_slopes.py
@@ -0,0 +1,91 @@
+"""Measures a cost at several sizes and fits a line through it."""
+
+import gc
+import time
+import tracemalloc
+
+import msgspec
+
+from measurements._report import Figure
+
+__all__ = ["Slope", "fit_slope", "measure_cpu_us", "measure_memory"]
+
+MIN_CPU_S = 0.1
+
+
+class Slope(msgspec.Struct, frozen=True):
+    """Costs at several sizes, and the line through them.
+
+    Parameters
+    ----------
+    base : float
+        Cost at size zero.
+    per_unit : float
+        Cost that each unit of size adds.
+    """
+
+    name: str
+    sizes: tuple[int, ...]
+    costs: tuple[float, ...]
+    base: float
+    per_unit: float
+
+    def figures(self):
+        """Return the figures of a report: cost of each unit, and the base."""
+        shown = ", ".join(
+            f"{cost:,.0f} at {size:,}"
+            for size, cost in zip(self.sizes, self.costs, strict=True)
+        )
+        return [
+            Figure(name=f"{self.name}: {shown}; each", measured=self.per_unit),
+            Figure(name="— base", measured=self.base),
+        ]
+
+
+def fit_slope(name, sizes, measure):
+    """Measure a cost at each size and fit a line by least squares.
+
+    Parameters
+    ----------
+    name : str
+    sizes : sequence of int
+        At least three.
+    measure : callable
+        Returns the cost at a size.
+
+    Returns
+    -------
+    Slope
+    """
+    costs = [float(measure(size)) for size in sizes]
+    mean_size = sum(sizes) / len(sizes)
+    mean_cost = sum(costs) / len(costs)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    pairs = zip(sizes, costs, strict=True)
+    joint = sum((size - mean_size) * (cost - mean_cost) for size, cost in pairs)
+    per_unit = joint / spread
+    base = mean_cost - per_unit * mean_size
+    return Slope(name, tuple(sizes), tuple(costs), base, per_unit)
+
+
+def measure_cpu_us(function):
+    """Return the processor time of one call, in microseconds."""
+    function()
+    calls = 0
+    begin_s = time.process_time()
+    while time.process_time() - begin_s < MIN_CPU_S:
+        function()
+        calls += 1
+    return (time.process_time() - begin_s) / calls * 1e6
+
+
+def measure_memory(make):
+    """Return the memory that a made object keeps, in bytes."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
--- /dev/null
+++ b/measurements/slopes.py
@@ -0,0 +1,389 @@
+"""Costs of messages and state by size, from which docs/CAPACITY.md is worked out."""
+
+from random import Random
+
+import msgspec
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.coordination import (
+    ChunkRecord,
+    ClaimRecord,
+    Heartbeat,
+    JobSpec,
+    Member,
+    Membership,
+    PeerDigest,
+    ShardDigest,
+    ShardPolicy,
+    TaskRecord,
+    build_fleet,
+    format_sections,
+    parse_fleet,
+)
+from fuchsiascale.decisions import (
+    AdmissionPool,
+    PlacementRequest,
+    ShareKey,
+    Ticket,
+    VerdictKind,
+    WorkerFree,
+    offer_ticket,
+    release_ticket,
+)
+from fuchsiascale.platform import (
+    AttemptReport,
+    ExchangeReply,
+    ExchangeRequest,
+    FencingToken,
+    ListedInstance,
+    ListedInstances,
+    Resources,
+    WorkerInventory,
+)
+from fuchsiascale.states import (
+    AttemptState,
+    InstanceRole,
+    ListedState,
+    Outcome,
+    TaskState,
+)
+from measurements._report import Report, measurement
+from measurements._slopes import fit_slope, measure_cpu_us, measure_memory
+
+TOKEN = FencingToken(counter=12, holder="norte-porto-e0")
+CORE = Resources(millicores=1_000, memory_mb=2_000)
+WORKER = Resources(millicores=32_000, memory_mb=125_000)
+HTTP_BYTES = 400
+SEED = 5
+
+
+def make_digest(number, shards):
+    """Return the digest of an instance that holds some shards."""
+    return PeerDigest(
+        instance=f"norte-porto-e{number}",
+        address=f"10.1.2.{number % 250}:7102",
+        failure_domain="norte-porto",
+        region="norte",
+        incarnation=1_800_000_000_000,
+        beat=100_000,
+        shards=tuple(
+            ShardDigest(shard=f"norte-porto:rack{each}", token=TOKEN, free=WORKER)
+            for each in range(shards)
+        ),
+    )
+
+
+def make_membership(peers, shards):
+    """Return a membership that has heard of some peers, and its own digest."""
+    member = Member(
+        instance="norte-porto-e999",
+        address="10.1.2.251:7102",
+        failure_domain="norte-porto",
+        region="norte",
+    )
+    membership = Membership(member, ManualClock(1.0, 1_800_000_000_000), Random(SEED))
+    membership.update(shards=make_digest(0, shards).shards)
+    for number in range(peers):
+        digest = make_digest(number, shards)
+        membership.observe_heartbeat(Heartbeat(digests=(digest,)))
+    return membership
+
+
+def measure_heartbeat_bytes(shards):
+    """Return the bytes of a heartbeat among eight instances and its answer."""
+    sender, receiver = make_membership(7, shards), make_membership(7, shards)
+    heartbeat = sender.heartbeat()
+    reply = receiver.observe_heartbeat(heartbeat)
+    sizes = [len(msgspec.json.encode(message)) for message in (heartbeat, reply)]
+    return sum(sizes) + 2 * HTTP_BYTES
+
+
+def measure_heartbeat_cpu(peers):
+    """Return the processor time of one beat among some peers."""
+    membership = make_membership(peers, 4)
+
+    def beat():
+        encoded = msgspec.json.encode(membership.heartbeat())
+        reply = membership.observe_heartbeat(
+            msgspec.json.decode(encoded, type=Heartbeat)
+        )
+        msgspec.json.encode(reply)
+        membership.choose_targets()
+        membership.view()
+
+    return measure_cpu_us(beat)
+
+
+def make_inventory(attempts):
+    """Return the inventory of a worker with some attempts."""
+    reports = tuple(
+        AttemptReport(
+            task=f"tuning-2026-11.{number}.17",
+            attempt=1,
+            kind="tuning",
+            state=AttemptState.RUNNING,
+            demand=CORE,
+            used=CORE,
+        )
+        for number in range(attempts)
+    )
+    return WorkerInventory(
+        worker="norte-porto-w17",
+        token=TOKEN,
+        capacity=WORKER,
+        attempts=reports,
+        lease_ms=15_000,
+    )
+
+
+def measure_exchange_bytes(attempts):
+    """Return the bytes of an exchange with a worker and its answer."""
+    request = ExchangeRequest(token=TOKEN, lease_ms=15_000)
+    reply = ExchangeReply(
+        accepted=True, highest=TOKEN, inventory=make_inventory(attempts)
+    )
+    sizes = [len(msgspec.json.encode(message)) for message in (request, reply)]
+    return sum(sizes) + 2 * HTTP_BYTES
+
+
+def measure_exchange_cpu(attempts):
+    """Return the processor time of an exchange's codecs and of the policy."""
+    request = ExchangeRequest(token=TOKEN, lease_ms=15_000)
+    encoded = msgspec.json.encode(
+        ExchangeReply(accepted=True, highest=TOKEN, inventory=make_inventory(attempts))
+    )
+    policy = ShardPolicy(ManualClock(), Random(SEED))
+
+    def exchange():
+        msgspec.json.encode(request)
+        reply = msgspec.json.decode(encoded, type=ExchangeReply)
+        policy.observe_inventory("w", ("hub",), reply.inventory)
+
+    return measure_cpu_us(exchange)
+
+
+def measure_policy_memory(workers):
+    """Return the memory of a shard policy of workers with six attempts each."""
+
+    def make():
+        policy = ShardPolicy(ManualClock(), Random(SEED))
+        for number in range(workers):
+            encoded = msgspec.json.encode(make_inventory(6))
+            inventory = msgspec.json.decode(encoded, type=WorkerInventory)
+            policy.observe_inventory(f"w{number}", ("hub",), inventory)
+            policy.record_start(f"w{number}", "job.0.1")
+        return policy
+
+    return measure_memory(make)
+
+
+def measure_round_cpu(requests):
+    """Return the processor time of a round of placements over 33 workers."""
+    policy = ShardPolicy(ManualClock(), Random(SEED))
+    workers = [
+        WorkerFree(worker=f"w{number}", free=WORKER, capacity=WORKER, services=("hub",))
+        for number in range(33)
+    ]
+    for entry in workers:
+        policy.record_start(entry.worker, "old.0.0")
+        policy.record_end(entry.worker, "old.0.0", AttemptState.FINISHED)
+    asked = [
+        PlacementRequest(
+            task=f"job.0.{number}",
+            kind="tuning",
+            demand=CORE,
+            job="job",
+            team=f"team{number % 4}",
+        )
+        for number in range(requests)
+    ]
+    return measure_cpu_us(lambda: policy.place(workers, asked))
+
+
+def make_chunk(tasks):
+    """Return a chunk row of some tasks, half of them finished."""
+    spec = JobSpec(
+        job="tuning-2026-11", team="norte", kind="tuning", tasks=tasks, demand=CORE
+    )
+    records = tuple(
+        TaskRecord(
+            index=index,
+            state=TaskState.FINISHED if index % 2 else TaskState.WAITING,
+            attempt=index % 2,
+            worker="norte-porto-w17" if index % 2 else "",
+        )
+        for index in range(tasks)
+    )
+    return ChunkRecord(
+        chunk="tuning-2026-11.0",
+        spec=spec,
+        failure_domain="norte-porto",
+        shard="norte-porto:rack1",
+        submitted_ms=1_800_000_000_000,
+        tasks=records,
+    )
+
+
+def measure_chunk_bytes(tasks):
+    """Return the bytes of a chunk row."""
+    return len(msgspec.json.encode(make_chunk(tasks)))
+
+
+def measure_chunk_cpu(tasks):
+    """Return the processor time to decode and encode a chunk row."""
+    encoded = msgspec.json.encode(make_chunk(tasks))
+    return measure_cpu_us(
+        lambda: msgspec.json.encode(msgspec.json.decode(encoded, type=ChunkRecord))
+    )
+
+
+def measure_chunk_memory(tasks):
+    """Return the memory of decoded chunk rows of 256 tasks."""
+    encoded = msgspec.json.encode(make_chunk(256))
+    count = tasks // 256
+    return measure_memory(
+        lambda: [msgspec.json.decode(encoded, type=ChunkRecord) for _ in range(count)]
+    )
+
+
+def make_listing(entries):
+    """Return the encoded instance list of some upstreams."""
+    return msgspec.json.encode(
+        ListedInstances(
+            instances=tuple(
+                ListedInstance(
+                    instance_id=f"norte-porto-r{number}",
+                    role=InstanceRole.RUNNER,
+                    address=f"10.1.{number // 250}.{number % 250}:8080",
+                    failure_domain="norte-porto",
+                    region="norte",
+                    rack=f"rack{number % 30}",
+                    state=ListedState.LIVE,
+                    service="aula-hub",
+                    worker=f"norte-porto-w{number}",
+                )
+                for number in range(entries)
+            )
+        )
+    )
+
+
+def measure_listing_cpu(entries):
+    """Return the processor time to decode the instance list."""
+    encoded = make_listing(entries)
+    return measure_cpu_us(lambda: msgspec.json.decode(encoded, type=ListedInstances))
+
+
+def measure_listing_memory(entries):
+    """Return the memory of the decoded instance list."""
+    encoded = make_listing(entries)
+    return measure_memory(lambda: msgspec.json.decode(encoded, type=ListedInstances))
+
+
+def make_sections(count):
+    """Return the sections of a document, most of them kinds."""
+    lines = ["[team operators]", "team = operators"]
+    for number in range(count):
+        lines += [f"[kind kind{number}]", "team = operators", "max_failures = 3"]
+    return parse_fleet("\n".join(lines) + "\n").unwrap()
+
+
+def measure_document_bytes(sections):
+    """Return the bytes of the document's text."""
+    return len(format_sections(make_sections(sections)))
+
+
+def measure_document_cpu(sections):
+    """Return the processor time to build the document in force."""
+    parsed = make_sections(sections)
+    return measure_cpu_us(lambda: build_fleet(parsed, 1))
+
+
+def measure_document_memory(sections):
+    """Return the memory of sections and document in force."""
+
+    def make():
+        parsed = make_sections(sections)
+        return parsed, build_fleet(parsed, 1)
+
+    return measure_memory(make)
+
+
+def measure_admission_cpu(teams):
+    """Return the processor time of an offer and a release, all teams waiting."""
+    pool = AdmissionPool(capacity=8)
+    keys = [ShareKey(team=f"team{number}", kind="hub") for number in range(teams)]
+    held = []
+
+    def offer(number):
+        ticket = Ticket(request="r", share=keys[number % teams], deadline_ms=1e12)
+        return offer_ticket(pool, ticket, 0.0)
+
+    for number in range(8 + 4 * teams):
+        held += [
+            entry.ticket
+            for entry in offer(number)
+            if entry.kind is VerdictKind.ADMITTED
+        ]
+    turns = iter(range(10**9))
+
+    def serve():
+        offer(next(turns))
+        for verdict in release_ticket(pool, held.pop(0), 20.0, 0.0):
+            held.append(verdict.ticket)
+
+    return measure_cpu_us(serve)
+
+
+def measure_claim_bytes(answer_bytes):
+    """Return the bytes of a settled claim row."""
+    record = ClaimRecord(
+        key="booking-2026-11-03-17",
+        team="norte",
+        request="0" * 24,
+        holder="norte-porto-e0",
+        body_digest="0" * 64,
+        outcome=Outcome.DONE,
+        settled=True,
+        answer=bytes(answer_bytes),
+    )
+    return len(msgspec.json.encode(record))
+
+
+SLOPES = (
+    (
+        "heartbeat and answer, bytes, by shards an instance",
+        (1, 4, 32),
+        "heartbeat_bytes",
+    ),
+    ("beat, µs, by peers known", (7, 62, 247), "heartbeat_cpu"),
+    ("exchange, bytes, by attempts a worker", (0, 6, 30), "exchange_bytes"),
+    ("exchange codecs and policy, µs, by attempts", (0, 6, 30), "exchange_cpu"),
+    ("shard policy, bytes, by workers of 6 attempts", (11, 33, 132), "policy_memory"),
+    ("placement round on 33 workers, µs, by tasks", (32, 128, 512), "round_cpu"),
+    ("chunk row, bytes, by tasks", (1, 64, 256), "chunk_bytes"),
+    ("chunk row codecs, µs, by tasks", (1, 64, 256), "chunk_cpu"),
+    ("chunk rows in memory, bytes, by tasks", (1_024, 4_096, 16_384), "chunk_memory"),
+    ("instance list decoded, µs, by entries", (66, 935, 7_742), "listing_cpu"),
+    ("instance list in memory, bytes, by entries", (66, 935, 7_742), "listing_memory"),
+    ("document, bytes, by sections", (30, 300, 3_000), "document_bytes"),
+    ("document built, µs, by sections", (30, 300, 3_000), "document_cpu"),
+    ("document in memory, bytes, by sections", (30, 300, 3_000), "document_memory"),
+    ("admission a request, µs, by waiting teams", (1, 35, 350), "admission_cpu"),
+    ("claim row, bytes, by bytes of the answer", (0, 1_000, 10_000), "claim_bytes"),
+)
+
+
+@measurement("slopes", "Costs by size")
+def run():
+    """Measure every cost at three sizes."""
+    figures = []
+    for name, sizes, measure in SLOPES:
+        slope = fit_slope(name, sizes, globals()[f"measure_{measure}"])
+        figures += slope.figures()
+    return Report(
+        baseline="none",
+        setting=f"three sizes each, least squares; {HTTP_BYTES} bytes of HTTP head a "
+        f"message are counted in; processor time of one core, seed {SEED}",
+        figures=tuple(figures),
+    )
