--- a/fuchsiascale/daemon/_http.py
+++ b/fuchsiascale/daemon/_http.py
@@ -29,17 +29,20 @@
     ----------
     status : int
         HTTP status.
-    reason : Refusal
+    reason : Refusal or None
         Why the request was not run.
     detail : str
         What was wrong, by name.
+    outcome : Outcome, optional
+        What became of the request.
     """
 
-    def __init__(self, status, reason, detail):
+    def __init__(self, status, reason, detail, outcome=Outcome.NOT_RUN):
         super().__init__(detail)
         self.status = status
         self.reason = reason
         self.detail = detail
+        self.outcome = outcome
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -55,7 +58,7 @@
     """Routes that decorated handler functions fill.
 
     A handler takes the application, the decoded message and the aiohttp
-    request, and returns a message.
+    request, and returns a message, or a response where the status tells more.
     """
 
     def __init__(self):
@@ -86,9 +89,11 @@
             reply = await entry.handler(application, message, request)
         except Refused as refused:
             failure = Failure(
-                outcome=Outcome.NOT_RUN, reason=refused.reason, detail=refused.detail
+                outcome=refused.outcome, reason=refused.reason, detail=refused.detail
             )
             return encode_reply(failure, refused.status)
+        if isinstance(reply, web.StreamResponse):
+            return reply
         return encode_reply(reply)
 
     return handle
