Wire credits, admission, retries, forwarding, claims, traces and metrics

Cause: the thin path divided slots by the members believed, had no queue, no retry and no other failure domain to turn to. Change: admission by weighted fair shares over the slots lent; two choices by measured latency; retries within a budget; forwarding within a byte budget of the link; claims with a nonce, group-committed at the key's home, and recorded as not run where the store's word was lost; spans a hop; Prometheus metrics. A worker's claim reply names the token seen before (ClaimReply.previous, stand-in as well).

--- a/fuchsiascale/api/_peer.py
+++ b/fuchsiascale/api/_peer.py
@@ -30,6 +30,8 @@
 from fuchsiascale.states import Outcome, Refusal, Urgency
 
 __all__ = [
+    "LedgerReply",
+    "LedgerRequest",
     "CreditGrant",
     "CreditReply",
     "CreditRequest",
@@ -42,8 +44,6 @@
     "KeyClaimRequest",
     "KeySettleReply",
     "KeySettleRequest",
-    "LedgerReply",
-    "LedgerRequest",
     "PeerDigest",
     "SectionsReply",
     "SectionsRequest",
--- a/fuchsiascale/coordination/_claims.py
+++ b/fuchsiascale/coordination/_claims.py
@@ -63,9 +63,16 @@
 
 
 class ClaimUnavailable(ClaimError):
-    """The store did not confirm the claim; the request must not be sent."""
+    """The store did not confirm the claim; the request must not be sent.
+
+    Parameters
+    ----------
+    doubtful : bool
+        Whether the row may stand, or be written yet.
+    """
 
     detail: str = ""
+    doubtful: bool = False
 
 
 def format_claim_key(team, key):
@@ -210,7 +217,7 @@
         return len(self._ends)
 
     async def claim(
-        self, record: ClaimRecord, doubtful=False
+        self, record: ClaimRecord, doubtful=False, remote=False
     ) -> Result[ClaimGranted, ClaimError]:
         """Insert the claim row, or return what stands in its place.
 
@@ -220,6 +227,8 @@
             The row to insert, not settled, with a nonce of its own.
         doubtful : bool
             Whether another instance may have inserted the same row already.
+        remote : bool
+            Whether another instance holds the claim, and abandons it if need be.
 
         Returns
         -------
@@ -235,14 +244,28 @@
         if len(self._ends) >= MAX_PENDING_ENDS:
             detail = "too many claims wait for the store"
             return Failure(ClaimUnavailable(detail=detail))
+        claimed = await self._claim(record)
+        if isinstance(claimed, Failure):
+            error = claimed.failure()
+            unsent = isinstance(error, ClaimUnavailable) and not remote
+            if unsent and (doubtful or error.doubtful):
+                self.abandon(record)
+        return claimed
+
+    def abandon(self, record):
+        """Note a claim that may stand though its request is never sent."""
+        not_run = replace(record, outcome=Outcome.NOT_RUN, settled=True)
+        self._ends[record.nonce] = not_run
+
+    async def _claim(self, record):
         written = await self._write(record, 0)
         if isinstance(written, Success):
             return written
         if not isinstance(written.failure(), Conflict):
-            return Failure(self._give_up(record, written.failure(), doubtful))
+            return Failure(_make_unavailable(written.failure()))
         found = await self._read(record, written.failure())
         if isinstance(found, Failure):
-            return Failure(self._give_up(record, found.failure(), doubtful))
+            return Failure(_make_unavailable(found.failure()))
         return await self._meet(record, found.unwrap())
 
     async def _meet(self, record, standing):
@@ -250,8 +273,10 @@
         if standing is None:
             return Failure(ClaimUnavailable(detail="the claim row was removed"))
         old = standing.record
-        if old.nonce == record.nonce and not old.settled:
-            return Success(standing)
+        if old.nonce == record.nonce:
+            return (
+                Failure(ClaimStands(record=old)) if old.settled else Success(standing)
+            )
         not_run = old.settled and old.outcome is Outcome.NOT_RUN
         if not not_run or old.body_digest != record.body_digest:
             return Failure(ClaimStands(record=old))
@@ -260,11 +285,13 @@
             return written
         error = written.failure()
         if not isinstance(error, Conflict):
-            return Failure(self._give_up(record, error))
+            return Failure(_make_unavailable(error))
         found = await self._read(record, error)
         again = found.value_or(None)
         if again is None:
-            return Failure(ClaimUnavailable(detail="the claim row changed"))
+            return Failure(
+                ClaimUnavailable(detail="the claim row changed", doubtful=True)
+            )
         if again.record.nonce == record.nonce and not again.record.settled:
             return Success(again)
         return Failure(ClaimStands(record=again.record))
@@ -334,13 +361,6 @@
         removed = await self._tables.transact(transaction)
         return len(expired) if isinstance(removed, Success) else 0
 
-    def _give_up(self, record, error, doubtful=False):
-        """Note a claim that may stand though its request is never sent."""
-        if doubtful or not isinstance(error, Unavailable):
-            not_run = replace(record, outcome=Outcome.NOT_RUN, settled=True)
-            self._ends[record.nonce] = not_run
-        return ClaimUnavailable(detail=error.detail)
-
     async def _record_end(self, record):
         found = await self._get(record)
         if isinstance(found, Failure):
@@ -388,3 +408,8 @@
 def _decode(row):
     record = msgspec.json.decode(row.value, type=ClaimRecord)
     return ClaimGranted(record=record, version=row.version)
+
+
+def _make_unavailable(error):
+    doubtful = not isinstance(error, Unavailable)
+    return ClaimUnavailable(detail=error.detail, doubtful=doubtful)
--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -116,7 +116,7 @@
         slot.released = True
         self._credits[slot.runner.instance_id].in_use -= 1
 
-    def make_request(self, shard, runners, extra=0, force=False):
+    def make_request(self, shard, demands, force=False):
         """Return an ask for the runners whose credit needs one; None for none.
 
         Credit beyond what the ask names as kept is given up from now on, so the
@@ -126,10 +126,8 @@
         ----------
         shard : ShardId
             The shard.
-        runners : iterable of RunnerId
-            Its runners.
-        extra : int
-            Slots that waiting requests could use at each runner.
+        demands : iterable of tuple of RunnerId and int
+            Its runners, with the slots that waiting requests could use at each.
         force : bool
             Whether to ask for every runner.
 
@@ -139,14 +137,18 @@
             The ask.
         """
         now_s = self._clock.monotonic()
-        due = [name for name in runners if force or self._is_due(name, extra, now_s)]
+        due = [
+            (name, extra)
+            for name, extra in demands
+            if force or self._is_due(name, extra, now_s)
+        ]
         if not due:
             return None
         self._sequence += 1
         return CreditRequest(
             instance=self._instance,
             shard=shard,
-            wishes=tuple(self._make_wish(name, extra, now_s) for name in due),
+            wishes=tuple(self._make_wish(name, extra, now_s) for name, extra in due),
             incarnation=self._incarnation,
             sequence=self._sequence,
         )
--- a/fuchsiascale/coordination/tests/test_credits.py
+++ b/fuchsiascale/coordination/tests/test_credits.py
@@ -48,7 +48,7 @@
 
     def lend(self, request, members=3):
         tenures = {"runner-1": self.tenure} if self.tenure else {}
-        return self.ledger.lend(request, tenures, SLOTS, members)
+        return self.ledger.lend(request, tenures, {"runner-1": SLOTS}, members)
 
 
 class CreditMachine(RuleBasedStateMachine):
@@ -99,7 +99,7 @@
     )
     def ask(self, name, owner, extra):
         holder = self.instances[name].holder
-        request = holder.make_request("porto:r1", ["runner-1"], extra, force=True)
+        request = holder.make_request("porto:r1", [("runner-1", extra)], force=True)
         self.messages.append(("ask", owner, request, name))
 
     @precondition(lambda self: self.messages)
@@ -130,7 +130,7 @@
             return
         owner = max(owners, key=lambda each: each.tenure.token)
         holder = self.instances[name].holder
-        request = holder.make_request("porto:r1", ["runner-1"], extra, force=True)
+        request = holder.make_request("porto:r1", [("runner-1", extra)], force=True)
         reply = owner.lend(request)
         holder.apply(request, None if reply_lost else reply)
 
@@ -139,7 +139,7 @@
         """One owner serves all holders, and each uses all that it may."""
         for name in NAMES:
             holder = self.instances[name].holder
-            request = holder.make_request("porto:r1", ["runner-1"], 8, force=True)
+            request = holder.make_request("porto:r1", [("runner-1", 8)], force=True)
             holder.apply(request, self.instances[owner].lend(request))
             self.start_requests(name, seconds)
 
@@ -208,7 +208,7 @@
 
 
 def ask(each, owner, extra=0):
-    request = each.holder.make_request("s", ["runner-1"], extra, force=True)
+    request = each.holder.make_request("s", [("runner-1", extra)], force=True)
     each.holder.apply(request, owner.lend(request))
     end_s = each.clock.monotonic() + 3.0
     return each.holder.count_usable("runner-1", end_s)
@@ -273,7 +273,7 @@
     (a, b, _), _ = make_three()
     claim(a, 1, NO_TOKEN)
     ask(b, a, extra=7)
-    request = b.holder.make_request("s", ["runner-1"], 0, force=True)
+    request = b.holder.make_request("s", [("runner-1", 0)], force=True)
     a.lend(request)
     b.holder.apply(request, None)
     ask(a, a, extra=7)
@@ -283,7 +283,7 @@
 def test_an_outdated_ask_changes_nothing():
     (a, b, _), _ = make_three()
     claim(a, 1, NO_TOKEN)
-    old = b.holder.make_request("s", ["runner-1"], 0, force=True)
+    old = b.holder.make_request("s", [("runner-1", 0)], force=True)
     ask(b, a, extra=7)
     assert len(fill(b)) == SLOTS
     assert a.lend(old).grants == ()
@@ -304,13 +304,13 @@
 def test_requests_in_flight_on_a_floor_that_shrinks_stay_counted():
     (a, b, _), clock = make_three()
     claim(a, 1, NO_TOKEN)
-    request = b.holder.make_request("s", ["runner-1"], 0, force=True)
+    request = b.holder.make_request("s", [("runner-1", 0)], force=True)
     b.holder.apply(request, a.lend(request, members=1))
     clock.advance(TENURE_S)
     a.tenure = replace(a.tenure, confirmed_s=clock.monotonic())
     assert len(fill(b, 20.0)) == SLOTS // 2
     for _ in range(2):
-        request = b.holder.make_request("s", ["runner-1"], 0, force=True)
+        request = b.holder.make_request("s", [("runner-1", 0)], force=True)
         b.holder.apply(request, a.lend(request, members=4))
     clock.advance(12.0)
     a.tenure = replace(a.tenure, confirmed_s=clock.monotonic())
--- /dev/null
+++ b/fuchsiascale/daemon/_requests.py
@@ -0,0 +1,99 @@
+"""Mounts the request path into the application."""
+
+import asyncio
+
+from fuchsiascale.coordination import KeyClaims, SlotHolder, SlotLedger
+from fuchsiascale.daemon._credits import CreditDriver
+from fuchsiascale.daemon._forward import make_forward_send
+from fuchsiascale.daemon._keyclaims import HomeClaims
+from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
+from fuchsiascale.daemon._metrics import RequestMeters, watch_slots
+from fuchsiascale.daemon._traces import make_traces
+from fuchsiascale.daemon._views import CachedView
+from fuchsiascale.pipelines import (
+    Dispatcher,
+    Forwarder,
+    RequestPorts,
+    build_forwarded_pipeline,
+    build_request_pipeline,
+)
+
+RECORD_PERIOD_MS = 1_000
+SWEEP_PERIOD_MS = 10_000
+
+
+@on_start(Phase.REQUESTS)
+async def start_requests(application):
+    """Assemble the request pipelines and what they stand on."""
+    settings = application.settings
+    clock, random = application.clock, application.random
+    view = CachedView(application.membership.view, clock)
+    fleet = application.documents.fleet
+    meters = RequestMeters(application.registry)
+    application.traces = make_traces(settings.traces, settings.instance, random)
+    dispatcher = Dispatcher(
+        SlotHolder(settings.instance, clock),
+        view,
+        fleet,
+        clock,
+        random,
+        demand=lambda: application.credits.demand(),
+    )
+    application.credits = CreditDriver(
+        settings.instance,
+        dispatcher,
+        SlotLedger(clock),
+        view,
+        fleet,
+        application.shards.tenures,
+        application.peers.call,
+    )
+    application.claims = KeyClaims(application.tables, random)
+    send = make_forward_send(application.peers.call, clock, application.traces)
+    ports = RequestPorts(
+        runners=application.runners,
+        view=view,
+        fleet=fleet,
+        clock=clock,
+        random=random,
+        dispatcher=dispatcher,
+        claims=HomeClaims(application.claims, view, application.peers.call),
+        forwarder=Forwarder(view, fleet, clock, random, send, meters),
+        meters=meters,
+        traces=application.traces,
+    )
+    application.calls = build_request_pipeline(ports)
+    application.forwarded = build_forwarded_pipeline(ports.without_forwarder())
+    watch_slots(
+        application.registry,
+        dispatcher.slots,
+        lambda: application.calls.in_flight + application.forwarded.in_flight,
+        dispatcher.count_capacity,
+    )
+    application.keep(application.credits.run())
+
+
+@keeper("claim ends", lambda settings: RECORD_PERIOD_MS)
+async def record_claim_ends(application):
+    """Record the ends of claims that the store has not taken yet."""
+    await application.claims.record_ends()
+
+
+@keeper("claim sweep", lambda settings: SWEEP_PERIOD_MS)
+async def sweep_claims(application):
+    """Remove expired claims from a part of the table."""
+    await application.claims.sweep(application.clock.wall_ms())
+
+
+@on_stop(Phase.REQUESTS)
+async def drain_requests(application):
+    """Refuse new requests and wait for those in flight, within the grace time."""
+    grace_s = application.settings.timers.stop_grace_ms / 1000
+    try:
+        async with asyncio.timeout(grace_s):
+            await application.calls.drain()
+            await application.forwarded.drain()
+            await application.claims.record_ends()
+    except TimeoutError:
+        application.log.error("requests still in flight after {} s", grace_s)
+    application.traces.close()
--- a/fuchsiascale/decisions/_placement.py
+++ b/fuchsiascale/decisions/_placement.py
@@ -14,12 +14,15 @@
 
 import msgspec
 
-from fuchsiascale.ids import JobKindId, ServiceId, WorkerId
+from fuchsiascale.ids import JobId, JobKindId, ServiceId, TeamId, WorkerId
 from fuchsiascale.platform import Message, Resources
+from fuchsiascale.states import Urgency
 
 __all__ = [
     "MAX_CANDIDATES",
     "MAX_PROBES",
+    "PRESSURE_EXCESS",
+    "QUIET_EXCESS",
     "PLACEMENT_POLICIES",
     "FreeIndex",
     "Placement",
@@ -34,6 +37,8 @@
 
 MAX_CANDIDATES = 8
 MAX_PROBES = 64
+PRESSURE_EXCESS = 0.1
+QUIET_EXCESS = 0.01
 
 PLACEMENT_POLICIES = {}
 
@@ -59,11 +64,20 @@
 
 
 class PlacementRequest(Message):
-    """One task to place; ``demand`` is the larger of declared and measured."""
+    """One task to place.
+
+    Parameters
+    ----------
+    demand : Resources
+        What the task is taken to need.
+    """
 
     task: str
     kind: JobKindId
     demand: Resources
+    job: JobId = JobId("")
+    team: TeamId = TeamId("")
+    urgency: Urgency = Urgency.BATCH
 
 
 class Placement(Message):
@@ -73,6 +87,8 @@
     ----------
     worker : WorkerId or None
         None where no worker has room.
+    demand : Resources
+        What is to be committed for it.
     slowdown : float
         Expected slowdown of the services beside it, as a factor.
     spare_millicores : int
@@ -83,6 +99,7 @@
 
     task: str
     worker: WorkerId | None = None
+    demand: Resources = Resources()
     slowdown: float = 1.0
     spare_millicores: int = 0
     reason: str = ""
@@ -195,16 +212,20 @@
         if entry is not None:
             self.put(msgspec.structs.replace(entry, free=entry.free + demand))
 
-    def rank_groups(self, kind, slowdown):
-        """Return pairs of expected slowdown and group key, least slowdown first."""
-        ranked = [
-            (
-                1.0 + (slowdown(services, kind) - 1.0) * (1 + pressure),
-                services,
-                pressure,
-            )
-            for services, pressure in self._groups
-        ]
+    def rank_groups(self, request, slowdown, max_slowdown):
+        """Return pairs of expected slowdown and group key, least slowdown first.
+
+        A group past the bound is left out where its workers hold noisy work
+        already; without that exception a noisy task would never start.
+        """
+        cores = request.demand.millicores / 1_000
+        ranked = []
+        for services, pressure in self._groups:
+            excess = cores * (slowdown(services, request.kind) - 1.0)
+            if excess > QUIET_EXCESS:
+                excess += PRESSURE_EXCESS * pressure
+            if 1.0 + excess <= max_slowdown or pressure == 0:
+                ranked.append((1.0 + excess, services, pressure))
         ranked.sort()
         return [(cost, (services, pressure)) for cost, services, pressure in ranked]
 
@@ -252,7 +273,7 @@
     -------
     callable
         Decorator of a function
-        ``(index, request, random, slowdown, blocked) -> Placement``.
+        ``(index, request, random, slowdown, blocked, max_slowdown) -> Placement``.
     """
 
     def register(function):
@@ -274,6 +295,7 @@
     slowdown=expect_none,
     blocked=frozenset(),
     policy="least_interference",
+    max_slowdown=float("inf"),
 ):
     """Choose a worker for one task; the index is left as it is.
 
@@ -283,11 +305,14 @@
     request : PlacementRequest
     random : random.Random
     slowdown : callable
-        ``(services, kind) -> float``, the expected slowdown of services.
+        ``(services, kind) -> float``, the expected slowdown of services by one
+        core of the kind.
     blocked : set of WorkerId
         Workers that get no new work of this kind.
     policy : str
         Name of a registered policy.
+    max_slowdown : float
+        Most slowdown to cause at a worker that holds noisy work already.
 
     Returns
     -------
@@ -303,7 +328,8 @@
     >>> place_task(index, request, Random(1)).worker
     'w'
     """
-    return PLACEMENT_POLICIES[policy](index, request, random, slowdown, blocked)
+    place = PLACEMENT_POLICIES[policy]
+    return place(index, request, random, slowdown, blocked, max_slowdown)
 
 
 def place_tasks(
@@ -313,6 +339,7 @@
     slowdown=expect_none,
     blocked_by_kind=None,
     policy="least_interference",
+    max_slowdown=float("inf"),
 ):
     """Choose workers for tasks in order, committing each in the index.
 
@@ -326,6 +353,7 @@
         ``(services, kind) -> float``.
     blocked_by_kind : mapping of JobKindId to set of WorkerId
     policy : str
+    max_slowdown : float
 
     Returns
     -------
@@ -336,7 +364,9 @@
     placements = []
     for request in requests:
         blocked = blocked_by_kind.get(request.kind, frozenset())
-        placement = place_task(index, request, random, slowdown, blocked, policy)
+        placement = place_task(
+            index, request, random, slowdown, blocked, policy, max_slowdown
+        )
         if placement.worker is not None:
             index.commit(placement.worker, request.demand)
         placements.append(placement)
@@ -344,9 +374,9 @@
 
 
 @register_placement("least_interference")
-def place_beside_least(index, request, random, slowdown, blocked):
+def place_beside_least(index, request, random, slowdown, blocked, max_slowdown):
     """Prefer the least expected slowdown, then the tightest fit."""
-    for cost, group_key in index.rank_groups(request.kind, slowdown):
+    for cost, group_key in index.rank_groups(request, slowdown, max_slowdown):
         found = index.find_fits(group_key, request.demand, random, blocked)
         if found:
             best = min(found, key=lambda entry: _measure_slack(entry, request.demand))
@@ -355,7 +385,7 @@
 
 
 @register_placement("first_fit")
-def place_at_first_fit(index, request, random, slowdown, blocked):
+def place_at_first_fit(index, request, random, slowdown, blocked, max_slowdown):
     """Take the first worker that has room, by a scan of all."""
     for entry in index:
         if entry.worker not in blocked and request.demand.fits(entry.free):
@@ -364,7 +394,7 @@
 
 
 @register_placement("best_fit")
-def place_at_tightest(index, request, random, slowdown, blocked):
+def place_at_tightest(index, request, random, slowdown, blocked, max_slowdown):
     """Take the tightest of all workers that have room, by a scan of all."""
     fits = [
         entry
@@ -421,6 +451,7 @@
     return Placement(
         task=request.task,
         worker=entry.worker,
+        demand=request.demand,
         slowdown=slowdown,
         spare_millicores=entry.free.millicores - request.demand.millicores,
     )
--- a/fuchsiascale/pipelines/_calls.py
+++ b/fuchsiascale/pipelines/_calls.py
@@ -173,6 +173,10 @@
     meters: NoMeters = msgspec.field(default_factory=NoMeters)
     traces: NoTraces = msgspec.field(default_factory=NoTraces)
 
+    def without_forwarder(self):
+        """Return the same ports, for requests that go no further."""
+        return msgspec.structs.replace(self, forwarder=None)
+
 
 def make_refusal(refusal, detail="", retry_after_ms=DEFAULT_RETRY_AFTER_MS):
     """Return the answer of a request that was surely not run.
--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -115,6 +115,10 @@
         pool = self._pools.get(service)
         return 0 if pool is None else pool.admission.queued
 
+    def count_capacity(self):
+        """Return the slots lent to this instance, over all services."""
+        return sum(pool.admission.capacity for pool in self._pools.values())
+
     def find_runners(self, service):
         """Return the runners that may get requests of a service."""
         return self._index.find(self._view(), service)
--- a/fuchsiascale/pipelines/tests/_fakes.py
+++ b/fuchsiascale/pipelines/tests/_fakes.py
@@ -151,9 +151,10 @@
     token = FencingToken(counter=1, holder="a")
     tenure = Tenure(token=token, previous=NO_TOKEN, claimed_s=now_s, confirmed_s=now_s)
     holder = SlotHolder("a", clock)
-    request = holder.make_request("porto:r1", runners, extra=slots - 1)
+    request = holder.make_request("porto:r1", [(n, slots - 1) for n in runners])
     tenures = dict.fromkeys(runners, tenure)
-    holder.apply(request, ledger.lend(request, tenures, slots, 1))
+    amounts = dict.fromkeys(runners, slots)
+    holder.apply(request, ledger.lend(request, tenures, amounts, 1))
     return holder
 
 
--- a/fuchsiascale/platform/_messages.py
+++ b/fuchsiascale/platform/_messages.py
@@ -243,11 +243,18 @@
 
 
 class ClaimReply(Message):
-    """A worker's answer to a claim; refused when a higher token was seen."""
+    """A worker's answer to a claim; refused when a higher token was seen.
+
+    Parameters
+    ----------
+    previous : FencingToken or None
+        Highest token seen before a granted claim; None where it is not told.
+    """
 
     granted: bool
     highest: FencingToken
     inventory: WorkerInventory | None = None
+    previous: FencingToken | None = None
 
 
 class StartCommand(Message):
@@ -339,10 +346,17 @@
 
 
 class UpstreamAnswer(Message):
-    """A runner's whole answer, checked against length and request id."""
+    """A runner's whole answer, checked against length and request id.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether the runner says that it leaves and wants no new work.
+    """
 
     request_id: RequestId
     runner: RunnerId
     status: int
     body: bytes = b""
     content_type: str = "application/octet-stream"
+    leaving: bool = False
--- a/standins/_worker_rules.py
+++ b/standins/_worker_rules.py
@@ -180,6 +180,7 @@
         if request.token < self._token or request.token == NO_TOKEN:
             self._record(Event.REFUSED, token=format_token(request.token))
             return ClaimReply(granted=False, highest=self._token)
+        previous = self._token
         self._token = request.token
         self._released = False
         self._renew(request.lease_ms)
@@ -190,7 +191,10 @@
             capacity=self.capacity - self.reserved,
         )
         return ClaimReply(
-            granted=True, highest=self._token, inventory=self.list_inventory()
+            granted=True,
+            highest=self._token,
+            inventory=self.list_inventory(),
+            previous=previous,
         )
 
     def start(self, request, resumed_ms):
@@ -331,8 +335,6 @@
             return "another attempt at the task is running"
         if self._clock.monotonic() >= self._lease_end_s:
             return "the lease is over"
-        if self.leaving:
-            return "the worker is leaving"
         if self.refuse_starts:
             return "the worker refuses starts"
         if command.checkpoint is not None and command.checkpoint not in resumed_ms:
