--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -9,12 +9,14 @@
 from fuchsiascale.coordination._livechunks import *  # noqa: F403
 from fuchsiascale.coordination._membership import *  # noqa: F403
 from fuchsiascale.coordination._messages import *  # noqa: F403
+from fuchsiascale.coordination._moves import *  # noqa: F403
 from fuchsiascale.coordination._ownership import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403
 from fuchsiascale.coordination._schema import *  # noqa: F403
+from fuchsiascale.coordination._shard_policy import *  # noqa: F403
 from fuchsiascale.coordination._shardcommands import *  # noqa: F403
 from fuchsiascale.coordination._shards import *  # noqa: F403
-from fuchsiascale.coordination._shard_policy import *  # noqa: F403
+from fuchsiascale.coordination._shardstate import *  # noqa: F403
 from fuchsiascale.coordination._slots import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
 from fuchsiascale.coordination._workerlinks import *  # noqa: F403
--- a/fuchsiascale/coordination/_attempts.py
+++ b/fuchsiascale/coordination/_attempts.py
@@ -105,7 +105,7 @@
         changes["failures"] = task.failures + 1
         if task.failures + 1 >= max_failures:
             changes["state"] = TaskState.FAILED
-    else:
+    elif report.state is AttemptState.CHECKPOINTED:
         changes["evictions"] = task.evictions + 1
     advanced = msgspec.structs.replace(task, **changes)
     return cancel_task(advanced) if cancelled else advanced
--- /dev/null
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -0,0 +1,175 @@
+"""Reads and writes of a shard's assignment and chunk rows."""
+
+import msgspec
+from returns.result import Success
+
+from fuchsiascale.coordination._attempts import parse_task_id
+from fuchsiascale.coordination._inventories import reconcile_chunk
+from fuchsiascale.coordination._livechunks import compute_record, drop_recorded
+from fuchsiascale.coordination._records import Assignment, ChunkRecord
+from fuchsiascale.coordination._shardcommands import (
+    ChunkWrite,
+    ReadAssignments,
+    ReadChunk,
+    WriteChunk,
+)
+from fuchsiascale.coordination._shardstate import drop_chunk, require_read
+from fuchsiascale.platform import Conflict
+
+__all__ = [
+    "MAX_LIVE_CHUNKS",
+    "MAX_READS_A_ROUND",
+    "apply_assignments",
+    "apply_chunk",
+    "apply_write",
+    "list_reads",
+    "list_writes",
+]
+
+MAX_LIVE_CHUNKS = 2_048
+MAX_READS_A_ROUND = 64
+
+
+def list_reads(state):
+    """Return the reads that are due; none before the shard is covered."""
+    if state.covered_at is None:
+        return []
+    now_s = state.now_s()
+    commands = []
+    if state.scan_pending is None and now_s >= state.scan_due_s:
+        state.scan_pending = ReadAssignments(
+            shard=state.shard, after=state.scan_page or ""
+        )
+        commands.append(state.scan_pending)
+    for live in state.chunks.values():
+        if len(commands) >= MAX_READS_A_ROUND:
+            break
+        if not live.stale or live.pending is not None or now_s < live.due_s:
+            continue
+        state.sequence += 1
+        live.pending = ReadChunk(chunk=live.chunk, sequence=state.sequence)
+        commands.append(live.pending)
+    return commands
+
+
+def apply_assignments(state, command, result):
+    """Take in one page of the shard's assignment rows."""
+    if state.scan_pending is not command:
+        return
+    state.scan_pending = None
+    if not isinstance(result, Success):
+        state.scan_due_s = state.now_s() + state.timing.retry_s
+        return
+    page = result.unwrap()
+    for row in page.rows:
+        chunk = msgspec.json.decode(row.value, type=Assignment).chunk
+        state.scanned[chunk] = row.version
+    state.scan_page = page.next_after
+    if page.next_after:
+        return
+    _finish_scan(state)
+    spread = 0.9 + 0.2 * state.random.random()
+    state.scan_due_s = state.now_s() + state.timing.scan_s * spread
+
+
+def _finish_scan(state):
+    if state.unseen_gone and not state.swept:
+        state.to_sweep = set(state.scanned)
+    state.swept = True
+    for chunk, version in state.scanned.items():
+        live = state.chunks.get(chunk)
+        if live is None and len(state.chunks) >= MAX_LIVE_CHUNKS:
+            continue
+        if live is None or live.assignment_version != version:
+            require_read(state, chunk).assignment_version = version
+    for chunk in set(state.chunks) - set(state.scanned):
+        require_read(state, chunk)
+    for chunk in state.to_sweep & set(state.chunks):
+        require_read(state, chunk)
+    state.scanned = {}
+    reported = {
+        parse_task_id(report.task)[0]
+        for link in state.links.values()
+        for report in link.list_reports()
+    }
+    state.foreign &= reported
+
+
+def apply_chunk(state, command, result):
+    """Take in a chunk row."""
+    live = state.chunks.get(command.chunk)
+    if live is None or live.pending is not command:
+        return
+    live.pending = None
+    if not isinstance(result, Success):
+        live.due_s = state.now_s() + state.timing.retry_s
+        return
+    row = result.unwrap()
+    record = row and msgspec.json.decode(row.value, type=ChunkRecord)
+    if record is None or record.shard != state.shard or record.final:
+        drop_chunk(state, live)
+        return
+    live.stale = False
+    live.record = record
+    live.version = row.version
+    live.sequence = command.sequence
+    _forget_recorded(state, live)
+    reconcile_chunk(state, live)
+
+
+def list_writes(state):
+    """Return the writes of ends and cancellations that are due."""
+    now_s = state.now_s()
+    commands = []
+    for live in state.chunks.values():
+        if live.record is None or live.stale or live.pending is not None:
+            continue
+        if now_s < live.due_s or not (live.attempts or live.record.cancelled):
+            continue
+        record = compute_record(live, state.max_failures(live.record))
+        if record == live.record:
+            continue
+        write = ChunkWrite(
+            record=record,
+            expected_version=live.version,
+            assignment_version=live.assignment_version,
+        )
+        live.pending = WriteChunk(write=write)
+        commands.append(live.pending)
+    return commands
+
+
+def apply_write(state, command, result):
+    """Take in whether a chunk row was written."""
+    write = command.write
+    live = state.chunks.get(write.record.chunk)
+    if live is None or live.pending is not command:
+        return
+    live.pending = None
+    if not isinstance(result, Success):
+        meet_failed_write(state, live, result.failure())
+        return
+    live.record = write.record
+    live.version = result.unwrap()
+    _forget_recorded(state, live)
+    if live.record.final:
+        drop_chunk(state, live)
+
+
+def meet_failed_write(state, live, error):
+    """Have a row read again after a write of it failed."""
+    now_s = state.now_s()
+    live.stale = True
+    live.due_s = now_s + state.timing.retry_s * state.random.random()
+    if isinstance(error, Conflict):
+        # The assignment row may be the one that has changed.
+        state.scan_due_s = now_s
+
+
+def _forget_recorded(state, live):
+    for attempt in drop_recorded(live):
+        link = state.links.get(attempt.worker)
+        if link is not None:
+            link.attempts.pop(attempt.key, None)
+    if not live.attempts:
+        live.since_s = state.now_s()
--- /dev/null
+++ b/fuchsiascale/coordination/_inventories.py
@@ -0,0 +1,99 @@
+"""Reconciles what workers report with what the owner holds."""
+
+from fuchsiascale.coordination._attempts import Attempt, AttemptPhase, parse_task_id
+from fuchsiascale.coordination._shardstate import (
+    is_recorded,
+    remove_attempt,
+    require_read,
+    store_attempt,
+)
+from fuchsiascale.platform import AttemptReport
+from fuchsiascale.states import AttemptState
+
+__all__ = ["reconcile_chunk", "take_inventory"]
+
+
+def take_inventory(state, link, inventory, after_claim):
+    """Take in all that a worker holds.
+
+    Parameters
+    ----------
+    state : ShardState
+    link : WorkerLink
+    inventory : WorkerInventory
+    after_claim : bool
+        Whether it answers a claim, which fences all starts sent before.
+    """
+    link.inventory = inventory
+    link.inventory_s = state.now_s()
+    state.policy.observe_inventory(link.worker, link.entry.services, inventory)
+    reported = {report.key for report in inventory.attempts}
+    for key, attempt in list(link.attempts.items()):
+        if key not in reported and not attempt.over:
+            _settle_unreported(state, attempt, after_claim)
+    for report in inventory.attempts:
+        _reconcile_report(state, link, report)
+
+
+def _settle_unreported(state, attempt, after_claim):
+    if attempt.phase is AttemptPhase.RUNNING:
+        attempt.end(AttemptState.STOPPED, "the worker lost the attempt")
+    elif after_claim:
+        remove_attempt(state, attempt)
+
+
+def reconcile_chunk(state, live):
+    """Take in what the workers last reported of a chunk's tasks."""
+    for link in state.links.values():
+        for report in link.list_reports():
+            if parse_task_id(report.task)[0] == live.chunk:
+                _reconcile_report(state, link, report)
+    if live.chunk in state.to_sweep:
+        state.to_sweep.discard(live.chunk)
+        _sweep_chunk(live)
+
+
+def _sweep_chunk(live):
+    """Pass over attempts that may have run on a worker that is gone, unseen."""
+    for task in live.record.tasks:
+        if task.state.final or task.index in live.attempts:
+            continue
+        report = AttemptReport(
+            task=f"{live.chunk}.{task.index}",
+            attempt=task.attempt + 1,
+            kind=live.record.spec.kind,
+            state=AttemptState.STOPPED,
+            demand=live.record.spec.demand,
+            detail="may have run on a worker that is gone",
+        )
+        live.attempts[task.index] = Attempt(
+            worker=task.worker, phase=AttemptPhase.ENDED, report=report
+        )
+
+
+def _reconcile_report(state, link, report):
+    chunk, index = parse_task_id(report.task)
+    live = state.chunks.get(chunk)
+    if live is None:
+        if chunk not in state.foreign:
+            require_read(state, chunk)
+        return
+    if live.record is None or is_recorded(state, report):
+        return
+    attempt = live.attempts.get(index)
+    if attempt is None or attempt.report.attempt < report.attempt:
+        attempt = Attempt(worker=link.worker, phase=AttemptPhase.RUNNING, report=report)
+        store_attempt(state, link, live, index, attempt)
+    elif attempt is not link.attempts.get(report.key):
+        return
+    if not attempt.over:
+        _update_attempt(state, attempt, report)
+
+
+def _update_attempt(state, attempt, report):
+    attempt.report = report
+    if not report.state.ended:
+        attempt.phase = AttemptPhase.RUNNING
+        return
+    attempt.phase = AttemptPhase.ENDED
+    state.policy.record_end(attempt.worker, report.task, report.state)
--- a/fuchsiascale/coordination/_leases.py
+++ b/fuchsiascale/coordination/_leases.py
@@ -19,6 +19,12 @@
     sent_s : float or None
         Monotonic time of the last grant that may have arrived, in seconds.
 
+    Notes
+    -----
+    A grant names its end on the worker's clock, reckoned from the last reading of
+    it, so a grant that arrives late does not reach beyond ``sent_s + duration_s``
+    but for the drift between the two clocks.
+
     Examples
     --------
     >>> lease = Lease(duration_s=10.0)
@@ -42,10 +48,13 @@
         A lease never granted here is never known to be over: another owner may
         have granted one.
         """
+        return now_s > self.over_at_s()
+
+    def over_at_s(self):
+        """Return the monotonic time from which the lease is over, in seconds."""
         if self.sent_s is None:
-            return False
-        bound_s = self.duration_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
-        return now_s - self.sent_s > bound_s
+            return float("inf")
+        return self.sent_s + self.duration_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
 
     def surely_alive(self, now_s):
         """Tell whether at least half of the last grant is left."""
--- a/fuchsiascale/coordination/_livechunks.py
+++ b/fuchsiascale/coordination/_livechunks.py
@@ -34,8 +34,12 @@
         The read or write in flight.
     attempts : dict
         By task index, attempts whose end is not recorded yet.
+    reasons : dict
+        By task index, why the task was not started.
     due_s : float
         Monotonic time before which the row is not tried again, in seconds.
+    since_s : float
+        Monotonic time since which none of its tasks runs, in seconds.
     """
 
     chunk: ChunkId
@@ -46,7 +50,9 @@
     stale: bool = True
     pending: Message | None = None
     attempts: dict[int, Attempt] = {}
+    reasons: dict[int, str] = {}
     due_s: float = 0.0
+    since_s: float = 0.0
 
 
 def compute_record(chunk, max_failures):
@@ -69,7 +75,7 @@
         attempt = chunk.attempts.get(task.index)
         if attempt is None:
             tasks[position] = cancel_task(task) if record.cancelled else task
-        elif attempt.phase is AttemptPhase.ENDED:
+        elif attempt.over:
             tasks[position] = advance_task(
                 task, attempt.report, attempt.worker, max_failures, record.cancelled
             )
@@ -78,12 +84,12 @@
 
 def drop_recorded(chunk):
     """Forget the ended attempts that the durable row has passed; return them."""
-    passed = {task.index: task for task in chunk.record.tasks}
+    tasks = {task.index: task for task in chunk.record.tasks}
     recorded = [
         (index, attempt)
         for index, attempt in chunk.attempts.items()
         if attempt.phase is AttemptPhase.ENDED
-        and _is_passed(passed[index], attempt.report.attempt)
+        and tasks[index].has_passed(attempt.report.attempt)
     ]
     for index, _ in recorded:
         del chunk.attempts[index]
@@ -99,7 +105,3 @@
         for task in chunk.record.tasks
         if not task.state.final and task.index not in chunk.attempts
     ]
-
-
-def _is_passed(task, number):
-    return task.state.final or task.attempt >= number
--- a/fuchsiascale/coordination/_messages.py
+++ b/fuchsiascale/coordination/_messages.py
@@ -27,12 +27,15 @@
         Uncommitted resources over all claimed workers.
     waiting : int
         Tasks assigned to the shard and not running.
+    shapes : tuple of Resources
+        Distinct sizes of its workers, less reserves.
     """
 
     shard: ShardId
     token: FencingToken
     free: Resources = Resources()
     waiting: int = 0
+    shapes: tuple[Resources, ...] = ()
 
 
 class PeerDigest(Message, omit_defaults=True):
--- /dev/null
+++ b/fuchsiascale/coordination/_moves.py
@@ -0,0 +1,145 @@
+"""Moves of waiting chunks to another shard, by the word of their owner."""
+
+import msgspec
+from returns.result import Success
+
+from fuchsiascale.coordination._chunkrows import meet_failed_write
+from fuchsiascale.coordination._livechunks import list_startable
+from fuchsiascale.coordination._shardcommands import ChunkWrite, MoveChunk
+from fuchsiascale.coordination._shardstate import drop_chunk
+from fuchsiascale.coordination._takeover import is_read_after_claims, step_down
+from fuchsiascale.platform import Conflict, Message, Resources
+
+__all__ = ["MAX_MOVES_A_ROUND", "ShardOffer", "apply_move", "count_fits", "list_moves"]
+
+MAX_MOVES_A_ROUND = 4
+
+
+class ShardOffer(Message):
+    """A shard that may take chunks, by its owner's last digest.
+
+    Parameters
+    ----------
+    free : Resources
+        Uncommitted resources over all claimed workers.
+    waiting : int
+        Tasks assigned to the shard and not running.
+    shapes : tuple of Resources
+        Distinct sizes of its workers, less reserves; empty where not known.
+    """
+
+    shard: str
+    failure_domain: str
+    free: Resources = Resources()
+    waiting: int = 0
+    shapes: tuple[Resources, ...] = ()
+
+
+def count_fits(offer, demand):
+    """Return how many tasks a shard has room for, beside those that wait there.
+
+    Examples
+    --------
+    >>> offer = ShardOffer(shard="s", failure_domain="f", waiting=1,
+    ...                    free=Resources(millicores=4000))
+    >>> count_fits(offer, Resources(millicores=1000))
+    3
+    """
+    counts = [
+        getattr(offer.free, name) // getattr(demand, name)
+        for name in ("millicores", "memory_mb", "accelerators")
+        if getattr(demand, name) > 0
+    ]
+    return max(0, min(counts) - offer.waiting)
+
+
+def list_moves(state, offers):
+    """Return moves of chunks that wait here to shards that have room.
+
+    Parameters
+    ----------
+    state : ShardState
+    offers : sequence of ShardOffer
+        Other shards; a chunk goes to the one with most room.
+
+    Returns
+    -------
+    list of MoveChunk
+        Of chunks of which nothing runs, or may run, anywhere.
+    """
+    if state.record is None or state.covered_at is None or state.row_pending:
+        return []
+    for live in state.chunks.values():
+        offer = _find_offer(state, live, offers)
+        if offer is not None:
+            return [_build_move(state, live, offer)]
+    return []
+
+
+def _find_offer(state, live, offers):
+    if live.pending is not None or live.attempts or not list_startable(live):
+        return None
+    if not is_read_after_claims(state, live) or live.chunk in state.to_sweep:
+        return None
+    waited_s = state.now_s() - live.since_s
+    if state.links and waited_s < state.timing.move_s:
+        return None
+    spec = live.record.spec
+    allowed = [
+        offer
+        for offer in offers
+        if offer.shard != state.shard
+        and spec.failure_domain in ("", offer.failure_domain)
+    ]
+    best = max(allowed, key=lambda o: count_fits(o, spec.demand), default=None)
+    if best is None or count_fits(best, spec.demand) == 0:
+        return None
+    return best
+
+
+def _build_move(state, live, offer):
+    record = msgspec.structs.replace(
+        live.record, shard=offer.shard, failure_domain=offer.failure_domain
+    )
+    live.pending = MoveChunk(
+        write=ChunkWrite(
+            record=record,
+            expected_version=live.version,
+            assignment_version=live.assignment_version,
+        ),
+        from_shard=state.record,
+        from_shard_version=state.version,
+    )
+    # One writer of the shard's row at a time.
+    state.row_pending = live.pending
+    return live.pending
+
+
+def apply_move(state, command, result):
+    """Take in whether a chunk was moved; a success holds the shard row's version."""
+    if state.row_pending is not command:
+        return
+    state.row_pending = None
+    live = state.chunks.get(command.write.record.chunk)
+    if live is not None and live.pending is command:
+        live.pending = None
+    if isinstance(result, Success):
+        state.version = result.unwrap()
+        if live is not None:
+            drop_chunk(state, live)
+        return
+    error = result.failure()
+    if isinstance(error, Conflict) and _names_shard_row(command, error):
+        step_down(state)
+        return
+    if not isinstance(error, Conflict):
+        state.record = None
+        state.row_read = False
+    if live is not None:
+        meet_failed_write(state, live, error)
+
+
+def _names_shard_row(command, error):
+    return any(
+        row.key == command.from_shard.shard and row.version > 0 for row in error.rows
+    )
--- a/fuchsiascale/coordination/_records.py
+++ b/fuchsiascale/coordination/_records.py
@@ -28,6 +28,7 @@
     "DOCUMENT_TABLE",
     "JOBS_TABLE",
     "MAX_CHUNK_TASKS",
+    "SHARDS_TABLE",
     "NO_REVISION",
     "Assignment",
     "ChunkRecord",
@@ -38,6 +39,7 @@
     "HistoryEntry",
     "JobRecord",
     "JobSpec",
+    "ShardRecord",
     "TaskRecord",
     "format_assignment_key",
     "format_chunk_id",
@@ -47,6 +49,7 @@
 JOBS_TABLE = "jobs"
 CHUNKS_TABLE = "chunks"
 ASSIGNMENTS_TABLE = "assignments"
+SHARDS_TABLE = "shards"
 CLAIMS_TABLE = "claims"
 DOCUMENT_TABLE = "document"
 DOCUMENT_HEAD_TABLE = "document-head"
@@ -115,6 +118,10 @@
     evictions: int = 0
     detail: str = ""
 
+    def has_passed(self, attempt):
+        """Tell whether an attempt is known to be over, or none runs any more."""
+        return self.state.final or self.attempt >= attempt
+
 
 class ChunkRecord(Message):
     """Row of up to ``MAX_CHUNK_TASKS`` tasks that one shard may run."""
@@ -139,6 +146,22 @@
     chunk: ChunkId
 
 
+class ShardRecord(Message):
+    """Row of a shard: written at each change of owner and of its workers.
+
+    Parameters
+    ----------
+    owner : InstanceId
+        The instance that took the shard over last.
+    workers : tuple of WorkerId
+        All workers that an owner may have started attempts on.
+    """
+
+    shard: ShardId
+    owner: InstanceId
+    workers: tuple[WorkerId, ...] = ()
+
+
 class ClaimRecord(Message):
     """Row that lets a keyed request be sent upstream once at most.
 
--- a/fuchsiascale/coordination/_shardcommands.py
+++ b/fuchsiascale/coordination/_shardcommands.py
@@ -1,6 +1,6 @@
 """Commands that a shard asks its driver to carry out."""
 
-from fuchsiascale.coordination._records import ChunkRecord
+from fuchsiascale.coordination._records import ChunkRecord, ShardRecord
 from fuchsiascale.ids import ChunkId, ShardId, WorkerId
 from fuchsiascale.platform import ClaimRequest, ExchangeRequest, Message, StartRequest
 
@@ -8,10 +8,13 @@
     "ChunkWrite",
     "ClaimWorker",
     "ExchangeWorker",
+    "MoveChunk",
     "ReadAssignments",
     "ReadChunk",
+    "ReadShard",
     "StartAttempts",
     "WriteChunk",
+    "WriteShard",
 ]
 
 
@@ -73,3 +76,40 @@
     """Write one chunk row; the driver may group several of them."""
 
     write: ChunkWrite
+
+
+class ReadShard(Message):
+    """Read the row of the shard."""
+
+    shard: ShardId
+
+
+class WriteShard(Message):
+    """Write the row of the shard, conditionally.
+
+    Parameters
+    ----------
+    sent_s : float
+        Monotonic time of the command, in seconds.
+    """
+
+    record: ShardRecord
+    expected_version: int
+    sent_s: float
+
+
+class MoveChunk(Message):
+    """Assign a chunk to another shard.
+
+    Parameters
+    ----------
+    write : ChunkWrite
+        The chunk as the other shard is to have it.
+    from_shard : ShardRecord
+        Row of the own shard, written along so that a move by an owner that has
+        been replaced fails.
+    """
+
+    write: ChunkWrite
+    from_shard: ShardRecord
+    from_shard_version: int
--- /dev/null
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -0,0 +1,221 @@
+"""State of a shard at its owner, and the questions asked of it throughout."""
+
+from fuchsiascale.coordination._attempts import parse_task_id
+from fuchsiascale.coordination._livechunks import LiveChunk
+from fuchsiascale.platform import Message
+
+__all__ = [
+    "DEFAULT_MAX_FAILURES",
+    "ShardState",
+    "ShardTiming",
+    "drop_chunk",
+    "find_attempt",
+    "find_record",
+    "find_task",
+    "is_recorded",
+    "is_unwanted",
+    "list_attempts",
+    "remove_attempt",
+    "require_read",
+    "store_attempt",
+]
+
+DEFAULT_MAX_FAILURES = 3
+
+
+class ShardTiming(Message):
+    """Periods of an owner's dealings, in seconds.
+
+    Parameters
+    ----------
+    exchange_s : float
+        Period of the exchanges with each worker.
+    scan_s : float
+        Period of the scans of the shard's assignment rows.
+    retry_s, max_retry_s : float
+        First and longest delay before a call that got no answer is repeated.
+    step_down_s, max_step_down_s : float
+        First and longest delay before a shard that was lost is claimed again.
+    gone_s : float
+        How long the list must lack a worker that it has shown.
+    unlisted_s : float
+        How long it must lack one that it has never shown to this owner.
+    move_s : float
+        How long a chunk must have waited before it is moved.
+    """
+
+    exchange_s: float = 1.0
+    scan_s: float = 10.0
+    retry_s: float = 0.5
+    max_retry_s: float = 4.0
+    step_down_s: float = 2.0
+    max_step_down_s: float = 30.0
+    gone_s: float = 2.0
+    unlisted_s: float = 30.0
+    move_s: float = 30.0
+
+
+class ShardState:
+    """State of one shard at the instance that owns it, or tries to.
+
+    Attributes
+    ----------
+    links : dict of WorkerId to WorkerLink
+    chunks : dict of ChunkId to LiveChunk
+    foreign : set of ChunkId
+        Chunks that were read and are not this shard's, or are final.
+    owner : bool
+        Whether this instance should own the shard.
+    record : ShardRecord or None
+        The shard's row as this owner has written it; None before the takeover.
+    version : int
+        Version of the shard's row.
+    confirmed_s : float
+        Monotonic time of sending of the last write of the shard's row, in seconds.
+    sequence : int
+        Counts reads, so that they are ordered against claims.
+    covered_at : int or None
+        The sequence when every worker that may hold attempts was claimed or gone.
+    unseen_gone : bool
+        Whether a worker is gone whose inventory this owner has never had.
+    swept : bool
+        Whether the chunks of the first scan since the takeover are known.
+    to_sweep : set of ChunkId
+        Those of them whose next attempt may have run on such a worker.
+    """
+
+    def __init__(self, shard, instance, clock, random, policy, timing):
+        self.shard = shard
+        self.instance = instance
+        self.clock = clock
+        self.random = random
+        self.policy = policy
+        self.timing = timing
+        self.kinds = {}
+        self.owner = False
+        self.placing = True
+        self.step_downs = 0
+        self.backoff_until_s = 0.0
+        self.links = {}
+        self.forget()
+
+    def forget(self):
+        """Drop all that is known but the workers."""
+        self.chunks = {}
+        self.foreign = set()
+        self.record = None
+        self.version = 0
+        self.confirmed_s = float("-inf")
+        self.row_pending = None
+        self.row_read = False
+        self.row_due_s = 0.0
+        self.sequence = 0
+        self.covered_at = None
+        self.unseen_gone = False
+        self.swept = False
+        self.to_sweep = set()
+        self.scan_pending = None
+        self.scan_page = None
+        self.scan_due_s = 0.0
+        self.scanned = {}
+
+    def now_s(self):
+        """Return the monotonic time, in seconds."""
+        return self.clock.monotonic()
+
+    def max_failures(self, record):
+        """Return after how many failures a task of a chunk is given up."""
+        kind = self.kinds.get(record.spec.kind)
+        return DEFAULT_MAX_FAILURES if kind is None else kind.max_failures
+
+
+def list_attempts(state):
+    """Return all attempts whose end is not recorded."""
+    return [
+        attempt for live in state.chunks.values() for attempt in live.attempts.values()
+    ]
+
+
+def find_record(state, chunk):
+    """Return the durable row of a chunk as it is known, or None."""
+    live = state.chunks.get(chunk)
+    return None if live is None else live.record
+
+
+def find_task(state, task):
+    """Return the durable record of a task, or None."""
+    chunk, index = parse_task_id(task)
+    record = find_record(state, chunk)
+    if record is None:
+        return None
+    return next((entry for entry in record.tasks if entry.index == index), None)
+
+
+def find_attempt(state, task):
+    """Return the attempt at a task that is not recorded as over, or None."""
+    chunk, index = parse_task_id(task)
+    live = state.chunks.get(chunk)
+    return None if live is None else live.attempts.get(index)
+
+
+def store_attempt(state, link, live, index, attempt):
+    """Keep an attempt under its chunk and its worker."""
+    before = live.attempts.get(index)
+    if before is not None:
+        remove_attempt(state, before)
+    live.attempts[index] = attempt
+    link.attempts[attempt.key] = attempt
+
+
+def remove_attempt(state, attempt):
+    """Forget an attempt."""
+    chunk, index = parse_task_id(attempt.report.task)
+    live = state.chunks.get(chunk)
+    if live is not None and live.attempts.get(index) is attempt:
+        del live.attempts[index]
+        if not live.attempts:
+            live.since_s = state.now_s()
+    link = state.links.get(attempt.worker)
+    if link is not None:
+        link.attempts.pop(attempt.key, None)
+
+
+def require_read(state, chunk):
+    """Have a chunk row read, and return the chunk."""
+    live = state.chunks.get(chunk)
+    if live is None:
+        live = LiveChunk(chunk=chunk, since_s=state.now_s())
+        state.chunks[chunk] = live
+    live.stale = True
+    state.foreign.discard(chunk)
+    return live
+
+
+def drop_chunk(state, live):
+    """Forget a chunk that is final or another shard's."""
+    for attempt in list(live.attempts.values()):
+        remove_attempt(state, attempt)
+    state.chunks.pop(live.chunk, None)
+    state.foreign.add(live.chunk)
+
+
+def is_recorded(state, report):
+    """Tell whether the durable row has passed a reported attempt."""
+    chunk, _ = parse_task_id(report.task)
+    if chunk in state.foreign:
+        return True
+    task = find_task(state, report.task)
+    return task is not None and task.has_passed(report.attempt)
+
+
+def is_unwanted(state, link, report):
+    """Tell whether a running attempt is to be stopped."""
+    if is_recorded(state, report):
+        return True
+    chunk, _ = parse_task_id(report.task)
+    record = find_record(state, chunk)
+    if record is None:
+        return False
+    attempt = find_attempt(state, report.task)
+    elsewhere = attempt is not None and attempt is not link.attempts.get(report.key)
+    return record.cancelled or elsewhere
--- /dev/null
+++ b/fuchsiascale/coordination/_starts.py
@@ -0,0 +1,221 @@
+"""Placement of waiting tasks and the starts of their attempts."""
+
+from returns.result import Success
+
+from fuchsiascale.coordination._attempts import Attempt, AttemptPhase, parse_task_id
+from fuchsiascale.coordination._livechunks import list_startable
+from fuchsiascale.coordination._records import format_task_id
+from fuchsiascale.coordination._shardcommands import StartAttempts
+from fuchsiascale.coordination._shardstate import (
+    find_attempt,
+    remove_attempt,
+    store_attempt,
+)
+from fuchsiascale.coordination._takeover import (
+    finish_call,
+    is_read_after_claims,
+    meet_failure,
+    step_down,
+)
+from fuchsiascale.coordination._workerlinks import accepts_work, compute_free
+from fuchsiascale.decisions import PlacementRequest, WorkerFree
+from fuchsiascale.ids import AttemptNumber
+from fuchsiascale.platform import (
+    AttemptReport,
+    Fenced,
+    Message,
+    StartCommand,
+    StartRequest,
+    Unavailable,
+)
+from fuchsiascale.states import AttemptState
+
+__all__ = ["MAX_STARTS_A_ROUND", "apply_start", "list_starts"]
+
+MAX_STARTS_A_ROUND = 512
+
+
+class Candidate(Message):
+    """A waiting task that may be started now."""
+
+    request: PlacementRequest
+    start: StartCommand
+
+
+def list_starts(state):
+    """Return the starts that are due: at most one batch a worker."""
+    if not (state.owner and state.placing) or state.covered_at is None:
+        return []
+    if state.unseen_gone and not state.swept:
+        return []
+    now_s = state.now_s()
+    links = [link for link in state.links.values() if accepts_work(link, now_s)]
+    candidates = list_candidates(state) if links else []
+    if not candidates:
+        return []
+    workers = [_describe_worker(link) for link in links]
+    requests = [candidate.request for candidate in candidates]
+    placements = state.policy.place(workers, requests)
+    return _build_commands(state, candidates, placements)
+
+
+def list_candidates(state):
+    """Return the tasks that may be started, at most so many a round."""
+    candidates = []
+    for live in state.chunks.values():
+        if not is_read_after_claims(state, live):
+            continue
+        for task in list_startable(live):
+            candidates.append(_describe_task(live, task))
+            if len(candidates) >= MAX_STARTS_A_ROUND:
+                return candidates
+    return candidates
+
+
+def _describe_worker(link):
+    return WorkerFree(
+        worker=link.worker,
+        free=compute_free(link),
+        capacity=link.inventory.capacity,
+        services=link.entry.services,
+    )
+
+
+def _describe_task(live, task):
+    spec = live.record.spec
+    name = format_task_id(live.chunk, task.index)
+    request = PlacementRequest(
+        task=name,
+        kind=spec.kind,
+        demand=spec.demand,
+        job=spec.job,
+        team=spec.team,
+        urgency=spec.urgency,
+    )
+    start = StartCommand(
+        task=name,
+        attempt=AttemptNumber(task.attempt + 1),
+        kind=spec.kind,
+        demand=spec.demand,
+        run_ms=spec.run_ms,
+        checkpoint=task.checkpoint,
+        payload=spec.payload,
+    )
+    return Candidate(request=request, start=start)
+
+
+def _build_commands(state, candidates, placements):
+    by_worker = {}
+    for candidate, placement in zip(candidates, placements, strict=True):
+        chunk, index = parse_task_id(placement.task)
+        live = state.chunks[chunk]
+        live.reasons[index] = placement.reason
+        if placement.worker is None:
+            continue
+        link = state.links[placement.worker]
+        start = _fix_demand(candidate.start, placement)
+        store_attempt(state, link, live, index, _build_attempt(link, start, placement))
+        by_worker.setdefault(placement.worker, []).append(start)
+    return [
+        _send_starts(state, state.links[worker], starts)
+        for worker, starts in by_worker.items()
+    ]
+
+
+def _send_starts(state, link, starts):
+    for start in starts:
+        state.policy.record_start(link.worker, start.task)
+    link.pending = StartAttempts(
+        worker=link.worker,
+        address=link.entry.address,
+        request=StartRequest(token=link.token, starts=tuple(starts)),
+    )
+    return link.pending
+
+
+def _fix_demand(start, placement):
+    return StartCommand(
+        task=start.task,
+        attempt=start.attempt,
+        kind=start.kind,
+        demand=placement.demand,
+        run_ms=start.run_ms,
+        checkpoint=start.checkpoint,
+        payload=start.payload,
+    )
+
+
+def _build_attempt(link, start, placement):
+    report = AttemptReport(
+        task=start.task,
+        attempt=start.attempt,
+        kind=start.kind,
+        state=AttemptState.RUNNING,
+        demand=start.demand,
+    )
+    figures = (
+        f"slowdown={placement.slowdown:.2f}",
+        f"spare_millicores={placement.spare_millicores}",
+    )
+    return Attempt(
+        worker=link.worker,
+        phase=AttemptPhase.STARTING,
+        report=report,
+        figures=figures,
+    )
+
+
+def apply_start(state, command, result):
+    """Take in the answer to a batch of starts."""
+    link = finish_call(state, command)
+    if link is None:
+        return
+    starts = command.request.starts
+    match result:
+        case Success(reply) if reply.accepted:
+            _apply_results(state, link, starts, reply.results)
+        case Success(reply):
+            link.highest = max(link.highest, reply.highest)
+            step_down(state)
+        case _:
+            _meet_failed_start(state, link, starts, result.failure())
+
+
+def _apply_results(state, link, starts, results):
+    by_task = {result.task: result for result in results}
+    for start in starts:
+        attempt = find_attempt(state, start.task)
+        if attempt is None or attempt is not link.attempts.get(attempt.key):
+            continue
+        result = by_task.get(start.task)
+        if result is not None and result.started:
+            attempt.phase = AttemptPhase.RUNNING
+            continue
+        reason = "the worker gave no result" if result is None else result.reason
+        _withdraw_start(state, attempt, f"{link.worker}: {reason}")
+        # A refusal shows that the inventory is out of date.
+        link.due_s = state.now_s()
+
+
+def _meet_failed_start(state, link, starts, error):
+    without_effect = isinstance(error, Unavailable | Fenced)
+    for start in starts:
+        attempt = find_attempt(state, start.task)
+        if attempt is None or attempt is not link.attempts.get(attempt.key):
+            continue
+        if without_effect:
+            _withdraw_start(state, attempt, f"{link.worker} did not answer")
+        else:
+            attempt.phase = AttemptPhase.IN_DOUBT
+    meet_failure(state, link, error)
+    if not without_effect:
+        # Only a higher token keeps a start that is still under way from arriving.
+        link.token = None
+        link.due_s = state.now_s()
+
+
+def _withdraw_start(state, attempt, reason):
+    chunk, index = parse_task_id(attempt.report.task)
+    state.policy.record_end(attempt.worker, attempt.report.task, AttemptState.STOPPED)
+    remove_attempt(state, attempt)
+    state.chunks[chunk].reasons[index] = reason
--- /dev/null
+++ b/fuchsiascale/coordination/_takeover.py
@@ -0,0 +1,327 @@
+"""How an owner takes a shard over, keeps it, and loses it.
+
+Notes
+-----
+The shard's row in the store does not elect the owner; the workers' tokens do.
+The row fences what tokens cannot: writes of an owner that has been replaced and
+does not know it yet (a worker added, a chunk moved, a lease held to be over).
+"""
+
+import msgspec
+from returns.result import Success
+
+from fuchsiascale.coordination._attempts import AttemptPhase
+from fuchsiascale.coordination._inventories import take_inventory
+from fuchsiascale.coordination._ownership import raise_token
+from fuchsiascale.coordination._records import ShardRecord
+from fuchsiascale.coordination._shardcommands import ClaimWorker, ReadShard, WriteShard
+from fuchsiascale.coordination._workerlinks import WorkerEntry, WorkerLink
+from fuchsiascale.platform import ClaimRequest, Conflict, Fenced, Unavailable
+from fuchsiascale.states import AttemptState
+
+__all__ = [
+    "apply_claim",
+    "apply_shard_row",
+    "apply_shard_write",
+    "check_coverage",
+    "end_lapsed",
+    "finish_call",
+    "is_covered",
+    "is_read_after_claims",
+    "list_claims",
+    "list_row_commands",
+    "may_renew",
+    "meet_failure",
+    "observe_workers",
+    "step_down",
+]
+
+MAX_BACKOFF_DOUBLINGS = 6
+
+
+def observe_workers(state, entries, listed):
+    """Take in the workers that the list shows.
+
+    Parameters
+    ----------
+    state : ShardState
+    entries : iterable of WorkerEntry
+    listed : bool
+        Whether an absent worker is known to be absent from the list.
+    """
+    present = {entry.worker: entry for entry in entries}
+    for worker, entry in present.items():
+        link = state.links.get(worker)
+        if link is None:
+            link = state.links[worker] = _build_link(entry)
+        link.entry = entry
+        link.listed = True
+        link.absent_since_s = None
+    if not listed:
+        return
+    for link in list(state.links.values()):
+        if link.worker not in present:
+            _observe_absence(state, link)
+    check_coverage(state)
+
+
+def _build_link(entry):
+    return WorkerLink(entry=entry, attempts={}, evictions={}, throttles={})
+
+
+def _observe_absence(state, link):
+    now_s = state.now_s()
+    if link.absent_since_s is None:
+        link.absent_since_s = now_s
+    timing = state.timing
+    needed_s = timing.gone_s if link.listed else timing.unlisted_s
+    if now_s - link.absent_since_s < needed_s:
+        return
+    if link.rostered and link.inventory is None:
+        state.unseen_gone = True
+    for attempt in link.attempts.values():
+        if not attempt.over:
+            attempt.end(AttemptState.STOPPED, "the worker is gone")
+            state.policy.record_end(
+                link.worker, attempt.report.task, AttemptState.STOPPED
+            )
+    state.policy.forget_worker(link.worker)
+    del state.links[link.worker]
+
+
+def list_claims(state):
+    """Return the claims that are due; they leave the worker's lease as it is."""
+    if not state.owner:
+        return []
+    now_s = state.now_s()
+    commands = []
+    for link in state.links.values():
+        absent = link.absent_since_s is not None
+        if link.claimed or link.pending or now_s < link.due_s or absent:
+            continue
+        request = ClaimRequest(
+            token=raise_token(link.highest, state.instance), lease_ms=0
+        )
+        link.pending = ClaimWorker(
+            worker=link.worker, address=link.entry.address, request=request
+        )
+        commands.append(link.pending)
+    return commands
+
+
+def apply_claim(state, command, result):
+    """Take in the answer to a claim."""
+    link = finish_call(state, command)
+    if link is None:
+        return
+    match result:
+        case Success(reply) if reply.granted:
+            link.highest = link.token = command.request.token
+            link.failures = 0
+            link.due_s = state.now_s()
+            take_inventory(state, link, reply.inventory, after_claim=True)
+            check_coverage(state)
+        case Success(reply):
+            _meet_higher(state, link, reply.highest)
+        case _:
+            meet_failure(state, link, result.failure())
+
+
+def list_row_commands(state):
+    """Return the read or write of the shard's row that is due."""
+    if not state.owner or state.row_pending or state.now_s() < state.row_due_s:
+        return []
+    if state.record is not None:
+        wanted = _list_roster(state)
+        if wanted != state.record.workers or _needs_confirmation(state):
+            return [_write_row(state, wanted)]
+        return []
+    if not state.row_read:
+        state.row_pending = ReadShard(shard=state.shard)
+        return [state.row_pending]
+    return [_write_row(state, tuple(sorted(state.links)))]
+
+
+def _write_row(state, workers):
+    record = ShardRecord(shard=state.shard, owner=state.instance, workers=workers)
+    state.row_pending = WriteShard(
+        record=record, expected_version=state.version, sent_s=state.now_s()
+    )
+    return state.row_pending
+
+
+def _list_roster(state):
+    """Return the workers that may be used, or that may hold attempts."""
+    return tuple(
+        sorted(
+            link.worker
+            for link in state.links.values()
+            if link.rostered or link.claimed or link.attempts
+        )
+    )
+
+
+def _needs_confirmation(state):
+    """Tell whether a lease is over that only counts while the row is still ours."""
+    now_s = state.now_s()
+    return any(
+        link.lease.surely_over(now_s) and link.lease.over_at_s() > state.confirmed_s
+        for link in state.links.values()
+        if any(not attempt.over for attempt in link.attempts.values())
+    )
+
+
+def apply_shard_row(state, command, result):
+    """Take in the shard's row, so that it can be taken over."""
+    if state.row_pending is not command:
+        return
+    state.row_pending = None
+    if not isinstance(result, Success):
+        state.row_due_s = state.now_s() + state.timing.retry_s
+        return
+    row = result.unwrap()
+    state.row_read = True
+    state.version = 0 if row is None else row.version
+    if row is None:
+        return
+    record = msgspec.json.decode(row.value, type=ShardRecord)
+    if state.covered_at is not None and record.owner != state.instance:
+        step_down(state)
+        return
+    _adopt_roster(state, record)
+
+
+def _adopt_roster(state, record):
+    for worker in record.workers:
+        link = state.links.get(worker)
+        if link is None:
+            entry = WorkerEntry(worker=worker, address="")
+            link = state.links[worker] = _build_link(entry)
+            link.absent_since_s = state.now_s()
+        link.rostered = True
+
+
+def apply_shard_write(state, command, result):
+    """Take in whether the shard's row was written."""
+    if state.row_pending is not command:
+        return
+    state.row_pending = None
+    if isinstance(result, Success):
+        state.record = command.record
+        state.version = result.unwrap()
+        state.confirmed_s = command.sent_s
+        for worker in command.record.workers:
+            if worker in state.links:
+                state.links[worker].rostered = True
+        check_coverage(state)
+        return
+    error = result.failure()
+    if isinstance(error, Conflict) and state.record is not None:
+        step_down(state)
+        return
+    jitter = 0.5 + state.random.random()
+    state.row_due_s = state.now_s() + state.timing.retry_s * jitter
+    if not isinstance(error, Unavailable):
+        # A write that may have been applied is settled by another takeover.
+        state.record = None
+        state.row_read = False
+
+
+def is_covered(state):
+    """Tell whether no other owner can start anything in the shard (rule b)."""
+    return state.record is not None and all(
+        link.claimed for link in state.links.values() if link.rostered
+    )
+
+
+def check_coverage(state):
+    """Note when the shard is covered first; rows count if read after that."""
+    if state.covered_at is not None or not is_covered(state):
+        return
+    state.covered_at = state.sequence
+    for live in state.chunks.values():
+        live.stale = True
+
+
+def is_read_after_claims(state, live):
+    """Tell whether a chunk's row was read after the shard was covered (rule c)."""
+    return live.sequence > state.covered_at
+
+
+def may_renew(state):
+    """Tell whether leases may be renewed.
+
+    An owner that has been replaced holds a lease to be over by its own clock,
+    and may then start the task at another worker. The new owner renews none
+    before that is ruled out: by its write of the shard's row, or because it holds
+    every worker.
+    """
+    if state.record is not None:
+        return True
+    return all(link.claimed for link in state.links.values())
+
+
+def end_lapsed(state):
+    """End the attempts whose lease, granted by this owner, is surely over."""
+    now_s = state.now_s()
+    for link in state.links.values():
+        lease = link.lease
+        if not lease.surely_over(now_s) or state.confirmed_s < lease.over_at_s():
+            continue
+        for attempt in link.attempts.values():
+            if attempt.phase is not AttemptPhase.ENDED:
+                attempt.end(AttemptState.STOPPED, "the worker's lease ran out")
+
+
+def finish_call(state, command):
+    """Return the link that a command was sent over, or None where it is past."""
+    link = state.links.get(command.worker)
+    if link is None or link.pending is not command:
+        return None
+    link.pending = None
+    return link
+
+
+def meet_failure(state, link, error):
+    """Take in that a call failed: step down if fenced, else retry later."""
+    if isinstance(error, Fenced):
+        _meet_higher(state, link, error.highest)
+        return
+    delay_s = state.timing.retry_s * 2 ** min(link.failures, MAX_BACKOFF_DOUBLINGS)
+    link.failures += 1
+    link.due_s = state.now_s() + min(delay_s, state.timing.max_retry_s)
+
+
+def _meet_higher(state, link, highest):
+    """Take in a refused token.
+
+    A first claim is refused where an earlier owner counted further; it is raised
+    and repeated. Anything after that means that the shard has another owner.
+    """
+    link.highest = max(link.highest, highest)
+    if link.claimed:
+        step_down(state)
+    elif link.inventory is None or highest.holder == state.instance:
+        link.due_s = state.now_s()
+    else:
+        step_down(state)
+
+
+def step_down(state):
+    """Give up all that is known of the shard, and wait for a while."""
+    timing = state.timing
+    doublings = min(state.step_downs, MAX_BACKOFF_DOUBLINGS)
+    delay_s = min(timing.step_down_s * 2**doublings, timing.max_step_down_s)
+    state.step_downs += 1
+    state.backoff_until_s = state.now_s() + delay_s * (0.5 + state.random.random())
+    links = state.links
+    state.forget()
+    state.links = {}
+    for worker, link in links.items():
+        if not link.listed:
+            continue
+        kept = _build_link(link.entry)
+        kept.highest = link.highest
+        kept.listed = True
+        kept.absent_since_s = link.absent_since_s
+        state.links[worker] = kept
--- a/fuchsiascale/coordination/_workerlinks.py
+++ b/fuchsiascale/coordination/_workerlinks.py
@@ -14,7 +14,33 @@
     WorkerInventory,
 )
 
-__all__ = ["WorkerLink", "compute_committed", "compute_free"]
+__all__ = [
+    "WorkerEntry",
+    "WorkerLink",
+    "accepts_work",
+    "compute_committed",
+    "compute_free",
+    "compute_shape",
+]
+
+
+class WorkerEntry(Message):
+    """A worker of the shard, as the list and the fleet document have it.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether its attempts are to be moved away.
+    cordoned : bool
+        Whether it gets no new work.
+    """
+
+    worker: WorkerId
+    address: str
+    services: tuple[ServiceId, ...] = ()
+    reserve: Resources = Resources()
+    leaving: bool = False
+    cordoned: bool = False
 
 
 class WorkerLink(msgspec.Struct):
@@ -22,6 +48,12 @@
 
     Parameters
     ----------
+    entry : WorkerEntry
+        What the list and the fleet document say of it.
+    listed : bool
+        Whether the list has shown the worker to this owner.
+    absent_since_s : float or None
+        Since when the list lacks the worker, as monotonic time in seconds.
     highest : FencingToken
         Highest token that the worker is known to have seen.
     token : FencingToken or None
@@ -32,57 +64,95 @@
         Monotonic time of the next exchange or claim, in seconds.
     failures : int
         Calls in a row that got no answer.
-    absent_since_s : float or None
-        Since when the instance list lacks the worker.
+    inventory : WorkerInventory or None
+        The last one; None before the first claim.
+    inventory_s : float
+        Monotonic time at which the last inventory arrived, in seconds.
+    rostered : bool
+        Whether the shard's row names the worker, so that it may be used.
     attempts : dict
         Attempts placed here whose end is not recorded.
+    evictions : dict
+        Attempts to be checkpointed, as an ordered set.
+    throttles : dict
+        Throttles that the worker has not confirmed.
     """
 
-    worker: WorkerId
-    address: str
-    services: tuple[ServiceId, ...] = ()
-    reserve: Resources = Resources()
-    leaving: bool = False
+    entry: WorkerEntry
+    listed: bool = False
+    absent_since_s: float | None = None
     highest: FencingToken = NO_TOKEN
     token: FencingToken | None = None
     pending: Message | None = None
     due_s: float = 0.0
     failures: int = 0
-    absent_since_s: float | None = None
     inventory: WorkerInventory | None = None
+    inventory_s: float = 0.0
+    rostered: bool = False
     lease: Lease = msgspec.field(default_factory=Lease)
     attempts: dict[AttemptKey, Attempt] = {}
+    evictions: dict[AttemptKey, None] = {}
+    throttles: dict[AttemptKey, int] = {}
+
+    @property
+    def worker(self) -> WorkerId:
+        """The worker's id."""
+        return self.entry.worker
 
     @property
-    def claimed(self):
+    def claimed(self) -> bool:
         """Whether the worker takes commands under the own token."""
         return self.token is not None
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the worker is to be emptied."""
+        told = self.inventory is not None and self.inventory.leaving
+        return self.entry.leaving or told
+
     def list_reports(self):
         """Return the attempts of the last inventory."""
         return () if self.inventory is None else self.inventory.attempts
 
 
+def accepts_work(link, now_s):
+    """Tell whether a worker may be sent starts now."""
+    return (
+        link.claimed
+        and link.pending is None
+        and link.inventory is not None
+        and link.rostered
+        and link.failures == 0
+        and link.absent_since_s is None
+        and link.lease.surely_alive(now_s)
+        and not link.leaving
+        and not link.entry.cordoned
+    )
+
+
 def compute_committed(link):
     """Return the sum of demands that a worker holds or may hold.
 
     Running attempts of its inventory count, known here or not, and attempts
     that are being started or in doubt.
     """
-    demands = {
-        report.key: report.demand
-        for report in link.list_reports()
-        if not report.state.ended
-    }
-    ended = {report.key for report in link.list_reports() if report.state.ended}
+    reports = link.list_reports()
+    demands = {report.key: report.demand for report in reports}
     for key, attempt in link.attempts.items():
-        if key not in ended and not attempt.over:
+        if not attempt.over:
             demands.setdefault(key, attempt.report.demand)
+    for report in reports:
+        if report.state.ended:
+            del demands[report.key]
     return sum(demands.values(), start=Resources())
 
 
+def compute_shape(link):
+    """Return what a worker without attempts has for them."""
+    inventory = link.inventory
+    return inventory.capacity - inventory.reserved - link.entry.reserve
+
+
 def compute_free(link):
     """Return what a worker has left for new attempts; may be negative."""
-    inventory = link.inventory
-    reserved = inventory.reserved + link.reserve
-    return inventory.capacity - reserved - compute_committed(link)
+    return compute_shape(link) - compute_committed(link)
--- a/fuchsiascale/coordination/tests/workfakes.py
+++ b/fuchsiascale/coordination/tests/workfakes.py
@@ -143,7 +143,7 @@
         self.progress()
         if request.token != self.highest:
             return ExchangeReply(accepted=False, highest=self.highest)
-        self._extend(request.lease_ms)
+        self._extend(request.lease_ms, request.until_ms)
         for key in request.acknowledged:
             report = self.attempts.get(key)
             if report is not None and report.state.ended:
@@ -166,6 +166,7 @@
             reserved=self.reserved,
             attempts=tuple(self.attempts.values()),
             lease_ms=left_ms,
+            clock_ms=int(self._clock.monotonic() * 1000),
             leaving=self.leaving,
         )
 
@@ -181,8 +182,10 @@
         self._lapse()
         return [r for r in self.attempts.values() if not r.state.ended]
 
-    def _extend(self, lease_ms):
+    def _extend(self, lease_ms, until_ms=0):
         end_s = self._clock.monotonic() + lease_ms / 1000
+        if until_ms:
+            end_s = min(end_s, until_ms / 1000)
         self.lease_end_s = max(self.lease_end_s, end_s)
 
     def _lapse(self):
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -3,29 +3,38 @@
 import asyncio
 
 import logbook
+import msgspec
+from returns.result import Success
 
-from fuchsiascale.api import ShardDigest, ShardStatus, TaskExplanation
+from fuchsiascale.api import ShardDigest, ShardStatus, TaskExplanation, WorkNotice
 from fuchsiascale.coordination import (
     ASSIGNMENTS_TABLE,
     CHUNKS_TABLE,
-    AttemptPhase,
+    SHARDS_TABLE,
+    Assignment,
     ClaimWorker,
     ExchangeWorker,
     GroupCommitter,
+    MoveChunk,
     ReadAssignments,
     ReadChunk,
+    ReadShard,
     Shard,
+    ShardPolicy,
     StartAttempts,
     WorkerEntry,
     WriteChunk,
-    compute_free,
+    WriteShard,
+    build_write_id,
+    compute_committed,
     find_owner,
+    format_assignment_key,
     format_shard_id,
     format_task_id,
-    list_startable,
 )
+from fuchsiascale.decisions import PolicyWeights
 from fuchsiascale.ids import InstanceId
-from fuchsiascale.platform import NO_TOKEN, Resources
+from fuchsiascale.platform import Delete, Put, Resources, Transaction
 from fuchsiascale.states import InstanceRole, ListedState
 
 __all__ = ["HAND_OVER_S", "ShardKeeper"]
@@ -50,8 +59,10 @@
         ``() -> ClusterView``.
     fleet : callable
         ``() -> Fleet``.
-    place : callable or None
-        Placement function; None for first fit.
+    offers : callable or None
+        ``() -> sequence of ShardOffer``, shards that chunks may be moved to.
+    notify : callable or None
+        ``async (WorkNotice) -> None``, tells the owner of another shard.
     timing : ShardTiming or None
     """
 
@@ -64,7 +75,8 @@
         random,
         view,
         fleet,
-        place=None,
+        offers=None,
+        notify=None,
         timing=None,
     ):
         self._instance = instance
@@ -74,10 +86,12 @@
         self._random = random
         self._view = view
         self._fleet = fleet
-        self._place = place
+        self._offers = offers or tuple
+        self._notify = notify
         self._timing = timing
         self._committer = GroupCommitter(instance, tables, random)
         self._shards = {}
+        self._policies = {}
         self._calls = set()
         self._stopping = False
 
@@ -95,9 +109,11 @@
             shard.observe(
                 owner and not self._stopping, workers, view.listed, fleet.kinds
             )
+            self._configure(shard_id, fleet, len(workers), view)
             self._pump(shard)
-            if not shard.links and not shard.chunks:
+            if shard.idle:
                 del self._shards[shard_id]
+                del self._policies[shard_id]
 
     async def notice(self, notice):
         """Take in the word that chunk rows of a shard were written.
@@ -107,7 +123,7 @@
         notice : WorkNotice
         """
         shard = self._shards.get(notice.shard)
-        if shard is not None and shard.owner:
+        if shard is not None and shard.owner and shard.held:
             shard.notice(notice.chunks)
             self._pump(shard)
 
@@ -121,21 +137,20 @@
         """
         self._stopping = True
         for shard in self._shards.values():
-            shard.placing = False
+            shard.stop_placing()
         until_s = self._clock.monotonic() + HAND_OVER_S
         while self._clock.monotonic() < until_s and not self._is_quiet():
             for shard in self._shards.values():
                 self._pump(shard)
             await asyncio.sleep(HAND_OVER_POLL_S)
-        await self.settle()
-        given_up = []
-        for shard_id, shard in self._shards.items():
+        given_up = [shard.shard for shard in self._shards.values() if shard.held]
+        for shard in self._shards.values():
             for command in shard.release():
                 self._spawn(shard, command, follow=False)
-                given_up.append(shard_id)
         await self.settle()
         self._shards = {}
-        return tuple(dict.fromkeys(given_up))
+        self._policies = {}
+        return tuple(given_up)
 
     async def settle(self):
         """Wait until no call is in flight."""
@@ -147,9 +162,10 @@
         return tuple(
             ShardDigest(
                 shard=shard.shard,
-                token=_find_token(shard),
-                free=_sum_free(shard),
-                waiting=len(_list_waiting(shard)),
+                token=shard.find_token(),
+                free=shard.compute_free(),
+                waiting=shard.count_waiting(),
+                shapes=shard.list_shapes(),
             )
             for shard in self._shards.values()
             if shard.held
@@ -168,49 +184,71 @@
         chunk : ChunkId
         """
         for shard in self._shards.values():
-            live = shard.chunks.get(chunk)
-            if live is not None and live.record is not None:
+            live = shard.find_chunk(chunk)
+            if live is not None:
                 return tuple(_explain_tasks(shard, live))
         return ()
 
+    def observe_latency(self, measured):
+        """Respond to a service's latency at a worker: throttle or evict there.
+
+        Parameters
+        ----------
+        measured : ServiceLatency
+        """
+        for shard_id, shard in self._shards.items():
+            if shard.held and any(
+                link.worker == measured.worker for link in shard.links()
+            ):
+                response = self._policies[shard_id].observe_latency(measured)
+                shard.respond(measured.worker, response)
+
     def _build_shard(self, shard_id):
+        policy = ShardPolicy(self._clock, self._random)
+        self._policies[shard_id] = policy
         return Shard(
             shard_id,
             self._instance,
             self._clock,
             self._random,
-            place=self._place,
+            policy,
             timing=self._timing,
         )
 
+    def _configure(self, shard_id, fleet, workers, view):
+        policy = fleet.policy
+        weights = PolicyWeights(
+            tail_latency=policy.tail_latency_weight,
+            throughput=policy.throughput_weight,
+            evictions=policy.eviction_weight,
+        )
+        in_all = sum(entry.role is InstanceRole.WORKER for entry in view.upstreams)
+        share = workers / in_all if in_all else 1.0
+        self._policies[shard_id].configure(fleet.kinds, fleet.teams, weights, share)
+
     def _is_quiet(self):
         return not self._calls and all(s.quiet for s in self._shards.values())
 
     def _build_status(self, shard, view):
-        attempts = [
-            attempt
-            for link in shard.links.values()
-            for attempt in link.attempts.values()
-        ]
-        phases = [attempt.phase for attempt in attempts]
-        inventories = [
-            link.inventory for link in shard.links.values() if link.inventory
-        ]
+        inventories = [link.inventory for link in shard.links() if link.inventory]
         capacity = sum((i.capacity for i in inventories), start=Resources())
+        committed = sum(
+            (compute_committed(link) for link in shard.links()), start=Resources()
+        )
         return ShardStatus(
             shard=shard.shard,
             owner=find_owner(shard.shard, view.members) or InstanceId(""),
-            token=_find_token(shard),
-            workers=len(shard.links),
+            token=shard.find_token(),
+            workers=len(shard.links()),
             capacity=capacity,
-            committed=capacity - _sum_free(shard),
-            waiting=len(_list_waiting(shard)),
-            running=phases.count(AttemptPhase.RUNNING),
-            in_doubt=phases.count(AttemptPhase.IN_DOUBT),
+            committed=committed,
+            waiting=shard.count_waiting(),
+            running=shard.count_running(),
+            in_doubt=shard.count_in_doubt(),
         )
 
     def _pump(self, shard):
-        for command in shard.poll():
+        for command in shard.poll(self._offers() if shard.held else ()):
             self._spawn(shard, command)
 
     def _spawn(self, shard, command, follow=True):
@@ -219,11 +257,27 @@
         task.add_done_callback(self._calls.discard)
 
     async def _carry_out(self, shard, command, follow):
-        execute = _EXECUTORS[type(command)]
-        await execute(self, shard, command)
+        result = await _EXECUTORS[type(command)](self, command)
+        shard.apply(command, result)
         if follow:
             self._pump(shard)
 
+    async def _write_rows(self, shard_id, puts, deletes=()):
+        """Write rows at once; return the new version of the shard's row."""
+        transaction = Transaction(
+            write_id=build_write_id(self._instance, self._random),
+            puts=puts,
+            deletes=deletes,
+        )
+        result = await self._tables.transact(transaction)
+        return result.map(lambda rows: _find_version(rows, shard_id))
+
+
+def _find_version(rows, shard_id):
+    return next(
+        row.version for row in rows if row.table == SHARDS_TABLE and row.key == shard_id
+    )
+
 
 _EXECUTORS = {}
 
@@ -239,40 +293,79 @@
 
 
 @_execute(ClaimWorker)
-async def _claim_worker(keeper, shard, command):
-    result = await keeper._workers.claim(command.address, command.request)
-    shard.apply_claim(command, result)
+async def _claim_worker(keeper, command):
+    return await keeper._workers.claim(command.address, command.request)
 
 
 @_execute(ExchangeWorker)
-async def _exchange_worker(keeper, shard, command):
-    result = await keeper._workers.exchange(command.address, command.request)
-    shard.apply_exchange(command, result)
+async def _exchange_worker(keeper, command):
+    return await keeper._workers.exchange(command.address, command.request)
 
 
 @_execute(StartAttempts)
-async def _start_attempts(keeper, shard, command):
-    result = await keeper._workers.start(command.address, command.request)
-    shard.apply_start(command, result)
+async def _start_attempts(keeper, command):
+    return await keeper._workers.start(command.address, command.request)
 
 
 @_execute(ReadAssignments)
-async def _read_assignments(keeper, shard, command):
+async def _read_assignments(keeper, command):
     prefix = f"{command.shard}/"
-    result = await keeper._tables.scan(ASSIGNMENTS_TABLE, prefix, command.after)
-    shard.apply_assignments(command, result)
+    return await keeper._tables.scan(ASSIGNMENTS_TABLE, prefix, command.after)
 
 
 @_execute(ReadChunk)
-async def _read_chunk(keeper, shard, command):
-    result = await keeper._tables.get(CHUNKS_TABLE, command.chunk)
-    shard.apply_chunk(command, result)
+async def _read_chunk(keeper, command):
+    return await keeper._tables.get(CHUNKS_TABLE, command.chunk)
+
+
+@_execute(ReadShard)
+async def _read_shard(keeper, command):
+    return await keeper._tables.get(SHARDS_TABLE, command.shard)
 
 
 @_execute(WriteChunk)
-async def _write_chunk(keeper, shard, command):
-    result = await keeper._committer.write_chunk(command.write)
-    shard.apply_write(command, result)
+async def _write_chunk(keeper, command):
+    return await keeper._committer.write_chunk(command.write)
+
+
+@_execute(WriteShard)
+async def _write_shard(keeper, command):
+    put = _build_put(
+        SHARDS_TABLE, command.record.shard, command.expected_version, command.record
+    )
+    return await keeper._write_rows(command.record.shard, (put,))
+
+
+@_execute(MoveChunk)
+async def _move_chunk(keeper, command):
+    record = command.write.record
+    old_key = format_assignment_key(command.from_shard.shard, record.chunk)
+    new_key = format_assignment_key(record.shard, record.chunk)
+    puts = (
+        _build_put(CHUNKS_TABLE, record.chunk, command.write.expected_version, record),
+        _build_put(ASSIGNMENTS_TABLE, new_key, 0, Assignment(chunk=record.chunk)),
+        _build_put(
+            SHARDS_TABLE,
+            command.from_shard.shard,
+            command.from_shard_version,
+            command.from_shard,
+        ),
+    )
+    delete = Delete(
+        table=ASSIGNMENTS_TABLE,
+        key=old_key,
+        expected_version=command.write.assignment_version,
+    )
+    result = await keeper._write_rows(command.from_shard.shard, puts, (delete,))
+    if isinstance(result, Success) and keeper._notify is not None:
+        notice = WorkNotice(shard=record.shard, chunks=(record.chunk,))
+        await keeper._notify(notice)
+    return result
+
+
+def _build_put(table, key, version, value):
+    encoded = msgspec.Raw(msgspec.json.encode(value))
+    return Put(table=table, key=key, expected_version=version, value=encoded)
 
 
 def _group_workers(view, fleet):
@@ -298,10 +391,8 @@
     beside = tuple(sorted(services.get(worker, ())))
     reserves = (fleet.services[s].reserve for s in beside if s in fleet.services)
     settings = fleet.instances.get(worker)
-    leaving = (
-        upstream.state is ListedState.LEAVING
-        or bool({worker, upstream.instance_id} & view.leaving)
-        or (settings is not None and settings.cordoned)
+    leaving = upstream.state is ListedState.LEAVING or bool(
+        {worker, upstream.instance_id} & view.leaving
     )
     return WorkerEntry(
         worker=worker,
@@ -309,27 +400,10 @@
         services=beside,
         reserve=sum(reserves, start=Resources()),
         leaving=leaving,
+        cordoned=settings is not None and settings.cordoned,
     )
 
 
-def _find_token(shard):
-    tokens = [link.token for link in shard.links.values() if link.token is not None]
-    return max(tokens, default=NO_TOKEN)
-
-
-def _sum_free(shard):
-    free = (compute_free(link) for link in shard.links.values() if link.inventory)
-    return sum(free, start=Resources())
-
-
-def _list_waiting(shard):
-    return [
-        format_task_id(live.chunk, task.index)
-        for live in shard.chunks.values()
-        for task in list_startable(live)
-    ]
-
-
 def _explain_tasks(shard, live):
     for task in live.record.tasks:
         if task.state.final:
@@ -337,7 +411,7 @@
         task_id = format_task_id(live.chunk, task.index)
         attempt = live.attempts.get(task.index)
         if attempt is None:
-            reason = shard.explain_wait(task_id)
+            reason = shard.explain_wait(live, task.index)
             yield TaskExplanation(task=task_id, state="waiting", reason=reason)
             continue
         yield TaskExplanation(
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -1,12 +1,14 @@
 """Drives batch work: the shard keeper, its notices, and its hand-over."""
 
+import functools
+
 from fuchsiascale.api import WorkNotice
-from fuchsiascale.coordination import find_owner, format_shard_id
+from fuchsiascale.coordination import ShardOffer, find_owner, format_shard_id
 from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
 from fuchsiascale.daemon._routes import PEER_ROUTES
 from fuchsiascale.daemon._shardkeeper import ShardKeeper
 from fuchsiascale.ids import ShardId
-from fuchsiascale.pipelines import JobPorts, ShardOffer
+from fuchsiascale.pipelines import JobPorts
 from fuchsiascale.platform import Message
 from fuchsiascale.states import InstanceRole
 
@@ -31,6 +33,8 @@
         application.random,
         application.membership.view,
         application.documents.fleet,
+        offers=lambda: list_offers(application),
+        notify=functools.partial(notify_owner, application),
     )
 
 
@@ -84,6 +88,7 @@
                 failure_domain=offers[digest.shard].failure_domain,
                 free=digest.free,
                 waiting=digest.waiting,
+                shapes=digest.shapes,
             )
     return tuple(offers.values())
 
--- a/fuchsiascale/daemon/tests/test_shardkeeper.py
+++ b/fuchsiascale/daemon/tests/test_shardkeeper.py
@@ -12,6 +12,7 @@
     Fleet,
     JobSpec,
     Member,
+    ShardOffer,
 )
 from fuchsiascale.coordination.tests.workfakes import (
     FakeTables,
@@ -24,7 +25,6 @@
     JobNotFound,
     JobPorts,
     JobRejected,
-    ShardOffer,
     cancel_job,
     list_jobs,
     read_job,
--- a/fuchsiascale/pipelines/_jobs.py
+++ b/fuchsiascale/pipelines/_jobs.py
@@ -21,6 +21,7 @@
     JobSpec,
     TaskRecord,
     build_write_id,
+    count_fits,
     format_assignment_key,
     format_chunk_id,
 )
@@ -38,7 +39,6 @@
     "JobRejected",
     "JobUnavailable",
     "JobUncertain",
-    "ShardOffer",
     "cancel_job",
     "list_jobs",
     "read_job",
@@ -82,22 +82,6 @@
     """No job has this id."""
 
 
-class ShardOffer(Message):
-    """A shard that may take chunks, by its owner's last digest.
-
-    Parameters
-    ----------
-    shapes : tuple of Resources
-        Distinct sizes of its workers, less reserves; empty where not known.
-    """
-
-    shard: str
-    failure_domain: str
-    free: Resources = Resources()
-    waiting: int = 0
-    shapes: tuple[Resources, ...] = ()
-
-
 class JobPorts(msgspec.Struct, frozen=True, kw_only=True):
     """What the job pipeline works with.
 
@@ -379,7 +363,7 @@
         Sizes of the chunks, each at most ``MAX_CHUNK_TASKS``.
     """
     left = spec.tasks
-    room = [[_count_fits(offer, spec.demand), offer] for offer in offers]
+    room = [[count_fits(offer, spec.demand), offer] for offer in offers]
     room.sort(key=lambda entry: (-entry[0], entry[1].waiting, entry[1].shard))
     parts = []
     for fits, offer in room:
@@ -422,15 +406,6 @@
     return not offer.shapes or any(demand.fits(shape) for shape in offer.shapes)
 
 
-def _count_fits(offer, demand):
-    counts = [
-        getattr(offer.free, name) // getattr(demand, name)
-        for name in ("millicores", "memory_mb", "accelerators")
-        if getattr(demand, name) > 0
-    ]
-    return max(0, min(counts) - offer.waiting)
-
-
 def _build_chunks(submission, parts):
     spec = submission.spec
     return tuple(
--- a/fuchsiascale/platform/_messages.py
+++ b/fuchsiascale/platform/_messages.py
@@ -224,6 +224,8 @@
         What its runners take of the capacity.
     lease_ms : int
         Remaining lease of the owner, in milliseconds; attempts stop at zero.
+    clock_ms : int
+        Reading of the worker's own monotonic clock, in milliseconds.
     """
 
     worker: WorkerId
@@ -232,11 +234,18 @@
     reserved: Resources = Resources()
     attempts: tuple[AttemptReport, ...] = ()
     lease_ms: int = 0
+    clock_ms: int = 0
     leaving: bool = False
 
 
 class ClaimRequest(Message):
-    """Asks a worker to take commands under this token only, for a lease."""
+    """Asks a worker to take commands under this token only.
+
+    Parameters
+    ----------
+    lease_ms : int
+        Lease from receipt, in milliseconds; never shortens one, 0 leaves it.
+    """
 
     token: FencingToken
     lease_ms: int
@@ -305,10 +314,14 @@
         Attempts to checkpoint and evict; each ends as ``CHECKPOINTED``.
     release : bool
         Gives the claim up; the lease goes on to run down.
+    until_ms : int
+        Bound of the lease on the worker's own clock, so that a renewal that
+        arrives late does not extend it; 0 for none.
     """
 
     token: FencingToken
     lease_ms: int
+    until_ms: int = 0
     acknowledged: tuple[AttemptKey, ...] = ()
     stops: tuple[AttemptKey, ...] = ()
     checkpoints: tuple[AttemptKey, ...] = ()
--- a/standins/_worker_rules.py
+++ b/standins/_worker_rules.py
@@ -216,7 +216,7 @@
         self.advance()
         if not self._accepts(request.token):
             return ExchangeReply(accepted=False, highest=self._token)
-        self._renew(request.lease_ms)
+        self._renew(request.lease_ms, request.until_ms)
         for key in request.acknowledged:
             self._forget(key)
         for key in request.stops:
@@ -241,6 +241,7 @@
             reserved=self.reserved,
             attempts=tuple(self._report(held, now_s) for held in self._held()),
             lease_ms=max(0, int((self._lease_end_s - now_s) * 1000)),
+            clock_ms=int(now_s * 1000),
             leaving=self.leaving,
         )
 
@@ -292,8 +293,10 @@
         self._record(Event.REFUSED, token=format_token(token))
         return False
 
-    def _renew(self, lease_ms):
+    def _renew(self, lease_ms, until_ms=0):
         lease_end_s = self._clock.monotonic() + lease_ms / 1000
+        if until_ms:
+            lease_end_s = min(lease_end_s, until_ms / 1000)
         self._lease_end_s = max(self._lease_end_s, lease_end_s)
 
     def _start_one(self, command, resumed_ms):
