--- a/fuchsiascale/api/_peer.py
+++ b/fuchsiascale/api/_peer.py
@@ -2,8 +2,14 @@
 
 from fuchsiascale.coordination import (
     ClaimRecord,
+    CreditGrant,
+    CreditReply,
+    CreditRequest,
+    CreditWish,
     Heartbeat,
     HeartbeatReply,
+    LedgerReply,
+    LedgerRequest,
     PeerDigest,
     SectionsReply,
     SectionsRequest,
@@ -12,7 +18,6 @@
 from fuchsiascale.ids import (
     ChunkId,
     InstanceId,
-    RunnerId,
     ShardId,
 )
 from fuchsiascale.platform import (
@@ -24,6 +29,8 @@
 from fuchsiascale.states import Outcome, Refusal
 
 __all__ = [
+    "LedgerReply",
+    "LedgerRequest",
     "CreditGrant",
     "CreditReply",
     "CreditRequest",
@@ -44,38 +51,6 @@
 ]
 
 
-class CreditWish(Message):
-    """How many slots and connections of a runner an instance could use."""
-
-    runner: RunnerId
-    slots: int
-    connections: int
-
-
-class CreditRequest(Message):
-    """Asks the owner of a shard for credits on its runners."""
-
-    instance: InstanceId
-    shard: ShardId
-    wishes: tuple[CreditWish, ...]
-
-
-class CreditGrant(Message):
-    """Slots and connections of a runner, for some milliseconds."""
-
-    runner: RunnerId
-    slots: int
-    connections: int
-    lease_ms: int
-
-
-class CreditReply(Message):
-    """Grants for one instance; not the owner when ``owner`` is false."""
-
-    owner: bool
-    grants: tuple[CreditGrant, ...] = ()
-
-
 class KeyClaimRequest(Message):
     """Asks a key's home instance to insert the claim row before the send."""
 
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import select
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -136,6 +137,16 @@
         connection.close()
 
 
+def open_connection(connection):
+    """Connect, also where the other side has closed a kept connection."""
+    if connection.sock is not None:
+        readable, _, _ = select.select([connection.sock], [], [], 0)
+        if not readable:
+            return
+        connection.close()
+    connection.connect()
+
+
 class Callers:
     """Callers of one service.
 
@@ -158,9 +169,14 @@
         self._journal.close()
 
     def send(
-        self, address, operation, deadline_ms=DEFAULT_DEADLINE_MS, connection=None
+        self,
+        address,
+        operation,
+        deadline_ms=DEFAULT_DEADLINE_MS,
+        connection=None,
+        request=None,
     ):
-        """Send an operation once, under a new request id.
+        """Send an operation once, under a new request id unless one is given.
 
         Parameters
         ----------
@@ -172,13 +188,15 @@
             Deadline, in milliseconds.
         connection : http.client.HTTPConnection, optional
             Open connection to use, which is left open.
+        request : RequestId, optional
+            Request id to use.
 
         Returns
         -------
         Told
             What the caller was told.
         """
-        request = RequestId(f"q{next(self._numbers)}-{operation.name}")
+        request = request or RequestId(f"q{next(self._numbers)}-{operation.name}")
         body = operation.encode_body()
         self._journal.record(
             Event.SENT,
@@ -206,8 +224,7 @@
         path = f"/v1/services/{self._service}/{operation.name}"
         headers = self._list_headers(request, operation, deadline_ms)
         try:
-            if connection.sock is None:
-                connection.connect()
+            open_connection(connection)
         except OSError:
             return Told(request=request, outcome=NOT_SENT)
         try:
