--- a/fuchsiascale/daemon/__init__.py
+++ b/fuchsiascale/daemon/__init__.py
@@ -5,6 +5,8 @@
     _jobs_api,
     _listeners,
     _membership,
+    _operator,
+    _operator_work,
     _requests,
     _work,
 )
