--- a/fuchsiascale/daemon/__init__.py
+++ b/fuchsiascale/daemon/__init__.py
@@ -6,6 +6,7 @@
     _listeners,
     _membership,
     _operator,
+    _operator_work,
     _requests,
     _work,
 )
--- a/fuchsiascale/daemon/_membership.py
+++ b/fuchsiascale/daemon/_membership.py
@@ -49,14 +49,14 @@
 
     def observe_heartbeat(self, heartbeat) -> HeartbeatReply:
         """Answer a peer's heartbeat."""
-        self._membership.update(revision=self._documents.revision())
+        self._refresh()
         reply = self._membership.observe_heartbeat(heartbeat)
         self._notice()
         return reply
 
     async def beat(self):
         """Send one heartbeat to a random peer, and to those owed news."""
-        self._membership.update(revision=self._documents.revision())
+        self._refresh()
         await self._send(self._membership.choose_targets())
 
     async def tell_news(self):
@@ -64,7 +64,7 @@
         while True:
             await self._news.wait()
             self._news.clear()
-            self._membership.update(revision=self._documents.revision())
+            self._refresh()
             await self._send(self._membership.owed())
 
     async def follow_peers(self):
@@ -76,7 +76,7 @@
 
     def announce(self, everywhere=False):
         """Tell all members at once of the own state and revision."""
-        self._membership.update(revision=self._documents.revision())
+        self._refresh()
         self._membership.announce(everywhere=everywhere)
         self._news.set()
 
@@ -107,9 +107,8 @@
                 await self._documents.pull(self._find_sources())
             if self._documents.revision() == before:
                 return
-            if answered:
-                self._membership.update(revision=self._documents.revision())
-            else:
+            self._refresh()
+            if not answered:
                 self.announce()
 
     async def confirm(self, revision) -> ConfirmReply:
@@ -139,6 +138,17 @@
         result = await self._peers.call(address, SECTIONS_PATH, request, SectionsReply)
         return result.value_or(None)
 
+    def _refresh(self):
+        """Carry the document's revision and cordons over to membership."""
+        revision = self._documents.revision()
+        if revision == self._membership.digest().revision:
+            return
+        self._membership.update(revision=revision)
+        instances = self._documents.fleet().instances
+        self._membership.cordon(
+            name for name, settings in instances.items() if settings.cordoned
+        )
+
     def _find_behind(self, entries, revision):
         known = {digest.instance: digest for digest in self._membership.digests()}
         return [
--- a/fuchsiascale/daemon/_operator.py
+++ b/fuchsiascale/daemon/_operator.py
@@ -4,7 +4,6 @@
 
 from returns.result import Failure, Success
 
-import fuchsiascale
 from fuchsiascale.api import (
     DocumentReply,
     DrainRequest,
@@ -24,13 +23,15 @@
 )
 from fuchsiascale.daemon._access import OPERATOR_KEY
 from fuchsiascale.daemon._http import Refused, encode_reply
-from fuchsiascale.daemon._routes import OPERATOR_ROUTES
+from fuchsiascale.daemon._listeners import build_status
+from fuchsiascale.daemon._routes import OPERATOR_ROUTES, PEER_ROUTES
 from fuchsiascale.ids import Revision
 from fuchsiascale.states import InstanceRole, PeerState, Refusal
 
 __all__ = ["BASE"]
 
 BASE = "/operator/v1"
+STOP_PATH = "/peer/v1/stop"
 MAX_HISTORY = 500
 DEFAULT_HISTORY = 50
 EDIT_STATUS = {
@@ -95,7 +96,7 @@
 @OPERATOR_ROUTES.route("GET", f"{BASE}/instances")
 async def list_instances(application, message, request):
     """Return the instances and upstreams known here."""
-    view = application.view()
+    view = application.membership.view()
     membership = application.membership
     known = {digest.instance: digest for digest in membership.digests()}
     known[view.instance] = membership.digest()
@@ -135,20 +136,28 @@
     if not operator.admin:
         detail = f"team {operator.team} may not drain instances"
         raise Refused(http.HTTPStatus.FORBIDDEN, Refusal.UNAUTHORIZED, detail)
-    view = application.view()
+    view = application.membership.view()
     if message.instance == view.instance:
         application.request_stop()
     elif message.instance in {entry.instance_id for entry in view.upstreams}:
         await _cordon(application, message.instance, operator)
     else:
         await _drain_peer(application, message)
-    return _build_status(application)
+    return build_status(application, operator.team)
 
 
 @OPERATOR_ROUTES.route("GET", f"{BASE}/status")
 async def show_status(application, message, request):
     """Return a summary of this instance."""
-    return _build_status(application, request[OPERATOR_KEY].team)
+    return build_status(application, request[OPERATOR_KEY].team)
+
+
+@PEER_ROUTES.route("POST", STOP_PATH, DrainRequest)
+async def stop_instance(application, message, request):
+    """Begin the graceful stop that an operator asked another instance for."""
+    if message.instance == application.settings.instance:
+        application.request_stop()
+    return build_status(application)
 
 
 def _build_refusal(error, application):
@@ -217,24 +226,8 @@
         detail = f"no instance or upstream {message.instance!r} is known"
         raise Refused(http.HTTPStatus.NOT_FOUND, Refusal.NO_UPSTREAM, detail)
     result = await application.peers.call(
-        entry.address, "/peer/v1/stop", message, StatusReply
+        entry.address, STOP_PATH, message, StatusReply
     )
     if isinstance(result, Failure):
         detail = f"{message.instance} did not answer: {result.failure().detail}"
         raise Refused(http.HTTPStatus.BAD_GATEWAY, Refusal.NO_UPSTREAM, detail)
-
-
-def _build_status(application, team=""):
-    digest = application.membership.digest()
-    return StatusReply(
-        instance=digest.instance,
-        team=team,
-        failure_domain=digest.failure_domain,
-        ready=application.is_ready(),
-        stopping=application.stopping,
-        revision=application.documents.revision(),
-        store_reachable=application.documents.store_reachable(),
-        in_flight=digest.in_flight,
-        shards_held=len(digest.shards),
-        version=fuchsiascale.__version__,
-    )
