--- a/fuchsiascale/coordination/_membership.py
+++ b/fuchsiascale/coordination/_membership.py
@@ -27,6 +27,7 @@
 PROBE_SHARE = 0.2
 ESTABLISHED_BEATS = 10
 OWED_DOMAIN_S = 10.0
+VIEW_AGE_S = 0.25
 
 
 class Membership:
@@ -66,6 +67,10 @@
         self._news = 0
         self._owed_domains = {}
         self._superseded = False
+        self._cordoned = frozenset()
+        self._upstreams = ()
+        self._view = None
+        self._view_until_s = 0.0
         self._own = PeerDigest(
             instance=member.instance,
             address=member.address,
@@ -108,10 +113,17 @@
         """Note upstreams that said themselves that they are leaving."""
         if self._leaving.mark(upstreams):
             self.announce()
+            self._drop_view()
 
     def clear_leaving(self, upstreams):
         """Note upstreams that were seen to be back."""
         self._leaving.clear(upstreams)
+        self._drop_view()
+
+    def cordon(self, upstreams):
+        """Set which upstreams get no new work by the operators' wish."""
+        self._cordoned = frozenset(upstreams)
+        self._drop_view()
 
     def digest(self) -> PeerDigest:
         """Return the own digest as it stands."""
@@ -150,21 +162,26 @@
 
     def observe_list(self, listed):
         """Take in the platform's list, as it was read just now."""
-        self._listed = tuple(listed)
+        listed = tuple(listed)
+        if listed != self._listed:
+            self._listed = listed
+            self._upstreams = tuple(
+                entry for entry in listed if entry.role is not InstanceRole.ENTRY
+            )
         self._listed_s = self._clock.monotonic()
         self._remote_addresses = {
             entry.instance_id: entry.address for entry in self._listed_entries(True)
         }
         leaving = [
             entry.instance_id
-            for entry in self._listed
-            if entry.role is not InstanceRole.ENTRY
-            and entry.state is ListedState.LEAVING
+            for entry in self._upstreams
+            if entry.state is ListedState.LEAVING
         ]
         if self._leaving.observe_list(leaving):
             self.announce()
         self._leaving.forget()
         self._peers.forget()
+        self._drop_view()
 
     def choose_peer(self) -> str | None:
         """Return the peer address to send the next heartbeat to, if any."""
@@ -209,7 +226,22 @@
         return Revision(self._peers.newest_revision())
 
     def view(self) -> ClusterView:
-        """Return what is believed of the fleet at this moment."""
+        """Return what is believed of the fleet at this moment.
+
+        Returns
+        -------
+        ClusterView
+            The same object as before for as long as nothing has changed.
+        """
+        now_s = self._clock.monotonic()
+        if self._view is None or now_s >= self._view_until_s:
+            view = self._build_view()
+            if view != self._view:
+                self._view = view
+            self._view_until_s = now_s + VIEW_AGE_S
+        return self._view
+
+    def _build_view(self):
         members = [self._member]
         peers = self._listed_peers()
         for digest in self._peers.digests():
@@ -226,13 +258,24 @@
             region=self._member.region,
             members=tuple(sorted(members, key=lambda member: member.instance)),
             peers=tuple(peers[instance] for instance in sorted(peers)),
-            upstreams=tuple(
-                entry for entry in self._listed if entry.role is not InstanceRole.ENTRY
-            ),
-            leaving=self._leaving.names(),
+            upstreams=self._upstreams,
+            leaving=self._find_leaving(),
             listed=self._is_listed(),
         )
 
+    def _find_leaving(self):
+        """Return what is marked or cordoned, with the runners on such workers."""
+        marked = self._leaving.names() | self._cordoned
+        if not marked:
+            return marked
+        return marked | {
+            entry.instance_id for entry in self._upstreams if entry.worker in marked
+        }
+
+    def _drop_view(self):
+        """Let the next view be built anew."""
+        self._view_until_s = 0.0
+
     def entries(self) -> tuple[Member, ...]:
         """Return every other instance that is listed or was heard of lately."""
         found = {
--- a/fuchsiascale/coordination/tests/test_membership.py
+++ b/fuchsiascale/coordination/tests/test_membership.py
@@ -275,3 +275,25 @@
     near.observe_heartbeat(far.heartbeat())
     assert [peer.address for peer in near.view().peers] == ["relay"]
     assert near.choose_peer() == "relay"
+
+
+def test_a_view_stays_the_same_object_until_something_changes(cluster):
+    cluster.read_list()
+    node = cluster.nodes["porto-0"]
+    view = node.view()
+    cluster.run(5)
+    assert node.view() is view
+    node.mark_leaving([WORKER])
+    assert node.view() is not view
+    assert WORKER in node.view().leaving
+
+
+def test_a_cordoned_or_leaving_worker_takes_its_runners_along(cluster):
+    runner = make_entry("runner-1", InstanceRole.RUNNER)
+    runner = msgspec.structs.replace(runner, worker=WORKER)
+    cluster.read_list((*cluster.list_all(), runner))
+    node = cluster.nodes["porto-0"]
+    node.cordon([WORKER])
+    assert node.view().leaving == {WORKER, "runner-1"}
+    node.cordon([])
+    assert node.view().leaving == set()
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+import fuchsiascale
 from fuchsiascale.api import StatusReply
 from fuchsiascale.daemon import _http
 from fuchsiascale.daemon._access import (
@@ -95,9 +96,11 @@
     return status
 
 
-def build_status(application):
-    """Return the summary of this instance."""
+def build_status(application, team=""):
+    """Return the summary of this instance, and of whose token asked for it."""
     return StatusReply(
+        team=team,
+        version=fuchsiascale.__version__,
         instance=application.settings.instance,
         failure_domain=application.settings.failure_domain,
         ready=application.is_ready(),
