Search interleavings of owners, workers and store for broken invariants

Cause: the four rules (fencing, claims before starts, rows after claims, records before acknowledgements) were argued, not shown. Change: a hypothesis state machine over the sans-I/O shard: two or three owners and workers, messages delivered late, twice or never, kills, cuts, lapses, store outages, evictions, failures, cancellations. Checked at the workers: one place, within capacity, no attempt number run twice, none after its end, the last checkpoint resumed, and nothing unfinished after healing. Row transactions are built in one place for it.

--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -14,6 +14,7 @@
 from fuchsiascale.coordination._moves import *  # noqa: F403
 from fuchsiascale.coordination._ownership import *  # noqa: F403
 from fuchsiascale.coordination._records import *  # noqa: F403
+from fuchsiascale.coordination._rowwrites import *  # noqa: F403
 from fuchsiascale.coordination._schema import *  # noqa: F403
 from fuchsiascale.coordination._schema_options import *  # noqa: F403
 from fuchsiascale.coordination._shard_policy import *  # noqa: F403
--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -24,6 +24,7 @@
     "apply_write",
     "list_reads",
     "list_writes",
+    "may_read",
 ]
 
 MAX_LIVE_CHUNKS = 2_048
@@ -31,8 +32,8 @@
 
 
 def list_reads(state):
-    """Return the reads that are due; none before the shard is covered."""
-    if state.covered_at is None:
+    """Return the reads that are due."""
+    if not may_read(state):
         return []
     now_s = state.now_s()
     commands = []
@@ -52,6 +53,11 @@
     return commands
 
 
+def may_read(state):
+    """Tell whether rows may be read: not before the shard is covered (rule c)."""
+    return state.covered_at is not None
+
+
 def apply_assignments(state, command, result):
     """Take in one page of the shard's assignment rows."""
     if state.scan_pending is not command:
--- a/fuchsiascale/coordination/_commits.py
+++ b/fuchsiascale/coordination/_commits.py
@@ -2,27 +2,21 @@
 
 import asyncio
 
-import msgspec
 from returns.result import Failure, Success
 
-from fuchsiascale.coordination._records import (
-    ASSIGNMENTS_TABLE,
-    CHUNKS_TABLE,
-    format_assignment_key,
+from fuchsiascale.coordination._records import CHUNKS_TABLE
+from fuchsiascale.coordination._rowwrites import (
+    build_chunk_transaction,
+    build_write_id,
+    find_version,
 )
-from fuchsiascale.ids import WriteId
-from fuchsiascale.platform import Conflict, Delete, Put, Transaction, Unavailable
+from fuchsiascale.platform import Conflict, Unavailable
 
-__all__ = ["MAX_GROUP_ROWS", "GroupCommitter", "build_write_id"]
+__all__ = ["MAX_GROUP_ROWS", "GroupCommitter"]
 
 MAX_GROUP_ROWS = 64
 
 
-def build_write_id(instance, random):
-    """Return an id for a write that no other write has."""
-    return WriteId(f"{instance}-{random.getrandbits(64):016x}")
-
-
 class GroupCommitter:
     """Writes chunk rows, as many a transaction as wait, one transaction at a time.
 
@@ -98,42 +92,14 @@
                 _resolve(future, result)
 
     async def _transact(self, writes):
-        puts = []
-        deletes = []
-        for write in writes:
-            puts.append(_build_put(write))
-            if write.record.final and write.assignment_version:
-                deletes.append(_build_delete(write))
-        transaction = Transaction(
-            write_id=build_write_id(self._instance, self._random),
-            puts=tuple(puts),
-            deletes=tuple(deletes),
-        )
-        return await self._tables.transact(transaction)
-
-
-def _build_put(write):
-    return Put(
-        table=CHUNKS_TABLE,
-        key=write.record.chunk,
-        expected_version=write.expected_version,
-        value=msgspec.Raw(msgspec.json.encode(write.record)),
-    )
-
-
-def _build_delete(write):
-    record = write.record
-    return Delete(
-        table=ASSIGNMENTS_TABLE,
-        key=format_assignment_key(record.shard, record.chunk),
-        expected_version=write.assignment_version,
-    )
+        write_id = build_write_id(self._instance, self._random)
+        return await self._tables.transact(build_chunk_transaction(writes, write_id))
 
 
 def _resolve_versions(group, rows):
-    versions = {row.key: row.version for row in rows if row.table == CHUNKS_TABLE}
     for write, future in group:
-        _resolve(future, Success(versions[write.record.chunk]))
+        version = find_version(rows, CHUNKS_TABLE, write.record.chunk)
+        _resolve(future, Success(version))
 
 
 def _resolve(future, result):
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -33,6 +33,7 @@
     "may_renew",
     "meet_failure",
     "observe_workers",
+    "require_fresh_rows",
     "step_down",
 ]
 
@@ -239,6 +240,11 @@
     if state.covered_at is not None or not is_covered(state):
         return
     state.covered_at = state.sequence
+    require_fresh_rows(state)
+
+
+def require_fresh_rows(state):
+    """Have all rows read again that were read before the claims (rule c)."""
     for live in state.chunks.values():
         live.stale = True
 
--- /dev/null
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -0,0 +1,357 @@
+"""Owners, workers and a store, with every message in the test's hands."""
+
+import random
+
+import msgspec
+from returns.result import Failure, Success
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.coordination import (
+    ASSIGNMENTS_TABLE,
+    CHUNKS_TABLE,
+    SHARDS_TABLE,
+    Assignment,
+    ChunkRecord,
+    ClaimWorker,
+    ExchangeWorker,
+    JobSpec,
+    MoveChunk,
+    ReadAssignments,
+    ReadChunk,
+    ReadShard,
+    Shard,
+    ShardPolicy,
+    StartAttempts,
+    TaskRecord,
+    WorkerEntry,
+    WriteChunk,
+    WriteShard,
+    build_chunk_transaction,
+    build_move_transaction,
+    build_put,
+    build_shard_transaction,
+    find_version,
+    format_assignment_key,
+    parse_task_id,
+)
+from fuchsiascale.coordination.tests.workfakes import FakeTables, FakeWorker
+from fuchsiascale.platform import (
+    Conflict,
+    Resources,
+    Transaction,
+    Unavailable,
+    Uncertain,
+)
+from fuchsiascale.states import AttemptState
+
+__all__ = ["Broken", "ShardWorld"]
+
+SHARD = "north:r1"
+CAPACITY = Resources(millicores=2000, memory_mb=2000)
+DEMAND = Resources(millicores=1000, memory_mb=500)
+WORKER_CALLS = {
+    ClaimWorker: "claim",
+    ExchangeWorker: "exchange",
+    StartAttempts: "start",
+}
+LOST = Failure(Uncertain(detail="reply lost"))
+DOWN = Failure(Unavailable(detail="down"))
+
+
+class Broken(AssertionError):
+    """What must always hold does not."""
+
+
+class Envelope(msgspec.Struct, eq=False):
+    """One command of an owner on its way, and its reply."""
+
+    owner: "Owner"
+    shard: Shard
+    command: object
+    result: object = None
+    delivered: bool = False
+
+
+class Owner:
+    """An instance: its shard, and what it believes."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.owns = True
+        self.listed = set(world.listed)
+        self.cut = set()
+        self.starts = 0
+        self.restart()
+
+    def restart(self):
+        """Lose all memory, as after a kill."""
+        self.starts += 1
+        source = random.Random(f"{self.name}{self.starts}")
+        clock = self.world.clock
+        policy = ShardPolicy(clock, source)
+        self.shard = Shard(SHARD, self.name, clock, source, policy)
+
+    def poll(self):
+        """Take in the view, and put due commands on their way."""
+        entries = [WorkerEntry(worker=name, address=name) for name in self.listed]
+        self.shard.observe(self.owns, entries, True, {})
+        for command in self.shard.poll():
+            self.world.sent.append(Envelope(self, self.shard, command))
+
+
+class ShardWorld:
+    """Everything that one shard's tasks depend on."""
+
+    def __init__(self, owners=2, workers=3, listed=2, guards=False):
+        self.clock = ManualClock(start_s=1000.0)
+        self.tables = FakeTables()
+        self.workers = {}
+        for number in range(workers):
+            name = f"w{number}"
+            worker = FakeWorker(self.clock, name, CAPACITY)
+            worker.guards = guards
+            self.workers[name] = worker
+        self.dead = {}
+        self.listed = set(list(self.workers)[:listed])
+        self.sent = []
+        self.late = []
+        self.owners = [Owner(self, f"o{number}") for number in range(owners)]
+        self.finished = {}
+        self.begun = {}
+        self.count = 0
+        self.broken = False
+
+    # Work
+
+    def submit(self, tasks, run_ms):
+        """Write a chunk and its assignment."""
+        self.count += 1
+        chunk = f"job{self.count}.0"
+        spec = JobSpec(
+            job=f"job{self.count}",
+            team="t",
+            kind="k",
+            tasks=tasks,
+            demand=DEMAND,
+            run_ms=run_ms,
+        )
+        record = ChunkRecord(
+            chunk=chunk,
+            spec=spec,
+            failure_domain="north",
+            shard=SHARD,
+            submitted_ms=0,
+            tasks=tuple(TaskRecord(index=index) for index in range(tasks)),
+        )
+        key = format_assignment_key(SHARD, chunk)
+        self._write(
+            build_put(CHUNKS_TABLE, chunk, 0, record),
+            build_put(ASSIGNMENTS_TABLE, key, 0, Assignment(chunk=chunk)),
+        )
+        return chunk
+
+    def cancel(self, chunk):
+        """Write a chunk as cancelled, as the job pipeline does."""
+        record = self.read(chunk)
+        if record.final:
+            return
+        key = format_assignment_key(SHARD, chunk)
+        version = self.tables.rows[CHUNKS_TABLE, chunk].version
+        assigned = self.tables.rows[ASSIGNMENTS_TABLE, key].version
+        cancelled = msgspec.structs.replace(record, cancelled=True)
+        self._write(
+            build_put(CHUNKS_TABLE, chunk, version, cancelled),
+            build_put(ASSIGNMENTS_TABLE, key, assigned, Assignment(chunk=chunk)),
+        )
+
+    def read(self, chunk):
+        """Return a durable chunk record."""
+        return self.tables.read(CHUNKS_TABLE, chunk, ChunkRecord)
+
+    def list_chunks(self):
+        """Return all durable chunk records."""
+        names = [key for table, key in self.tables.rows if table == CHUNKS_TABLE]
+        return [self.read(name) for name in names]
+
+    def _write(self, *puts):
+        self.count += 1
+        transaction = Transaction(write_id=f"test-{self.count}", puts=puts)
+        assert self.tables.apply(transaction).applied
+
+    # Messages
+
+    def deliver(self, envelope):
+        """Let a command take effect; its reply is on the way then."""
+        envelope.delivered = True
+        command = envelope.command
+        if type(command) in WORKER_CALLS:
+            envelope.result = self._call_worker(envelope.owner, command)
+        elif self.tables.down:
+            envelope.result = DOWN
+        else:
+            envelope.result = self._call_tables(command)
+        self.check()
+
+    def answer(self, envelope):
+        """Let a reply arrive, unless its owner was restarted meanwhile."""
+        self.sent.remove(envelope)
+        if envelope.shard is envelope.owner.shard:
+            envelope.shard.apply(envelope.command, envelope.result)
+
+    def lose(self, envelope):
+        """Let a call time out; its request may arrive later."""
+        self.sent.remove(envelope)
+        if not envelope.delivered:
+            self.late.append(envelope)
+        if envelope.shard is envelope.owner.shard:
+            read = isinstance(envelope.command, ReadAssignments | ReadChunk | ReadShard)
+            envelope.shard.apply(envelope.command, DOWN if read else LOST)
+
+    def pass_all(self, owner, rounds=4):
+        """Let an owner poll and all its messages pass without fault."""
+        for _ in range(rounds):
+            owner.poll()
+            for envelope in [e for e in self.sent if e.owner is owner]:
+                unreachable = getattr(envelope.command, "worker", "") in owner.cut
+                if unreachable and not envelope.delivered:
+                    self.lose(envelope)
+                    continue
+                if not envelope.delivered:
+                    self.deliver(envelope)
+                self.answer(envelope)
+
+    def kill_worker(self, name):
+        """End a worker with all that it holds."""
+        self.dead[name] = self.workers.pop(name)
+
+    def evict(self, number):
+        """Have an owner checkpoint one running attempt, if any."""
+        running = [
+            (owner, link, report)
+            for owner in self.owners
+            for link in owner.shard.links()
+            for report in link.list_reports()
+            if not report.state.ended
+        ]
+        if running:
+            _, link, report = running[number % len(running)]
+            link.evictions[report.key] = None
+
+    def fail_attempt(self, number):
+        """Let one running attempt fail."""
+        running = [
+            (worker, report.key)
+            for worker in self.workers.values()
+            for report in worker.list_running()
+        ]
+        if running:
+            worker, key = running[number % len(running)]
+            worker.end(key, AttemptState.FAILED)
+
+    def _call_worker(self, owner, command):
+        worker = self.workers.get(command.worker)
+        if worker is None or command.worker in owner.cut:
+            return DOWN
+        begun = len(worker.started)
+        reply = getattr(worker, WORKER_CALLS[type(command)])(command.request)
+        for start in worker.started[begun:]:
+            self._check_start(start)
+        return Success(reply)
+
+    def _call_tables(self, command):
+        tables = self.tables
+        if isinstance(command, ReadAssignments):
+            prefix = f"{command.shard}/"
+            return _finish(tables.scan(ASSIGNMENTS_TABLE, prefix, command.after))
+        if isinstance(command, ReadChunk):
+            return _finish(tables.get(CHUNKS_TABLE, command.chunk))
+        if isinstance(command, ReadShard):
+            return _finish(tables.get(SHARDS_TABLE, command.shard))
+        self.count += 1
+        transaction, table, key = _build_transaction(command, f"write-{self.count}")
+        reply = tables.apply(transaction)
+        if not reply.applied:
+            return Failure(Conflict(rows=reply.conflicts))
+        rows = [tables.rows[put.table, put.key] for put in transaction.puts]
+        return Success(find_version(rows, table, key))
+
+    # What must always hold
+
+    def check(self):
+        """Raise `Broken` where a worker holds what it must not."""
+        places = {}
+        for worker in self.workers.values():
+            running = worker.list_running()
+            committed = sum((r.demand for r in running), start=Resources())
+            if not committed.fits(worker.capacity):
+                self._break(f"{worker.worker} is over its capacity")
+            for report in running:
+                if report.task in places:
+                    self._break(
+                        f"{report.key} runs on {worker.worker} and "
+                        f"{places[report.task]}"
+                    )
+                places[report.task] = worker.worker
+            for report in worker.attempts.values():
+                if report.state is AttemptState.FINISHED:
+                    known = self.finished.get(report.task, 0)
+                    self.finished[report.task] = max(known, report.attempt)
+
+    def _break(self, text):
+        self.broken = True
+        raise Broken(text)
+
+    def _check_start(self, start):
+        if start.attempt <= self.begun.get(start.task, 0):
+            self._break(f"{start.task} attempt {start.attempt} was started again")
+        self.begun[start.task] = start.attempt
+        if start.attempt <= self.finished.get(start.task, 0):
+            self._break(f"{start.task} was started after it had finished")
+        chunk, index = parse_task_id(start.task)
+        if self.read(chunk).tasks[index].state.final:
+            self._break(f"{start.task} was started after its end was recorded")
+        recorded = self.read(chunk).tasks[index]
+        if start.attempt > recorded.attempt + 1:
+            self._break(f"{start.task} skipped a number that was not recorded")
+        if start.checkpoint != recorded.checkpoint:
+            self._break(f"{start.task} does not resume at its last checkpoint")
+
+    def heal(self, rounds=900, step_s=0.5):
+        """Mend all faults and let one owner go on; return what is unfinished."""
+        self.tables.down = False
+        for owner in self.owners:
+            owner.cut.clear()
+            owner.listed = set(self.workers)
+            owner.owns = owner is self.owners[0]
+        for _ in range(rounds):
+            for owner in self.owners:
+                self.pass_all(owner, rounds=1)
+            self.clock.advance(step_s)
+            self.check()
+            open_chunks = [c.chunk for c in self.list_chunks() if not c.final]
+            if not open_chunks:
+                break
+        return open_chunks
+
+
+def _finish(coroutine):
+    """Return the result of a coroutine that waits for nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise RuntimeError("the coroutine waits")
+
+
+def _build_transaction(command, write_id):
+    if isinstance(command, WriteChunk):
+        write = command.write
+        transaction = build_chunk_transaction((write,), write_id)
+        return transaction, CHUNKS_TABLE, write.record.chunk
+    if isinstance(command, WriteShard):
+        transaction = build_shard_transaction(command, write_id)
+        return transaction, SHARDS_TABLE, command.record.shard
+    assert isinstance(command, MoveChunk)
+    transaction = build_move_transaction(command, write_id)
+    return transaction, SHARDS_TABLE, command.from_shard.shard
--- a/fuchsiascale/coordination/tests/workfakes.py
+++ b/fuchsiascale/coordination/tests/workfakes.py
@@ -117,12 +117,15 @@
         self.ends_s = {}
         self.leaving = False
         self.fail_starts = False
+        self.guards = True
+        self.fences = True
         self.started = []
+        self.newest = {}
 
     def claim(self, request):
         """Grant a claim under a token higher than all seen."""
         self._lapse()
-        if request.token <= self.highest:
+        if self.fences and request.token <= self.highest:
             return ClaimReply(granted=False, highest=self.highest)
         self.highest = request.token
         self._extend(request.lease_ms)
@@ -132,7 +135,7 @@
     def start(self, request):
         """Start attempts under the highest token and a lease."""
         self._lapse()
-        if request.token != self.highest:
+        if self.fences and request.token != self.highest:
             return StartReply(accepted=False, highest=self.highest)
         results = tuple(self._start_one(start) for start in request.starts)
         return StartReply(accepted=True, highest=self.highest, results=results)
@@ -141,7 +144,7 @@
         """Renew the lease and carry out commands under the highest token."""
         self._lapse()
         self.progress()
-        if request.token != self.highest:
+        if self.fences and request.token != self.highest:
             return ExchangeReply(accepted=False, highest=self.highest)
         self._extend(request.lease_ms, request.until_ms)
         for key in request.acknowledged:
@@ -149,10 +152,10 @@
             if report is not None and report.state.ended:
                 del self.attempts[key]
         for key in request.stops:
-            self._end(key, AttemptState.STOPPED)
+            self.end(key, AttemptState.STOPPED)
         for key in request.checkpoints:
             checkpoint = f"checkpoint/{key.task}/{key.attempt}"
-            self._end(key, AttemptState.CHECKPOINTED, checkpoint)
+            self.end(key, AttemptState.CHECKPOINTED, checkpoint)
         inventory = self.inventory()
         return ExchangeReply(accepted=True, highest=self.highest, inventory=inventory)
 
@@ -175,11 +178,12 @@
         for key, report in list(self.attempts.items()):
             over = self._clock.monotonic() >= self.ends_s[key]
             if over and not report.state.ended:
-                self._end(key, AttemptState.FINISHED)
+                self.end(key, AttemptState.FINISHED)
 
     def list_running(self):
         """Return the reports of running attempts."""
         self._lapse()
+        self.progress()
         return [r for r in self.attempts.values() if not r.state.ended]
 
     def _extend(self, lease_ms, until_ms=0):
@@ -192,9 +196,10 @@
         if self._clock.monotonic() < self.lease_end_s:
             return
         for key in list(self.attempts):
-            self._end(key, AttemptState.STOPPED)
+            self.end(key, AttemptState.STOPPED)
 
-    def _end(self, key, state, checkpoint=None):
+    def end(self, key, state, checkpoint=None):
+        """End an attempt that runs."""
         report = self.attempts.get(key)
         if report is not None and not report.state.ended:
             self.attempts[key] = msgspec.structs.replace(
@@ -211,12 +216,13 @@
         )
         reason = self._refuse(start)
         if not reason and report.key not in self.attempts:
+            self.newest[start.task] = start.attempt
             self.started.append(start)
             now_s = self._clock.monotonic()
             self.ends_s[report.key] = now_s + start.run_ms / 1000
             self.attempts[report.key] = report
             if self.fail_starts:
-                self._end(report.key, AttemptState.FAILED)
+                self.end(report.key, AttemptState.FAILED)
         return StartResult(
             task=start.task,
             attempt=start.attempt,
@@ -227,6 +233,13 @@
     def _refuse(self, start):
         if self._clock.monotonic() >= self.lease_end_s:
             return "no lease"
+        if start.attempt < self.newest.get(start.task, 0):
+            return "a later attempt was started"
+        held = [key for key in self.attempts if key.task == start.task]
+        if not held and start.attempt <= self.newest.get(start.task, 0):
+            return "the attempt has ended"
+        if not self.guards:
+            return ""
         held = [r.demand for r in self.list_running()] + [self.reserved, start.demand]
         committed = sum(held, start=Resources())
         return "" if committed.fits(self.capacity) else "no room"
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import logbook
-import msgspec
 from returns.result import Success
 
 from fuchsiascale.api import ShardDigest, ShardStatus, TaskExplanation, WorkNotice
@@ -11,7 +10,6 @@
     ASSIGNMENTS_TABLE,
     CHUNKS_TABLE,
     SHARDS_TABLE,
-    Assignment,
     ClaimWorker,
     ExchangeWorker,
     GroupCommitter,
@@ -25,16 +23,18 @@
     WorkerEntry,
     WriteChunk,
     WriteShard,
+    build_move_transaction,
+    build_shard_transaction,
     build_write_id,
     compute_committed,
     find_owner,
-    format_assignment_key,
+    find_version,
     format_shard_id,
     format_task_id,
 )
 from fuchsiascale.decisions import PolicyWeights
 from fuchsiascale.ids import InstanceId
-from fuchsiascale.platform import Delete, Put, Resources, Transaction
+from fuchsiascale.platform import Resources
 from fuchsiascale.states import InstanceRole, ListedState
 
 __all__ = ["HAND_OVER_S", "ShardKeeper"]
@@ -262,21 +262,13 @@
         if follow:
             self._pump(shard)
 
-    async def _write_rows(self, shard_id, puts, deletes=()):
-        """Write rows at once; return the new version of the shard's row."""
-        transaction = Transaction(
-            write_id=build_write_id(self._instance, self._random),
-            puts=puts,
-            deletes=deletes,
-        )
-        result = await self._tables.transact(transaction)
-        return result.map(lambda rows: _find_version(rows, shard_id))
-
+    def _build_write_id(self):
+        return build_write_id(self._instance, self._random)
 
-def _find_version(rows, shard_id):
-    return next(
-        row.version for row in rows if row.table == SHARDS_TABLE and row.key == shard_id
-    )
+    async def _transact(self, transaction, shard_id):
+        """Apply a transaction; return the new version of the shard's row."""
+        result = await self._tables.transact(transaction)
+        return result.map(lambda rows: find_version(rows, SHARDS_TABLE, shard_id))
 
 
 _EXECUTORS = {}
@@ -330,44 +322,21 @@
 
 @_execute(WriteShard)
 async def _write_shard(keeper, command):
-    put = _build_put(
-        SHARDS_TABLE, command.record.shard, command.expected_version, command.record
-    )
-    return await keeper._write_rows(command.record.shard, (put,))
+    transaction = build_shard_transaction(command, keeper._build_write_id())
+    return await keeper._transact(transaction, command.record.shard)
 
 
 @_execute(MoveChunk)
 async def _move_chunk(keeper, command):
-    record = command.write.record
-    old_key = format_assignment_key(command.from_shard.shard, record.chunk)
-    new_key = format_assignment_key(record.shard, record.chunk)
-    puts = (
-        _build_put(CHUNKS_TABLE, record.chunk, command.write.expected_version, record),
-        _build_put(ASSIGNMENTS_TABLE, new_key, 0, Assignment(chunk=record.chunk)),
-        _build_put(
-            SHARDS_TABLE,
-            command.from_shard.shard,
-            command.from_shard_version,
-            command.from_shard,
-        ),
-    )
-    delete = Delete(
-        table=ASSIGNMENTS_TABLE,
-        key=old_key,
-        expected_version=command.write.assignment_version,
-    )
-    result = await keeper._write_rows(command.from_shard.shard, puts, (delete,))
+    transaction = build_move_transaction(command, keeper._build_write_id())
+    result = await keeper._transact(transaction, command.from_shard.shard)
     if isinstance(result, Success) and keeper._notify is not None:
+        record = command.write.record
         notice = WorkNotice(shard=record.shard, chunks=(record.chunk,))
         await keeper._notify(notice)
     return result
 
 
-def _build_put(table, key, version, value):
-    encoded = msgspec.Raw(msgspec.json.encode(value))
-    return Put(table=table, key=key, expected_version=version, value=encoded)
-
-
 def _group_workers(view, fleet):
     """Return the worker entries of the own failure domain by shard id."""
     services = {}
--- a/fuchsiascale/pipelines/_jobs.py
+++ b/fuchsiascale/pipelines/_jobs.py
@@ -20,13 +20,14 @@
     JobRecord,
     JobSpec,
     TaskRecord,
+    build_put,
     build_write_id,
     count_fits,
     format_assignment_key,
     format_chunk_id,
 )
 from fuchsiascale.ids import JobId
-from fuchsiascale.platform import Conflict, Message, Put, Resources, Transaction
+from fuchsiascale.platform import Conflict, Message, Resources, Transaction
 from fuchsiascale.states import TaskState
 
 __all__ = [
@@ -201,12 +202,12 @@
     if submission.standing is not None:
         return Success(submission)
     spec = submission.spec
-    puts = [_build_put(JOBS_TABLE, spec.job, 0, _build_job(submission))]
+    puts = [build_put(JOBS_TABLE, spec.job, 0, _build_job(submission))]
     for chunk in submission.chunks:
-        puts.append(_build_put(CHUNKS_TABLE, chunk.chunk, 0, chunk))
+        puts.append(build_put(CHUNKS_TABLE, chunk.chunk, 0, chunk))
         key = format_assignment_key(chunk.shard, chunk.chunk)
         assignment = Assignment(chunk=chunk.chunk)
-        puts.append(_build_put(ASSIGNMENTS_TABLE, key, 0, assignment))
+        puts.append(build_put(ASSIGNMENTS_TABLE, key, 0, assignment))
     result = await _transact(ports, puts)
     if isinstance(result, Success):
         return Success(msgspec.structs.replace(submission, recorded=True))
@@ -466,10 +467,10 @@
 
 
 async def _write_cancellation(ports, record, version, open_chunks):
-    puts = [_build_put(JOBS_TABLE, record.spec.job, version, record)]
+    puts = [build_put(JOBS_TABLE, record.spec.job, version, record)]
     for chunk, chunk_version in open_chunks:
         changed = msgspec.structs.replace(chunk, cancelled=True)
-        puts.append(_build_put(CHUNKS_TABLE, chunk.chunk, chunk_version, changed))
+        puts.append(build_put(CHUNKS_TABLE, chunk.chunk, chunk_version, changed))
         key = format_assignment_key(chunk.shard, chunk.chunk)
         row = await ports.tables.get(ASSIGNMENTS_TABLE, key)
         if not isinstance(row, Success):
@@ -478,7 +479,7 @@
         if found is None:
             return Failure(Conflict(detail="the chunk ended meanwhile"))
         assignment = Assignment(chunk=chunk.chunk)
-        puts.append(_build_put(ASSIGNMENTS_TABLE, key, found.version, assignment))
+        puts.append(build_put(ASSIGNMENTS_TABLE, key, found.version, assignment))
     return await _transact(ports, puts)
 
 
@@ -509,11 +510,6 @@
     return await ports.tables.transact(transaction)
 
 
-def _build_put(table, key, version, value):
-    encoded = msgspec.Raw(msgspec.json.encode(value))
-    return Put(table=table, key=key, expected_version=version, value=encoded)
-
-
 def _turn_error(job, error):
     """Return the job pipeline's error for one of the tables port."""
     kinds = {"Unavailable": JobUnavailable}
