Bound the work of a placement round; look for orphaned shards; split the keeper

Cause: each reply polled the whole shard, each round offered up to 512 tasks though nothing had room, and the list of upstreams was grouped four times a second. Change: 128 candidates a round, as many of a chunk as may fit, in turns between chunks and by urgency; a round that placed nothing is repeated after 1 s or once room comes free; offers every 5 s; entries kept while the list stands. Shards with assignments but no workers, and those of failure domains that the list has dropped, are taken over and their chunks moved. The keeper is split into calls, entries and orphans.

--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -130,7 +130,7 @@
     for live in state.chunks.values():
         if live.record is None or live.stale or live.pending is not None:
             continue
-        if now_s < live.due_s or not (live.attempts or live.record.cancelled):
+        if now_s < live.due_s or not _has_ends(live):
             continue
         record = compute_record(live, state.max_failures(live.record))
         if record == live.record:
@@ -145,6 +145,12 @@
     return commands
 
 
+def _has_ends(live):
+    return live.record.cancelled or any(
+        attempt.over for attempt in live.attempts.values()
+    )
+
+
 def apply_write(state, command, result):
     """Take in whether a chunk row was written."""
     write = command.write
@@ -177,5 +183,6 @@
         link = state.links.get(attempt.worker)
         if link is not None:
             link.attempts.pop(attempt.key, None)
+        state.place_due_s = 0.0
     if not live.attempts:
         live.since_s = state.now_s()
--- a/fuchsiascale/coordination/_moves.py
+++ b/fuchsiascale/coordination/_moves.py
@@ -10,9 +10,7 @@
 from fuchsiascale.coordination._takeover import is_read_after_claims, step_down
 from fuchsiascale.platform import Conflict, Message, Resources
 
-__all__ = ["MAX_MOVES_A_ROUND", "ShardOffer", "apply_move", "count_fits", "list_moves"]
-
-MAX_MOVES_A_ROUND = 4
+__all__ = ["ShardOffer", "apply_move", "count_fits", "list_moves", "may_hold"]
 
 
 class ShardOffer(Message):
@@ -53,6 +51,19 @@
     return max(0, min(counts) - offer.waiting)
 
 
+def may_hold(offer, demand):
+    """Tell whether a worker of a shard could hold a task, as far as is known.
+
+    Examples
+    --------
+    >>> offer = ShardOffer(shard="s", failure_domain="f",
+    ...                    shapes=(Resources(millicores=4000),))
+    >>> may_hold(offer, Resources(millicores=5000))
+    False
+    """
+    return not offer.shapes or any(demand.fits(shape) for shape in offer.shapes)
+
+
 def list_moves(state, offers):
     """Return moves of chunks that wait here to shards that have room.
 
@@ -65,9 +76,11 @@
     Returns
     -------
     list of MoveChunk
-        Of chunks of which nothing runs, or may run, anywhere.
+        At most one, of a chunk of which nothing runs, or may run, anywhere.
     """
-    if state.record is None or state.covered_at is None or state.row_pending:
+    if not offers or not state.owner or state.covered_at is None:
+        return []
+    if state.record is None or state.row_pending:
         return []
     for live in state.chunks.values():
         offer = _find_offer(state, live, offers)
@@ -90,13 +103,18 @@
         for offer in offers
         if offer.shard != state.shard
         and spec.failure_domain in ("", offer.failure_domain)
+        and may_hold(offer, spec.demand)
     ]
-    best = max(allowed, key=lambda o: count_fits(o, spec.demand), default=None)
-    if best is None or count_fits(best, spec.demand) == 0:
+    best = max(allowed, key=lambda offer: _rank(offer, spec.demand), default=None)
+    if best is None or (state.links and count_fits(best, spec.demand) == 0):
         return None
     return best
 
 
+def _rank(offer, demand):
+    return count_fits(offer, demand), -offer.waiting, offer.shard
+
+
 def _build_move(state, live, offer):
     record = msgspec.structs.replace(
         live.record, shard=offer.shard, failure_domain=offer.failure_domain
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -42,6 +42,8 @@
         How long it must lack one that it has never shown to this owner.
     move_s : float
         How long a chunk must have waited before it is moved.
+    place_retry_s : float
+        How long to wait after a round that placed nothing, unless one ends.
     """
 
     exchange_s: float = 1.0
@@ -53,6 +55,7 @@
     gone_s: float = 2.0
     unlisted_s: float = 30.0
     move_s: float = 30.0
+    place_retry_s: float = 1.0
 
 
 class ShardState:
@@ -76,6 +79,8 @@
         Counts reads, so that they are ordered against claims.
     covered_at : int or None
         The sequence when every worker that may hold attempts was claimed or gone.
+    full : set of WorkerId
+        Workers that had room for no task in the last round of placements.
     unseen_gone : bool
         Whether a worker is gone whose inventory this owner has never had.
     swept : bool
@@ -118,6 +123,9 @@
         self.scan_page = None
         self.scan_due_s = 0.0
         self.scanned = {}
+        self.place_due_s = 0.0
+        self.full = set()
+        self.turn = 0
 
     def now_s(self):
         """Return the monotonic time, in seconds."""
@@ -168,7 +176,8 @@
 
 
 def remove_attempt(state, attempt):
-    """Forget an attempt."""
+    """Forget an attempt, whose room may be used again."""
+    state.place_due_s = 0.0
     chunk, index = parse_task_id(attempt.report.task)
     live = state.chunks.get(chunk)
     if live is not None and live.attempts.get(index) is attempt:
--- a/fuchsiascale/coordination/_starts.py
+++ b/fuchsiascale/coordination/_starts.py
@@ -24,15 +24,17 @@
     AttemptReport,
     Fenced,
     Message,
+    Resources,
     StartCommand,
     StartRequest,
     Unavailable,
 )
-from fuchsiascale.states import AttemptState
+from fuchsiascale.states import AttemptState, Urgency
 
 __all__ = ["MAX_STARTS_A_ROUND", "apply_start", "list_starts"]
 
-MAX_STARTS_A_ROUND = 512
+MAX_STARTS_A_ROUND = 128
+URGENCIES = list(Urgency)
 
 
 class Candidate(Message):
@@ -50,28 +52,71 @@
         return []
     now_s = state.now_s()
     links = [link for link in state.links.values() if accepts_work(link, now_s)]
-    candidates = list_candidates(state) if links else []
-    if not candidates:
+    names = {link.worker for link in links}
+    if not links or (now_s < state.place_due_s and names <= state.full):
         return []
     workers = [_describe_worker(link) for link in links]
+    free = sum((entry.free for entry in workers), start=Resources())
+    candidates = list_candidates(state, free)
+    if not candidates:
+        return []
     requests = [candidate.request for candidate in candidates]
     placements = state.policy.place(workers, requests)
+    if not any(placement.worker for placement in placements):
+        state.place_due_s = now_s + state.timing.place_retry_s
+        state.full = names
     return _build_commands(state, candidates, placements)
 
 
-def list_candidates(state):
-    """Return the tasks that may be started, at most so many a round."""
+def list_candidates(state, free):
+    """Return tasks to place, the most urgent first, in turns between chunks.
+
+    Parameters
+    ----------
+    state : ShardState
+    free : Resources
+        What is uncommitted over all workers; bounds the candidates of a chunk.
+
+    Returns
+    -------
+    list of Candidate
+        At most ``MAX_STARTS_A_ROUND``.
+    """
     candidates = []
-    for live in state.chunks.values():
-        if not is_read_after_claims(state, live):
-            continue
-        for task in list_startable(live):
-            candidates.append(_describe_task(live, task))
-            if len(candidates) >= MAX_STARTS_A_ROUND:
-                return candidates
+    for live in _order_chunks(state):
+        startable = list_startable(live)
+        limit = min(
+            _bound_fits(free, live.record.spec.demand) + 1,
+            MAX_STARTS_A_ROUND - len(candidates),
+        )
+        candidates += [_describe_task(live, task) for task in startable[:limit]]
+        if len(candidates) >= MAX_STARTS_A_ROUND:
+            break
     return candidates
 
 
+def _order_chunks(state):
+    """Return the chunks that may be started, by urgency; those of one in turns."""
+    ready = [
+        live
+        for live in state.chunks.values()
+        if live.record is not None and is_read_after_claims(state, live)
+    ]
+    state.turn += 1
+    turn = state.turn % max(1, len(ready))
+    ready = ready[turn:] + ready[:turn]
+    return sorted(ready, key=lambda live: URGENCIES.index(live.record.spec.urgency))
+
+
+def _bound_fits(free, demand):
+    counts = [
+        max(0, getattr(free, name)) // getattr(demand, name)
+        for name in ("millicores", "memory_mb", "accelerators")
+        if getattr(demand, name) > 0
+    ]
+    return min(counts, default=MAX_STARTS_A_ROUND)
+
+
 def _describe_worker(link):
     return WorkerFree(
         worker=link.worker,
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -213,7 +213,7 @@
         state.confirmed_s = command.sent_s
         for worker in command.record.workers:
             if worker in state.links:
-                state.links[worker].rostered = True
+                _admit_worker(state, state.links[worker])
         check_coverage(state)
         return
     error = result.failure()
@@ -228,6 +228,13 @@
         state.row_read = False
 
 
+def _admit_worker(state, link):
+    """Let a worker be used, which needs a renewed lease first."""
+    if not link.lease.surely_alive(state.now_s()):
+        link.due_s = state.now_s()
+    link.rostered = True
+
+
 def is_covered(state):
     """Tell whether no other owner can start anything in the shard (rule b)."""
     return state.record is not None and all(
--- a/fuchsiascale/coordination/_view.py
+++ b/fuchsiascale/coordination/_view.py
@@ -25,6 +25,7 @@
     "ServiceSettings",
     "TeamSettings",
     "format_shard_id",
+    "parse_shard_id",
 ]
 
 
@@ -146,3 +147,15 @@
 def format_shard_id(failure_domain, rack):
     """Return the id of the shard that the workers of a rack form."""
     return ShardId(f"{failure_domain}:{rack}")
+
+
+def parse_shard_id(shard):
+    """Return the failure domain and the rack that a shard id names.
+
+    Examples
+    --------
+    >>> parse_shard_id("norte-porto:r1")
+    ('norte-porto', 'r1')
+    """
+    failure_domain, _, rack = shard.partition(":")
+    return FailureDomainId(failure_domain), RackId(rack)
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -3,44 +3,35 @@
 import asyncio
 
 import logbook
-from returns.result import Success
+from returns.result import Failure, Success
 
 from fuchsiascale.api import ShardDigest, ShardStatus, TaskExplanation, WorkNotice
 from fuchsiascale.coordination import (
-    ASSIGNMENTS_TABLE,
-    CHUNKS_TABLE,
-    SHARDS_TABLE,
-    ClaimWorker,
     ExchangeWorker,
-    GroupCommitter,
     MoveChunk,
-    ReadAssignments,
-    ReadChunk,
-    ReadShard,
     Shard,
     ShardPolicy,
-    StartAttempts,
-    WorkerEntry,
-    WriteChunk,
-    WriteShard,
-    build_move_transaction,
-    build_shard_transaction,
-    build_write_id,
     compute_committed,
-    find_owner,
-    find_version,
-    format_shard_id,
     format_task_id,
 )
+from fuchsiascale.daemon._orphans import (
+    choose_owner,
+    find_assigned_shards,
+    list_orphan_domains,
+)
+from fuchsiascale.daemon._shardcalls import ShardCalls
+from fuchsiascale.daemon._shardentries import EntryCache
 from fuchsiascale.decisions import PolicyWeights
 from fuchsiascale.ids import InstanceId
-from fuchsiascale.platform import Resources
-from fuchsiascale.states import InstanceRole, ListedState
+from fuchsiascale.platform import Resources, Uncertain
+from fuchsiascale.states import InstanceRole
 
 __all__ = ["HAND_OVER_S", "ShardKeeper"]
 
 HAND_OVER_S = 5.0
 HAND_OVER_POLL_S = 0.05
+ORPHAN_SEARCH_S = 30.0
+MOVE_PERIOD_S = 5.0
 
 log = logbook.Logger("shards")
 
@@ -81,7 +72,6 @@
     ):
         self._instance = instance
         self._tables = tables
-        self._workers = workers
         self._clock = clock
         self._random = random
         self._view = view
@@ -89,7 +79,11 @@
         self._offers = offers or tuple
         self._notify = notify
         self._timing = timing
-        self._committer = GroupCommitter(instance, tables, random)
+        self._calls_out = ShardCalls(instance, tables, workers, random)
+        self._entries = EntryCache()
+        self._orphans = frozenset()
+        self._orphans_due_s = clock.monotonic() + ORPHAN_SEARCH_S * random.random()
+        self._moves_due_s = 0.0
         self._shards = {}
         self._policies = {}
         self._calls = set()
@@ -99,22 +93,46 @@
         """Take in the view and start what is due; answers are taken in later."""
         view = self._view()
         fleet = self._fleet()
-        entries = _group_workers(view, fleet)
-        for shard_id in entries:
+        entries = self._entries.group(view, fleet)
+        self._search_orphans(view, fleet)
+        for shard_id in (*entries, *self._orphans):
             if shard_id not in self._shards:
                 self._shards[shard_id] = self._build_shard(shard_id)
+        offers = self._collect_offers()
         for shard_id, shard in list(self._shards.items()):
-            owner = find_owner(shard_id, view.members) == self._instance
             workers = entries.get(shard_id, ())
+            owner = choose_owner(shard_id, view) == self._instance
             shard.observe(
                 owner and not self._stopping, workers, view.listed, fleet.kinds
             )
             self._configure(shard_id, fleet, len(workers), view)
-            self._pump(shard)
-            if shard.idle:
+            self._pump(shard, offers)
+            if shard.idle and shard_id not in self._orphans:
                 del self._shards[shard_id]
                 del self._policies[shard_id]
 
+    def _collect_offers(self):
+        """Return the shards that chunks may be moved to, but now and then only."""
+        now_s = self._clock.monotonic()
+        if now_s < self._moves_due_s:
+            return ()
+        self._moves_due_s = now_s + MOVE_PERIOD_S
+        return tuple(self._offers())
+
+    def _search_orphans(self, view, fleet):
+        now_s = self._clock.monotonic()
+        if now_s < self._orphans_due_s or self._stopping:
+            return
+        self._orphans_due_s = now_s + ORPHAN_SEARCH_S * (
+            0.9 + self._random.random() / 5
+        )
+        domains = list_orphan_domains(view, fleet)
+        self._spawn(self._find_orphans(domains))
+
+    async def _find_orphans(self, domains):
+        found = [await find_assigned_shards(self._tables, name) for name in domains]
+        self._orphans = frozenset().union(*found)
+
     async def notice(self, notice):
         """Take in the word that chunk rows of a shard were written.
 
@@ -146,7 +164,7 @@
         given_up = [shard.shard for shard in self._shards.values() if shard.held]
         for shard in self._shards.values():
             for command in shard.release():
-                self._spawn(shard, command, follow=False)
+                self._spawn(self._carry_out(shard, command))
         await self.settle()
         self._shards = {}
         self._policies = {}
@@ -237,7 +255,7 @@
         )
         return ShardStatus(
             shard=shard.shard,
-            owner=find_owner(shard.shard, view.members) or InstanceId(""),
+            owner=choose_owner(shard.shard, view) or InstanceId(""),
             token=shard.find_token(),
             workers=len(shard.links()),
             capacity=capacity,
@@ -247,130 +265,32 @@
             in_doubt=shard.count_in_doubt(),
         )
 
-    def _pump(self, shard):
-        for command in shard.poll(self._offers() if shard.held else ()):
-            self._spawn(shard, command)
+    def _pump(self, shard, offers=()):
+        for command in shard.poll(offers):
+            self._spawn(self._carry_out(shard, command, follow=True))
 
-    def _spawn(self, shard, command, follow=True):
-        task = asyncio.create_task(self._carry_out(shard, command, follow))
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _carry_out(self, shard, command, follow):
-        result = await _EXECUTORS[type(command)](self, command)
+    async def _carry_out(self, shard, command, follow=False):
+        try:
+            result = await self._calls_out.carry_out(command)
+        except Exception as error:
+            log.exception("a call of shard {} failed", shard.shard)
+            result = Failure(Uncertain(detail=str(error)))
         shard.apply(command, result)
-        if follow:
+        if isinstance(command, MoveChunk) and isinstance(result, Success):
+            await self._notify_move(command.write.record)
+        # An exchange that shows no end changes nothing that can't wait.
+        if follow and not (isinstance(command, ExchangeWorker) and shard.quiet):
             self._pump(shard)
 
-    def _build_write_id(self):
-        return build_write_id(self._instance, self._random)
-
-    async def _transact(self, transaction, shard_id):
-        """Apply a transaction; return the new version of the shard's row."""
-        result = await self._tables.transact(transaction)
-        return result.map(lambda rows: find_version(rows, SHARDS_TABLE, shard_id))
-
-
-_EXECUTORS = {}
-
-
-def _execute(command_type):
-    """Register the coroutine that carries out a type of command."""
-
-    def register(function):
-        _EXECUTORS[command_type] = function
-        return function
-
-    return register
-
-
-@_execute(ClaimWorker)
-async def _claim_worker(keeper, command):
-    return await keeper._workers.claim(command.address, command.request)
-
-
-@_execute(ExchangeWorker)
-async def _exchange_worker(keeper, command):
-    return await keeper._workers.exchange(command.address, command.request)
-
-
-@_execute(StartAttempts)
-async def _start_attempts(keeper, command):
-    return await keeper._workers.start(command.address, command.request)
-
-
-@_execute(ReadAssignments)
-async def _read_assignments(keeper, command):
-    prefix = f"{command.shard}/"
-    return await keeper._tables.scan(ASSIGNMENTS_TABLE, prefix, command.after)
-
-
-@_execute(ReadChunk)
-async def _read_chunk(keeper, command):
-    return await keeper._tables.get(CHUNKS_TABLE, command.chunk)
-
-
-@_execute(ReadShard)
-async def _read_shard(keeper, command):
-    return await keeper._tables.get(SHARDS_TABLE, command.shard)
-
-
-@_execute(WriteChunk)
-async def _write_chunk(keeper, command):
-    return await keeper._committer.write_chunk(command.write)
-
-
-@_execute(WriteShard)
-async def _write_shard(keeper, command):
-    transaction = build_shard_transaction(command, keeper._build_write_id())
-    return await keeper._transact(transaction, command.record.shard)
-
-
-@_execute(MoveChunk)
-async def _move_chunk(keeper, command):
-    transaction = build_move_transaction(command, keeper._build_write_id())
-    result = await keeper._transact(transaction, command.from_shard.shard)
-    if isinstance(result, Success) and keeper._notify is not None:
-        record = command.write.record
-        notice = WorkNotice(shard=record.shard, chunks=(record.chunk,))
-        await keeper._notify(notice)
-    return result
-
-
-def _group_workers(view, fleet):
-    """Return the worker entries of the own failure domain by shard id."""
-    services = {}
-    for upstream in view.upstreams:
-        if upstream.role is InstanceRole.RUNNER and upstream.worker:
-            services.setdefault(upstream.worker, []).append(upstream.service)
-    grouped = {}
-    for upstream in view.upstreams:
-        if upstream.role is not InstanceRole.WORKER:
-            continue
-        if upstream.failure_domain != view.failure_domain:
-            continue
-        shard_id = format_shard_id(upstream.failure_domain, upstream.rack)
-        entry = _build_entry(upstream, services, view, fleet)
-        grouped.setdefault(shard_id, []).append(entry)
-    return grouped
-
-
-def _build_entry(upstream, services, view, fleet):
-    worker = upstream.worker or upstream.instance_id
-    beside = tuple(sorted(services.get(worker, ())))
-    reserves = (fleet.services[s].reserve for s in beside if s in fleet.services)
-    settings = fleet.instances.get(worker)
-    leaving = upstream.state is ListedState.LEAVING or bool(
-        {worker, upstream.instance_id} & view.leaving
-    )
-    return WorkerEntry(
-        worker=worker,
-        address=upstream.address,
-        services=beside,
-        reserve=sum(reserves, start=Resources()),
-        leaving=leaving,
-        cordoned=settings is not None and settings.cordoned,
-    )
+    async def _notify_move(self, record):
+        log.info("chunk {} moved to shard {}", record.chunk, record.shard)
+        if self._notify is not None:
+            await self._notify(WorkNotice(shard=record.shard, chunks=(record.chunk,)))
 
 
 def _explain_tasks(shard, live):
--- a/fuchsiascale/pipelines/_jobs.py
+++ b/fuchsiascale/pipelines/_jobs.py
@@ -25,6 +25,7 @@
     count_fits,
     format_assignment_key,
     format_chunk_id,
+    may_hold,
 )
 from fuchsiascale.ids import JobId
 from fuchsiascale.platform import Conflict, Message, Resources, Transaction
@@ -191,7 +192,7 @@
     problem = explain_misfit(spec.demand, offers)
     if problem:
         return Failure(JobRejected(job=spec.job, detail=problem))
-    holding = [offer for offer in offers if _may_hold(offer, spec.demand)]
+    holding = [offer for offer in offers if may_hold(offer, spec.demand)]
     chunks = _build_chunks(submission, spread_tasks(spec, holding))
     return Success(msgspec.structs.replace(submission, chunks=chunks))
 
@@ -338,7 +339,7 @@
 
     A shard whose worker sizes are not known might hold anything.
     """
-    if any(_may_hold(offer, demand) for offer in offers):
+    if any(may_hold(offer, demand) for offer in offers):
         return ""
     shapes = [shape for offer in offers for shape in offer.shapes]
     for name in ("millicores", "memory_mb", "accelerators"):
@@ -403,10 +404,6 @@
     return "finished"
 
 
-def _may_hold(offer, demand):
-    return not offer.shapes or any(demand.fits(shape) for shape in offer.shapes)
-
-
 def _build_chunks(submission, parts):
     spec = submission.spec
     return tuple(
