Use TLS, JSON logs and teams' tokens in the daemon

Cause: settings named TLS files, a log level and tokens that the daemon did not use. Change: a session for platform, upstreams and peers each, with the TLS files of the settings; listeners with their certificates; JSON lines from the start; jobs are submitted and cancelled only with the token of their team, if it has one. The tool reads job records, which submit and cancel answer with.

--- a/fuchsiascale/cli/_jobs.py
+++ b/fuchsiascale/cli/_jobs.py
@@ -9,7 +9,7 @@
 from fuchsiascale.api import JobList, JobStatus
 from fuchsiascale.cli._command import DeploymentCommand, register
 from fuchsiascale.cli._exits import Exit
-from fuchsiascale.coordination import JobSpec
+from fuchsiascale.coordination import JobRecord, JobSpec
 
 __all__ = [
     "JobCancelCommand",
@@ -85,8 +85,8 @@
         spec = build_spec(self.argument("job"), given)
         if isinstance(spec, Failure):
             return self.fail((f"job: {spec.failure()}",), Exit.INVALID)
-        result = await client.call_caller("POST", JOBS, JobStatus, spec.unwrap())
-        return show_status(self, result)
+        result = await client.call_caller("POST", JOBS, JobRecord, spec.unwrap())
+        return show_record(self, result, "accepted")
 
 
 @register
@@ -114,7 +114,8 @@
     async def perform(self, client):
         """Ask for the cancellation and print the job's state."""
         path = f"{JOBS}/{quote(self.argument('job'), safe='')}"
-        return show_status(self, await client.call_caller("DELETE", path, JobStatus))
+        result = await client.call_caller("DELETE", path, JobRecord)
+        return show_record(self, result, "cancelled")
 
 
 @register
@@ -148,6 +149,18 @@
         return Exit.OK
 
 
+def show_record(command, result, done):
+    """Print that a job was accepted or cancelled; return the exit code."""
+    if isinstance(result, Failure):
+        return command.fail_call(result)
+    record = result.unwrap()
+    if command.option("json"):
+        command.show_json(record)
+    else:
+        command.say(f"{record.spec.job}: {done}, in {len(record.chunks)} chunks")
+    return Exit.OK
+
+
 def show_status(command, result):
     """Print a job's state by chunk; return the exit code."""
     if isinstance(result, Failure):
--- a/fuchsiascale/daemon/_access.py
+++ b/fuchsiascale/daemon/_access.py
@@ -18,6 +18,7 @@
     "Operator",
     "build_client_context",
     "build_server_context",
+    "choose_scheme",
     "hash_token",
     "require_operator_token",
     "require_peer_token",
@@ -74,6 +75,19 @@
             return None
         return Operator(found, admin=found == self._settings.admin)
 
+    def may_act_for(self, team, authorization) -> bool:
+        """Return whether a header entitles to act for a team.
+
+        Notes
+        -----
+        A team without a token anywhere is open to every caller.
+        """
+        protected = any(name == team for name, _ in self._list_hashes())
+        operator = self.identify(authorization)
+        if operator is None:
+            return not protected and not authorization
+        return operator.admin or operator.team == team
+
     def _list_hashes(self):
         for token in self._settings.operators:
             yield token.team, token.sha256
@@ -171,6 +185,17 @@
     return context
 
 
+def choose_scheme(files) -> str:
+    """Return the URL scheme of calls to servers that have such TLS files.
+
+    Examples
+    --------
+    >>> choose_scheme(None)
+    'http'
+    """
+    return "http" if files is None else "https"
+
+
 def _read_bearer(authorization):
     if not authorization.startswith(BEARER_PREFIX):
         return ""
--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -11,6 +11,7 @@
 
 from fuchsiascale.clock import SystemClock
 from fuchsiascale.daemon import _lifecycle
+from fuchsiascale.daemon._access import build_client_context, choose_scheme
 from fuchsiascale.daemon._peers import PeerClient
 from fuchsiascale.platform import (
     HttpInstanceList,
@@ -55,7 +56,7 @@
         self.state = ApplicationState.STARTING
         self.started_ms = self.clock.wall_ms()
         self.stop_requested = asyncio.Event()
-        self.session = None
+        self._sessions = []
         self.tables = None
         self.objects = None
         self.instance_list = None
@@ -65,6 +66,7 @@
         self.membership = None
         self.membership_driver = None
         self.documents = None
+        self.access = None
         self.shards = None
         self.calls = None
         self.listeners = []
@@ -74,20 +76,44 @@
         """Make the clients of the platform, the upstreams and the peers."""
         settings = self.settings
         timeout_s = settings.platform.timeout_ms / 1000
-        connector = aiohttp.TCPConnector(limit=CONNECTIONS_IN_ALL, limit_per_host=0)
-        self.session = aiohttp.ClientSession(
+        platform = self._open_session(settings.platform.tls)
+        upstreams = self._open_session(settings.upstreams.tls)
+        peers = self._open_session(settings.peer.tls)
+        self.tables = HttpTables(platform, settings.platform.tables, timeout_s)
+        self.objects = HttpObjects(platform, settings.platform.objects, timeout_s)
+        self.instance_list = HttpInstanceList(
+            platform, settings.platform.instances, timeout_s
+        )
+        scheme = choose_scheme(settings.upstreams.tls)
+        self.workers = HttpWorkers(upstreams, timeout_s, scheme)
+        self.runners = HttpRunners(upstreams, RUNNER_TIMEOUT_S, scheme)
+        self.peers = PeerClient(
+            peers,
+            settings.access.peer_token,
+            timeout_s,
+            choose_scheme(settings.peer.tls),
+        )
+
+    async def disconnect(self):
+        """Close the connections of all clients."""
+        for session in self._sessions:
+            await session.close()
+        self._sessions.clear()
+
+    def _open_session(self, tls):
+        context = build_client_context(tls)
+        connector = aiohttp.TCPConnector(
+            limit=CONNECTIONS_IN_ALL,
+            limit_per_host=0,
+            ssl=True if context is None else context,
+        )
+        session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
-        self.tables = HttpTables(self.session, settings.platform.tables, timeout_s)
-        self.objects = HttpObjects(self.session, settings.platform.objects, timeout_s)
-        self.instance_list = HttpInstanceList(
-            self.session, settings.platform.instances, timeout_s
-        )
-        self.workers = HttpWorkers(self.session, timeout_s)
-        self.runners = HttpRunners(self.session, RUNNER_TIMEOUT_S)
-        self.peers = PeerClient(self.session, settings.access.peer_token, timeout_s)
+        self._sessions.append(session)
+        return session
 
     async def run(self):
         """Start all parts, serve until asked to stop, and stop gracefully."""
--- a/fuchsiascale/daemon/_jobs_api.py
+++ b/fuchsiascale/daemon/_jobs_api.py
@@ -40,6 +40,7 @@
 @CALLER_ROUTES.route("POST", JOBS_PATH, JobSpec)
 async def post_job(application, message, request):
     """Accept a job."""
+    _require_team(application, request, message.team)
     return _unwrap(await submit_job(message, make_job_ports(application)))
 
 
@@ -65,7 +66,19 @@
 async def delete_job(application, message, request):
     """Cancel a job."""
     job = request.match_info["job"]
-    return _unwrap(await cancel_job(job, make_job_ports(application)))
+    ports = make_job_ports(application)
+    status = _unwrap(await read_job(job, ports))
+    _require_team(application, request, status.spec.team)
+    return _unwrap(await cancel_job(job, ports))
+
+
+def _require_team(application, request, team):
+    """Refuse a call whose token is not the team's, where the team has one."""
+    authorization = request.headers.get("Authorization", "")
+    if not application.access.may_act_for(team, authorization):
+        application.count_refusal("caller")
+        detail = f"the token is not that of team {team}"
+        raise Refused(http.HTTPStatus.UNAUTHORIZED, Refusal.UNAUTHORIZED, detail)
 
 
 def _unwrap(result):
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -9,6 +9,7 @@
 from fuchsiascale.daemon import _http
 from fuchsiascale.daemon._access import (
     Access,
+    build_server_context,
     require_operator_token,
     require_peer_token,
 )
@@ -30,6 +31,7 @@
     caller = _make_web_application(application, CALLER_ROUTES)
     caller.add_routes(make_caller_routes(application.calls, application.clock))
     access = Access(settings.access, application.documents.fleet)
+    application.access = access
     check_peer = require_peer_token(access, application.count_refusal)
     check_operator = require_operator_token(access, application.count_refusal)
     peer = _make_web_application(application, PEER_ROUTES, check_peer)
@@ -47,7 +49,9 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         await runner.setup()
-        await web.TCPSite(runner, listen.host, listen.port).start()
+        context = build_server_context(listen.tls)
+        site = web.TCPSite(runner, listen.host, listen.port, ssl_context=context)
+        await site.start()
         application.listeners.append(runner)
 
 
@@ -57,8 +61,7 @@
     await application.stop_keepers()
     for runner in application.listeners:
         await runner.cleanup()
-    if application.session is not None:
-        await application.session.close()
+    await application.disconnect()
 
 
 @on_start(Phase.CLIENTS)
--- a/fuchsiascale/daemon/_main.py
+++ b/fuchsiascale/daemon/_main.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from fuchsiascale.daemon._application import Application
+from fuchsiascale.daemon._logs import set_up_logs
 from fuchsiascale.daemon._settings import read_settings
 
 __all__ = ["main"]
@@ -24,7 +25,9 @@
         for problem in found.failure():
             print(problem, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    asyncio.run(_serve(found.unwrap()))
+    settings = found.unwrap()
+    set_up_logs(settings.logs.level, secrets=(settings.access.peer_token,))
+    asyncio.run(_serve(settings))
 
 
 async def _serve(settings):
--- a/fuchsiascale/platform/_runners.py
+++ b/fuchsiascale/platform/_runners.py
@@ -40,9 +40,12 @@
         Bound of each request, in seconds; a shorter deadline goes first.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, timeout_s: float):
+    def __init__(
+        self, session: aiohttp.ClientSession, timeout_s: float, scheme: str = "http"
+    ):
         self._session = session
         self._timeout_s = timeout_s
+        self._scheme = scheme
 
     async def send(
         self, address: str, request: UpstreamRequest
@@ -63,7 +66,7 @@
             said that it did not run the request; ``RequestUncertain`` once a
             byte may have been sent and no whole answer of this request came.
         """
-        url = f"http://{address}/v1/services/{request.service}/{request.path}"
+        url = f"{self._scheme}://{address}/v1/services/{request.service}/{request.path}"
         try:
             async with self._session.request(
                 request.method,
--- a/fuchsiascale/platform/_workers.py
+++ b/fuchsiascale/platform/_workers.py
@@ -34,9 +34,12 @@
         Bound of each call, in seconds.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, timeout_s: float):
+    def __init__(
+        self, session: aiohttp.ClientSession, timeout_s: float, scheme: str = "http"
+    ):
         self._session = session
         self._timeout_s = timeout_s
+        self._scheme = scheme
 
     async def claim(
         self, address: str, request: ClaimRequest
@@ -105,7 +108,7 @@
         )
 
     async def _command(self, address, name, request: Message, reply_type: type[Reply]):
-        url = f"http://{address}/v1/{name}"
+        url = f"{self._scheme}://{address}/v1/{name}"
         answered = await call(self._session, "POST", url, self._timeout_s, request)
         if isinstance(answered, Failure):
             return answered
