--- a/fuchsiascale/coordination/_shard_policy.py
+++ b/fuchsiascale/coordination/_shard_policy.py
@@ -226,6 +226,10 @@
         else:
             record_lost(self._health, worker)
 
+    def record_lost(self, worker):
+        """Note that a start came to nothing."""
+        record_lost(self._health, worker)
+
     def forget_job(self, job):
         """Drop what is known of a job that has ended."""
         forget_job(self._health, job)
