Forget what was learnt of a job when its last chunk is done

Cause: health tallies and usage estimates of ended jobs were kept for ever by a shard's owner. Change: dropping the last chunk of a job drops them; the kind's estimate stays.

--- a/fuchsiascale/coordination/_shard_policy.py
+++ b/fuchsiascale/coordination/_shard_policy.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fuchsiascale.coordination._attempts import parse_task_id
 from fuchsiascale.coordination._placement_round import (
     PlacementRound,
     TeamTerms,
@@ -75,15 +76,20 @@
     latencies: dict = {}
 
 
-def parse_job_id(task):
-    """Return the job that a task id names.
+def parse_job_id(chunk):
+    """Return the job that a chunk id names.
 
     Examples
     --------
-    >>> parse_job_id("tune.2026.0.17")
+    >>> parse_job_id("tune.2026.0")
     'tune.2026'
     """
-    return task.rsplit(".", 2)[0]
+    return chunk.rsplit(".", 1)[0]
+
+
+def _find_job(task):
+    chunk, _ = parse_task_id(task)
+    return parse_job_id(chunk)
 
 
 class ShardPolicy:
@@ -199,7 +205,7 @@
     def _count_running(self, placing):
         for state in self._workers.values():
             for report in state.attempts:
-                job = parse_job_id(report.task)
+                job = _find_job(report.task)
                 team = self._job_teams.get(job, "")
                 placing.count(job, team, report.demand)
 
@@ -207,7 +213,7 @@
 
     def record_start(self, worker, task):
         """Note that an attempt was sent to a worker."""
-        record_start(self._health, worker, parse_job_id(task), self._clock.monotonic())
+        record_start(self._health, worker, _find_job(task), self._clock.monotonic())
 
     def record_end(self, worker, task, state):
         """Note how an attempt ended.
@@ -218,7 +224,7 @@
         task : TaskId
         state : AttemptState
         """
-        job = parse_job_id(task)
+        job = _find_job(task)
         if state is AttemptState.FINISHED:
             record_success(self._health, worker, job)
         elif state is AttemptState.FAILED:
@@ -226,10 +232,6 @@
         else:
             record_lost(self._health, worker)
 
-    def record_lost(self, worker):
-        """Note that a start came to nothing."""
-        record_lost(self._health, worker)
-
     def forget_job(self, job):
         """Drop what is known of a job that has ended."""
         forget_job(self._health, job)
@@ -250,7 +252,7 @@
         state.attempts = tuple(running)
         for report in running:
             if report.used.millicores and report.state is AttemptState.RUNNING:
-                self._observe_usage(parse_job_id(report.task), report)
+                self._observe_usage(_find_job(report.task), report)
                 self._observe_usage(report.kind, report)
 
     def observe_latency(self, measured):
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -2,6 +2,7 @@
 
 from fuchsiascale.coordination._attempts import parse_task_id
 from fuchsiascale.coordination._livechunks import LiveChunk
+from fuchsiascale.coordination._shard_policy import parse_job_id
 from fuchsiascale.platform import Message
 
 __all__ = [
@@ -197,6 +198,9 @@
         remove_attempt(state, attempt)
     state.chunks.pop(live.chunk, None)
     state.foreign.add(live.chunk)
+    job = parse_job_id(live.chunk)
+    if all(parse_job_id(chunk) != job for chunk in state.chunks):
+        state.policy.forget_job(job)
 
 
 def is_recorded(state, report):
