--- a/fuchsiascale/coordination/_exchanges.py
+++ b/fuchsiascale/coordination/_exchanges.py
@@ -22,6 +22,8 @@
     "request_response",
 ]
 
+PERIOD_GROWTH = 1.5
+
 
 def list_exchanges(state):
     """Return the exchanges that are due."""
@@ -82,7 +84,7 @@
     if grants:
         link.lease.grant(now_s)
     spread = 0.9 + 0.2 * state.random.random()
-    link.due_s = now_s + state.timing.exchange_s * spread
+    link.due_s = now_s + (link.period_s or state.timing.exchange_s) * spread
     return link.pending
 
 
@@ -156,3 +158,15 @@
         if link.throttles.get(key) == throttle:
             del link.throttles[key]
     take_inventory(state, link, reply.inventory, after_claim=False)
+    _adapt_period(state, link)
+
+
+def _adapt_period(state, link):
+    """Exchange more often while attempts end, so that their room is used again."""
+    timing = state.timing
+    period_s = link.period_s or timing.exchange_s
+    if any(report.state.ended for report in link.list_reports()):
+        period_s = max(timing.busy_exchange_s, period_s / 2)
+    else:
+        period_s *= PERIOD_GROWTH
+    link.period_s = min(timing.exchange_s, period_s)
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -30,7 +30,9 @@
     Parameters
     ----------
     exchange_s : float
-        Period of the exchanges with each worker.
+        Period of the exchanges with a worker where no attempt ends.
+    busy_exchange_s : float
+        Shortest period of the exchanges while attempts end.
     scan_s : float
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
@@ -46,6 +48,7 @@
     """
 
     exchange_s: float = 1.0
+    busy_exchange_s: float = 1.0
     scan_s: float = 10.0
     retry_s: float = 0.5
     max_retry_s: float = 4.0
--- a/fuchsiascale/coordination/_workerlinks.py
+++ b/fuchsiascale/coordination/_workerlinks.py
@@ -62,6 +62,8 @@
         The one command in flight, so that inventories and starts keep order.
     due_s : float
         Monotonic time of the next exchange or claim, in seconds.
+    period_s : float
+        Present period of the exchanges, in seconds; 0 for the longest.
     failures : int
         Calls in a row that got no answer.
     inventory : WorkerInventory or None
@@ -85,6 +87,7 @@
     token: FencingToken | None = None
     pending: Message | None = None
     due_s: float = 0.0
+    period_s: float = 0.0
     failures: int = 0
     inventory: WorkerInventory | None = None
     inventory_s: float = 0.0
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -3,7 +3,12 @@
 import functools
 
 from fuchsiascale.api import WorkNotice
-from fuchsiascale.coordination import ShardOffer, find_owner, format_shard_id
+from fuchsiascale.coordination import (
+    ShardOffer,
+    ShardTiming,
+    find_owner,
+    format_shard_id,
+)
 from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
 from fuchsiascale.daemon._routes import PEER_ROUTES
 from fuchsiascale.daemon._shardkeeper import ShardKeeper
@@ -35,6 +40,7 @@
         application.documents.fleet,
         offers=lambda: list_offers(application),
         notify=functools.partial(notify_owner, application),
+        timing=ShardTiming(exchange_s=application.settings.timers.exchange_ms / 1_000),
     )
 
 
--- /dev/null
+++ b/measurements/control.py
@@ -0,0 +1,136 @@
+"""Control of a real daemon at rest and under batch load: core, memory, bytes."""
+
+import time
+
+import msgspec
+
+from fuchsiascale.coordination import JobSpec
+from fuchsiascale.platform import Resources
+from measurements._processes import read_cpu_s, read_memory_mb, read_socket_bytes
+from measurements._report import Report, judge, measurement
+from standins.callers import call_json
+from standins.clients import apply_fleet, is_ready, submit_job
+from standins.deployment import DEFAULT_FLEET, Deployment, Plan, Site
+
+MAX_CORE = 0.012
+MAX_MEMORY_MB = 128
+MAX_BYTES_PER_S = 2_000
+SETTLE_S = 12.0
+WINDOW_S = 20.0
+WORKERS = 8
+JOB_TASKS = 4_000
+PLAN = Plan(
+    sites=(
+        Site(failure_domain="norte-porto", region="norte", workers=WORKERS, racks=2),
+        Site(failure_domain="sul-faro", region="sul", workers=WORKERS, racks=2),
+    ),
+)
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Mean cost of one daemon over a window."""
+
+    core: float
+    memory_mb: float
+    sent_per_s: float
+    received_per_s: float
+    by_part: dict[str, float]
+
+
+def name_parts(deployment):
+    """Return the part of control that each remote or local port belongs to."""
+    ports = {}
+    for address in deployment.peers.values():
+        ports[address.rpartition(":")[2]] = "peers"
+    for name, address in deployment.addresses.items():
+        part = "workers" if "-w" in name else name.partition("-")[0]
+        ports[address.rpartition(":")[2]] = part
+    return ports
+
+
+def measure(deployment, pid, window_s):
+    """Return the usage of one daemon over a window."""
+    ports = name_parts(deployment)
+    cpu_s, sockets = read_cpu_s(pid), read_socket_bytes(pid)
+    began_s = time.monotonic()
+    time.sleep(window_s)
+    passed_s = time.monotonic() - began_s
+    core = (read_cpu_s(pid) - cpu_s) / passed_s
+    sent = received = 0
+    by_part = {}
+    for key, (out, into) in read_socket_bytes(pid).items():
+        before = sockets.get(key, (0, 0))
+        sent += out - before[0]
+        received += into - before[1]
+        local, remote = (address.rpartition(":")[2] for address in key)
+        part = ports.get(remote) or ports.get(local) or "other"
+        by_part[part] = by_part.get(part, 0.0) + (out - before[0]) / passed_s
+    return Usage(
+        core=core,
+        memory_mb=read_memory_mb(pid),
+        sent_per_s=sent / passed_s,
+        received_per_s=received / passed_s,
+        by_part=by_part,
+    )
+
+
+def list_figures(when, usage):
+    """Return the figures of a usage against the bounds for control."""
+    figures = [
+        judge(f"{when}: part of a core", usage.core, at_most=MAX_CORE),
+        judge(f"{when}: memory, MB", usage.memory_mb, at_most=MAX_MEMORY_MB),
+        judge(
+            f"{when}: bytes sent a second", usage.sent_per_s, at_most=MAX_BYTES_PER_S
+        ),
+        judge(f"{when}: bytes received a second", usage.received_per_s),
+    ]
+    for part, rate in sorted(usage.by_part.items()):
+        figures.append(judge(f"{when}: bytes sent a second, {part}", rate))
+    return figures
+
+
+def start_load(deployment):
+    """Submit a job that keeps all workers busy for the window."""
+    spec = JobSpec(
+        job="load",
+        team="shop",
+        kind="report",
+        tasks=JOB_TASKS,
+        demand=Resources(millicores=500, memory_mb=100),
+        run_ms=1_000,
+    )
+    answer = submit_job(next(iter(deployment.callers.values())), spec)
+    if answer.status not in (200, 201, 202):
+        raise RuntimeError(f"the job was refused with status {answer.status}")
+
+
+@measurement("control", "Control of a daemon, at rest and under batch load")
+def run():
+    """Start a deployment of four daemons and measure one of them."""
+    with Deployment(PLAN) as deployment:
+        for address in deployment.callers.values():
+            deployment.wait_until(lambda a=address: _is_live(a), f"{address} live")
+        apply_fleet(next(iter(deployment.operators.values())), DEFAULT_FLEET)
+        for address in deployment.callers.values():
+            deployment.wait_until(lambda a=address: is_ready(a), f"{address} ready")
+        pid = deployment.processes[next(iter(deployment.callers))].pid
+        time.sleep(SETTLE_S)
+        rest = measure(deployment, pid, WINDOW_S)
+        start_load(deployment)
+        time.sleep(SETTLE_S / 4)
+        load = measure(deployment, pid, WINDOW_S)
+    starts = WORKERS * 2 * 7
+    return Report(
+        baseline="none",
+        setting=f"two failure domains of two instances and {WORKERS} workers in two "
+        f"racks each; about {starts:,} starts a second over all under load; "
+        f"{WINDOW_S:.0f} s each, one daemon, bytes by the kernel's socket counters",
+        figures=(*list_figures("at rest", rest), *list_figures("under load", load)),
+    )
+
+
+def _is_live(address):
+    try:
+        return call_json(address, "GET", "/healthz").status == 200
+    except OSError:
+        return False
--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -6,8 +6,12 @@
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import (
+    Attempt,
+    AttemptPhase,
     ChunkRecord,
     ClaimRecord,
+    CreditRequest,
+    CreditWish,
     Heartbeat,
     JobSpec,
     Member,
@@ -15,7 +19,9 @@
     PeerDigest,
     ShardDigest,
     ShardPolicy,
+    SlotLedger,
     TaskRecord,
+    Tenure,
     build_fleet,
     format_sections,
     parse_fleet,
@@ -31,6 +37,7 @@
     release_ticket,
 )
 from fuchsiascale.platform import (
+    NO_TOKEN,
     AttemptReport,
     ExchangeReply,
     ExchangeRequest,
@@ -246,6 +253,64 @@
     )
 
 
+def measure_attempt_memory(attempts):
+    """Return the memory of running attempts at their owner."""
+
+    def make():
+        encoded = msgspec.json.encode(make_inventory(attempts))
+        inventory = msgspec.json.decode(encoded, type=WorkerInventory)
+        return {
+            report.key: Attempt(
+                worker="norte-porto-w17", phase=AttemptPhase.RUNNING, report=report
+            )
+            for report in inventory.attempts
+        }
+
+    return measure_memory(make)
+
+
+def make_credit_request(number, runners):
+    """Return an instance's ask for credits on some runners."""
+    return CreditRequest(
+        instance=f"norte-porto-e{number % 8}",
+        incarnation=1_800_000_000_000,
+        shard="norte-porto:rack1",
+        sequence=number,
+        wishes=tuple(
+            CreditWish(runner=f"norte-porto-r{each}", slots=4, kept=2, floor=1)
+            for each in range(runners)
+        ),
+    )
+
+
+def measure_credit_bytes(runners):
+    """Return the bytes of an ask for credits and its answer."""
+    ledger = SlotLedger(ManualClock(1_000.0))
+    request = make_credit_request(1, runners)
+    reply = ledger.lend(request, make_tenures(runners), 8, 8)
+    sizes = [len(msgspec.json.encode(message)) for message in (request, reply)]
+    return sum(sizes) + 2 * HTTP_BYTES
+
+
+def make_tenures(runners):
+    """Return the hold on the workers of some runners."""
+    tenure = Tenure(token=TOKEN, previous=NO_TOKEN, claimed_s=900.0, confirmed_s=1e9)
+    return {f"norte-porto-r{each}": tenure for each in range(runners)}
+
+
+def measure_credit_cpu(runners):
+    """Return the processor time of an ask at the owner, with eight instances."""
+    clock = ManualClock(1_000.0)
+    ledger, tenures = SlotLedger(clock), make_tenures(runners)
+    numbers = iter(range(10**9))
+
+    def ask():
+        clock.advance(0.5)
+        ledger.lend(make_credit_request(next(numbers), runners), tenures, 8, 8)
+
+    return measure_cpu_us(ask)
+
+
 def make_listing(entries):
     """Return the encoded instance list of some upstreams."""
     return msgspec.json.encode(
@@ -364,6 +429,9 @@
     ("chunk row, bytes, by tasks", (1, 64, 256), "chunk_bytes"),
     ("chunk row codecs, µs, by tasks", (1, 64, 256), "chunk_cpu"),
     ("chunk rows in memory, bytes, by tasks", (1_024, 4_096, 16_384), "chunk_memory"),
+    ("attempts at their owner, bytes, by attempts", (64, 256, 1_024), "attempt_memory"),
+    ("ask for credits and answer, bytes, by runners", (1, 11, 33), "credit_bytes"),
+    ("ask for credits at the owner, µs, by runners", (1, 11, 33), "credit_cpu"),
     ("instance list decoded, µs, by entries", (66, 935, 7_742), "listing_cpu"),
     ("instance list in memory, bytes, by entries", (66, 935, 7_742), "listing_memory"),
     ("document, bytes, by sections", (30, 300, 3_000), "document_bytes"),
