--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -2,6 +2,7 @@
 
 from fuchsiascale.coordination._attempts import parse_task_id
 from fuchsiascale.coordination._livechunks import LiveChunk
+from fuchsiascale.coordination._shard_policy import parse_job_id
 from fuchsiascale.platform import Message
 
 __all__ = [
@@ -29,7 +30,9 @@
     Parameters
     ----------
     exchange_s : float
-        Period of the exchanges with each worker.
+        Period of the exchanges with a worker where no attempt ends.
+    busy_exchange_s : float
+        Shortest period of the exchanges while attempts end.
     scan_s : float
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
@@ -47,6 +50,7 @@
     """
 
     exchange_s: float = 1.0
+    busy_exchange_s: float = 1.0
     scan_s: float = 10.0
     retry_s: float = 0.5
     max_retry_s: float = 4.0
@@ -206,6 +210,9 @@
         remove_attempt(state, attempt)
     state.chunks.pop(live.chunk, None)
     state.foreign.add(live.chunk)
+    job = parse_job_id(live.chunk)
+    if all(parse_job_id(chunk) != job for chunk in state.chunks):
+        state.policy.forget_job(job)
 
 
 def is_recorded(state, report):
