Stop the daemon with exit status 1 when a background task fails

Cause: an exception in the credit loop ended it without a word, and every request was then refused for want of slots (503 deadline). Ruled out: restarting the task, which would hide the fault and run on with half-changed state; the platform replaces the process anyway. Change: a failed task is logged and asks for a graceful stop. Conclusion: such faults show at once.

--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -75,6 +75,7 @@
         self.credits = None
         self.traces = None
         self.registry = make_registry()
+        self.failed = False
         self.listeners = []
         self._keepers = []
 
@@ -163,7 +164,18 @@
 
     def keep(self, coroutine):
         """Run a coroutine in the background until the daemon stops."""
-        self._keepers.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._keepers.append(task)
+
+    def _note_end(self, task):
+        """Stop the daemon when a background task fails: it is of no use alone."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self.log.critical("background task failed: {!r}", error, exc_info=error)
+        self.failed = True
+        self.request_stop()
 
     def _watch_signals(self):
         loop = asyncio.get_running_loop()
--- a/fuchsiascale/daemon/_main.py
+++ b/fuchsiascale/daemon/_main.py
@@ -12,6 +12,7 @@
 
 __all__ = ["main"]
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -27,8 +28,10 @@
         sys.exit(EXIT_BAD_SETTINGS)
     settings = found.unwrap()
     set_up_logs(settings.logs.level, secrets=(settings.access.peer_token,))
-    asyncio.run(_serve(settings))
+    sys.exit(asyncio.run(_serve(settings)))
 
 
 async def _serve(settings):
-    await Application(settings).run()
+    application = Application(settings)
+    await application.run()
+    return EXIT_FAILED if application.failed else 0
