--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -115,7 +115,7 @@
     if record is None or record.shard != state.shard or record.final:
         drop_chunk(state, live)
         return
-    live.stale = False
+    live.stale = live.unsettled = False
     live.record = record
     live.version = row.version
     live.sequence = command.sequence
@@ -171,6 +171,7 @@
 def meet_failed_write(state, live, error):
     """Have a row read again after a write of it failed."""
     now_s = state.now_s()
+    live.unsettled = not isinstance(error, Conflict) and not live.stale
     live.stale = True
     live.due_s = now_s + state.timing.retry_s * state.random.random()
     if isinstance(error, Conflict):
--- a/fuchsiascale/coordination/_livechunks.py
+++ b/fuchsiascale/coordination/_livechunks.py
@@ -30,6 +30,9 @@
         Order of the last read against claims; starts need one after the claims.
     stale : bool
         Whether the row must be read again.
+    unsettled : bool
+        Whether that is only because an own write failed or may have failed: what
+        waits still waits, and an owner goes on starting it in an outage.
     pending : Message or None
         The read or write in flight.
     attempts : dict
@@ -48,6 +51,7 @@
     assignment_version: int = 0
     sequence: int = 0
     stale: bool = True
+    unsettled: bool = False
     pending: Message | None = None
     attempts: dict[int, Attempt] = {}
     reasons: dict[int, str] = {}
@@ -98,7 +102,9 @@
 
 def list_startable(chunk):
     """Return the tasks that wait and have no attempt in the air."""
-    if chunk.record is None or chunk.stale or chunk.record.cancelled:
+    if chunk.record is None or chunk.record.cancelled:
+        return []
+    if chunk.stale and not chunk.unsettled:
         return []
     return [
         task
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -200,6 +200,7 @@
         live = LiveChunk(chunk=chunk, since_s=state.now_s())
         state.chunks[chunk] = live
     live.stale = True
+    live.unsettled = False
     state.foreign.discard(chunk)
     return live
 
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -257,6 +257,7 @@
     """Have all rows read again that were read before the claims (rule c)."""
     for live in state.chunks.values():
         live.stale = True
+        live.unsettled = False
 
 
 def is_read_after_claims(state, live):
