Fit heartbeats into the byte budget and find dead members sooner

Ruled out: fewer digests at one beat a second (headers and the own digest dominate); choosing the stalest member always, which spends all beats on a dead one. A process that learns of a newer one of its name stops.

--- a/fuchsiascale/coordination/_membership.py
+++ b/fuchsiascale/coordination/_membership.py
@@ -14,17 +14,20 @@
     DEFAULT_LIMITS,
     MembershipLimits,
     PeerTable,
+    choose_limits,
     relay_digest,
 )
 from fuchsiascale.coordination._view import ClusterView, Member
 from fuchsiascale.ids import Revision
 from fuchsiascale.states import InstanceRole, ListedState, PeerState
 
-__all__ = ["Membership", "MembershipLimits"]
+__all__ = ["Membership", "MembershipLimits", "choose_limits"]
 
-SPREAD_DIGESTS = 3
+SPREAD_DIGESTS = 4
 REMOTE_EVERY = 5
 PROBE_SHARE = 0.2
+STALEST_SHARE = 0.7
+SHARDS_EVERY = 4
 ESTABLISHED_BEATS = 10
 OWED_DOMAIN_S = 10.0
 VIEW_AGE_S = 0.25
@@ -68,6 +71,7 @@
         self._owed_domains = {}
         self._superseded = False
         self._cordoned = frozenset()
+        self._sent = 0
         self._upstreams = ()
         self._view = None
         self._view_until_s = 0.0
@@ -130,12 +134,18 @@
         leaving = self._leaving.to_spread()
         return msgspec.structs.replace(self._own, leaving_upstreams=leaving)
 
+    def _digest_to_send(self):
+        """Return the own digest, with the shards in some messages only."""
+        self._sent += 1
+        digest = self.digest()
+        return digest if self._sent % SHARDS_EVERY == 1 else relay_digest(digest)
+
     def heartbeat(self) -> Heartbeat:
         """Count one beat and return the message for the chosen peers."""
         self._own = msgspec.structs.replace(self._own, beat=self._own.beat + 1)
         newest = self._peers.find_newest(SPREAD_DIGESTS)
         spread = tuple(relay_digest(digest) for digest in newest)
-        return Heartbeat(digests=(self.digest(), *spread), news=self._news)
+        return Heartbeat(digests=(self._digest_to_send(), *spread), news=self._news)
 
     def observe_heartbeat(self, heartbeat) -> HeartbeatReply:
         """Take in a peer's heartbeat and return what the peer knows less of."""
@@ -146,7 +156,8 @@
         newest = self._peers.find_newest(SPREAD_DIGESTS + len(told))
         newer += [digest for digest in newest if digest.instance not in told]
         relayed = tuple(relay_digest(digest) for digest in newer[:SPREAD_DIGESTS])
-        return HeartbeatReply(digests=(self.digest(), *relayed), news=heartbeat.news)
+        digests = (self._digest_to_send(), *relayed)
+        return HeartbeatReply(digests=digests, news=heartbeat.news)
 
     def observe_reply(self, reply):
         """Take in the answer to a heartbeat; the first digest is the peer's own."""
@@ -186,6 +197,9 @@
     def choose_peer(self) -> str | None:
         """Return the peer address to send the next heartbeat to, if any."""
         remote = self._own.beat % REMOTE_EVERY == REMOTE_EVERY - 1
+        stalest = None if remote else self._peers.find_stalest()
+        if stalest is not None and self._prefers(stalest):
+            return stalest.address
         for wanted in (remote, not remote):
             address = self._choose_among(self._find_addresses(wanted))
             if address is not None:
@@ -316,6 +330,14 @@
         found.pop(self._member.address, None)
         return found
 
+    def _prefers(self, stalest):
+        """Return whether to try the member heard of longest ago, not any other.
+
+        A suspect is tried for certain: it answers, or is known to fail.
+        """
+        suspect = self.state_of(stalest.instance) is PeerState.SUSPECT
+        return suspect or self._random.random() < STALEST_SHARE
+
     def _choose_among(self, found):
         """Choose a live address mostly, and now and then one that is not."""
         live = sorted(address for address, is_live in found.items() if is_live)
--- a/fuchsiascale/coordination/_messages.py
+++ b/fuchsiascale/coordination/_messages.py
@@ -18,7 +18,7 @@
 ]
 
 
-class ShardDigest(Message, omit_defaults=True):
+class ShardDigest(Message, array_like=True):
     """What an owner tells of a shard it holds.
 
     Parameters
@@ -38,7 +38,7 @@
     shapes: tuple[Resources, ...] = ()
 
 
-class PeerDigest(Message, omit_defaults=True):
+class PeerDigest(Message, array_like=True):
     """What is spread about one instance; a higher incarnation or beat is newer.
 
     Parameters
@@ -49,8 +49,8 @@
         Count of heartbeats sent since the start.
     in_flight : int
         Requests that the instance has in hand.
-    relayed : bool
-        Whether another instance passes it on; then it carries no shards.
+    partial : bool
+        Whether the shards are left out, as told before.
     """
 
     instance: InstanceId
@@ -64,7 +64,7 @@
     in_flight: int = 0
     shards: tuple[ShardDigest, ...] = ()
     leaving_upstreams: tuple[str, ...] = ()
-    relayed: bool = False
+    partial: bool = False
 
 
 class Heartbeat(Message):
--- a/fuchsiascale/coordination/_peers.py
+++ b/fuchsiascale/coordination/_peers.py
@@ -4,9 +4,19 @@
 
 from fuchsiascale.states import PeerState
 
-__all__ = ["DEFAULT_LIMITS", "MembershipLimits", "PeerTable", "relay_digest"]
+__all__ = [
+    "DEFAULT_LIMITS",
+    "MembershipLimits",
+    "PeerTable",
+    "choose_limits",
+    "relay_digest",
+]
 
-PAUSE_S = 3.0
+PAUSE_S = 6.0
+SPREAD_S = 4.0
+SUSPECT_BEATS = 2.5
+GONE_BEATS = 10.0
+REMOTE_GONE_BEATS = 30.0
 
 
 class MembershipLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -15,9 +25,10 @@
     Parameters
     ----------
     suspect_s : float
-        Seconds without a newer beat until a peer is suspect.
+        Seconds without a newer beat until a peer is suspect; one that also failed
+        to answer since it was last heard of is gone.
     gone_s : float
-        Seconds without a newer beat until a peer is gone.
+        Seconds without a newer beat until any peer is gone.
     remote_gone_s : float
         The same for peers of other failure domains, which are heard less.
     forget_s : float
@@ -27,7 +38,7 @@
     """
 
     suspect_s: float = 5.0
-    gone_s: float = 10.0
+    gone_s: float = 20.0
     remote_gone_s: float = 60.0
     forget_s: float = 300.0
     listed_s: float = 10.0
@@ -36,6 +47,31 @@
 DEFAULT_LIMITS = MembershipLimits()
 
 
+def choose_limits(beat_s):
+    """Return limits that fit the time between two heartbeats.
+
+    Parameters
+    ----------
+    beat_s : float
+        Time between two heartbeats, in seconds.
+
+    Returns
+    -------
+    MembershipLimits
+        The default ones at a beat in two seconds.
+
+    Examples
+    --------
+    >>> choose_limits(2.0) == DEFAULT_LIMITS
+    True
+    """
+    return MembershipLimits(
+        suspect_s=SUSPECT_BEATS * beat_s,
+        gone_s=GONE_BEATS * beat_s,
+        remote_gone_s=REMOTE_GONE_BEATS * beat_s,
+    )
+
+
 class _Peer:
     """Newest digest of a peer, when it was learned, and what it was told."""
 
@@ -110,16 +146,23 @@
         if peer is None:
             return PeerState.GONE
         age_s = self._now() - peer.seen_s
-        local = self.is_local(peer.digest)
-        gone_s = self._limits.gone_s if local else self._limits.remote_gone_s
-        if age_s > gone_s or (not local and self._failed_since_seen(peer)):
+        if self._is_gone(peer, age_s):
             return PeerState.GONE
         if peer.digest.state is PeerState.LEAVING:
             return PeerState.LEAVING
-        if local and age_s > self._limits.suspect_s:
+        if age_s > self._limits.suspect_s and self.is_local(peer.digest):
             return PeerState.SUSPECT
         return PeerState.ALIVE
 
+    def _is_gone(self, peer, age_s):
+        """Return whether a peer is silent for too long, or fails when tried."""
+        failed = self._failed_since_seen(peer)
+        if not self.is_local(peer.digest):
+            return failed or age_s > self._limits.remote_gone_s
+        if failed and age_s > self._limits.suspect_s:
+            return True
+        return age_s > self._limits.gone_s
+
     def digests(self):
         """Return the newest digest of each peer that is not gone, by name."""
         return tuple(
@@ -142,6 +185,23 @@
         local.sort(key=lambda digest: -self._peers[digest.instance].seen_s)
         return local[:count]
 
+    def find_stalest(self):
+        """Return the member heard of longest ago, of those that did not fail.
+
+        Returns
+        -------
+        PeerDigest or None
+            Its digest.
+        """
+        local = [
+            digest
+            for digest in self.digests()
+            if self.is_local(digest)
+            and not self._failed_since_seen(self._peers[digest.instance])
+        ]
+        local.sort(key=lambda digest: self._peers[digest.instance].seen_s)
+        return local[0] if local else None
+
     def find_newer(self, told):
         """Return digests that are newer than those told."""
         return [
@@ -180,7 +240,12 @@
         }
 
     def _failed_since_seen(self, peer):
-        return self._failed.get(peer.digest.address, peer.seen_s) > peer.seen_s
+        """Return whether a peer failed, and was not heard of well after that.
+
+        What is heard shortly after a failure may have been sent before it.
+        """
+        failed_s = self._failed.get(peer.digest.address)
+        return failed_s is not None and peer.seen_s < failed_s + SPREAD_S
 
     def _now(self):
         """Return the time, after ages were taken back where there was a pause."""
@@ -195,7 +260,7 @@
 
 def relay_digest(digest):
     """Return a digest as others pass it on: without what only the peer tells."""
-    return msgspec.structs.replace(digest, shards=(), relayed=True)
+    return msgspec.structs.replace(digest, shards=(), partial=True)
 
 
 def _order(digest):
@@ -203,9 +268,9 @@
 
 
 def _merge(known, digest):
-    """Keep the shards that the peer itself told of, in a relayed digest."""
-    if not digest.relayed:
+    """Keep the shards that were told of before, where a digest carries none."""
+    if not digest.partial:
         return digest
     same = known is not None and known.digest.incarnation == digest.incarnation
     shards = known.digest.shards if same else ()
-    return msgspec.structs.replace(digest, shards=shards, relayed=False)
+    return msgspec.structs.replace(digest, shards=shards, partial=False)
--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -25,6 +25,7 @@
 
 CONNECTIONS_IN_ALL = 2_048
 RUNNER_TIMEOUT_S = 30.0
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
 class ApplicationState(Enum):
@@ -110,6 +111,7 @@
         session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
+            skip_auto_headers=SKIPPED_HEADERS,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         self._sessions.append(session)
--- a/fuchsiascale/daemon/_control.py
+++ b/fuchsiascale/daemon/_control.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from fuchsiascale.coordination import DocumentKeeper, Member, Membership
+from fuchsiascale.coordination import DocumentKeeper, Member, Membership, choose_limits
 from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
 from fuchsiascale.daemon._membership import MembershipDriver
 
@@ -21,7 +21,8 @@
         region=settings.region,
     )
     clock, random = application.clock, application.random
-    application.membership = Membership(member, clock, random, seeds=settings.seeds)
+    limits = choose_limits(settings.timers.heartbeat_ms / 1000)
+    application.membership = Membership(member, clock, random, limits, settings.seeds)
     application.documents = DocumentKeeper(
         settings.instance,
         application.tables,
@@ -69,6 +70,9 @@
         in_flight=application.calls.in_flight, shards=application.shards.digests()
     )
     await application.membership_driver.beat()
+    if application.membership.superseded() and not application.stopping:
+        application.log.error("a newer process runs under this instance's name")
+        application.request_stop()
 
 
 @keeper("document", lambda settings: settings.timers.document_poll_ms)
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -17,7 +17,7 @@
 from fuchsiascale.daemon._lifecycle import Phase, on_start, on_stop
 from fuchsiascale.daemon._routes import CALLER_ROUTES, OPERATOR_ROUTES, PEER_ROUTES
 
-__all__ = ["build_status"]
+__all__ = ["build_status", "drop_server_headers"]
 
 MAX_PEER_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
@@ -76,10 +76,17 @@
         client_max_size=MAX_PEER_BODY_BYTES, middlewares=middlewares
     )
     web_application[_http.APPLICATION_KEY] = application
+    web_application.on_response_prepare.append(drop_server_headers)
     routes.add_to(web_application)
     return web_application
 
 
+async def drop_server_headers(request, response):
+    """Leave out headers that tell nothing to whoever calls."""
+    for name in ("Server", "Date"):
+        response.headers.pop(name, None)
+
+
 @CALLER_ROUTES.route("GET", "/healthz")
 async def get_health(application, message, request):
     """Tell that the process runs."""
--- a/fuchsiascale/daemon/_settings_options.py
+++ b/fuchsiascale/daemon/_settings_options.py
@@ -151,7 +151,7 @@
         ),
     ),
     "timers": (
-        _period("heartbeat_ms", 1_000, 100, 10_000, "Time between heartbeats"),
+        _period("heartbeat_ms", 2_000, 200, 5_000, "Time between heartbeats"),
         _period("list_poll_ms", 2_000, 100, 60_000, "Time between list reads"),
         _period("document_poll_ms", 2_000, 100, 5_000, "Time between head reads"),
         _period("exchange_ms", 5_000, 100, 60_000, "Time between worker exchanges"),
--- /dev/null
+++ b/measurements/membership.py
@@ -0,0 +1,267 @@
+"""Measures what heartbeats cost a node, and how fast they spread news and loss."""
+
+import asyncio
+from random import Random
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.coordination import (
+    Heartbeat,
+    HeartbeatReply,
+    Member,
+    Membership,
+    PeerDigest,
+    ShardDigest,
+)
+from fuchsiascale.daemon._application import SKIPPED_HEADERS
+from fuchsiascale.daemon._listeners import drop_server_headers
+from fuchsiascale.daemon._peers import PeerClient
+from fuchsiascale.platform import FencingToken, ListedInstance, Resources
+from fuchsiascale.states import InstanceRole, PeerState
+from measurements._report import Figure, Report, judge, measurement
+
+SIZES = (8, 31, 240)
+DOMAIN_SIZE = 8
+SHARDS = 4
+WARM_UP_S = 60
+RUN_S = 300
+MAX_LOSS_S = 40
+CONTROL_BYTES_PER_S = 2_000
+LEAVING_S = 3.0
+TICK_S = 0.1
+BEAT_S = 2.0
+SEED = 17
+
+
+class Fabric:
+    """Memberships that pass messages in memory, on one set clock."""
+
+    def __init__(self, size, header_bytes):
+        self.clock = ManualClock(100.0, 1_800_000_000_000)
+        self.random = Random(SEED)
+        self.header_bytes = header_bytes
+        self.nodes = {}
+        self.due = {}
+        self.down = set()
+        self.bytes = 0
+        for number in range(size):
+            domain = f"domain-{number // DOMAIN_SIZE:02d}"
+            self._add(f"{domain}-e{number % DOMAIN_SIZE}", domain)
+        listed = tuple(self._list(node) for node in self.nodes.values())
+        for node in self.nodes.values():
+            node.observe_list(listed)
+
+    def _add(self, name, domain):
+        member = Member(
+            instance=name, address=name, failure_domain=domain, region="region-1"
+        )
+        node = Membership(member, self.clock, Random(self.random.random()))
+        node.update(shards=make_shards(name))
+        self.nodes[name] = node
+        self.due[name] = self.clock.monotonic() + self.random.uniform(0, BEAT_S)
+
+    def _list(self, node):
+        digest = node.digest()
+        return ListedInstance(
+            instance_id=digest.instance,
+            role=InstanceRole.ENTRY,
+            address=digest.address,
+            failure_domain=digest.failure_domain,
+            region=digest.region,
+        )
+
+    def advance(self):
+        """Let one tick pass; each node beats when its time has come."""
+        self.clock.advance(TICK_S)
+        now_s = self.clock.monotonic()
+        for name, node in self.nodes.items():
+            if name in self.down or now_s < self.due[name]:
+                continue
+            self.due[name] = now_s + BEAT_S * self.random.uniform(0.9, 1.1)
+            self.tell(name, node.choose_targets())
+
+    def tell(self, name, addresses):
+        """Pass one heartbeat to each address, and the replies back."""
+        if not addresses:
+            return
+        node = self.nodes[name]
+        heartbeat = node.heartbeat()
+        for address in addresses:
+            if address in self.down:
+                node.observe_failure(address)
+                continue
+            reply = self.nodes[address].observe_heartbeat(heartbeat)
+            node.observe_reply(reply)
+            sizes = (
+                len(msgspec.json.encode(message)) for message in (heartbeat, reply)
+            )
+            self.bytes += sum(sizes) + self.header_bytes
+
+    def domain_of(self, name):
+        """Return the other live members of a node's failure domain."""
+        domain = self.nodes[name].digest().failure_domain
+        return [
+            other
+            for other in self.nodes
+            if other.startswith(domain) and other != name and other not in self.down
+        ]
+
+
+def make_shards(name):
+    """Return the digests of as many shards as an instance holds at most."""
+    token = FencingToken(counter=12, holder=name)
+    free = Resources(millicores=123_456, memory_mb=654_321)
+    return tuple(
+        ShardDigest(shard=f"{name}:rack{number}", token=token, free=free, waiting=17)
+        for number in range(SHARDS)
+    )
+
+
+async def measure_header_bytes():
+    """Return the bytes of one exchange beside the two bodies, on a loopback socket.
+
+    The bytes are counted by a small proxy between the client and a listener
+    of the daemon's kind, the second exchange of a kept connection.
+    """
+    digest = PeerDigest(
+        instance="a",
+        address="10.0.0.1:7102",
+        failure_domain="f",
+        region="r",
+        incarnation=1,
+        beat=1,
+    )
+    heartbeat, reply = Heartbeat(digests=(digest,)), HeartbeatReply(digests=(digest,))
+    bodies = sum(len(msgspec.json.encode(each)) for each in (heartbeat, reply))
+
+    async def handle(request):
+        await request.read()
+        return web.Response(
+            body=msgspec.json.encode(reply), content_type="application/json"
+        )
+
+    served = web.Application()
+    served.on_response_prepare.append(drop_server_headers)
+    served.router.add_post("/peer/v1/heartbeat", handle)
+    runner = web.AppRunner(served, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    counted = []
+
+    async def pipe(reader, writer):
+        while data := await reader.read(65_536):
+            counted.append(len(data))
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    async def relay(reader, writer):
+        upstream = await asyncio.open_connection("127.0.0.1", port)
+        await asyncio.gather(pipe(reader, upstream[1]), pipe(upstream[0], writer))
+
+    proxy = await asyncio.start_server(relay, "127.0.0.1", 0)
+    address = f"127.0.0.1:{proxy.sockets[0].getsockname()[1]}"
+    async with aiohttp.ClientSession(skip_auto_headers=SKIPPED_HEADERS) as session:
+        client = PeerClient(session, "t" * 32)
+        for _ in range(2):
+            counted.clear()
+            result = await client.call(
+                address, "/peer/v1/heartbeat", heartbeat, HeartbeatReply
+            )
+            result.unwrap()
+    proxy.close()
+    await runner.cleanup()
+    return sum(counted) - bodies
+
+
+def measure_bytes(fabric):
+    """Return bytes a second of a node, sent and received, and false losses."""
+    lost = 0
+    fabric.bytes = 0
+    for _ in range(int(RUN_S / TICK_S)):
+        fabric.advance()
+        name = fabric.random.choice(sorted(fabric.nodes))
+        node = fabric.nodes[name]
+        states = [node.state_of(other) for other in fabric.domain_of(name)]
+        lost += states.count(PeerState.GONE)
+    return 2 * fabric.bytes / RUN_S / len(fabric.nodes), lost
+
+
+def measure_leaving(fabric):
+    """Return seconds until all members hold a mark, told on ticks as it comes up."""
+    worst_s = 0.0
+    for number in range(20):
+        name = fabric.random.choice(sorted(fabric.nodes))
+        worker = f"worker-{number}"
+        began_s = fabric.clock.monotonic()
+        fabric.nodes[name].mark_leaving([worker])
+        fabric.tell(name, fabric.nodes[name].owed())
+        members = fabric.domain_of(name)
+        while not all(
+            worker in fabric.nodes[other].view().leaving for other in members
+        ):
+            fabric.advance()
+        worst_s = max(worst_s, fabric.clock.monotonic() - began_s)
+    return worst_s
+
+
+def measure_loss(fabric):
+    """Return seconds until the last member believes a killed one gone."""
+    name = sorted(fabric.nodes)[3]
+    fabric.down.add(name)
+    began_s = fabric.clock.monotonic()
+    last_s = 0.0
+    for other in fabric.domain_of(name):
+        node = fabric.nodes[other]
+        while node.state_of(name) is not PeerState.GONE:
+            fabric.advance()
+            if fabric.clock.monotonic() - began_s > MAX_LOSS_S:
+                return MAX_LOSS_S
+        last_s = fabric.clock.monotonic() - began_s
+    return last_s
+
+
+@measurement("membership", "Heartbeats: bytes, spread and detection")
+def run():
+    """Measure fabrics of three sizes."""
+    header_bytes = asyncio.run(measure_header_bytes())
+    figures = [Figure(name="header bytes of one exchange", measured=header_bytes)]
+    for size in SIZES:
+        fabric = Fabric(size, header_bytes)
+        for _ in range(int(WARM_UP_S / TICK_S)):
+            fabric.advance()
+        spent, lost = measure_bytes(fabric)
+        figures += [
+            judge(
+                f"{size} instances: bytes/s a node, sent and received",
+                spent,
+                at_most=CONTROL_BYTES_PER_S,
+            ),
+            judge(f"{size}: live members believed gone", lost, at_most=0),
+            judge(
+                f"{size}: s until all members hold a leaving mark",
+                measure_leaving(fabric),
+                at_most=LEAVING_S,
+            ),
+            Figure(
+                name=f"{size}: s until a kill is known", measured=measure_loss(fabric)
+            ),
+        ]
+    return Report(
+        baseline="none",
+        setting=(
+            f"failure domains of {DOMAIN_SIZE}, {SHARDS} shards an instance, one beat "
+            f"in {BEAT_S:g} s, {RUN_S} s on a set clock after {WARM_UP_S} s, seed "
+            f"{SEED}; messages in memory, header bytes counted on a socket"
+        ),
+        figures=tuple(figures),
+        notes=(
+            "Bytes are those of HTTP; TCP and IP add some 40 a segment. News is "
+            "counted as told at once, so a mark's time is that of lost first messages.",
+        ),
+    )
