--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -24,6 +24,7 @@
     "apply_write",
     "list_reads",
     "list_writes",
+    "may_read",
 ]
 
 MAX_LIVE_CHUNKS = 2_048
@@ -31,8 +32,8 @@
 
 
 def list_reads(state):
-    """Return the reads that are due; none before the shard is covered."""
-    if state.covered_at is None:
+    """Return the reads that are due."""
+    if not may_read(state):
         return []
     now_s = state.now_s()
     commands = []
@@ -52,6 +53,11 @@
     return commands
 
 
+def may_read(state):
+    """Tell whether rows may be read: not before the shard is covered (rule c)."""
+    return state.covered_at is not None
+
+
 def apply_assignments(state, command, result):
     """Take in one page of the shard's assignment rows."""
     if state.scan_pending is not command:
@@ -124,7 +130,7 @@
     for live in state.chunks.values():
         if live.record is None or live.stale or live.pending is not None:
             continue
-        if now_s < live.due_s or not (live.attempts or live.record.cancelled):
+        if now_s < live.due_s or not _has_ends(live):
             continue
         record = compute_record(live, state.max_failures(live.record))
         if record == live.record:
@@ -139,6 +145,12 @@
     return commands
 
 
+def _has_ends(live):
+    return live.record.cancelled or any(
+        attempt.over for attempt in live.attempts.values()
+    )
+
+
 def apply_write(state, command, result):
     """Take in whether a chunk row was written."""
     write = command.write
@@ -171,5 +183,6 @@
         link = state.links.get(attempt.worker)
         if link is not None:
             link.attempts.pop(attempt.key, None)
+        state.place_due_s = 0.0
     if not live.attempts:
         live.since_s = state.now_s()
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -33,6 +33,7 @@
     "may_renew",
     "meet_failure",
     "observe_workers",
+    "require_fresh_rows",
     "step_down",
 ]
 
@@ -105,6 +106,7 @@
         link.pending = ClaimWorker(
             worker=link.worker, address=link.entry.address, request=request
         )
+        link.sent_s = now_s
         commands.append(link.pending)
     return commands
 
@@ -118,7 +120,9 @@
         case Success(reply) if reply.granted:
             link.highest = link.token = command.request.token
             link.failures = 0
-            link.due_s = state.now_s()
+            link.due_s = link.claimed_s = state.now_s()
+            link.confirmed_s = link.sent_s
+            link.previous = reply.previous
             take_inventory(state, link, reply.inventory, after_claim=True)
             check_coverage(state)
         case Success(reply):
@@ -212,7 +216,7 @@
         state.confirmed_s = command.sent_s
         for worker in command.record.workers:
             if worker in state.links:
-                state.links[worker].rostered = True
+                _admit_worker(state, state.links[worker])
         check_coverage(state)
         return
     error = result.failure()
@@ -227,6 +231,13 @@
         state.row_read = False
 
 
+def _admit_worker(state, link):
+    """Let a worker be used, which needs a renewed lease first."""
+    if not link.lease.surely_alive(state.now_s()):
+        link.due_s = state.now_s()
+    link.rostered = True
+
+
 def is_covered(state):
     """Tell whether no other owner can start anything in the shard (rule b)."""
     return state.record is not None and all(
@@ -239,6 +250,11 @@
     if state.covered_at is not None or not is_covered(state):
         return
     state.covered_at = state.sequence
+    require_fresh_rows(state)
+
+
+def require_fresh_rows(state):
+    """Have all rows read again that were read before the claims (rule c)."""
     for live in state.chunks.values():
         live.stale = True
 
--- a/fuchsiascale/coordination/_workerlinks.py
+++ b/fuchsiascale/coordination/_workerlinks.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from fuchsiascale.coordination._attempts import Attempt
+from fuchsiascale.coordination._credits import Tenure
 from fuchsiascale.coordination._leases import Lease
 from fuchsiascale.ids import ServiceId, WorkerId
 from fuchsiascale.platform import (
@@ -62,6 +63,8 @@
         The one command in flight, so that inventories and starts keep order.
     due_s : float
         Monotonic time of the next exchange or claim, in seconds.
+    period_s : float
+        Present period of the exchanges, in seconds; 0 for the longest.
     failures : int
         Calls in a row that got no answer.
     inventory : WorkerInventory or None
@@ -72,6 +75,14 @@
         Whether the shard's row names the worker, so that it may be used.
     attempts : dict
         Attempts placed here whose end is not recorded.
+    previous : FencingToken or None
+        Token that the worker had seen before the own claim, where it said so.
+    sent_s : float
+        Monotonic time at which the pending claim or exchange was sent, in seconds.
+    claimed_s : float
+        Monotonic time at which the claim's grant was received, in seconds.
+    confirmed_s : float
+        Monotonic time at which the last accepted command was sent, in seconds.
     evictions : dict
         Attempts to be checkpointed, as an ordered set.
     throttles : dict
@@ -85,12 +96,17 @@
     token: FencingToken | None = None
     pending: Message | None = None
     due_s: float = 0.0
+    period_s: float = 0.0
     failures: int = 0
     inventory: WorkerInventory | None = None
     inventory_s: float = 0.0
     rostered: bool = False
     lease: Lease = msgspec.field(default_factory=Lease)
     attempts: dict[AttemptKey, Attempt] = {}
+    previous: FencingToken | None = None
+    sent_s: float = 0.0
+    claimed_s: float = 0.0
+    confirmed_s: float = 0.0
     evictions: dict[AttemptKey, None] = {}
     throttles: dict[AttemptKey, int] = {}
 
@@ -104,6 +120,18 @@
         """Whether the worker takes commands under the own token."""
         return self.token is not None
 
+    @property
+    def tenure(self):
+        """The hold on the worker, or None."""
+        if self.token is None:
+            return None
+        return Tenure(
+            token=self.token,
+            previous=self.previous,
+            claimed_s=self.claimed_s,
+            confirmed_s=self.confirmed_s,
+        )
+
     @property
     def leaving(self) -> bool:
         """Whether the worker is to be emptied."""
--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -12,6 +12,7 @@
 from fuchsiascale.clock import SystemClock
 from fuchsiascale.daemon import _lifecycle
 from fuchsiascale.daemon._access import build_client_context, choose_scheme
+from fuchsiascale.daemon._metrics import make_registry
 from fuchsiascale.daemon._peers import PeerClient
 from fuchsiascale.platform import (
     HttpInstanceList,
@@ -70,6 +71,11 @@
         self.access = None
         self.shards = None
         self.calls = None
+        self.forwarded = None
+        self.claims = None
+        self.credits = None
+        self.traces = None
+        self.registry = make_registry()
         self.listeners = []
         self._keepers = []
 
--- /dev/null
+++ b/fuchsiascale/daemon/_credits.py
@@ -0,0 +1,227 @@
+"""Drives slot credits: asks their owners for them, and lends as an owner."""
+
+import asyncio
+
+from returns.result import Success
+
+from fuchsiascale.coordination import (
+    CreditReply,
+    CreditRequest,
+    LedgerClaim,
+    LedgerReply,
+    LedgerRequest,
+    find_owner,
+    format_shard_id,
+)
+from fuchsiascale.daemon._routes import PEER_ROUTES
+from fuchsiascale.states import InstanceRole
+
+__all__ = ["CREDITS_PATH", "LEDGERS_PATH", "CreditDriver"]
+
+CREDITS_PATH = "/peer/v1/credits"
+LEDGERS_PATH = "/peer/v1/ledgers"
+ROUND_S = 0.25
+MIN_ROUND_S = 0.02
+CALL_TIMEOUT_S = 1.0
+
+
+class CreditDriver:
+    """Keeps this instance's credits in step with its load, and lends its own.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This instance.
+    dispatcher : Dispatcher
+        Admission, whose slots are kept supplied.
+    ledger : SlotLedger
+        What this instance lends as an owner.
+    view, fleet : callable
+        Return the current views.
+    tenures : callable
+        Returns the holds on workers, by worker id.
+    call : callable
+        ``async (address, path, message, reply_type, timeout_s) -> Result``.
+    """
+
+    def __init__(self, instance, dispatcher, ledger, view, fleet, tenures, call):
+        self._instance = instance
+        self._dispatcher = dispatcher
+        self._ledger = ledger
+        self._view = view
+        self._fleet = fleet
+        self._tenures = tenures
+        self._call = call
+        self._wanted = asyncio.Event()
+        self._calls = set()
+        self._copying = set()
+
+    def demand(self):
+        """Note that requests wait for credits."""
+        self._wanted.set()
+
+    async def run(self):
+        """Supply credits again and again; runs until cancelled."""
+        while True:
+            await self.run_once()
+            await asyncio.sleep(MIN_ROUND_S)
+            try:
+                async with asyncio.timeout(ROUND_S):
+                    await self._wanted.wait()
+            except TimeoutError:
+                continue
+            self._wanted.clear()
+
+    async def run_once(self):
+        """Take over ledgers, ask for the credits that are due, hand out slots."""
+        view = self._view()
+        runners = list_shard_runners(view)
+        self._take_over(view, runners)
+        for shard, members in runners.items():
+            self._ask(view, shard, members)
+        self._dispatcher.refresh()
+
+    def lend(self, request) -> CreditReply:
+        """Answer an ask for credits as the owner of a shard."""
+        view = self._view()
+        runners = list_shard_runners(view).get(request.shard, ())
+        held = self._list_tenures(runners)
+        if not held:
+            return CreditReply(owner=False)
+        services = self._fleet().services
+        slots = {
+            each.instance_id: services[each.service].slots
+            for each in runners
+            if each.service in services
+        }
+        held = {name: tenure for name, tenure in held.items() if name in slots}
+        return self._ledger.lend(request, held, slots, len(view.members))
+
+    def hand_over(self, request) -> LedgerReply:
+        """Close ledgers for their new owner."""
+        copies = (
+            self._ledger.close(claim.runner, claim.token) for claim in request.claims
+        )
+        return LedgerReply(copies=tuple(copy for copy in copies if copy is not None))
+
+    async def settle(self):
+        """Wait until no call is under way."""
+        while self._calls:
+            await asyncio.wait(self._calls)
+
+    def _list_tenures(self, runners):
+        tenures = self._tenures()
+        return {
+            each.instance_id: tenures[each.worker]
+            for each in runners
+            if each.worker in tenures
+        }
+
+    def _take_over(self, view, runners):
+        """Open the ledgers held now, and fetch those of the owners before."""
+        claims = {}
+        for members in runners.values():
+            for name, tenure in self._list_tenures(members).items():
+                self._ledger.open(name, tenure)
+                before = self._ledger.needs_copy(name, tenure)
+                if before is not None and before != self._instance:
+                    claims.setdefault(before, {})[name] = tenure
+        addresses = {member.instance: member.address for member in view.members}
+        for before, tenures in claims.items():
+            if before in addresses and before not in self._copying:
+                self._copying.add(before)
+                self._spawn(self._copy(before, addresses[before], tenures))
+
+    async def _copy(self, before, address, tenures):
+        claims = tuple(
+            LedgerClaim(runner=name, token=tenure.token)
+            for name, tenure in tenures.items()
+        )
+        request = LedgerRequest(claims=claims)
+        try:
+            reply = await self._call(
+                address, LEDGERS_PATH, request, LedgerReply, CALL_TIMEOUT_S
+            )
+        finally:
+            self._copying.discard(before)
+        if not isinstance(reply, Success):
+            return
+        for copy in reply.unwrap().copies:
+            if copy.runner in tenures:
+                self._ledger.adopt(copy, tenures[copy.runner])
+        self._wanted.set()
+
+    def _ask(self, view, shard, runners):
+        owner = find_owner(shard, view.members)
+        if owner is None:
+            return
+        request = self._dispatcher.slots.make_request(
+            shard, [(each.instance_id, self._find_extra(each)) for each in runners]
+        )
+        if request is None:
+            return
+        if owner == self._instance:
+            self._dispatcher.slots.apply(request, self.lend(request))
+            return
+        address = next(m.address for m in view.members if m.instance == owner)
+        self._spawn(self._exchange(address, request))
+
+    async def _exchange(self, address, request):
+        reply = None
+        try:
+            result = await self._call(
+                address, CREDITS_PATH, request, CreditReply, CALL_TIMEOUT_S
+            )
+            reply = result.value_or(None)
+        finally:
+            self._dispatcher.slots.apply(request, reply)
+        self._dispatcher.refresh()
+
+    def _find_extra(self, runner):
+        """Return the slots of a runner that waiting requests could use."""
+        waiting = self._dispatcher.count_waiting(runner.service)
+        if not waiting:
+            return 0
+        runners = len(self._dispatcher.find_runners(runner.service))
+        return -(-waiting // max(1, runners))
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+
+def list_shard_runners(view):
+    """Return the runners of the own failure domain that may get requests, by shard.
+
+    Parameters
+    ----------
+    view : ClusterView
+        What is known of the fleet.
+
+    Returns
+    -------
+    dict of ShardId to list of ListedInstance
+        The runners.
+    """
+    found = {}
+    for each in view.upstreams:
+        if each.role is not InstanceRole.RUNNER:
+            continue
+        if each.failure_domain != view.failure_domain:
+            continue
+        shard = format_shard_id(each.failure_domain, each.rack)
+        found.setdefault(shard, []).append(each)
+    return found
+
+
+@PEER_ROUTES.route("POST", CREDITS_PATH, CreditRequest)
+async def answer_credits(application, message, request):
+    """Lend slots to a peer."""
+    return application.credits.lend(message)
+
+
+@PEER_ROUTES.route("POST", LEDGERS_PATH, LedgerRequest)
+async def answer_ledgers(application, message, request):
+    """Hand ledgers over to their new owner."""
+    return application.credits.hand_over(message)
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -15,6 +15,7 @@
 )
 from fuchsiascale.daemon._caller import make_caller_routes
 from fuchsiascale.daemon._lifecycle import Phase, on_start, on_stop
+from fuchsiascale.daemon._metrics import make_metrics_routes
 from fuchsiascale.daemon._routes import CALLER_ROUTES, OPERATOR_ROUTES, PEER_ROUTES
 
 __all__ = ["build_status", "drop_server_headers"]
@@ -30,6 +31,7 @@
     settings = application.settings
     caller = _make_web_application(application, CALLER_ROUTES)
     caller.add_routes(make_caller_routes(application.calls, application.clock))
+    caller.add_routes(make_metrics_routes(application.registry))
     access = Access(settings.access, application.documents.fleet)
     application.access = access
     check_peer = require_peer_token(access, application.count_refusal)
--- /dev/null
+++ b/fuchsiascale/pipelines/_forward.py
@@ -0,0 +1,171 @@
+"""Requests that the runners of another failure domain take."""
+
+import msgspec
+from msgspec.structs import replace
+
+from fuchsiascale.decisions import LatencyEstimate, observe_latency
+from fuchsiascale.pipelines._calls import CallAnswer
+from fuchsiascale.pipelines._filters import register_filter
+from fuchsiascale.states import Outcome
+
+__all__ = ["Forwarder", "forward"]
+
+DOMAIN_ROUND_TRIP_MS = 5.0
+REGION_ROUND_TRIP_MS = 30.0
+MESSAGE_OVERHEAD_BYTES = 1_024
+BURST_S = 1.0
+BUDGET_FRACTION = 0.5
+PAUSE_S = 0.5
+
+
+class Budget(msgspec.Struct):
+    """Token bucket of bytes that may be sent to one region."""
+
+    tokens: float = 0.0
+    filled_s: float = 0.0
+
+    def fill(self, rate, now_s):
+        """Add what has come in since the last time, up to a burst."""
+        if not self.filled_s:
+            self.tokens = rate * BURST_S
+        self.tokens += rate * (now_s - self.filled_s) if self.filled_s else 0.0
+        self.tokens = min(self.tokens, rate * BURST_S)
+        self.filled_s = now_s
+
+
+class Forwarder:
+    """Chooses instances of other failure domains and counts the link's bytes.
+
+    Parameters
+    ----------
+    view, fleet : callable
+        Return the current views.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of choices.
+    send : callable
+        ``async (member, call, timeout_s) -> CallAnswer``.
+    meters : NoMeters
+        Counts bytes between regions.
+    """
+
+    def __init__(self, view, fleet, clock, random, send, meters):
+        self._view = view
+        self._fleet = fleet
+        self._clock = clock
+        self._random = random
+        self._send = send
+        self._meters = meters
+        self._budgets = {}
+        self._latencies = {}
+        self._paused = {}
+
+    def choose(self, call):
+        """Return the instance to forward a request to, or None.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+
+        Returns
+        -------
+        Member or None
+            One of the own region where there is one, else of another region whose
+            link budget has room; None where the deadline is too near.
+        """
+        view = self._view()
+        now_s = self._clock.monotonic()
+        left_ms = (call.deadline_s - now_s) * 1000
+        near = []
+        far = []
+        for peer in view.peers:
+            name = peer.failure_domain
+            if self._paused.get(name, 0.0) > now_s:
+                continue
+            if self._expect_ms(peer, view) >= left_ms:
+                continue
+            (near if peer.region == view.region else far).append(peer)
+        if near:
+            return self._random.choice(near)
+        far = [peer for peer in far if self._has_room(peer, view, call, now_s)]
+        return self._random.choice(far) if far else None
+
+    async def forward(self, call, peer):
+        """Send a request to an instance of another failure domain, once.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        peer : Member
+            The instance.
+
+        Returns
+        -------
+        CallAnswer
+            What became of it; unknown where the reply was lost.
+        """
+        view = self._view()
+        far = peer.region != view.region
+        amount = MESSAGE_OVERHEAD_BYTES + len(call.body)
+        if far:
+            self._find_budget(peer, view).tokens -= amount
+        started_s = self._clock.monotonic()
+        answer = await self._send(peer, call, call.deadline_s - started_s)
+        now_s = self._clock.monotonic()
+        if far:
+            received = len(answer.body) + MESSAGE_OVERHEAD_BYTES
+            self._find_budget(peer, view).tokens -= received
+            self._meters.count_region_bytes(peer.region, amount + received)
+        self._learn(peer, answer, now_s - started_s, now_s)
+        return answer
+
+    def _learn(self, peer, answer, seconds, now_s):
+        name = peer.failure_domain
+        if answer.outcome is Outcome.NOT_RUN:
+            pause_s = max(PAUSE_S, answer.retry_after_ms / 1000)
+            self._paused[name] = now_s + pause_s * self._random.random()
+            return
+        before = self._latencies.get(name, LatencyEstimate())
+        self._latencies[name] = observe_latency(before, seconds * 1000, now_s)
+
+    def _expect_ms(self, peer, view):
+        known = self._latencies.get(peer.failure_domain)
+        if known is not None:
+            return known.mean_ms
+        near = peer.region == view.region
+        return DOMAIN_ROUND_TRIP_MS if near else REGION_ROUND_TRIP_MS
+
+    def _has_room(self, peer, view, call, now_s):
+        budget = self._find_budget(peer, view)
+        return budget.tokens >= MESSAGE_OVERHEAD_BYTES + len(call.body)
+
+    def _find_budget(self, peer, view):
+        budget = self._budgets.setdefault(peer.region, Budget())
+        domain = self._fleet().domains.get(view.failure_domain)
+        rate = 0.0
+        if domain is not None:
+            share = BUDGET_FRACTION / max(1, len(view.members))
+            rate = domain.link_bytes_per_s * share
+        budget.fill(rate, self._clock.monotonic())
+        return budget
+
+
+@register_filter("forward")
+async def forward(call, ports):
+    """Let another failure domain run what no local runner can take."""
+    if call.slot is not None:
+        return call
+    peer = ports.forwarder.choose(call) if ports.forwarder else None
+    if peer is None:
+        return replace(call, answer=call.turned)
+    span = ports.traces.start_send(call.span, call, peer.instance)
+    try:
+        answer = await ports.forwarder.forward(replace(call, span=span), peer)
+    except BaseException:
+        ports.traces.end_send(span, CallAnswer(outcome=Outcome.UNKNOWN))
+        raise
+    ports.traces.end_send(span, answer)
+    return replace(call, answer=answer)
--- a/fuchsiascale/pipelines/_jobs.py
+++ b/fuchsiascale/pipelines/_jobs.py
@@ -20,13 +20,15 @@
     JobRecord,
     JobSpec,
     TaskRecord,
+    build_put,
     build_write_id,
     count_fits,
     format_assignment_key,
     format_chunk_id,
+    may_hold,
 )
 from fuchsiascale.ids import JobId
-from fuchsiascale.platform import Conflict, Message, Put, Resources, Transaction
+from fuchsiascale.platform import Conflict, Message, Resources, Transaction
 from fuchsiascale.states import TaskState
 
 __all__ = [
@@ -190,7 +192,7 @@
     problem = explain_misfit(spec.demand, offers)
     if problem:
         return Failure(JobRejected(job=spec.job, detail=problem))
-    holding = [offer for offer in offers if _may_hold(offer, spec.demand)]
+    holding = [offer for offer in offers if may_hold(offer, spec.demand)]
     chunks = _build_chunks(submission, spread_tasks(spec, holding))
     return Success(msgspec.structs.replace(submission, chunks=chunks))
 
@@ -201,12 +203,12 @@
     if submission.standing is not None:
         return Success(submission)
     spec = submission.spec
-    puts = [_build_put(JOBS_TABLE, spec.job, 0, _build_job(submission))]
+    puts = [build_put(JOBS_TABLE, spec.job, 0, _build_job(submission))]
     for chunk in submission.chunks:
-        puts.append(_build_put(CHUNKS_TABLE, chunk.chunk, 0, chunk))
+        puts.append(build_put(CHUNKS_TABLE, chunk.chunk, 0, chunk))
         key = format_assignment_key(chunk.shard, chunk.chunk)
         assignment = Assignment(chunk=chunk.chunk)
-        puts.append(_build_put(ASSIGNMENTS_TABLE, key, 0, assignment))
+        puts.append(build_put(ASSIGNMENTS_TABLE, key, 0, assignment))
     result = await _transact(ports, puts)
     if isinstance(result, Success):
         return Success(msgspec.structs.replace(submission, recorded=True))
@@ -337,7 +339,7 @@
 
     A shard whose worker sizes are not known might hold anything.
     """
-    if any(_may_hold(offer, demand) for offer in offers):
+    if any(may_hold(offer, demand) for offer in offers):
         return ""
     shapes = [shape for offer in offers for shape in offer.shapes]
     for name in ("millicores", "memory_mb", "accelerators"):
@@ -402,10 +404,6 @@
     return "finished"
 
 
-def _may_hold(offer, demand):
-    return not offer.shapes or any(demand.fits(shape) for shape in offer.shapes)
-
-
 def _build_chunks(submission, parts):
     spec = submission.spec
     return tuple(
@@ -466,10 +464,10 @@
 
 
 async def _write_cancellation(ports, record, version, open_chunks):
-    puts = [_build_put(JOBS_TABLE, record.spec.job, version, record)]
+    puts = [build_put(JOBS_TABLE, record.spec.job, version, record)]
     for chunk, chunk_version in open_chunks:
         changed = msgspec.structs.replace(chunk, cancelled=True)
-        puts.append(_build_put(CHUNKS_TABLE, chunk.chunk, chunk_version, changed))
+        puts.append(build_put(CHUNKS_TABLE, chunk.chunk, chunk_version, changed))
         key = format_assignment_key(chunk.shard, chunk.chunk)
         row = await ports.tables.get(ASSIGNMENTS_TABLE, key)
         if not isinstance(row, Success):
@@ -478,7 +476,7 @@
         if found is None:
             return Failure(Conflict(detail="the chunk ended meanwhile"))
         assignment = Assignment(chunk=chunk.chunk)
-        puts.append(_build_put(ASSIGNMENTS_TABLE, key, found.version, assignment))
+        puts.append(build_put(ASSIGNMENTS_TABLE, key, found.version, assignment))
     return await _transact(ports, puts)
 
 
@@ -509,11 +507,6 @@
     return await ports.tables.transact(transaction)
 
 
-def _build_put(table, key, version, value):
-    encoded = msgspec.Raw(msgspec.json.encode(value))
-    return Put(table=table, key=key, expected_version=version, value=encoded)
-
-
 def _turn_error(job, error):
     """Return the job pipeline's error for one of the tables port."""
     kinds = {"Unavailable": JobUnavailable}
--- a/fuchsiascale/pipelines/_requests.py
+++ b/fuchsiascale/pipelines/_requests.py
@@ -3,14 +3,32 @@
 import asyncio
 from functools import partial
 
+import logbook
 from msgspec.structs import replace
 
-from fuchsiascale.pipelines import _answers, _checks, _keys, _sends  # noqa: F401
-from fuchsiascale.pipelines._calls import CallAnswer, RequestPorts, refuse
+from fuchsiascale.pipelines import (  # noqa: F401
+    _answers,
+    _checks,
+    _forward,
+    _keys,
+    _sends,
+)
+from fuchsiascale.pipelines._calls import (
+    CallAnswer,
+    RequestPorts,
+    make_refusal,
+    refuse,
+)
 from fuchsiascale.pipelines._filters import FILTERS
 from fuchsiascale.states import Outcome, Refusal
 
-__all__ = ["REQUEST_FILTERS", "RequestPipeline", "build_request_pipeline"]
+__all__ = [
+    "FORWARDED_FILTERS",
+    "REQUEST_FILTERS",
+    "RequestPipeline",
+    "build_forwarded_pipeline",
+    "build_request_pipeline",
+]
 
 REQUEST_FILTERS = (
     "accept",
@@ -20,9 +38,15 @@
     "admit",
     "claim",
     "route",
+    "forward",
     "send",
     "answer",
 )
+FORWARDED_FILTERS = ("admit", "route", "send", "answer")
+
+STOPPING_RETRY_MS = 1_000
+
+log = logbook.Logger("requests")
 
 
 class RequestPipeline:
@@ -34,15 +58,19 @@
         Take and return a Call; the first that sets the answer ends the run.
     finish : callable
         Takes the ended Call, gives back what it holds and returns its answer.
+    ports : RequestPorts
+        What the filters need from outside.
     """
 
-    def __init__(self, filters, finish):
+    def __init__(self, filters, finish, ports):
         self._filters = filters
         self._finish = finish
+        self._ports = ports
         self._in_flight = 0
         self._stopping = False
         self._idle = asyncio.Event()
         self._idle.set()
+        self._ends = set()
 
     @property
     def in_flight(self):
@@ -63,7 +91,9 @@
             The call as it ended, and what its caller is told.
         """
         if self._stopping:
-            call = refuse(call, Refusal.STOPPING, "the instance is stopping")
+            detail = "the instance is stopping"
+            call = refuse(call, Refusal.STOPPING, detail, STOPPING_RETRY_MS)
+            self._ports.meters.finish_call(call, call.answer, 0.0)
             return call, call.answer
         self._in_flight += 1
         self._idle.clear()
@@ -75,25 +105,46 @@
                 self._idle.set()
 
     async def _run(self, call):
+        call = replace(call, span=self._ports.traces.enter(call))
         try:
             for each in self._filters:
                 call = await each(call)
                 if call.answer is not None:
                     break
         except asyncio.CancelledError:
-            lost = CallAnswer(outcome=Outcome.UNKNOWN, detail="the caller went away")
-            await self._finish(replace(call, answer=lost))
+            self._end(replace(call, answer=_judge_ended(call, "the caller went away")))
             raise
-        return call, await self._finish(call)
+        except Exception:
+            log.exception("a filter failed on request {}", call.request_id)
+            call = replace(call, answer=_judge_ended(call, "internal error"))
+        return call, await asyncio.shield(self._end(call))
+
+    def _end(self, call):
+        """Start the last filter in a task that a leaving caller can't cut off."""
+        task = asyncio.ensure_future(self._finish(call))
+        self._ends.add(task)
+        task.add_done_callback(self._ends.discard)
+        return task
 
     async def drain(self):
         """Refuse new requests as not run and wait for those in flight."""
         self._stopping = True
         await self._idle.wait()
+        while self._ends:
+            await asyncio.wait(self._ends)
+        await self._ports.dispatcher.settle()
+
+
+def _judge_ended(call, detail):
+    """Return the answer of a call that ended before its last filter."""
+    handed = call.slot is not None and call.slot.handed
+    if handed or call.turned is not None:
+        return CallAnswer(outcome=Outcome.UNKNOWN, detail=detail)
+    return make_refusal(Refusal.NO_UPSTREAM, detail)
 
 
 def build_request_pipeline(ports: RequestPorts):
-    """Assemble the request pipeline.
+    """Assemble the pipeline of callers' requests.
 
     Parameters
     ----------
@@ -105,6 +156,26 @@
     RequestPipeline
         The pipeline.
     """
-    *names, last = REQUEST_FILTERS
+    return _assemble(REQUEST_FILTERS, ports)
+
+
+def build_forwarded_pipeline(ports: RequestPorts):
+    """Assemble the pipeline of requests that other failure domains forward.
+
+    Parameters
+    ----------
+    ports : RequestPorts
+        What the filters need from outside, without a forwarder.
+
+    Returns
+    -------
+    RequestPipeline
+        The pipeline.
+    """
+    return _assemble(FORWARDED_FILTERS, ports)
+
+
+def _assemble(names, ports):
+    *names, last = names
     filters = tuple(partial(FILTERS[name], ports=ports) for name in names)
-    return RequestPipeline(filters, partial(FILTERS[last], ports=ports))
+    return RequestPipeline(filters, partial(FILTERS[last], ports=ports), ports)
--- a/fuchsiascale/platform/_messages.py
+++ b/fuchsiascale/platform/_messages.py
@@ -252,11 +252,18 @@
 
 
 class ClaimReply(Message):
-    """A worker's answer to a claim; refused when a higher token was seen."""
+    """A worker's answer to a claim; refused when a higher token was seen.
+
+    Parameters
+    ----------
+    previous : FencingToken or None
+        Highest token seen before a granted claim; None where it is not told.
+    """
 
     granted: bool
     highest: FencingToken
     inventory: WorkerInventory | None = None
+    previous: FencingToken | None = None
 
 
 class StartCommand(Message):
