--- a/measurements/_slopes.py
+++ b/measurements/_slopes.py
@@ -30,6 +30,16 @@
     base: float
     per_unit: float
 
+    def at(self, size):
+        """Return the cost that the line gives for a size.
+
+        Examples
+        --------
+        >>> Slope("cost", (), (), base=2.0, per_unit=3.0).at(4)
+        14.0
+        """
+        return self.base + self.per_unit * size
+
     def figures(self):
         """Return the figures of a report: cost of each unit, and the base."""
         shown = ", ".join(
--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -1,8 +1,14 @@
 """Costs of messages and state by size, from which docs/CAPACITY.md is worked out."""
 
+import asyncio
+import queue
+import threading
+import time
 from random import Random
 
+import aiohttp
 import msgspec
+from aiohttp import web
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import (
@@ -61,6 +67,8 @@
 CORE = Resources(millicores=1_000, memory_mb=2_000)
 WORKER = Resources(millicores=32_000, memory_mb=125_000)
 HTTP_BYTES = 400
+HTTP_CALLS = 500
+START_TIMEOUT_S = 10.0
 SEED = 5
 
 
@@ -415,7 +423,60 @@
     return len(msgspec.json.encode(record))
 
 
+async def answer_body(request):
+    """Answer a request with its own body."""
+    return web.Response(body=await request.read())
+
+
+def run_server(started):
+    """Run a server in a thread of its own until it is told to stop."""
+
+    async def serve():
+        application = web.Application(client_max_size=10**7)
+        application.router.add_post("/", answer_body)
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        stop = asyncio.Event()
+        started.put((runner.addresses[0][1], asyncio.get_running_loop(), stop))
+        await stop.wait()
+        await runner.cleanup()
+
+    asyncio.run(serve())
+
+
+async def call_server(port, size):
+    """Return the processor time of the calling thread a call, in microseconds."""
+    body = bytes(size)
+    async with aiohttp.ClientSession() as session:
+
+        async def call(count):
+            for _ in range(count):
+                async with session.post(f"http://127.0.0.1:{port}/", data=body) as got:
+                    await got.read()
+
+        await call(50)
+        begin_s = time.thread_time()
+        await call(HTTP_CALLS)
+        return (time.thread_time() - begin_s) / HTTP_CALLS * 1e6
+
+
+def measure_http_cpu(size):
+    """Return the processor time of a call at the client, by body bytes."""
+    started = queue.Queue()
+    server = threading.Thread(target=run_server, args=(started,))
+    server.start()
+    port, loop, stop = started.get(timeout=START_TIMEOUT_S)
+    try:
+        return asyncio.run(call_server(port, size))
+    finally:
+        loop.call_soon_threadsafe(stop.set)
+        server.join()
+
+
 SLOPES = (
+    ("HTTP call at the client, µs, by body bytes", (0, 2_700, 8_300), "http_cpu"),
     (
         "heartbeat and answer, bytes, by shards an instance",
         (1, 4, 32),
@@ -442,12 +503,19 @@
 )
 
 
+def measure_all():
+    """Return every slope by its short name."""
+    return {
+        measure: fit_slope(name, sizes, globals()[f"measure_{measure}"])
+        for name, sizes, measure in SLOPES
+    }
+
+
 @measurement("slopes", "Costs by size")
 def run():
     """Measure every cost at three sizes."""
     figures = []
-    for name, sizes, measure in SLOPES:
-        slope = fit_slope(name, sizes, globals()[f"measure_{measure}"])
+    for slope in measure_all().values():
         figures += slope.figures()
     return Report(
         baseline="none",
