--- a/fuchsiascale/api/_peer.py
+++ b/fuchsiascale/api/_peer.py
@@ -19,6 +19,7 @@
     ChunkId,
     InstanceId,
     ShardId,
+    TeamId,
 )
 from fuchsiascale.platform import (
     FencingToken,
@@ -26,7 +27,7 @@
     UpstreamAnswer,
     UpstreamRequest,
 )
-from fuchsiascale.states import Outcome, Refusal
+from fuchsiascale.states import Outcome, Refusal, Urgency
 
 __all__ = [
     "LedgerReply",
@@ -41,6 +42,7 @@
     "HeartbeatReply",
     "KeyClaimReply",
     "KeyClaimRequest",
+    "KeySettleReply",
     "KeySettleRequest",
     "PeerDigest",
     "SectionsReply",
@@ -63,12 +65,20 @@
     granted: bool
     refusal: Refusal | None = None
     record: ClaimRecord | None = None
+    version: int = 0
 
 
 class KeySettleRequest(Message):
-    """Records the end of a claimed request."""
+    """Records the end of a claimed request at the version of its claim."""
 
     record: ClaimRecord
+    version: int = 0
+
+
+class KeySettleReply(Message):
+    """Whether the end is in the store."""
+
+    settled: bool
 
 
 class ForwardRequest(Message):
@@ -76,6 +86,8 @@
 
     request: UpstreamRequest
     idempotent: bool
+    team: TeamId = TeamId("")
+    urgency: Urgency = Urgency.URGENT
 
 
 class ForwardReply(Message):
--- a/fuchsiascale/coordination/_credits.py
+++ b/fuchsiascale/coordination/_credits.py
@@ -143,7 +143,7 @@
             The ask.
         tenures : mapping of RunnerId to Tenure
             Runners whose worker this instance holds.
-        slots : int
+        slots : mapping of RunnerId to int
             Slots of each runner.
         members : int
             Number of instances that share the runners.
@@ -169,7 +169,9 @@
             state.wanted_until_s = now_s + WISH_TTL_S
             state.clip(wish.kept, wish.floor)
             left_s = min(CREDIT_LEASE_S, tenure.confirmed_s + TENURE_S - now_s)
-            grants.append(self._grant(wish.runner, holder, slots, members, left_s))
+            grants.append(
+                self._grant(wish.runner, holder, slots[wish.runner], members, left_s)
+            )
         return CreditReply(owner=True, grants=tuple(grants))
 
     def open(self, name, tenure):
--- a/fuchsiascale/coordination/_exchanges.py
+++ b/fuchsiascale/coordination/_exchanges.py
@@ -81,6 +81,7 @@
     link.pending = ExchangeWorker(
         worker=link.worker, address=link.entry.address, request=request
     )
+    link.sent_s = now_s
     if grants:
         link.lease.grant(now_s)
     spread = 0.9 + 0.2 * state.random.random()
@@ -147,6 +148,7 @@
 
 
 def _take_reply(state, link, request, reply):
+    link.confirmed_s = link.sent_s
     if request.lease_ms == 0:
         # The worker is back, or may be renewed soon: renew without delay.
         link.due_s = min(link.due_s, state.now_s() + state.timing.retry_s)
--- a/fuchsiascale/coordination/_records.py
+++ b/fuchsiascale/coordination/_records.py
@@ -175,6 +175,8 @@
         The recorded answer's body, empty until it is recorded.
     expires_ms : int
         Wall-clock time after which the row may be removed, in milliseconds.
+    nonce : str
+        Tells this claim from every other, also of the same request id.
     """
 
     key: IdempotencyKey
@@ -188,6 +190,7 @@
     answer: bytes = b""
     content_type: str = ""
     expires_ms: int = 0
+    nonce: str = ""
 
 
 class DocumentOption(Message):
--- a/fuchsiascale/pipelines/_answers.py
+++ b/fuchsiascale/pipelines/_answers.py
@@ -8,9 +8,14 @@
 
 @register_filter("answer")
 async def answer(call, ports):
-    """Give back slot and claim, and return the call's answer."""
-    if call.slot is not None:
-        ports.slots.release(call.slot)
+    """Give back slot, admission and claim, and return the call's answer."""
+    if call.admission is not None:
+        if call.slot is not None and not call.slot.handed:
+            ports.dispatcher.end_slot(call.admission, call.slot)
+        ports.dispatcher.leave(call.admission)
     if call.claim is not None:
         await settle_key(call, ports)
+    seconds = ports.clock.monotonic() - call.received_s
+    ports.meters.finish_call(call, call.answer, seconds)
+    ports.traces.leave(call.span, call, call.answer)
     return call.answer
--- a/fuchsiascale/pipelines/_keys.py
+++ b/fuchsiascale/pipelines/_keys.py
@@ -1,11 +1,12 @@
 """The filter that claims idempotency keys, and the recording of their end."""
 
+import asyncio
 import hashlib
 
 from msgspec.structs import replace
 from returns.result import Success
 
-from fuchsiascale.coordination import ClaimRecord, ClaimUnavailable
+from fuchsiascale.coordination import ClaimRecord, ClaimUnavailable, draw_nonce
 from fuchsiascale.pipelines._calls import CallAnswer, refuse
 from fuchsiascale.pipelines._filters import register_filter
 from fuchsiascale.states import Outcome, Refusal
@@ -14,6 +15,7 @@
 
 CLAIM_TTL_MS = 86_400_000
 MAX_RECORDED_BYTES = 65_536
+SETTLE_WAIT_S = 0.25
 
 
 def digest_request(call):
@@ -48,12 +50,16 @@
         holder=ports.view().instance,
         body_digest=digest_request(call),
         expires_ms=ports.clock.wall_ms() + CLAIM_TTL_MS,
+        nonce=draw_nonce(ports.random),
     )
     result = await ports.claims.claim(record)
     if isinstance(result, Success):
+        ports.meters.count_claim("granted")
         return replace(call, claim=result.unwrap())
     error = result.failure()
-    if isinstance(error, ClaimUnavailable):
+    unavailable = isinstance(error, ClaimUnavailable)
+    ports.meters.count_claim("unavailable" if unavailable else "repeat")
+    if unavailable:
         detail = error.detail or "the claim could not be recorded"
         return refuse(call, Refusal.STORE_UNAVAILABLE, detail)
     return _answer_repeat(call, record, error.record)
@@ -91,4 +97,5 @@
         )
     elif answer.outcome is Outcome.DONE:
         record = replace(record, outcome=Outcome.UNKNOWN)
-    await ports.claims.settle(call.claim, record)
+    settling = ports.dispatcher.keep(ports.claims.settle(call.claim, record))
+    await asyncio.wait({settling}, timeout=SETTLE_WAIT_S)
--- a/fuchsiascale/pipelines/_sends.py
+++ b/fuchsiascale/pipelines/_sends.py
@@ -1,40 +1,66 @@
-"""Filters that admit a request, find a slot and send the request upstream."""
+"""Filters that admit a request, find a slot and send it upstream."""
 
 import asyncio
 
 from msgspec.structs import replace
 from returns.result import Success
 
-from fuchsiascale.pipelines._calls import CallAnswer, complete, refuse
+from fuchsiascale.decisions import plan_retry, record_fresh
+from fuchsiascale.pipelines._calls import (
+    CallAnswer,
+    make_answer,
+    make_refusal,
+    refuse,
+)
+from fuchsiascale.pipelines._dispatch import RUNNER_GRACE_S, Admission
 from fuchsiascale.pipelines._filters import register_filter
 from fuchsiascale.platform import RequestNotRun, UpstreamRequest
 from fuchsiascale.states import Outcome, Refusal
 
-__all__ = ["admit", "route", "send"]
+__all__ = ["admit", "make_upstream_request", "route", "send"]
 
 NO_CAPACITY_RETRY_MS = 200
+REFUSAL_DETAILS = {
+    Refusal.DEADLINE: "the request can't be run before its deadline",
+    Refusal.OVER_SHARE: "too many requests of this share are waiting",
+    Refusal.NO_UPSTREAM: "no runner of the service is live",
+}
 
 
 @register_filter("admit")
 async def admit(call, ports):
-    """Let a request in that can still make its deadline."""
+    """Wait for a fair share of the slots; refuse what can't make its deadline."""
     if ports.clock.monotonic() >= call.deadline_s:
         return refuse(call, Refusal.DEADLINE, "the deadline passed before the send")
-    return call
+    entered = await ports.dispatcher.enter(call)
+    if isinstance(entered, Admission):
+        return replace(call, admission=entered)
+    turned = make_refusal(
+        entered.refusal, REFUSAL_DETAILS[entered.refusal], entered.retry_after_ms
+    )
+    if ports.forwarder is None or ports.forwarder.choose(call) is None:
+        return replace(call, answer=turned)
+    return replace(call, turned=turned)
 
 
 @register_filter("route")
 async def route(call, ports):
     """Take a slot of a runner in this failure domain."""
-    view = ports.view()
-    slot = ports.slots.acquire(view, call.service_id, call.service.slots)
+    if call.admission is None:
+        return call
+    if ports.clock.monotonic() >= call.deadline_s:
+        return refuse(call, Refusal.DEADLINE, "the deadline passed before the send")
+    slot = ports.dispatcher.take_slot(call)
     if slot is not None:
         return replace(call, slot=slot)
     detail = "no slot of any runner is free"
-    return refuse(call, Refusal.NO_CAPACITY, detail, NO_CAPACITY_RETRY_MS)
+    turned = make_refusal(Refusal.NO_CAPACITY, detail, NO_CAPACITY_RETRY_MS)
+    if ports.forwarder is None:
+        return replace(call, answer=turned)
+    return replace(call, turned=turned)
 
 
-def make_upstream_request(call, now_s):
+def make_upstream_request(call, now_s, trace_parent=""):
     """Return the request as sent upstream, with what is left of the deadline."""
     return UpstreamRequest(
         request_id=call.request_id,
@@ -44,35 +70,108 @@
         deadline_ms=max(1, int((call.deadline_s - now_s) * 1000)),
         body=call.body,
         content_type=call.headers.content_type,
-        trace_parent=call.headers.trace_parent,
+        trace_parent=trace_parent,
+        idempotency_key=call.key or "",
     )
 
 
 @register_filter("send")
 async def send(call, ports):
-    """Send the request once and receive its whole answer.
+    """Send the request, and again where that is safe and the budget allows."""
+    retries = ports.retries
+    retries.budget = record_fresh(retries.budget)
+    tried = set()
+    while True:
+        tried.add(call.slot.runner.instance_id)
+        answer = await _send_once(call, ports)
+        if answer.outcome is Outcome.DONE:
+            break
+        again = await _plan_again(call, ports, answer, tried)
+        if again is None:
+            break
+        ports.meters.count_retry(call.service_id)
+        call = again
+    return replace(call, answer=answer)
+
+
+async def _plan_again(call, ports, answer, tried):
+    retries = ports.retries
+    left_s = call.deadline_s - ports.clock.monotonic()
+    plan = plan_retry(
+        retries.budget,
+        ports.random,
+        idempotent=call.idempotent,
+        outcome=answer.outcome,
+        sends=len(tried),
+        left_ms=left_s * 1000,
+        needed_ms=ports.dispatcher.expect_ms(call.admission),
+    )
+    if not plan.retry:
+        return None
+    slot = ports.dispatcher.take_slot(call, frozenset(tried))
+    if slot is None:
+        return None
+    retries.budget = plan.budget
+    try:
+        await asyncio.sleep(plan.delay_ms / 1000)
+    except asyncio.CancelledError:
+        ports.dispatcher.end_slot(call.admission, slot)
+        raise
+    return replace(call, slot=slot)
+
 
-    The exchange runs in a task of its own: a caller that goes away or a deadline
-    that passes ends the wait, while the slot stays taken until the upstream ends.
+async def _send_once(call, ports):
+    """Send the request once, in a task that outlives its caller.
+
+    The slot stays taken until the upstream has answered, or has surely ended.
     """
     now_s = ports.clock.monotonic()
-    request = make_upstream_request(call, now_s)
-    exchange = asyncio.ensure_future(
-        ports.runners.send(call.slot.runner.address, request)
-    )
     slot = call.slot
-    exchange.add_done_callback(lambda _: ports.slots.release(slot))
-    call = replace(call, slot=None)
-    done, _ = await asyncio.wait({exchange}, timeout=call.deadline_s - now_s)
-    if not done:
-        return replace(call, answer=CallAnswer(outcome=Outcome.UNKNOWN))
-    result = exchange.result()
+    span = ports.traces.start_send(call.span, call, slot.runner.instance_id)
+    parent = ports.traces.format_parent(span, call)
+    request = make_upstream_request(call, now_s, parent)
+    slot.handed = True
+    exchange = ports.dispatcher.keep(_exchange(call, ports, slot, request))
+    left_s = call.deadline_s - now_s
+    done, _ = await asyncio.wait({exchange}, timeout=left_s)
+    if done:
+        answer = exchange.result()
+    else:
+        detail = "no answer before the deadline"
+        answer = CallAnswer(outcome=Outcome.UNKNOWN, detail=detail)
+    ports.traces.end_send(span, answer)
+    return answer
+
+
+async def _exchange(call, ports, slot, request):
+    started_s = ports.clock.monotonic()
+    dispatcher = ports.dispatcher
+    result = None
+    try:
+        result = await ports.runners.send(slot.runner.address, request)
+    finally:
+        took_s = ports.clock.monotonic() - started_s
+        if not isinstance(result, Success):
+            took_s = call.deadline_s - started_s
+        dispatcher.observe(call.admission, slot, took_s)
+        if _has_ended(result):
+            dispatcher.end_slot(call.admission, slot)
+        else:
+            left_s = call.deadline_s + RUNNER_GRACE_S - ports.clock.monotonic()
+            asyncio.get_running_loop().call_later(
+                max(0.0, left_s), dispatcher.end_slot, call.admission, slot
+            )
     if isinstance(result, Success):
-        return complete(call, result.unwrap())
+        return make_answer(result.unwrap())
     error = result.failure()
     if isinstance(error, RequestNotRun):
         detail = error.detail or "the runner refused the request"
-        return refuse(call, Refusal.NO_UPSTREAM, detail, NO_CAPACITY_RETRY_MS)
-    return replace(
-        call, answer=CallAnswer(outcome=Outcome.UNKNOWN, detail=error.detail)
-    )
+        return make_refusal(Refusal.NO_UPSTREAM, detail, NO_CAPACITY_RETRY_MS)
+    return CallAnswer(outcome=Outcome.UNKNOWN, detail=error.detail)
+
+
+def _has_ended(result):
+    """Return whether the upstream surely no longer works on the request."""
+    if result is None:
+        return False
+    return isinstance(result, Success) or isinstance(result.failure(), RequestNotRun)
--- a/standins/_worker_rules.py
+++ b/standins/_worker_rules.py
@@ -180,6 +180,7 @@
         if request.token < self._token or request.token == NO_TOKEN:
             self._record(Event.REFUSED, token=format_token(request.token))
             return ClaimReply(granted=False, highest=self._token)
+        previous = self._token
         self._token = request.token
         self._released = False
         self._renew(request.lease_ms)
@@ -190,7 +191,10 @@
             capacity=self.capacity - self.reserved,
         )
         return ClaimReply(
-            granted=True, highest=self._token, inventory=self.list_inventory()
+            granted=True,
+            highest=self._token,
+            inventory=self.list_inventory(),
+            previous=previous,
         )
 
     def start(self, request, resumed_ms):
