--- a/fuchsiascale/api/_peer.py
+++ b/fuchsiascale/api/_peer.py
@@ -13,6 +13,7 @@
     PeerDigest,
     SectionsReply,
     SectionsRequest,
+    ServiceLatency,
     ShardDigest,
 )
 from fuchsiascale.ids import (
@@ -30,6 +31,7 @@
 from fuchsiascale.states import Outcome, Refusal, Urgency
 
 __all__ = [
+    "LatencyReport",
     "LedgerReply",
     "LedgerRequest",
     "CreditGrant",
@@ -106,6 +108,12 @@
     chunks: tuple[ChunkId, ...]
 
 
+class LatencyReport(Message):
+    """Mean latencies of services at workers, for the owner of their shard."""
+
+    latencies: tuple[ServiceLatency, ...]
+
+
 class ShardHandover(Message):
     """A stopping owner's word that it sends no more commands to a shard."""
 
--- a/fuchsiascale/daemon/__init__.py
+++ b/fuchsiascale/daemon/__init__.py
@@ -3,6 +3,7 @@
 from fuchsiascale.daemon import (  # noqa: F401
     _control,
     _jobs_api,
+    _latencies,
     _listeners,
     _membership,
     _operator,
--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -69,6 +69,7 @@
         self.documents = None
         self.access = None
         self.shards = None
+        self.dispatcher = None
         self.calls = None
         self.forwarded = None
         self.claims = None
--- a/fuchsiascale/daemon/_requests.py
+++ b/fuchsiascale/daemon/_requests.py
@@ -39,6 +39,7 @@
         random,
         demand=lambda: application.credits.demand(),
     )
+    application.dispatcher = dispatcher
     application.credits = CreditDriver(
         settings.instance,
         dispatcher,
--- a/fuchsiascale/decisions/_retries.py
+++ b/fuchsiascale/decisions/_retries.py
@@ -37,14 +37,11 @@
     ----------
     tokens : float
         Retries that may be sent now.
-    ratio : float
-        Tokens that one fresh request adds.
     limit : float
         Most tokens kept.
     """
 
     tokens: float = 0.0
-    ratio: float = RETRY_RATIO
     limit: float = MAX_TOKENS
 
 
@@ -65,16 +62,26 @@
     reason: str = ""
 
 
-def record_fresh(budget):
+def record_fresh(budget, ratio=RETRY_RATIO):
     """Return the budget after one fresh request.
 
+    Parameters
+    ----------
+    budget : RetryBudget
+    ratio : float
+        Retries that a fresh request earns.
+
+    Returns
+    -------
+    RetryBudget
+
     Examples
     --------
     >>> record_fresh(RetryBudget(tokens=0.5)).tokens
     0.6
     """
-    tokens = min(budget.limit, budget.tokens + budget.ratio)
-    return RetryBudget(tokens, budget.ratio, budget.limit)
+    tokens = min(budget.limit, budget.tokens + ratio)
+    return RetryBudget(tokens, budget.limit)
 
 
 def may_retry(idempotent, outcome):
@@ -169,5 +176,5 @@
     delay_ms = draw_backoff(sends, random)
     if delay_ms + needed_ms >= left_ms:
         return RetryPlan(retry=False, budget=budget, reason="deadline too near")
-    spent = RetryBudget(budget.tokens - 1.0, budget.ratio, budget.limit)
+    spent = RetryBudget(budget.tokens - 1.0, budget.limit)
     return RetryPlan(retry=True, budget=spent, delay_ms=delay_ms)
--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -18,18 +18,22 @@
     choose_runner,
     configure_pool,
     estimate_latency,
+    is_failing,
+    observe_failure,
     observe_latency,
     offer_ticket,
     release_ticket,
     resize_pool,
 )
+from fuchsiascale.platform import ListedInstance, Message
 from fuchsiascale.states import Refusal, Urgency
 
-__all__ = ["RUNNER_GRACE_S", "Admission", "Dispatcher"]
+__all__ = ["RUNNER_GRACE_S", "Admission", "Dispatcher", "RunnerLatency"]
 
 RUNNER_GRACE_S = 0.5
 SAMPLED_RUNNERS = 4
 NO_RUNNER_RETRY_MS = 1_000.0
+MIN_WINDOW_SAMPLES = 5
 
 
 class Admission(msgspec.Struct, eq=False):
@@ -56,9 +60,24 @@
     revision: int = -1
     waiters: dict = {}
     latencies: dict = {}
+    windows: dict = {}
     typical: LatencyEstimate = LatencyEstimate()
 
 
+class LatencyWindow(msgspec.Struct):
+    """Latencies of a runner since they were last taken."""
+
+    total_ms: float = 0.0
+    count: int = 0
+
+
+class RunnerLatency(Message):
+    """Mean latency of a runner over a while, in milliseconds."""
+
+    runner: ListedInstance
+    mean_ms: float
+
+
 class Dispatcher:
     """Admits requests and gives them slots of runners.
 
@@ -199,13 +218,43 @@
         self._free(admission)
 
     def observe(self, admission, slot, latency_s):
-        """Take in the latency of a runner, measured or at least that long."""
+        """Take in the latency of a runner that answered."""
         pool = admission.pool
         now_s = self._clock.monotonic()
         name = slot.runner.instance_id
         before = pool.latencies.get(name, LatencyEstimate())
         pool.latencies[name] = observe_latency(before, latency_s * 1000, now_s)
         pool.typical = observe_latency(pool.typical, latency_s * 1000, now_s)
+        window = pool.windows.setdefault(name, LatencyWindow())
+        window.total_ms += latency_s * 1000
+        window.count += 1
+
+    def observe_failure(self, admission, slot):
+        """Note that a runner refused a request, or gave no whole answer."""
+        latencies = admission.pool.latencies
+        name = slot.runner.instance_id
+        before = latencies.get(name, LatencyEstimate())
+        latencies[name] = observe_failure(before, self._clock.monotonic())
+
+    def take_latencies(self):
+        """Return the mean latency of each runner since the last call.
+
+        Returns
+        -------
+        tuple of RunnerLatency
+            Runners with at least ``MIN_WINDOW_SAMPLES`` answers; the windows of the
+            others go on.
+        """
+        taken = []
+        for service, pool in self._pools.items():
+            for runner in self.find_runners(service):
+                window = pool.windows.get(runner.instance_id)
+                if window is None or window.count < MIN_WINDOW_SAMPLES:
+                    continue
+                del pool.windows[runner.instance_id]
+                mean_ms = window.total_ms / window.count
+                taken.append(RunnerLatency(runner=runner, mean_ms=mean_ms))
+        return tuple(taken)
 
     def expect_ms(self, admission):
         """Return how long a request of the service usually takes, in ms."""
@@ -229,7 +278,7 @@
             for turn in range(SAMPLED_RUNNERS):
                 runner = runners[(start + turn * step) % count]
                 self._add_load(loads, pool, runner, end_s, excluded)
-                if len(loads) == 2:
+                if sum(not load.failing for load in loads) == 2:
                     return loads
             loads = []
         for runner in runners:
@@ -244,11 +293,18 @@
             return
         estimate = pool.latencies.get(name)
         latency_ms = pool.typical.mean_ms
+        failing = False
         if estimate is not None:
-            latency_ms = estimate_latency(estimate, latency_ms, self._clock.monotonic())
+            now_s = self._clock.monotonic()
+            latency_ms = estimate_latency(estimate, latency_ms, now_s)
+            failing = is_failing(estimate, now_s)
         loads.append(
             RunnerLoad(
-                runner=name, credits=credit, in_flight=used, latency_ms=latency_ms
+                runner=name,
+                credits=credit,
+                in_flight=used,
+                latency_ms=latency_ms,
+                failing=failing,
             )
         )
 
@@ -261,6 +317,7 @@
                 ),
                 waiters={},
                 latencies={},
+                windows={},
             )
             self._pools[name] = pool
             self._resize(name, pool)
--- a/fuchsiascale/pipelines/_sends.py
+++ b/fuchsiascale/pipelines/_sends.py
@@ -79,7 +79,7 @@
 async def send(call, ports):
     """Send the request, and again where that is safe and the budget allows."""
     retries = ports.retries
-    retries.budget = record_fresh(retries.budget)
+    retries.budget = record_fresh(retries.budget, ports.fleet().policy.retry_budget)
     tried = set()
     while True:
         tried.add(call.slot.runner.instance_id)
@@ -150,10 +150,11 @@
     try:
         result = await ports.runners.send(slot.runner.address, request)
     finally:
-        took_s = ports.clock.monotonic() - started_s
-        if not isinstance(result, Success):
-            took_s = call.deadline_s - started_s
-        dispatcher.observe(call.admission, slot, took_s)
+        if isinstance(result, Success):
+            took_s = ports.clock.monotonic() - started_s
+            dispatcher.observe(call.admission, slot, took_s)
+        else:
+            dispatcher.observe_failure(call.admission, slot)
         if _has_ended(result):
             dispatcher.end_slot(call.admission, slot)
         else:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -29,18 +29,23 @@
 STOP_TIMEOUT_S = 15.0
 CONTROL_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.02
+_GIVEN_PORTS = set()
 
 
 def find_free_address():
     """Return a loopback address whose port was free a moment ago.
 
     The port lies below the range that the system gives to outgoing
-    connections, so that none of these takes it before it is listened on.
+    connections, so that none of these takes it before it is listened on. A process
+    is given no port twice.
     """
     ports = random.SystemRandom().sample(LISTEN_PORTS, k=100)
     for port in ports:
+        if port in _GIVEN_PORTS:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((LOOPBACK, port))
+            _GIVEN_PORTS.add(port)
             return f"{LOOPBACK}:{port}"
     raise RuntimeError("no free port was found")
 
