Keep an uncertain send uncertain when its retry is refused

Cause: the send filter answered with the outcome of the last send; an idempotent request whose first send was cut off and whose retry met a full runner was told not-run, although the first send may have run. Its claim was then recorded as not run, too, so that a repeat of the key could have run again. Ruled out: no retry after an uncertain send, which idempotent requests are meant to get. Change: an earlier uncertain outcome outlives a later refusal. Before: test_a_refused_retry_does_not_hide_an_uncertain_send failed (2 sends, outcome not-run); after: it passes with the other tests of requests.

--- a/fuchsiascale/pipelines/_sends.py
+++ b/fuchsiascale/pipelines/_sends.py
@@ -81,16 +81,22 @@
     retries = ports.retries
     retries.budget = record_fresh(retries.budget, ports.fleet().policy.retry_budget)
     tried = set()
+    uncertain = None
     while True:
         tried.add(call.slot.runner.instance_id)
         answer = await _send_once(call, ports)
         if answer.outcome is Outcome.DONE:
             break
+        if answer.outcome is Outcome.UNKNOWN:
+            uncertain = answer
         again = await _plan_again(call, ports, answer, tried)
         if again is None:
             break
         ports.meters.count_retry(call.service_id)
         call = again
+    if answer.outcome is Outcome.NOT_RUN and uncertain is not None:
+        # An earlier send may have run, whatever became of the last one.
+        answer = uncertain
     return replace(call, answer=answer)
 
 
--- a/fuchsiascale/pipelines/tests/test_requests.py
+++ b/fuchsiascale/pipelines/tests/test_requests.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure
 
+from fuchsiascale.decisions import RetryBudget
 from fuchsiascale.pipelines import build_request_pipeline
 from fuchsiascale.pipelines.tests._fakes import FakeRunners, make_call, make_ports
 from fuchsiascale.platform import RequestNotRun, RequestUncertain
@@ -121,3 +122,17 @@
     _, answer = await first
     await drained
     assert answer.outcome is Outcome.DONE
+
+
+async def test_a_refused_retry_does_not_hide_an_uncertain_send():
+    async def cut_then_refuse(address, request):
+        if len(ports.runners.sent) == 1:
+            return Failure(RequestUncertain(detail="cut"))
+        return Failure(RequestNotRun(detail="full"))
+
+    names = ("runner-1", "runner-2")
+    ports = make_ports(names, runners=FakeRunners(cut_then_refuse))
+    ports.retries.budget = RetryBudget(tokens=1.0)
+    _, answer = await build_request_pipeline(ports).handle(make_call(idempotent="true"))
+    assert len(ports.runners.sent) == 2
+    assert answer.outcome is Outcome.UNKNOWN
