--- a/scenarios/steps/deployments.py
+++ b/scenarios/steps/deployments.py
@@ -57,8 +57,8 @@
 def start_deployment(context):
     context.deployment = Deployment(read_plan(context.table))
     context.deployment.__enter__()
-    first = next(iter(context.deployment.operators.values()))
-    apply_fleet(first, DEFAULT_FLEET)
+    first = next(iter(context.deployment.callers))
+    apply_fleet(context.deployment, first, DEFAULT_FLEET)
     wait_all_ready(context)
     journal = context.deployment.journal("callers")
     context.callers = Callers(journal, context.deployment.plan.service, "shop")
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -2,7 +2,8 @@
 
 import contextlib
 import http.client
-import time
+
+import msgspec
 
 from fuchsiascale.api import DocumentReply, EditReply, EditRequest, JobStatus
 from fuchsiascale.coordination import DocumentSection
@@ -19,7 +20,6 @@
 ]
 
 CALL_ERRORS = (OSError, http.client.HTTPException)
-RETRY_INTERVAL_S = 0.1
 
 
 def is_ready(address):
@@ -61,38 +61,41 @@
     request = EditRequest(text=text, expected=expected, author=author)
     with contextlib.suppress(*CALL_ERRORS):
         answer = call_json(address, "POST", "/operator/v1/edits", request, token)
+        return read_edit_reply(answer)
+    return None
+
+
+def read_edit_reply(answer):
+    """Return the edit reply of an answer, or None where it holds another body."""
+    with contextlib.suppress(msgspec.MsgspecError):
         return answer.decode(EditReply)
     return None
 
 
-def apply_fleet(address, text, timeout_s=20.0):
-    """Write a whole first document; retried until an instance takes it.
+def apply_fleet(deployment, instance, text):
+    """Write a whole first document; retried until the instance takes it.
 
     Parameters
     ----------
-    address : str
-        An operator listener, as ``host:port``.
+    deployment : Deployment
+        A started deployment.
+    instance : str
+        The instance whose operator interface is called.
     text : str
         The document.
-    timeout_s : float, optional
-        Bound of the retries, in seconds.
-
-    Returns
-    -------
-    EditReply
-        The reply that accepted it.
 
     Raises
     ------
     RuntimeError
-        Where it was refused, or not taken in time.
+        Where it was refused, or a process ended.
+    TimeoutError
+        Where it was not taken in time.
     """
-    end_s = time.monotonic() + timeout_s
-    while time.monotonic() < end_s:
-        reply = edit_document(address, text)
-        if reply is not None and reply.accepted:
-            return reply
+
+    def taken():
+        reply = edit_document(deployment.operators[instance], text)
         if reply is not None and (reply.problems or reply.conflicts):
             raise RuntimeError(f"the document was refused: {reply}")
-        time.sleep(RETRY_INTERVAL_S)
-    raise RuntimeError("no instance took the document")
+        return reply is not None and reply.accepted
+
+    deployment.wait_until(taken, f"{instance} takes the document")
