Count floors that holders tell of, and shorten the wait of a takeover

Change: an ask tells of the floor held, which is counted in place of the reserve; a tenure lasts 10 s in place of 15, a floor 60 s in place of 120. The keeper's list of holds used a method as a mapping and is mended.

--- a/fuchsiascale/coordination/_credits.py
+++ b/fuchsiascale/coordination/_credits.py
@@ -22,9 +22,9 @@
 
 __all__ = ["FLOOR_LEASE_S", "TENURE_S", "SlotLedger", "Tenure", "share_slots"]
 
-TENURE_S = 15.0
-CREDIT_LEASE_S = 10.0
-FLOOR_LEASE_S = 120.0
+TENURE_S = 10.0
+CREDIT_LEASE_S = 8.0
+FLOOR_LEASE_S = 60.0
 CLOCK_DRIFT = 0.01
 MARGIN_S = 0.5
 WISH_TTL_S = 10.0
@@ -75,6 +75,11 @@
             default=0,
         )
 
+    def count_floor(self, now_s):
+        """Return the slots that count as lent to this holder as a floor."""
+        self.count(now_s)
+        return max((debt.slots for debt in self.floors), default=0)
+
     def clip(self, kept, floor):
         """Count no more than the holder says it keeps."""
         for debt in self.bursts:
@@ -168,6 +173,7 @@
             state.wanted = wish.slots
             state.wanted_until_s = now_s + WISH_TTL_S
             state.clip(wish.kept, wish.floor)
+            _note_floor(runner, state, wish.floor, now_s)
             left_s = min(CREDIT_LEASE_S, tenure.confirmed_s + TENURE_S - now_s)
             grants.append(
                 self._grant(wish.runner, holder, slots[wish.runner], members, left_s)
@@ -289,9 +295,9 @@
         granted = max(0, wanted)
         floor = min(free, _floor(runner, holder, slots, members, now_s))
         if granted:
-            state.bursts.append(Debt(granted, _end(now_s, left_s * 1000)))
+            _add_debt(state.bursts, granted, _end(now_s, left_s * 1000))
         if floor:
-            state.floors.append(Debt(floor, _end(now_s, FLOOR_LEASE_S * 1000)))
+            _add_debt(state.floors, floor, _end(now_s, FLOOR_LEASE_S * 1000))
         return CreditGrant(
             runner=name,
             slots=granted,
@@ -309,23 +315,40 @@
     return _Runner(tenure.token, until_s, until_s + floors_s, {})
 
 
+def _add_debt(debts, slots, until_s):
+    """Add a debt, and drop those that it covers."""
+    debts[:] = [debt for debt in debts if debt.slots > slots or debt.until_s > until_s]
+    debts.append(Debt(slots, until_s))
+
+
+def _note_floor(runner, state, floor, now_s):
+    """Count the floor that an owner before has lent, as its holder tells of it."""
+    unknown = runner.unknown_until_s <= now_s < runner.unknown_floors_until_s
+    if unknown and state.count_floor(now_s) < floor:
+        _add_debt(state.floors, floor, _end(now_s, FLOOR_LEASE_S * 1000))
+
+
 def _reserve(runner, slots, now_s):
+    """Return the slots that credits of owners before may still be using."""
     if now_s < runner.unknown_until_s:
         return slots
     if now_s < runner.unknown_floors_until_s:
-        return slots // 2
+        known = sum(state.count_floor(now_s) for state in runner.holders.values())
+        return max(0, slots // 2 - known)
     return 0
 
 
 def _floor(runner, holder, slots, members, now_s):
-    if now_s < runner.unknown_floors_until_s:
-        return 0
-    taken = 0
-    for key, state in runner.holders.items():
-        if key != holder:
-            state.count(now_s)
-            taken += max((debt.slots for debt in state.floors), default=0)
     share = max(1, slots // 2 // max(1, members))
+    if now_s < runner.unknown_until_s:
+        return 0
+    if now_s < runner.unknown_floors_until_s:
+        return min(share, runner.holders[holder].count_floor(now_s))
+    taken = sum(
+        state.count_floor(now_s)
+        for key, state in runner.holders.items()
+        if key != holder
+    )
     return max(0, min(share, slots // 2 - taken))
 
 
--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -8,8 +8,8 @@
 
 __all__ = ["RunnerIndex", "Slot", "SlotHolder", "index_runners"]
 
-RENEW_BEFORE_S = 6.0
-RENEW_FLOOR_BEFORE_S = 60.0
+RENEW_BEFORE_S = 4.0
+RENEW_FLOOR_BEFORE_S = 40.0
 
 
 class Slot(msgspec.Struct, eq=False):
--- a/fuchsiascale/daemon/_credits.py
+++ b/fuchsiascale/daemon/_credits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 from returns.result import Success
 
 from fuchsiascale.coordination import (
@@ -24,6 +25,8 @@
 MIN_ROUND_S = 0.02
 CALL_TIMEOUT_S = 1.0
 
+log = logbook.Logger("credits")
+
 
 class CreditDriver:
     """Keeps this instance's credits in step with its load, and lends its own.
@@ -63,7 +66,10 @@
     async def run(self):
         """Supply credits again and again; runs until cancelled."""
         while True:
-            await self.run_once()
+            try:
+                await self.run_once()
+            except Exception:
+                log.exception("a round of slot credits failed")
             await asyncio.sleep(MIN_ROUND_S)
             try:
                 async with asyncio.timeout(ROUND_S):
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -174,9 +174,9 @@
     def tenures(self):
         """Return the holds on workers, by worker id."""
         return {
-            worker: link.tenure
+            link.worker: link.tenure
             for shard in self._shards.values()
-            for worker, link in shard.links.items()
+            for link in shard.links()
             if link.claimed
         }
 
