--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -2,6 +2,7 @@
 
 from fuchsiascale.coordination._attempts import parse_task_id
 from fuchsiascale.coordination._livechunks import LiveChunk
+from fuchsiascale.coordination._shard_policy import parse_job_id
 from fuchsiascale.platform import Message
 
 __all__ = [
@@ -29,7 +30,9 @@
     Parameters
     ----------
     exchange_s : float
-        Period of the exchanges with each worker.
+        Period of the exchanges with a worker where no attempt ends.
+    busy_exchange_s : float
+        Shortest period of the exchanges while attempts end.
     scan_s : float
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
@@ -42,9 +45,12 @@
         How long it must lack one that it has never shown to this owner.
     move_s : float
         How long a chunk must have waited before it is moved.
+    place_retry_s : float
+        How long to wait after a round that placed nothing, unless one ends.
     """
 
     exchange_s: float = 1.0
+    busy_exchange_s: float = 1.0
     scan_s: float = 10.0
     retry_s: float = 0.5
     max_retry_s: float = 4.0
@@ -53,6 +59,7 @@
     gone_s: float = 2.0
     unlisted_s: float = 30.0
     move_s: float = 30.0
+    place_retry_s: float = 1.0
 
 
 class ShardState:
@@ -76,6 +83,8 @@
         Counts reads, so that they are ordered against claims.
     covered_at : int or None
         The sequence when every worker that may hold attempts was claimed or gone.
+    full : set of WorkerId
+        Workers that had room for no task in the last round of placements.
     unseen_gone : bool
         Whether a worker is gone whose inventory this owner has never had.
     swept : bool
@@ -118,6 +127,9 @@
         self.scan_page = None
         self.scan_due_s = 0.0
         self.scanned = {}
+        self.place_due_s = 0.0
+        self.full = set()
+        self.turn = 0
 
     def now_s(self):
         """Return the monotonic time, in seconds."""
@@ -168,7 +180,8 @@
 
 
 def remove_attempt(state, attempt):
-    """Forget an attempt."""
+    """Forget an attempt, whose room may be used again."""
+    state.place_due_s = 0.0
     chunk, index = parse_task_id(attempt.report.task)
     live = state.chunks.get(chunk)
     if live is not None and live.attempts.get(index) is attempt:
@@ -187,6 +200,7 @@
         live = LiveChunk(chunk=chunk, since_s=state.now_s())
         state.chunks[chunk] = live
     live.stale = True
+    live.unsettled = False
     state.foreign.discard(chunk)
     return live
 
@@ -197,6 +211,9 @@
         remove_attempt(state, attempt)
     state.chunks.pop(live.chunk, None)
     state.foreign.add(live.chunk)
+    job = parse_job_id(live.chunk)
+    if all(parse_job_id(chunk) != job for chunk in state.chunks):
+        state.policy.forget_job(job)
 
 
 def is_recorded(state, report):
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -33,6 +33,7 @@
     "may_renew",
     "meet_failure",
     "observe_workers",
+    "require_fresh_rows",
     "step_down",
 ]
 
@@ -215,7 +216,7 @@
         state.confirmed_s = command.sent_s
         for worker in command.record.workers:
             if worker in state.links:
-                state.links[worker].rostered = True
+                _admit_worker(state, state.links[worker])
         check_coverage(state)
         return
     error = result.failure()
@@ -230,6 +231,13 @@
         state.row_read = False
 
 
+def _admit_worker(state, link):
+    """Let a worker be used, which needs a renewed lease first."""
+    if not link.lease.surely_alive(state.now_s()):
+        link.due_s = state.now_s()
+    link.rostered = True
+
+
 def is_covered(state):
     """Tell whether no other owner can start anything in the shard (rule b)."""
     return state.record is not None and all(
@@ -242,8 +250,14 @@
     if state.covered_at is not None or not is_covered(state):
         return
     state.covered_at = state.sequence
+    require_fresh_rows(state)
+
+
+def require_fresh_rows(state):
+    """Have all rows read again that were read before the claims (rule c)."""
     for live in state.chunks.values():
         live.stale = True
+        live.unsettled = False
 
 
 def is_read_after_claims(state, live):
--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -11,6 +11,7 @@
 
 from fuchsiascale.clock import SystemClock
 from fuchsiascale.daemon import _lifecycle
+from fuchsiascale.daemon._access import build_client_context, choose_scheme
 from fuchsiascale.daemon._metrics import make_registry
 from fuchsiascale.daemon._peers import PeerClient
 from fuchsiascale.platform import (
@@ -25,6 +26,7 @@
 
 CONNECTIONS_IN_ALL = 2_048
 RUNNER_TIMEOUT_S = 30.0
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
 class ApplicationState(Enum):
@@ -56,7 +58,7 @@
         self.state = ApplicationState.STARTING
         self.started_ms = self.clock.wall_ms()
         self.stop_requested = asyncio.Event()
-        self.session = None
+        self._sessions = []
         self.tables = None
         self.objects = None
         self.instance_list = None
@@ -66,13 +68,16 @@
         self.membership = None
         self.membership_driver = None
         self.documents = None
+        self.access = None
         self.shards = None
+        self.dispatcher = None
         self.calls = None
         self.forwarded = None
         self.claims = None
         self.credits = None
         self.traces = None
         self.registry = make_registry()
+        self.failed = False
         self.listeners = []
         self._keepers = []
 
@@ -80,20 +85,45 @@
         """Make the clients of the platform, the upstreams and the peers."""
         settings = self.settings
         timeout_s = settings.platform.timeout_ms / 1000
-        connector = aiohttp.TCPConnector(limit=CONNECTIONS_IN_ALL, limit_per_host=0)
-        self.session = aiohttp.ClientSession(
+        platform = self._open_session(settings.platform.tls)
+        upstreams = self._open_session(settings.upstreams.tls)
+        peers = self._open_session(settings.peer.tls)
+        self.tables = HttpTables(platform, settings.platform.tables, timeout_s)
+        self.objects = HttpObjects(platform, settings.platform.objects, timeout_s)
+        self.instance_list = HttpInstanceList(
+            platform, settings.platform.instances, timeout_s
+        )
+        scheme = choose_scheme(settings.upstreams.tls)
+        self.workers = HttpWorkers(upstreams, timeout_s, scheme)
+        self.runners = HttpRunners(upstreams, RUNNER_TIMEOUT_S, scheme)
+        self.peers = PeerClient(
+            peers,
+            settings.access.peer_token,
+            timeout_s,
+            choose_scheme(settings.peer.tls),
+        )
+
+    async def disconnect(self):
+        """Close the connections of all clients."""
+        for session in self._sessions:
+            await session.close()
+        self._sessions.clear()
+
+    def _open_session(self, tls):
+        context = build_client_context(tls)
+        connector = aiohttp.TCPConnector(
+            limit=CONNECTIONS_IN_ALL,
+            limit_per_host=0,
+            ssl=True if context is None else context,
+        )
+        session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
+            skip_auto_headers=SKIPPED_HEADERS,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
-        self.tables = HttpTables(self.session, settings.platform.tables, timeout_s)
-        self.objects = HttpObjects(self.session, settings.platform.objects, timeout_s)
-        self.instance_list = HttpInstanceList(
-            self.session, settings.platform.instances, timeout_s
-        )
-        self.workers = HttpWorkers(self.session, timeout_s)
-        self.runners = HttpRunners(self.session, RUNNER_TIMEOUT_S)
-        self.peers = PeerClient(self.session, settings.access.peer_token, timeout_s)
+        self._sessions.append(session)
+        return session
 
     async def run(self):
         """Start all parts, serve until asked to stop, and stop gracefully."""
@@ -137,7 +167,18 @@
 
     def keep(self, coroutine):
         """Run a coroutine in the background until the daemon stops."""
-        self._keepers.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._keepers.append(task)
+
+    def _note_end(self, task):
+        """Stop the daemon when a background task fails: it is of no use alone."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self.log.critical("background task failed: {!r}", error, exc_info=error)
+        self.failed = True
+        self.request_stop()
 
     def _watch_signals(self):
         loop = asyncio.get_running_loop()
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -9,6 +9,7 @@
 from fuchsiascale.daemon import _http
 from fuchsiascale.daemon._access import (
     Access,
+    build_server_context,
     require_operator_token,
     require_peer_token,
 )
@@ -17,7 +18,7 @@
 from fuchsiascale.daemon._metrics import make_metrics_routes
 from fuchsiascale.daemon._routes import CALLER_ROUTES, OPERATOR_ROUTES, PEER_ROUTES
 
-__all__ = ["build_status"]
+__all__ = ["build_status", "drop_server_headers"]
 
 MAX_PEER_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
@@ -32,6 +33,7 @@
     caller.add_routes(make_caller_routes(application.calls, application.clock))
     caller.add_routes(make_metrics_routes(application.registry))
     access = Access(settings.access, application.documents.fleet)
+    application.access = access
     check_peer = require_peer_token(access, application.count_refusal)
     check_operator = require_operator_token(access, application.count_refusal)
     peer = _make_web_application(application, PEER_ROUTES, check_peer)
@@ -49,7 +51,9 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         await runner.setup()
-        await web.TCPSite(runner, listen.host, listen.port).start()
+        context = build_server_context(listen.tls)
+        site = web.TCPSite(runner, listen.host, listen.port, ssl_context=context)
+        await site.start()
         application.listeners.append(runner)
 
 
@@ -59,8 +63,7 @@
     await application.stop_keepers()
     for runner in application.listeners:
         await runner.cleanup()
-    if application.session is not None:
-        await application.session.close()
+    await application.disconnect()
 
 
 @on_start(Phase.CLIENTS)
@@ -75,10 +78,17 @@
         client_max_size=MAX_PEER_BODY_BYTES, middlewares=middlewares
     )
     web_application[_http.APPLICATION_KEY] = application
+    web_application.on_response_prepare.append(drop_server_headers)
     routes.add_to(web_application)
     return web_application
 
 
+async def drop_server_headers(request, response):
+    """Leave out headers that tell nothing to whoever calls."""
+    for name in ("Server", "Date"):
+        response.headers.pop(name, None)
+
+
 @CALLER_ROUTES.route("GET", "/healthz")
 async def get_health(application, message, request):
     """Tell that the process runs."""
--- a/fuchsiascale/daemon/_main.py
+++ b/fuchsiascale/daemon/_main.py
@@ -7,10 +7,12 @@
 from returns.result import Success
 
 from fuchsiascale.daemon._application import Application
+from fuchsiascale.daemon._logs import set_up_logs
 from fuchsiascale.daemon._settings import read_settings
 
 __all__ = ["main"]
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -24,8 +26,12 @@
         for problem in found.failure():
             print(problem, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    asyncio.run(_serve(found.unwrap()))
+    settings = found.unwrap()
+    set_up_logs(settings.logs.level, secrets=(settings.access.peer_token,))
+    sys.exit(asyncio.run(_serve(settings)))
 
 
 async def _serve(settings):
-    await Application(settings).run()
+    application = Application(settings)
+    await application.run()
+    return EXIT_FAILED if application.failed else 0
--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -1,13 +1,23 @@
 """Costs of messages and state by size, from which docs/CAPACITY.md is worked out."""
 
+import asyncio
+import queue
+import threading
+import time
 from random import Random
 
+import aiohttp
 import msgspec
+from aiohttp import web
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import (
+    Attempt,
+    AttemptPhase,
     ChunkRecord,
     ClaimRecord,
+    CreditRequest,
+    CreditWish,
     Heartbeat,
     JobSpec,
     Member,
@@ -15,7 +25,9 @@
     PeerDigest,
     ShardDigest,
     ShardPolicy,
+    SlotLedger,
     TaskRecord,
+    Tenure,
     build_fleet,
     format_sections,
     parse_fleet,
@@ -31,6 +43,7 @@
     release_ticket,
 )
 from fuchsiascale.platform import (
+    NO_TOKEN,
     AttemptReport,
     ExchangeReply,
     ExchangeRequest,
@@ -54,6 +67,8 @@
 CORE = Resources(millicores=1_000, memory_mb=2_000)
 WORKER = Resources(millicores=32_000, memory_mb=125_000)
 HTTP_BYTES = 400
+HTTP_CALLS = 500
+START_TIMEOUT_S = 10.0
 SEED = 5
 
 
@@ -246,6 +261,64 @@
     )
 
 
+def measure_attempt_memory(attempts):
+    """Return the memory of running attempts at their owner."""
+
+    def make():
+        encoded = msgspec.json.encode(make_inventory(attempts))
+        inventory = msgspec.json.decode(encoded, type=WorkerInventory)
+        return {
+            report.key: Attempt(
+                worker="norte-porto-w17", phase=AttemptPhase.RUNNING, report=report
+            )
+            for report in inventory.attempts
+        }
+
+    return measure_memory(make)
+
+
+def make_credit_request(number, runners):
+    """Return an instance's ask for credits on some runners."""
+    return CreditRequest(
+        instance=f"norte-porto-e{number % 8}",
+        incarnation=1_800_000_000_000,
+        shard="norte-porto:rack1",
+        sequence=number,
+        wishes=tuple(
+            CreditWish(runner=f"norte-porto-r{each}", slots=4, kept=2, floor=1)
+            for each in range(runners)
+        ),
+    )
+
+
+def measure_credit_bytes(runners):
+    """Return the bytes of an ask for credits and its answer."""
+    ledger = SlotLedger(ManualClock(1_000.0))
+    request = make_credit_request(1, runners)
+    reply = ledger.lend(request, make_tenures(runners), 8, 8)
+    sizes = [len(msgspec.json.encode(message)) for message in (request, reply)]
+    return sum(sizes) + 2 * HTTP_BYTES
+
+
+def make_tenures(runners):
+    """Return the hold on the workers of some runners."""
+    tenure = Tenure(token=TOKEN, previous=NO_TOKEN, claimed_s=900.0, confirmed_s=1e9)
+    return {f"norte-porto-r{each}": tenure for each in range(runners)}
+
+
+def measure_credit_cpu(runners):
+    """Return the processor time of an ask at the owner, with eight instances."""
+    clock = ManualClock(1_000.0)
+    ledger, tenures = SlotLedger(clock), make_tenures(runners)
+    numbers = iter(range(10**9))
+
+    def ask():
+        clock.advance(0.5)
+        ledger.lend(make_credit_request(next(numbers), runners), tenures, 8, 8)
+
+    return measure_cpu_us(ask)
+
+
 def make_listing(entries):
     """Return the encoded instance list of some upstreams."""
     return msgspec.json.encode(
@@ -350,7 +423,60 @@
     return len(msgspec.json.encode(record))
 
 
+async def answer_body(request):
+    """Answer a request with its own body."""
+    return web.Response(body=await request.read())
+
+
+def run_server(started):
+    """Run a server in a thread of its own until it is told to stop."""
+
+    async def serve():
+        application = web.Application(client_max_size=10**7)
+        application.router.add_post("/", answer_body)
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        stop = asyncio.Event()
+        started.put((runner.addresses[0][1], asyncio.get_running_loop(), stop))
+        await stop.wait()
+        await runner.cleanup()
+
+    asyncio.run(serve())
+
+
+async def call_server(port, size):
+    """Return the processor time of the calling thread a call, in microseconds."""
+    body = bytes(size)
+    async with aiohttp.ClientSession() as session:
+
+        async def call(count):
+            for _ in range(count):
+                async with session.post(f"http://127.0.0.1:{port}/", data=body) as got:
+                    await got.read()
+
+        await call(50)
+        begin_s = time.thread_time()
+        await call(HTTP_CALLS)
+        return (time.thread_time() - begin_s) / HTTP_CALLS * 1e6
+
+
+def measure_http_cpu(size):
+    """Return the processor time of a call at the client, by body bytes."""
+    started = queue.Queue()
+    server = threading.Thread(target=run_server, args=(started,))
+    server.start()
+    port, loop, stop = started.get(timeout=START_TIMEOUT_S)
+    try:
+        return asyncio.run(call_server(port, size))
+    finally:
+        loop.call_soon_threadsafe(stop.set)
+        server.join()
+
+
 SLOPES = (
+    ("HTTP call at the client, µs, by body bytes", (0, 2_700, 8_300), "http_cpu"),
     (
         "heartbeat and answer, bytes, by shards an instance",
         (1, 4, 32),
@@ -364,6 +490,9 @@
     ("chunk row, bytes, by tasks", (1, 64, 256), "chunk_bytes"),
     ("chunk row codecs, µs, by tasks", (1, 64, 256), "chunk_cpu"),
     ("chunk rows in memory, bytes, by tasks", (1_024, 4_096, 16_384), "chunk_memory"),
+    ("attempts at their owner, bytes, by attempts", (64, 256, 1_024), "attempt_memory"),
+    ("ask for credits and answer, bytes, by runners", (1, 11, 33), "credit_bytes"),
+    ("ask for credits at the owner, µs, by runners", (1, 11, 33), "credit_cpu"),
     ("instance list decoded, µs, by entries", (66, 935, 7_742), "listing_cpu"),
     ("instance list in memory, bytes, by entries", (66, 935, 7_742), "listing_memory"),
     ("document, bytes, by sections", (30, 300, 3_000), "document_bytes"),
@@ -374,12 +503,19 @@
 )
 
 
+def measure_all():
+    """Return every slope by its short name."""
+    return {
+        measure: fit_slope(name, sizes, globals()[f"measure_{measure}"])
+        for name, sizes, measure in SLOPES
+    }
+
+
 @measurement("slopes", "Costs by size")
 def run():
     """Measure every cost at three sizes."""
     figures = []
-    for name, sizes, measure in SLOPES:
-        slope = fit_slope(name, sizes, globals()[f"measure_{measure}"])
+    for slope in measure_all().values():
         figures += slope.figures()
     return Report(
         baseline="none",
