Feed measured latencies to the shards' policies; count batch work

Cause: interference was decided by nobody at run time, and no metric showed batch throughput, evictions or commitments against capacity. Change: asks for slots carry the runner's mean latency (CreditWish.latency_ms), the owner averages over instances and lets the policy throttle or evict; responses and stops of cancelled work go out without waiting for the next exchange. Prometheus counters of starts, recorded ends, failures and evictions by kind, gauges of tasks, capacity and commitment by shard.

--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -7,6 +7,7 @@
 from fuchsiascale.coordination._credits import *  # noqa: F403
 from fuchsiascale.coordination._documents import *  # noqa: F403
 from fuchsiascale.coordination._edits import *  # noqa: F403
+from fuchsiascale.coordination._latencies import *  # noqa: F403
 from fuchsiascale.coordination._leases import *  # noqa: F403
 from fuchsiascale.coordination._livechunks import *  # noqa: F403
 from fuchsiascale.coordination._membership import *  # noqa: F403
@@ -24,3 +25,4 @@
 from fuchsiascale.coordination._slots import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
 from fuchsiascale.coordination._workerlinks import *  # noqa: F403
+from fuchsiascale.coordination._workmeters import *  # noqa: F403
--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -121,6 +121,16 @@
     live.sequence = command.sequence
     _forget_recorded(state, live)
     reconcile_chunk(state, live)
+    if record.cancelled:
+        _hasten_stops(state, live)
+
+
+def _hasten_stops(state, live):
+    """Have the workers of a cancelled chunk told without delay."""
+    for attempt in live.attempts.values():
+        link = state.links.get(attempt.worker)
+        if link is not None and not link.failures:
+            link.due_s = state.now_s()
 
 
 def list_writes(state):
@@ -161,6 +171,7 @@
     if not isinstance(result, Success):
         meet_failed_write(state, live, result.failure())
         return
+    state.meters.count_changes(live.record, write.record)
     live.record = write.record
     live.version = result.unwrap()
     _forget_recorded(state, live)
--- a/fuchsiascale/coordination/_exchanges.py
+++ b/fuchsiascale/coordination/_exchanges.py
@@ -12,7 +12,7 @@
     meet_failure,
     step_down,
 )
-from fuchsiascale.platform import ExchangeRequest
+from fuchsiascale.platform import AttemptKey, ExchangeRequest
 
 __all__ = [
     "apply_exchange",
@@ -58,11 +58,14 @@
         return
     running = {report.key for report in link.list_reports() if not report.state.ended}
     for throttle in response.throttles:
-        key = (throttle.task, throttle.attempt)
-        link.throttles[key] = throttle
+        key = AttemptKey(task=throttle.task, attempt=throttle.attempt)
+        if key in running:
+            link.throttles[key] = throttle
     for key in response.checkpoints:
         if key in running:
             link.evictions[key] = None
+    if response.throttles or response.checkpoints:
+        link.due_s = state.now_s()
 
 
 def list_acknowledged(state, link):
@@ -156,7 +159,7 @@
         link.failures = 0
         link.due_s = state.now_s()
     for throttle in request.throttles:
-        key = (throttle.task, throttle.attempt)
+        key = AttemptKey(task=throttle.task, attempt=throttle.attempt)
         if link.throttles.get(key) == throttle:
             del link.throttles[key]
     take_inventory(state, link, reply.inventory, after_claim=False)
--- a/fuchsiascale/coordination/_shards.py
+++ b/fuchsiascale/coordination/_shards.py
@@ -54,6 +54,7 @@
     observe_workers,
 )
 from fuchsiascale.coordination._workerlinks import compute_free, compute_shape
+from fuchsiascale.coordination._workmeters import NullWorkMeters
 from fuchsiascale.platform import NO_TOKEN, Resources
 
 __all__ = ["Shard"]
@@ -84,11 +85,15 @@
     random : random.Random
     policy : ShardPolicy
     timing : ShardTiming or None
+    meters : WorkMeters or None
     """
 
-    def __init__(self, shard, instance, clock, random, policy, timing=None):
+    def __init__(
+        self, shard, instance, clock, random, policy, timing=None, meters=None
+    ):
         timing = timing or ShardTiming()
-        self.state = ShardState(shard, instance, clock, random, policy, timing)
+        meters = meters or NullWorkMeters()
+        self.state = ShardState(shard, instance, clock, random, policy, timing, meters)
 
     # Events
 
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -93,12 +93,13 @@
         Those of them whose next attempt may have run on such a worker.
     """
 
-    def __init__(self, shard, instance, clock, random, policy, timing):
+    def __init__(self, shard, instance, clock, random, policy, timing, meters):
         self.shard = shard
         self.instance = instance
         self.clock = clock
         self.random = random
         self.policy = policy
+        self.meters = meters
         self.timing = timing
         self.kinds = {}
         self.owner = False
--- a/fuchsiascale/coordination/_starts.py
+++ b/fuchsiascale/coordination/_starts.py
@@ -235,6 +235,7 @@
         result = by_task.get(start.task)
         if result is not None and result.started:
             attempt.phase = AttemptPhase.RUNNING
+            state.meters.count_start(start.kind)
             continue
         reason = "the worker gave no result" if result is None else result.reason
         _withdraw_start(state, attempt, f"{link.worker}: {reason}")
--- a/fuchsiascale/coordination/_workerlinks.py
+++ b/fuchsiascale/coordination/_workerlinks.py
@@ -12,6 +12,7 @@
     FencingToken,
     Message,
     Resources,
+    Throttle,
     WorkerInventory,
 )
 
@@ -108,7 +109,7 @@
     claimed_s: float = 0.0
     confirmed_s: float = 0.0
     evictions: dict[AttemptKey, None] = {}
-    throttles: dict[AttemptKey, int] = {}
+    throttles: dict[AttemptKey, Throttle] = {}
 
     @property
     def worker(self) -> WorkerId:
--- a/fuchsiascale/daemon/_operator_work.py
+++ b/fuchsiascale/daemon/_operator_work.py
@@ -9,7 +9,7 @@
 from fuchsiascale.coordination import format_task_id
 from fuchsiascale.daemon._http import Refused
 from fuchsiascale.daemon._routes import OPERATOR_ROUTES, PEER_ROUTES
-from fuchsiascale.daemon._work import find_shard_owner, make_job_ports
+from fuchsiascale.daemon._work import find_shard_owner, list_owned, make_job_ports
 from fuchsiascale.ids import ChunkId
 from fuchsiascale.pipelines import JobNotFound, read_job
 from fuchsiascale.platform import Message
@@ -92,11 +92,7 @@
 
 
 def _list_owned(application):
-    own = application.settings.instance
-    statuses = application.shards.statuses()
-    return ShardsReply(
-        shards=tuple(status for status in statuses if status.owner == own)
-    )
+    return ShardsReply(shards=list_owned(application))
 
 
 def _explain_here(application, chunks):
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -12,6 +12,7 @@
 from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
 from fuchsiascale.daemon._routes import PEER_ROUTES
 from fuchsiascale.daemon._shardkeeper import ShardKeeper
+from fuchsiascale.daemon._workmetrics import PrometheusWorkMeters, ShardCollector
 from fuchsiascale.ids import ShardId
 from fuchsiascale.pipelines import JobPorts
 from fuchsiascale.platform import Message
@@ -41,7 +42,16 @@
         offers=lambda: list_offers(application),
         notify=functools.partial(notify_owner, application),
         timing=ShardTiming(exchange_s=application.settings.timers.exchange_ms / 1_000),
+        meters=PrometheusWorkMeters(application.registry),
     )
+    application.registry.register(ShardCollector(lambda: list_owned(application)))
+
+
+def list_owned(application):
+    """Return the status of each shard that falls to this instance."""
+    own = application.settings.instance
+    statuses = application.shards.statuses()
+    return tuple(status for status in statuses if status.owner == own)
 
 
 @keeper("shards", lambda settings: KEEPER_PERIOD_MS)
--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -6,6 +6,7 @@
 
 from fuchsiascale.coordination import RunnerIndex
 from fuchsiascale.decisions import (
+    LATENCY_DECAY_S,
     AdmissionPool,
     ClassFloor,
     LatencyEstimate,
@@ -207,6 +208,15 @@
         pool.latencies[name] = observe_latency(before, latency_s * 1000, now_s)
         pool.typical = observe_latency(pool.typical, latency_s * 1000, now_s)
 
+    def measured_ms(self, runner):
+        """Return a runner's mean latency as measured of late, in ms; 0 if unknown."""
+        pool = self._pools.get(runner.service)
+        estimate = pool and pool.latencies.get(runner.instance_id)
+        if estimate is None:
+            return 0.0
+        age_s = self._clock.monotonic() - estimate.at_s
+        return estimate.mean_ms if age_s < LATENCY_DECAY_S else 0.0
+
     def expect_ms(self, admission):
         """Return how long a request of the service usually takes, in ms."""
         return admission.pool.typical.mean_ms
