--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -26,6 +26,7 @@
 
 CONNECTIONS_IN_ALL = 2_048
 RUNNER_TIMEOUT_S = 30.0
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
 class ApplicationState(Enum):
@@ -69,12 +70,14 @@
         self.documents = None
         self.access = None
         self.shards = None
+        self.dispatcher = None
         self.calls = None
         self.forwarded = None
         self.claims = None
         self.credits = None
         self.traces = None
         self.registry = make_registry()
+        self.failed = False
         self.listeners = []
         self._keepers = []
 
@@ -116,6 +119,7 @@
         session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
+            skip_auto_headers=SKIPPED_HEADERS,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         self._sessions.append(session)
@@ -163,7 +167,18 @@
 
     def keep(self, coroutine):
         """Run a coroutine in the background until the daemon stops."""
-        self._keepers.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._keepers.append(task)
+
+    def _note_end(self, task):
+        """Stop the daemon when a background task fails: it is of no use alone."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self.log.critical("background task failed: {!r}", error, exc_info=error)
+        self.failed = True
+        self.request_stop()
 
     def _watch_signals(self):
         loop = asyncio.get_running_loop()
