Leave the latency feed to the reports of the instances

Cause: two feeds came into being at once; the reports every 5 s have their own message and rhythm, while mine rode on the asks for slots. Change: LatencyBoard, CreditWish.latency_ms and Dispatcher.measured_ms are gone again; ShardKeeper.observe_latency is what the reports call.

--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -7,7 +7,6 @@
 from fuchsiascale.coordination._credits import *  # noqa: F403
 from fuchsiascale.coordination._documents import *  # noqa: F403
 from fuchsiascale.coordination._edits import *  # noqa: F403
-from fuchsiascale.coordination._latencies import *  # noqa: F403
 from fuchsiascale.coordination._leases import *  # noqa: F403
 from fuchsiascale.coordination._livechunks import *  # noqa: F403
 from fuchsiascale.coordination._membership import *  # noqa: F403
--- a/fuchsiascale/coordination/_credit_messages.py
+++ b/fuchsiascale/coordination/_credit_messages.py
@@ -27,15 +27,12 @@
         Slots of its present credit that it goes on using; it has given up the rest.
     floor : int
         Slots of its present floor.
-    latency_ms : int
-        Mean latency of the runner as measured of late, in milliseconds; 0 if unknown.
     """
 
     runner: RunnerId
     slots: int
     kept: int = 0
     floor: int = 0
-    latency_ms: int = 0
 
 
 class CreditRequest(Message):
--- a/fuchsiascale/daemon/_credits.py
+++ b/fuchsiascale/daemon/_credits.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import msgspec
 from returns.result import Success
 
 from fuchsiascale.coordination import (
@@ -43,14 +42,9 @@
         Returns the holds on workers, by worker id.
     call : callable
         ``async (address, path, message, reply_type, timeout_s) -> Result``.
-    report : callable or None
-        ``(runner, instance, latency_ms) -> None``, takes the latencies that the
-        asks for slots bring along to the owner.
     """
 
-    def __init__(
-        self, instance, dispatcher, ledger, view, fleet, tenures, call, report=None
-    ):
+    def __init__(self, instance, dispatcher, ledger, view, fleet, tenures, call):
         self._instance = instance
         self._dispatcher = dispatcher
         self._ledger = ledger
@@ -58,7 +52,6 @@
         self._fleet = fleet
         self._tenures = tenures
         self._call = call
-        self._report = report
         self._wanted = asyncio.Event()
         self._calls = set()
         self._copying = set()
@@ -95,7 +88,6 @@
         held = self._list_tenures(runners)
         if not held:
             return CreditReply(owner=False)
-        self._take_latencies(request, runners)
         services = self._fleet().services
         slots = {
             each.instance_id: services[each.service].slots
@@ -105,23 +97,6 @@
         held = {name: tenure for name, tenure in held.items() if name in slots}
         return self._ledger.lend(request, held, slots, len(view.members))
 
-    def _take_latencies(self, request, runners):
-        by_name = {each.instance_id: each for each in runners}
-        for wish in request.wishes:
-            if wish.latency_ms and wish.runner in by_name and self._report is not None:
-                self._report(by_name[wish.runner], request.instance, wish.latency_ms)
-
-    def _add_latencies(self, request, runners):
-        by_name = {each.instance_id: each for each in runners}
-        wishes = tuple(
-            msgspec.structs.replace(
-                wish,
-                latency_ms=int(self._dispatcher.measured_ms(by_name[wish.runner])),
-            )
-            for wish in request.wishes
-        )
-        return msgspec.structs.replace(request, wishes=wishes)
-
     def hand_over(self, request) -> LedgerReply:
         """Close ledgers for their new owner."""
         copies = (
@@ -185,7 +160,6 @@
         )
         if request is None:
             return
-        request = self._add_latencies(request, runners)
         if owner == self._instance:
             self._dispatcher.slots.apply(request, self.lend(request))
             return
--- a/fuchsiascale/daemon/_requests.py
+++ b/fuchsiascale/daemon/_requests.py
@@ -48,7 +48,6 @@
         fleet,
         application.shards.tenures,
         application.peers.call,
-        application.shards.report_latency,
     )
     application.claims = KeyClaims(application.tables, random)
     send = make_forward_send(application.peers.call, clock, application.traces)
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -8,12 +8,10 @@
 from fuchsiascale.api import ShardDigest, ShardStatus, TaskExplanation, WorkNotice
 from fuchsiascale.coordination import (
     ExchangeWorker,
-    LatencyBoard,
     MoveChunk,
     Shard,
     ShardPolicy,
     compute_committed,
-    format_shard_id,
     format_task_id,
 )
 from fuchsiascale.daemon._orphans import (
@@ -86,7 +84,6 @@
         self._meters = meters
         self._calls_out = ShardCalls(instance, tables, workers, random)
         self._entries = EntryCache()
-        self._latencies = LatencyBoard(clock)
         self._orphans = frozenset()
         self._orphans_due_s = clock.monotonic() + ORPHAN_SEARCH_S * random.random()
         self._moves_due_s = 0.0
@@ -116,9 +113,6 @@
             if shard.idle and shard_id not in self._orphans:
                 del self._shards[shard_id]
                 del self._policies[shard_id]
-        self._latencies.keep(
-            {link.worker for s in self._shards.values() for link in s.links()}
-        )
 
     def _collect_offers(self):
         """Return the shards that chunks may be moved to, but now and then only."""
@@ -225,26 +219,19 @@
                 return tuple(_explain_tasks(shard, live))
         return ()
 
-    def report_latency(self, runner, instance, latency_ms):
-        """Respond to a runner's latency: throttle or evict beside it.
+    def observe_latency(self, measured):
+        """Respond to a service's latency at a worker: throttle or evict there.
 
         Parameters
         ----------
-        runner : ListedInstance
-        instance : InstanceId
-            Who measured it.
-        latency_ms : float
-            Mean of late, in milliseconds.
+        measured : ServiceLatency
         """
-        shard_id = format_shard_id(runner.failure_domain, runner.rack)
-        shard = self._shards.get(shard_id)
-        if shard is None or not shard.held or not runner.worker:
-            return
-        measured = self._latencies.observe(
-            runner.worker, runner.service, instance, latency_ms
-        )
-        response = self._policies[shard_id].observe_latency(measured)
-        shard.respond(runner.worker, response)
+        for shard_id, shard in self._shards.items():
+            if shard.held and any(
+                link.worker == measured.worker for link in shard.links()
+            ):
+                response = self._policies[shard_id].observe_latency(measured)
+                shard.respond(measured.worker, response)
 
     def _build_shard(self, shard_id):
         policy = ShardPolicy(self._clock, self._random)
--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -6,7 +6,6 @@
 
 from fuchsiascale.coordination import RunnerIndex
 from fuchsiascale.decisions import (
-    LATENCY_DECAY_S,
     AdmissionPool,
     ClassFloor,
     LatencyEstimate,
@@ -257,15 +256,6 @@
                 taken.append(RunnerLatency(runner=runner, mean_ms=mean_ms))
         return tuple(taken)
 
-    def measured_ms(self, runner):
-        """Return a runner's mean latency as measured of late, in ms; 0 if unknown."""
-        pool = self._pools.get(runner.service)
-        estimate = pool and pool.latencies.get(runner.instance_id)
-        if estimate is None:
-            return 0.0
-        age_s = self._clock.monotonic() - estimate.at_s
-        return estimate.mean_ms if age_s < LATENCY_DECAY_S else 0.0
-
     def expect_ms(self, admission):
         """Return how long a request of the service usually takes, in ms."""
         return admission.pool.typical.mean_ms
