--- a/fuchsiascale/coordination/tests/test_documents.py
+++ b/fuchsiascale/coordination/tests/test_documents.py
@@ -303,3 +303,21 @@
     assert (await keeper.edit(request, "hub")).unwrap().accepted
     assert keeper.revision() == 1
     assert len([key for key in tables.rows if key[0] == "document-history"]) == 1
+
+
+async def test_a_slow_read_does_not_take_back_what_a_peer_gave(tables, keeper):
+    await write_base(keeper)
+    late = make_keeper(tables, "late", (keeper,))
+    scan = tables.scan
+
+    async def scan_while_a_peer_is_ahead(*arguments, **options):
+        found = await scan(*arguments, **options)
+        if late.revision() == 0:
+            (await set_failures(keeper, 5)).unwrap()
+            assert await late.pull(["one"])
+        return found
+
+    tables.scan = scan_while_a_peer_is_ahead
+    assert await late.poll()
+    assert late.revision() == 2
+    assert late.fleet() == keeper.fleet()
