--- /dev/null
+++ b/measurements/configuration.py
@@ -0,0 +1,109 @@
+"""Measures the time from the accept of an edit until it is in force everywhere."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
+from fuchsiascale.api import StatusReply
+from measurements._report import Figure, Report, judge, measurement
+from standins._plans import ADMIN_TOKEN
+from standins.callers import call_json
+from standins.clients import apply_fleet, edit_document, is_ready, read_document
+from standins.deployment import DEFAULT_FLEET, Deployment, Plan, Site
+
+IN_FORCE_S = 7.0
+EDITS = 20
+OUTAGES = 5
+POLL_S = 0.02
+LIMIT_S = 30.0
+SETTLE_S = 6.0
+SECTION = "kind report"
+SEED = 23
+PLAN = Plan(
+    sites=(
+        Site(failure_domain="norte-porto", region="norte", instances=3, workers=1),
+        Site(failure_domain="norte-braga", region="norte", instances=3, workers=1),
+        Site(failure_domain="sul-faro", region="sul", instances=2, workers=1),
+    ),
+)
+
+
+def read_revision(address):
+    """Return the revision in force at an instance."""
+    answer = call_json(address, "GET", "/operator/v1/status", token=ADMIN_TOKEN)
+    return answer.decode(StatusReply).revision
+
+
+def wait_for(address, revision, began_s):
+    """Return the seconds until an instance shows a revision."""
+    while read_revision(address) < revision:
+        if time.monotonic() - began_s > LIMIT_S:
+            return LIMIT_S
+        time.sleep(POLL_S)
+    return time.monotonic() - began_s
+
+
+def measure_edit(deployment, pool, name, value, outage):
+    """Edit through one instance; return the seconds until the last has it."""
+    address = deployment.operators[name]
+    sections = read_document(address).sections
+    known = [section for section in sections if section.name == SECTION]
+    text = f"[{SECTION}]\nteam = shop\nmax_failures = {value}\n"
+    reply = edit_document(address, text, known)
+    began_s = time.monotonic()
+    if not reply.accepted:
+        raise RuntimeError(f"the edit was refused: {reply}")
+    if outage:
+        deployment.set_faults("tables", down=True)
+    waiting = [
+        pool.submit(wait_for, other, reply.revision, began_s)
+        for other in deployment.operators.values()
+    ]
+    last_s = max(each.result() for each in waiting)
+    if outage:
+        deployment.set_faults("tables")
+        time.sleep(SETTLE_S)
+    return last_s
+
+
+def pick_quantile(values, share):
+    """Return the value that a share of the others does not pass."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+@measurement("configuration", "Time from accept to the last instance")
+def run():
+    """Start eight daemons and edit through each in turn."""
+    random = Random(SEED)
+    with Deployment(PLAN) as deployment, ThreadPoolExecutor(8) as pool:
+        names = sorted(deployment.operators)
+        apply_fleet(deployment.operators[names[0]], DEFAULT_FLEET)
+        for address in deployment.callers.values():
+            deployment.wait_until(lambda a=address: is_ready(a), f"{address} ready")
+        time.sleep(SETTLE_S)
+        values = iter(range(2, 100))
+        usual = [
+            measure_edit(deployment, pool, random.choice(names), next(values), False)
+            for _ in range(EDITS)
+        ]
+        outages = [
+            measure_edit(deployment, pool, random.choice(names), next(values), True)
+            for _ in range(OUTAGES)
+        ]
+    return Report(
+        baseline="none",
+        setting=(
+            f"8 daemons in 3 failure domains, {EDITS} edits with the store up and "
+            f"{OUTAGES} with the store down right after the accept, through instances "
+            f"at random, seed {SEED}; each instance asked every {POLL_S * 1000:.0f} ms"
+        ),
+        figures=(
+            Figure(name="store up: median s", measured=pick_quantile(usual, 0.5)),
+            judge("store up: longest s", max(usual), at_most=IN_FORCE_S),
+            Figure(
+                name="store down after: median s", measured=pick_quantile(outages, 0.5)
+            ),
+            judge("store down after: longest s", max(outages), at_most=IN_FORCE_S),
+        ),
+    )
