Take the link budget from the decisions, with a reserve for urgent requests

Cause: the forwarder kept a token bucket of its own, the logic stood twice, and batch requests could use up the link before the urgent ones. Change: refill, spend and charge of the decisions; normal requests leave a quarter and batch requests half of the bucket. Ruled out: a bucket a class (its idle part would not be lent). Conclusion: what is measured is what the daemon calls.

--- a/fuchsiascale/decisions/_capacity.py
+++ b/fuchsiascale/decisions/_capacity.py
@@ -13,12 +13,16 @@
 
 from fuchsiascale.ids import TeamId
 from fuchsiascale.platform import Message, Resources
+from fuchsiascale.states import Urgency
 
 __all__ = [
     "DEMAND_POLICIES",
+    "LINK_BURST_S",
+    "LINK_RESERVES",
     "LinkBudget",
     "TeamUsage",
     "UsageEstimate",
+    "charge_link",
     "choose_team",
     "estimate_demand",
     "measure_dominant_share",
@@ -39,6 +43,7 @@
 MIN_MILLICORES = 50
 MIN_MEMORY_MB = 16
 LINK_BURST_S = 1.0
+LINK_RESERVES = {Urgency.URGENT: 0.0, Urgency.NORMAL: 0.25, Urgency.BATCH: 0.5}
 
 DEMAND_POLICIES = {}
 
@@ -337,6 +342,27 @@
     return estimate.memory_held and not had_room
 
 
+def charge_link(budget, size_bytes):
+    """Take bytes that have crossed already out of a budget.
+
+    Parameters
+    ----------
+    budget : LinkBudget
+    size_bytes : float
+        What an answer was longer than expected; the bucket may fall below zero.
+
+    Returns
+    -------
+    LinkBudget
+
+    Examples
+    --------
+    >>> charge_link(LinkBudget(1000.0, 600.0, 0.0), 700).tokens
+    -100.0
+    """
+    return LinkBudget(budget.bytes_per_s, budget.tokens - size_bytes, budget.at_s)
+
+
 def _update_saturated(saturated, committed, used):
     limit = SATURATED_FRACTION * committed.millicores
     held = 1.0 if 0.0 < limit <= used.millicores else 0.0
--- a/fuchsiascale/pipelines/_forward.py
+++ b/fuchsiascale/pipelines/_forward.py
@@ -1,9 +1,17 @@
 """Requests that the runners of another failure domain take."""
 
-import msgspec
 from msgspec.structs import replace
 
-from fuchsiascale.decisions import LatencyEstimate, observe_latency
+from fuchsiascale.decisions import (
+    LINK_BURST_S,
+    LINK_RESERVES,
+    LatencyEstimate,
+    LinkBudget,
+    charge_link,
+    observe_latency,
+    refill_link,
+    spend_link,
+)
 from fuchsiascale.pipelines._calls import CallAnswer
 from fuchsiascale.pipelines._filters import register_filter
 from fuchsiascale.states import Outcome
@@ -13,26 +21,10 @@
 DOMAIN_ROUND_TRIP_MS = 5.0
 REGION_ROUND_TRIP_MS = 30.0
 MESSAGE_OVERHEAD_BYTES = 1_024
-BURST_S = 1.0
 BUDGET_FRACTION = 0.5
 PAUSE_S = 0.5
 
 
-class Budget(msgspec.Struct):
-    """Token bucket of bytes that may be sent to one region."""
-
-    tokens: float = 0.0
-    filled_s: float = 0.0
-
-    def fill(self, rate, now_s):
-        """Add what has come in since the last time, up to a burst."""
-        if not self.filled_s:
-            self.tokens = rate * BURST_S
-        self.tokens += rate * (now_s - self.filled_s) if self.filled_s else 0.0
-        self.tokens = min(self.tokens, rate * BURST_S)
-        self.filled_s = now_s
-
-
 class Forwarder:
     """Chooses instances of other failure domains and counts the link's bytes.
 
@@ -111,13 +103,13 @@
         far = peer.region != view.region
         amount = MESSAGE_OVERHEAD_BYTES + len(call.body)
         if far:
-            self._find_budget(peer, view).tokens -= amount
+            self._charge(peer, view, amount)
         started_s = self._clock.monotonic()
         answer = await self._send(peer, call, call.deadline_s - started_s)
         now_s = self._clock.monotonic()
         if far:
             received = len(answer.body) + MESSAGE_OVERHEAD_BYTES
-            self._find_budget(peer, view).tokens -= received
+            self._charge(peer, view, received)
             self._meters.count_region_bytes(peer.region, amount + received)
         self._learn(peer, answer, now_s - started_s, now_s)
         return answer
@@ -139,18 +131,26 @@
         return DOMAIN_ROUND_TRIP_MS if near else REGION_ROUND_TRIP_MS
 
     def _has_room(self, peer, view, call, now_s):
+        size = MESSAGE_OVERHEAD_BYTES + len(call.body)
         budget = self._find_budget(peer, view)
-        return budget.tokens >= MESSAGE_OVERHEAD_BYTES + len(call.body)
+        return spend_link(budget, size, LINK_RESERVES[call.urgency]) is not None
+
+    def _charge(self, peer, view, size):
+        budget = self._find_budget(peer, view)
+        self._budgets[peer.region] = charge_link(budget, size)
 
     def _find_budget(self, peer, view):
-        budget = self._budgets.setdefault(peer.region, Budget())
+        """Return what may be sent to a peer's region, refilled up to now."""
+        now_s = self._clock.monotonic()
         domain = self._fleet().domains.get(view.failure_domain)
         rate = 0.0
         if domain is not None:
             share = BUDGET_FRACTION / max(1, len(view.members))
             rate = domain.link_bytes_per_s * share
-        budget.fill(rate, self._clock.monotonic())
-        return budget
+        before = self._budgets.get(peer.region)
+        if before is None:
+            return LinkBudget(rate, rate * LINK_BURST_S, now_s)
+        return refill_link(LinkBudget(rate, before.tokens, before.at_s), now_s)
 
 
 @register_filter("forward")
--- a/measurements/region_link.py
+++ b/measurements/region_link.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from fuchsiascale.decisions import (
+    LINK_RESERVES,
     AdmissionPool,
     LinkBudget,
     ShareKey,
@@ -26,7 +27,7 @@
 LOAD_PER_MS = 0.8 * 88 / SERVICE_MS
 URGENT_PART = 0.5
 DEADLINES_MS = {Urgency.URGENT: 500.0, Urgency.BATCH: 2_000.0}
-RESERVES = {Urgency.URGENT: 0.0, Urgency.BATCH: 0.5}
+
 WARM_MS = 2_000.0
 END_MS = 22_000.0
 SEED = 5
@@ -163,7 +164,7 @@
         if left_ms < 2 * DISTANCE_MS + 3 * SERVICE_MS:
             return False
         budget = refill_link(self.budget, self.loop.now_ms / 1_000)
-        reserve = RESERVES[ticket.share.urgency]
+        reserve = LINK_RESERVES[ticket.share.urgency]
         spent = spend_link(budget, REQUEST_BYTES, reserve)
         self.budget = spent or budget
         return spent is not None
--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -295,7 +295,7 @@
     """Return the bytes of an ask for credits and its answer."""
     ledger = SlotLedger(ManualClock(1_000.0))
     request = make_credit_request(1, runners)
-    reply = ledger.lend(request, make_tenures(runners), 8, 8)
+    reply = ledger.lend(request, make_tenures(runners), make_slots(runners), 8)
     sizes = [len(msgspec.json.encode(message)) for message in (request, reply)]
     return sum(sizes) + 2 * HTTP_BYTES
 
@@ -306,15 +306,20 @@
     return {f"norte-porto-r{each}": tenure for each in range(runners)}
 
 
+def make_slots(runners):
+    """Return the slots of some runners."""
+    return {f"norte-porto-r{each}": 8 for each in range(runners)}
+
+
 def measure_credit_cpu(runners):
     """Return the processor time of an ask at the owner, with eight instances."""
     clock = ManualClock(1_000.0)
     ledger, tenures = SlotLedger(clock), make_tenures(runners)
-    numbers = iter(range(10**9))
+    slots, numbers = make_slots(runners), iter(range(10**9))
 
     def ask():
         clock.advance(0.5)
-        ledger.lend(make_credit_request(next(numbers), runners), tenures, 8, 8)
+        ledger.lend(make_credit_request(next(numbers), runners), tenures, slots, 8)
 
     return measure_cpu_us(ask)
 
