Let admission recover after requests without an answer

Cause: in a trial, eight truncated answers a runner made both instances refuse every later request of the service as 'deadline', without end: 0 of 989 done in 6 s. A request without an answer holds its slot until its deadline and the grace are over, and that hold (2.5 s) was averaged in as a service time; with the estimate above every deadline nothing was admitted, so nothing could correct it. Change: such a hold is charged to its share but not averaged in; and a share with nothing in a slot admits whatever has time left, so that a high estimate, also a true one from a slow while, is corrected by the next answer. Ruled out: a decay of the estimate by time alone, which refuses for as long as it takes.

--- a/fuchsiascale/decisions/_admission.py
+++ b/fuchsiascale/decisions/_admission.py
@@ -209,7 +209,7 @@
     return [Verdict(ticket=ticket, kind=VerdictKind.QUEUED), *verdicts]
 
 
-def release_ticket(pool, ticket, service_ms, now_ms):
+def release_ticket(pool, ticket, service_ms, now_ms, answered=True):
     """Give back an admitted ticket's slot and hand it on.
 
     Parameters
@@ -220,6 +220,9 @@
         How long it held the slot, in milliseconds.
     now_ms : float
         Monotonic time, in milliseconds.
+    answered : bool
+        Whether that was a service time. The hold of a request that got no answer
+        is charged to its share, but says nothing about the next request.
 
     Returns
     -------
@@ -234,8 +237,9 @@
     charged_ms = pool.held.pop(ticket)
     share = pool.shares[ticket.share]
     share.virtual_ms += (service_ms - charged_ms) / share.weight
-    share.service_ms = _average(share.service_ms, service_ms)
-    pool.service_ms = _average(pool.service_ms, service_ms)
+    if answered:
+        share.service_ms = _average(share.service_ms, service_ms)
+        pool.service_ms = _average(pool.service_ms, service_ms)
     share.in_use -= 1
     pool.in_use -= 1
     pool.classes[share.urgency].in_use -= 1
@@ -283,9 +287,18 @@
     return share.service_ms or pool.service_ms
 
 
+def _least_left(share, service_ms):
+    """Return the time that a ticket must have left to be worth a slot.
+
+    A share with nothing in a slot lets any ticket in: were its estimate above every
+    deadline, no request would run and the estimate would stay for ever.
+    """
+    return service_ms if share.in_use else 0.0
+
+
 def _check_ticket(pool, share, ticket, now_ms):
-    service_ms = _expect_service(pool, share)
-    wait_ms = _expect_wait(pool, share, service_ms)
+    service_ms = _least_left(share, _expect_service(pool, share))
+    wait_ms = _expect_wait(pool, share, _expect_service(pool, share))
     left_ms = ticket.deadline_ms - now_ms
     if left_ms < service_ms + wait_ms:
         return _refuse(ticket, Refusal.DEADLINE, service_ms + wait_ms - left_ms)
@@ -356,7 +369,7 @@
         ticket = heappop(share.waiting)[2]
         _count_out(pool, share)
         service_ms = _expect_service(pool, share)
-        if ticket.deadline_ms - now_ms < service_ms:
+        if ticket.deadline_ms - now_ms < _least_left(share, service_ms):
             verdicts.append(_refuse(ticket, Refusal.DEADLINE, service_ms))
         else:
             _occupy(pool, share, ticket, service_ms)
--- a/fuchsiascale/decisions/tests/test_admission.py
+++ b/fuchsiascale/decisions/tests/test_admission.py
@@ -151,3 +151,30 @@
         assert pool.in_use == len(held)
         assert pool.queued == len(waiting)
         assert not waiting or len(held) >= pool.capacity
+
+
+def test_an_estimate_above_every_deadline_lets_one_request_in_to_correct_it():
+    pool = AdmissionPool(capacity=4)
+    first = make_ticket(0)
+    offer_ticket(pool, first, 0.0)
+    release_ticket(pool, first, 5_000.0, 5_000.0)
+    probe = make_ticket(1, deadline_ms=7_000.0)
+    verdict = offer_ticket(pool, probe, 5_000.0)[0]
+    assert verdict.kind is VerdictKind.ADMITTED
+    verdict = offer_ticket(pool, make_ticket(2, deadline_ms=7_000.0), 5_000.0)[0]
+    assert verdict.refusal is Refusal.DEADLINE
+    release_ticket(pool, probe, 10.0, 5_010.0)
+    past = offer_ticket(pool, make_ticket(3, deadline_ms=5_000.0), 5_010.0)[0]
+    assert past.refusal is Refusal.DEADLINE
+
+
+def test_a_hold_without_an_answer_is_no_service_time():
+    pool = AdmissionPool(capacity=4)
+    first = make_ticket(0)
+    offer_ticket(pool, first, 0.0)
+    before_ms = pool.service_ms
+    release_ticket(pool, first, 2_500.0, 2_500.0, answered=False)
+    assert pool.service_ms == before_ms
+    for number in (1, 2):
+        ticket = make_ticket(number, deadline_ms=4_500.0)
+        assert offer_ticket(pool, ticket, 2_500.0)[0].kind is VerdictKind.ADMITTED
--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -44,6 +44,7 @@
     admitted_s: float
     slots: int = 0
     left: bool = False
+    answered: bool = False
 
 
 class Turned(msgspec.Struct):
@@ -219,6 +220,7 @@
 
     def observe(self, admission, slot, latency_s):
         """Take in the latency of a runner that answered."""
+        admission.answered = True
         pool = admission.pool
         now_s = self._clock.monotonic()
         name = slot.runner.instance_id
@@ -265,7 +267,11 @@
             return
         held_s = self._clock.monotonic() - admission.admitted_s
         verdicts = release_ticket(
-            admission.pool.admission, admission.ticket, held_s * 1000, self._now_ms()
+            admission.pool.admission,
+            admission.ticket,
+            held_s * 1000,
+            self._now_ms(),
+            admission.answered,
         )
         self._announce(admission.pool, verdicts)
 
@@ -368,7 +374,7 @@
             return
         if future.result().kind is VerdictKind.ADMITTED:
             verdicts = release_ticket(
-                pool.admission, ticket, pool.admission.service_ms, self._now_ms()
+                pool.admission, ticket, 0.0, self._now_ms(), answered=False
             )
             self._announce(pool, verdicts)
 
