--- a/fuchsiascale/coordination/__init__.py
+++ b/fuchsiascale/coordination/__init__.py
@@ -24,3 +24,4 @@
 from fuchsiascale.coordination._slots import *  # noqa: F403
 from fuchsiascale.coordination._view import *  # noqa: F403
 from fuchsiascale.coordination._workerlinks import *  # noqa: F403
+from fuchsiascale.coordination._workmeters import *  # noqa: F403
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -55,6 +55,7 @@
     notify : callable or None
         ``async (WorkNotice) -> None``, tells the owner of another shard.
     timing : ShardTiming or None
+    meters : WorkMeters or None
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         offers=None,
         notify=None,
         timing=None,
+        meters=None,
     ):
         self._instance = instance
         self._tables = tables
@@ -79,6 +81,7 @@
         self._offers = offers or tuple
         self._notify = notify
         self._timing = timing
+        self._meters = meters
         self._calls_out = ShardCalls(instance, tables, workers, random)
         self._entries = EntryCache()
         self._orphans = frozenset()
@@ -240,6 +243,7 @@
             self._random,
             policy,
             timing=self._timing,
+            meters=self._meters,
         )
 
     def _configure(self, shard_id, fleet, workers, view):
