--- a/fuchsiascale/pipelines/tests/_fakes.py
+++ b/fuchsiascale/pipelines/tests/_fakes.py
@@ -25,6 +25,7 @@
     FencingToken,
     ListedInstance,
     Row,
+    ScanPage,
     Unavailable,
     Uncertain,
     UpstreamAnswer,
@@ -81,14 +82,24 @@
         self.down = False
         self.lose_reply = False
         self.versions = 0
+        self.transactions = 0
 
     async def get(self, table, key):
         if self.down:
             return Failure(Unavailable(detail="down"))
         return Success(self.rows.get((table, key)))
 
+    async def scan(self, table, prefix, after="", limit=500):
+        found = [
+            row
+            for (name, key), row in self.rows.items()
+            if name == table and key.startswith(prefix)
+        ]
+        return Success(ScanPage(rows=tuple(found)))
+
     async def transact(self, transaction):
         await asyncio.sleep(0)
+        self.transactions += 1
         if self.down:
             return Failure(Unavailable(detail="down"))
         conflicts = [
@@ -98,6 +109,8 @@
         ]
         if conflicts:
             return Failure(Conflict(rows=tuple(row for row in conflicts if row)))
+        for delete in transaction.deletes:
+            del self.rows[delete.table, delete.key]
         written = tuple(
             self._put(put, transaction.write_id) for put in transaction.puts
         )
