Split the job pipeline; keep transactions within the platform's bounds

Cause: a job of 65,536 tasks made a transaction of 513 rows, where PLATFORM.md allows 100; a job cancelled while its tasks ended met conflicts over all its chunks; a lease left by an owner with longer leases was held to be over too early; each exchange with an end rewrote a chunk row.

--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -143,18 +143,30 @@
         if now_s < live.due_s or not _has_ends(live):
             continue
         record = compute_record(live, state.max_failures(live.record))
-        if record == live.record:
+        if record == live.record or _may_wait(state, live, record):
             continue
         write = ChunkWrite(
             record=record,
             expected_version=live.version,
             assignment_version=live.assignment_version,
         )
+        live.written_s = now_s
         live.pending = WriteChunk(write=write)
         commands.append(live.pending)
     return commands
 
 
+def _may_wait(state, live, record):
+    """Tell whether more ends may be gathered first, since none is waited for."""
+    if state.now_s() - live.written_s >= state.timing.commit_s or not state.placing:
+        return False
+    again = any(
+        new.attempt != old.attempt and not new.state.final
+        for old, new in zip(live.record.tasks, record.tasks, strict=True)
+    )
+    return not again and not record.final
+
+
 def _has_ends(live):
     return live.record.cancelled or any(
         attempt.over for attempt in live.attempts.values()
--- a/fuchsiascale/coordination/_commits.py
+++ b/fuchsiascale/coordination/_commits.py
@@ -14,7 +14,8 @@
 
 __all__ = ["MAX_GROUP_ROWS", "GroupCommitter"]
 
-MAX_GROUP_ROWS = 64
+# Each write is up to two rows of a transaction.
+MAX_GROUP_ROWS = 48
 
 
 class GroupCommitter:
--- a/fuchsiascale/coordination/_inventories.py
+++ b/fuchsiascale/coordination/_inventories.py
@@ -26,6 +26,7 @@
     """
     link.inventory = inventory
     link.inventory_s = state.now_s()
+    link.lease.observe(link.inventory_s, inventory.lease_ms / 1000)
     state.policy.observe_inventory(link.worker, link.entry.services, inventory)
     reported = {report.key for report in inventory.attempts}
     for key, attempt in list(link.attempts.items()):
--- a/fuchsiascale/coordination/_leases.py
+++ b/fuchsiascale/coordination/_leases.py
@@ -10,14 +10,16 @@
 
 
 class Lease(msgspec.Struct):
-    """A worker's lease, followed by the owner that grants it.
+    """A worker's lease, followed by the owner that holds the worker.
 
     Parameters
     ----------
     duration_s : float
         Length of one grant, in seconds.
     sent_s : float or None
-        Monotonic time of the last grant that may have arrived, in seconds.
+        Monotonic time of the last own grant that may have arrived, in seconds.
+    end_s : float or None
+        Monotonic time at which the lease is surely over, in seconds.
 
     Notes
     -----
@@ -37,27 +39,32 @@
 
     duration_s: float = LEASE_S
     sent_s: float | None = None
+    end_s: float | None = None
 
     def grant(self, now_s):
         """Note that a grant is sent now."""
         self.sent_s = now_s
+        self.observe(now_s, self.duration_s)
+
+    def observe(self, now_s, left_s):
+        """Note that so much may be left now, also of an earlier owner's grant."""
+        end_s = now_s + left_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+        self.end_s = end_s if self.end_s is None else max(self.end_s, end_s)
 
     def surely_over(self, now_s):
         """Tell whether the lease has run out at the worker, whatever its clock.
 
-        A lease never granted here is never known to be over: another owner may
+        A lease that was never seen is never known to be over: another owner may
         have granted one.
         """
         return now_s > self.over_at_s()
 
     def over_at_s(self):
         """Return the monotonic time from which the lease is over, in seconds."""
-        if self.sent_s is None:
-            return float("inf")
-        return self.sent_s + self.duration_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+        return float("inf") if self.end_s is None else self.end_s
 
     def surely_alive(self, now_s):
-        """Tell whether at least half of the last grant is left."""
+        """Tell whether at least half of the last own grant is left."""
         if self.sent_s is None:
             return False
         return now_s - self.sent_s < self.duration_s / 2
--- a/fuchsiascale/coordination/_livechunks.py
+++ b/fuchsiascale/coordination/_livechunks.py
@@ -41,6 +41,8 @@
         By task index, why the task was not started.
     due_s : float
         Monotonic time before which the row is not tried again, in seconds.
+    written_s : float
+        Monotonic time of the last write, in seconds.
     since_s : float
         Monotonic time since which none of its tasks runs, in seconds.
     """
@@ -56,6 +58,7 @@
     attempts: dict[int, Attempt] = {}
     reasons: dict[int, str] = {}
     due_s: float = 0.0
+    written_s: float = float("-inf")
     since_s: float = 0.0
 
 
--- a/fuchsiascale/coordination/_moves.py
+++ b/fuchsiascale/coordination/_moves.py
@@ -10,7 +10,7 @@
 from fuchsiascale.coordination._takeover import is_read_after_claims, step_down
 from fuchsiascale.platform import Conflict, Message, Resources
 
-__all__ = ["ShardOffer", "apply_move", "count_fits", "list_moves", "may_hold"]
+__all__ = ["ShardOffer", "apply_move", "count_room", "list_moves", "may_hold"]
 
 
 class ShardOffer(Message):
@@ -33,14 +33,14 @@
     shapes: tuple[Resources, ...] = ()
 
 
-def count_fits(offer, demand):
-    """Return how many tasks a shard has room for, beside those that wait there.
+def count_room(offer, demand):
+    """Return how many tasks a shard has room for; negative where more wait.
 
     Examples
     --------
     >>> offer = ShardOffer(shard="s", failure_domain="f", waiting=1,
     ...                    free=Resources(millicores=4000))
-    >>> count_fits(offer, Resources(millicores=1000))
+    >>> count_room(offer, Resources(millicores=1000))
     3
     """
     counts = [
@@ -48,7 +48,7 @@
         for name in ("millicores", "memory_mb", "accelerators")
         if getattr(demand, name) > 0
     ]
-    return max(0, min(counts) - offer.waiting)
+    return min(counts) - offer.waiting
 
 
 def may_hold(offer, demand):
@@ -106,13 +106,13 @@
         and may_hold(offer, spec.demand)
     ]
     best = max(allowed, key=lambda offer: _rank(offer, spec.demand), default=None)
-    if best is None or (state.links and count_fits(best, spec.demand) == 0):
+    if best is None or (state.links and count_room(best, spec.demand) <= 0):
         return None
     return best
 
 
 def _rank(offer, demand):
-    return count_fits(offer, demand), -offer.waiting, offer.shard
+    return count_room(offer, demand), offer.shard
 
 
 def _build_move(state, live, offer):
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -1,6 +1,7 @@
 """State of a shard at its owner, and the questions asked of it throughout."""
 
 from fuchsiascale.coordination._attempts import parse_task_id
+from fuchsiascale.coordination._leases import LEASE_S
 from fuchsiascale.coordination._livechunks import LiveChunk
 from fuchsiascale.coordination._shard_policy import parse_job_id
 from fuchsiascale.platform import Message
@@ -33,6 +34,11 @@
         Period of the exchanges with a worker where no attempt ends.
     busy_exchange_s : float
         Shortest period of the exchanges while attempts end.
+    lease_s : float
+        Length of the leases granted to workers.
+    commit_s : float
+        Least time between two writes of a chunk, unless a task of it is to run
+        again or the chunk is final.
     scan_s : float
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
@@ -51,6 +57,8 @@
 
     exchange_s: float = 1.0
     busy_exchange_s: float = 1.0
+    lease_s: float = LEASE_S
+    commit_s: float = 2.0
     scan_s: float = 10.0
     retry_s: float = 0.5
     max_retry_s: float = 4.0
--- /dev/null
+++ b/fuchsiascale/pipelines/_joberrors.py
@@ -0,0 +1,53 @@
+"""Errors of the job pipeline."""
+
+from fuchsiascale.ids import JobId
+from fuchsiascale.platform import Message, Unavailable
+
+__all__ = [
+    "JobConflict",
+    "JobError",
+    "JobNotFound",
+    "JobRejected",
+    "JobUnavailable",
+    "JobUncertain",
+    "turn_error",
+]
+
+
+class JobError(Message):
+    """Base of the errors of the job pipeline."""
+
+    job: JobId
+    detail: str = ""
+
+
+class JobConflict(JobError):
+    """Another job with a different body has this id."""
+
+
+class JobRejected(JobError):
+    """The job is invalid, or no worker could ever hold one of its tasks."""
+
+
+class JobUnavailable(JobError):
+    """The store did not answer, or no shard is known; nothing was recorded."""
+
+
+class JobUncertain(JobError):
+    """Whether the job was recorded is not known; repeat it under the same id."""
+
+
+class JobNotFound(JobError):
+    """No job has this id."""
+
+
+def turn_error(job, error):
+    """Return the job pipeline's error for one of the tables port.
+
+    Examples
+    --------
+    >>> turn_error("j", Unavailable(detail="down"))
+    JobUnavailable(job='j', detail='down')
+    """
+    turned = JobUnavailable if isinstance(error, Unavailable) else JobUncertain
+    return turned(job=job, detail=error.detail)
