Honour lease_ms, and take a leaving runner at its word

Cause: the scenario with an unreachable worker took 16.7 s to try its tasks again under a lease of 2 s: the setting lease_ms was read and never passed to the shard keeper, which kept its default of 15 s. And a leaving runner got requests for as long as the list lagged, since nothing listened to its own word (first one 3003 ms after). Change: ShardTiming.lease_s, from the settings; answers with X-Leaving mark the runner, which heartbeats spread. The checker lets a finished attempt be tried again only where its worker was killed, paused or unreachable before it could report; its tests hold two histories more that it must refuse.

--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -1,6 +1,7 @@
 """State of a shard at its owner, and the questions asked of it throughout."""
 
 from fuchsiascale.coordination._attempts import parse_task_id
+from fuchsiascale.coordination._leases import LEASE_S
 from fuchsiascale.coordination._livechunks import LiveChunk
 from fuchsiascale.coordination._shard_policy import parse_job_id
 from fuchsiascale.platform import Message
@@ -29,6 +30,8 @@
 
     Parameters
     ----------
+    lease_s : float
+        Lease of a worker, renewed with each exchange.
     exchange_s : float
         Period of the exchanges with a worker where no attempt ends.
     busy_exchange_s : float
@@ -49,6 +52,7 @@
         How long to wait after a round that placed nothing, unless one ends.
     """
 
+    lease_s: float = LEASE_S
     exchange_s: float = 1.0
     busy_exchange_s: float = 1.0
     scan_s: float = 10.0
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -12,6 +12,7 @@
 
 from fuchsiascale.coordination._attempts import AttemptPhase
 from fuchsiascale.coordination._inventories import take_inventory
+from fuchsiascale.coordination._leases import Lease
 from fuchsiascale.coordination._ownership import raise_token
 from fuchsiascale.coordination._records import ShardRecord
 from fuchsiascale.coordination._shardcommands import ClaimWorker, ReadShard, WriteShard
@@ -54,7 +55,7 @@
     for worker, entry in present.items():
         link = state.links.get(worker)
         if link is None:
-            link = state.links[worker] = _build_link(entry)
+            link = state.links[worker] = _build_link(state, entry)
         link.entry = entry
         link.listed = True
         link.absent_since_s = None
@@ -66,8 +67,9 @@
     check_coverage(state)
 
 
-def _build_link(entry):
-    return WorkerLink(entry=entry, attempts={}, evictions={}, throttles={})
+def _build_link(state, entry):
+    lease = Lease(duration_s=state.timing.lease_s)
+    return WorkerLink(entry=entry, lease=lease, attempts={}, evictions={}, throttles={})
 
 
 def _observe_absence(state, link):
@@ -200,7 +202,7 @@
         link = state.links.get(worker)
         if link is None:
             entry = WorkerEntry(worker=worker, address="")
-            link = state.links[worker] = _build_link(entry)
+            link = state.links[worker] = _build_link(state, entry)
             link.absent_since_s = state.now_s()
         link.rostered = True
 
@@ -337,7 +339,7 @@
     for worker, link in links.items():
         if not link.listed:
             continue
-        kept = _build_link(link.entry)
+        kept = _build_link(state, link.entry)
         kept.highest = link.highest
         kept.listed = True
         kept.absent_since_s = link.absent_since_s
--- a/fuchsiascale/daemon/_requests.py
+++ b/fuchsiascale/daemon/_requests.py
@@ -62,6 +62,7 @@
         forwarder=Forwarder(view, fleet, clock, random, send, meters),
         meters=meters,
         traces=application.traces,
+        mark_leaving=application.membership_driver.mark_leaving,
     )
     application.calls = build_request_pipeline(ports)
     application.forwarded = build_forwarded_pipeline(ports.without_forwarder())
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -41,7 +41,10 @@
         application.documents.fleet,
         offers=lambda: list_offers(application),
         notify=functools.partial(notify_owner, application),
-        timing=ShardTiming(exchange_s=application.settings.timers.exchange_ms / 1_000),
+        timing=ShardTiming(
+            lease_s=application.settings.timers.lease_ms / 1_000,
+            exchange_s=application.settings.timers.exchange_ms / 1_000,
+        ),
         meters=PrometheusWorkMeters(application.registry),
     )
     application.registry.register(ShardCollector(lambda: list_owned(application)))
--- a/fuchsiascale/pipelines/_calls.py
+++ b/fuchsiascale/pipelines/_calls.py
@@ -136,6 +136,10 @@
     budget: RetryBudget = RetryBudget()
 
 
+def ignore_leaving(upstreams):
+    """Pass no sign of leaving on."""
+
+
 class RequestPorts(msgspec.Struct, frozen=True, kw_only=True):
     """What the request pipeline needs from outside.
 
@@ -159,6 +163,8 @@
         The budget of retries.
     meters, traces : object
         Counters and spans.
+    mark_leaving : callable
+        Told the upstreams that said themselves that they are leaving.
     """
 
     runners: Runners
@@ -172,6 +178,7 @@
     retries: RetryMeter = msgspec.field(default_factory=RetryMeter)
     meters: NoMeters = msgspec.field(default_factory=NoMeters)
     traces: NoTraces = msgspec.field(default_factory=NoTraces)
+    mark_leaving: Callable[[tuple[str, ...]], None] = ignore_leaving
 
     def without_forwarder(self):
         """Return the same ports, for requests that go no further."""
--- a/fuchsiascale/pipelines/_sends.py
+++ b/fuchsiascale/pipelines/_sends.py
@@ -169,6 +169,7 @@
                 max(0.0, left_s), dispatcher.end_slot, call.admission, slot
             )
     if isinstance(result, Success):
+        _note_leaving(ports, slot, result.unwrap())
         return make_answer(result.unwrap())
     error = result.failure()
     if isinstance(error, RequestNotRun):
@@ -177,6 +178,12 @@
     return CallAnswer(outcome=Outcome.UNKNOWN, detail=error.detail)
 
 
+def _note_leaving(ports, slot, answer):
+    name = slot.runner.instance_id
+    if answer.leaving and name not in ports.view().leaving:
+        ports.mark_leaving((name,))
+
+
 def _has_ended(result):
     """Return whether the upstream surely no longer works on the request."""
     if result is None:
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -29,6 +29,7 @@
 ]
 
 LEAVING_LIMIT_MS = 3_000.0
+REPORT_LIMIT_MS = 2_000.0
 FOREVER_MS = float("inf")
 
 
@@ -45,7 +46,8 @@
     Parameters
     ----------
     lost : bool
-        Whether the worker's process was killed at or after the attempt's end.
+        Whether the worker was killed, paused or cut off before it could report the
+        attempt's end, so that the end may never have been known.
     """
 
     task: TaskId
@@ -60,6 +62,13 @@
     lost: bool = False
 
 
+class Silence(msgspec.Struct, frozen=True, kw_only=True):
+    """A span of time in which a process could not be reached."""
+
+    began_ms: float
+    ended_ms: float = FOREVER_MS
+
+
 def find_runs(entries):
     """Return all runs of attempts, ordered by their start.
 
@@ -73,6 +82,7 @@
     list of Run
         A run ends with its worker's process if that was killed first.
     """
+    entries = tuple(entries)
     runs = {}
     for entry in entries:
         key = (entry.source, entry.task, entry.attempt)
@@ -89,6 +99,8 @@
             _end_run(runs, key, entry)
         elif entry.event is Event.KILLED:
             _lose_runs(runs, entry)
+    silent = find_silence(entries)
+    runs = {place: _mark_silent(run, silent) for place, run in runs.items()}
     return sorted(runs.values(), key=lambda run: run.began_ms)
 
 
@@ -109,6 +121,36 @@
             runs[place] = msgspec.structs.replace(run, lost=True, ended_ms=ended_ms)
 
 
+def find_silence(entries):
+    """Return the spans of time in which processes could not be reached.
+
+    Returns
+    -------
+    dict of str to list of Silence
+        Spans by process: paused, or refusing connections.
+    """
+    spans = defaultdict(list)
+    for entry in entries:
+        down = entry.event is Event.FAULTS and '"down":true' in entry.detail
+        name = entry.source if entry.event is Event.FAULTS else entry.about
+        if down or entry.event is Event.PAUSED:
+            spans[name].append(Silence(began_ms=entry.at_ms))
+        elif entry.event in (Event.FAULTS, Event.RESUMED) and spans[name]:
+            last = spans[name][-1]
+            ended_ms = min(last.ended_ms, entry.at_ms)
+            spans[name][-1] = msgspec.structs.replace(last, ended_ms=ended_ms)
+    return spans
+
+
+def _mark_silent(run, silent):
+    """Mark a run whose worker fell silent before its end could be reported."""
+    for span in silent[run.worker]:
+        reported_ms = run.ended_ms + REPORT_LIMIT_MS
+        if span.began_ms <= reported_ms and run.ended_ms <= span.ended_ms:
+            return msgspec.structs.replace(run, lost=True)
+    return run
+
+
 def check_capacity(entries):
     """Return where a worker's commitments passed its capacity."""
     capacities = {
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -54,6 +54,14 @@
     return ("deployment", Event.KILLED, {"about": name})
 
 
+def down(worker):
+    return (worker, Event.FAULTS, {"detail": '{"down":true}'})
+
+
+def up(worker):
+    return (worker, Event.FAULTS, {"detail": "{}"})
+
+
 CLAIMS = (claimed("w"), claimed("v"))
 
 GOOD = (
@@ -61,6 +69,13 @@
     (*CLAIMS, started("w"), started("v", "u")),
     (*CLAIMS, started("w"), killed("w"), started("v", attempt=2)),
     (*CLAIMS, started("w"), ended("w"), killed("w"), started("v", attempt=2)),
+    (
+        *CLAIMS,
+        started("w"),
+        down("w"),
+        ended("w"),
+        started("v", attempt=2),
+    ),
     (
         *CLAIMS,
         started("w"),
@@ -86,6 +101,28 @@
     ("one place", (*CLAIMS, started("w"), started("v", attempt=2))),
     ("attempts in order", (*CLAIMS, started("w"), killed("w"), started("v"))),
     ("finished once", (*CLAIMS, started("w"), ended("w"), started("v", attempt=2))),
+    (
+        "finished once",
+        (
+            *CLAIMS,
+            down("w"),
+            up("w"),
+            started("w"),
+            ended("w"),
+            started("v", attempt=2),
+        ),
+    ),
+    (
+        "finished once",
+        (
+            *CLAIMS,
+            started("w"),
+            ended("w"),
+            *(up("w"), up("w"), up("w")),
+            down("w"),
+            started("v", attempt=2),
+        ),
+    ),
     (
         "resumed",
         (
