--- a/standins/_journal.py
+++ b/standins/_journal.py
@@ -47,6 +47,8 @@
         Name of the stand-in that wrote the entry.
     until_ms : float
         Time at which an attempt really stopped, where that was before ``at_ms``.
+    sent_digest : str
+        Digest of the body that an answer to a caller belongs to.
     about : str
         Process or upstream that an entry of the deployment or a caller names.
     """
@@ -68,6 +70,7 @@
     path: str = ""
     status: int = 0
     body_digest: str = ""
+    sent_digest: str = ""
     keys: tuple[str, ...] = ()
     write_id: WriteId = WriteId("")
     detail: str = ""
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -208,6 +208,7 @@
             about=address,
         )
         began_s = time.monotonic()
+        digest = xxhash.xxh3_64_hexdigest(body)
         own = connection or http.client.HTTPConnection(
             *parse_endpoint(address), timeout=CALL_TIMEOUT_S
         )
@@ -217,7 +218,7 @@
             if connection is None:
                 own.close()
         elapsed_s = time.monotonic() - began_s
-        self._record(told)
+        self._record(told, digest)
         return msgspec.structs.replace(told, elapsed_s=elapsed_s)
 
     def _exchange(self, connection, request, operation, body, deadline_ms):
@@ -256,12 +257,13 @@
             headers[URGENCY_HEADER] = operation.urgency
         return headers
 
-    def _record(self, told):
+    def _record(self, told, sent_digest):
         self._journal.record(
             Event.RECEIVED,
             request=told.request,
             outcome=told.outcome,
             status=told.status,
+            sent_digest=sent_digest,
             body_digest=xxhash.xxh3_64_hexdigest(told.body),
             detail=told.reason,
         )
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -259,17 +259,13 @@
 def check_answers(entries):
     """Return the answers that are not the whole one to their own request."""
     executed = {entry.body_digest for entry in entries if entry.event is Event.EXECUTED}
-    sent = defaultdict(set)
-    for entry in entries:
-        if entry.event is Event.SENT:
-            sent[entry.request].add(entry.body_digest)
     violations = []
     for entry in entries:
         if entry.event is not Event.RECEIVED or entry.outcome != Outcome.DONE.value:
             continue
-        own = sent[entry.request] & executed
-        if entry.body_digest not in own:
-            detail = f"{entry.request} got {entry.body_digest}, not one of {own}"
+        own = entry.sent_digest
+        if entry.body_digest != own or own not in executed:
+            detail = f"{entry.request} got {entry.body_digest} for {own}"
             violations.append(Violation(rule="own answer", detail=detail))
     return violations
 
@@ -277,14 +273,14 @@
 def check_not_run(entries):
     """Return the requests that ran though a caller was told that they did not."""
     told = {
-        entry.request
+        (entry.request, entry.sent_digest)
         for entry in entries
         if entry.event is Event.RECEIVED and entry.outcome == Outcome.NOT_RUN.value
     }
     return [
         Violation(rule="not run", detail=f"{entry.request} ran on {entry.source}")
         for entry in entries
-        if entry.event is Event.EXECUTED and entry.request in told
+        if entry.event is Event.EXECUTED and (entry.request, entry.body_digest) in told
     ]
 
 
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -43,6 +43,7 @@
 
 def received(request, outcome="done", digest="d"):
     fields = {"request": request, "outcome": outcome, "body_digest": digest}
+    fields["sent_digest"] = "d"
     return ("caller", Event.RECEIVED, fields)
 
 
