--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -30,12 +30,15 @@
 
     Parameters
     ----------
-    lease_s : float
-        Lease of a worker, renewed with each exchange.
     exchange_s : float
         Period of the exchanges with a worker where no attempt ends.
     busy_exchange_s : float
         Shortest period of the exchanges while attempts end.
+    lease_s : float
+        Length of the leases granted to workers.
+    commit_s : float
+        Least time between two writes of a chunk, unless a task of it is to run
+        again or the chunk is final.
     scan_s : float
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
@@ -52,9 +55,10 @@
         How long to wait after a round that placed nothing, unless one ends.
     """
 
-    lease_s: float = LEASE_S
     exchange_s: float = 1.0
     busy_exchange_s: float = 1.0
+    lease_s: float = LEASE_S
+    commit_s: float = 2.0
     scan_s: float = 10.0
     retry_s: float = 0.5
     max_retry_s: float = 4.0
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -42,8 +42,8 @@
         offers=lambda: list_offers(application),
         notify=functools.partial(notify_owner, application),
         timing=ShardTiming(
-            lease_s=application.settings.timers.lease_ms / 1_000,
             exchange_s=application.settings.timers.exchange_ms / 1_000,
+            lease_s=application.settings.timers.lease_ms / 1_000,
         ),
         meters=PrometheusWorkMeters(application.registry),
     )
