Read the instance list only when it has changed

Cause: python -m measurements control showed 2,818 bytes/s received at rest by a daemon of a deployment with 20 listed instances, most of it the list, sent whole every 2 s; at 33 workers it would pass 9 KB/s. Change: the adapter sends the entity tag it has, and takes 304 for the list it knows. Left: at the size to design for the list is some 14 MB and each change sends it anew; that needs a filter by failure domain on the platform's side. The test of the list under faults now changes the list before each fault, so that a body has to travel each time. measurements/control follows apply_fleet's signature.

--- a/fuchsiascale/platform/_calls.py
+++ b/fuchsiascale/platform/_calls.py
@@ -46,10 +46,11 @@
 
 
 class RawAnswer(Message):
-    """Status and whole body of an answer."""
+    """Status, whole body and entity tag of an answer."""
 
     status: int
     body: bytes
+    entity_tag: str = ""
 
 
 class SendOnce:
@@ -126,6 +127,7 @@
     timeout_s: float,
     message: Message | None = None,
     params: dict[str, str] | None = None,
+    known_tag: str = "",
 ) -> Result[RawAnswer, Unavailable | Uncertain]:
     """Make one call and receive its whole answer.
 
@@ -141,6 +143,8 @@
         Sent as the JSON body.
     params : dict of str to str, optional
         Query of the URL.
+    known_tag : str, optional
+        Entity tag of the answer that the caller has; status 304 where it stands.
 
     Returns
     -------
@@ -149,17 +153,24 @@
         is unavailable; ``Uncertain`` where the answer was lost.
     """
     body = None if message is None else msgspec.json.encode(message)
+    headers = JSON_HEADERS if body is not None else {}
+    if known_tag:
+        headers = {**headers, "If-None-Match": known_tag}
     try:
         async with session.request(
             method,
             yarl.URL(url, encoded=True).update_query(params or {}),
             data=body,
-            headers=JSON_HEADERS if body is not None else None,
+            headers=headers,
             timeout=limit_time(timeout_s),
             allow_redirects=False,
             middlewares=(SendOnce(),),
         ) as answer:
-            raw = RawAnswer(status=answer.status, body=await read_whole(answer))
+            raw = RawAnswer(
+                status=answer.status,
+                body=await read_whole(answer),
+                entity_tag=answer.headers.get("ETag", ""),
+            )
     except CONNECT_FAILURES as error:
         return Failure(Unavailable(detail=repr(error)))
     except (*CALL_FAILURES, SentTwice) as error:
--- a/fuchsiascale/platform/_instances.py
+++ b/fuchsiascale/platform/_instances.py
@@ -1,7 +1,7 @@
 """HTTP adapter of the platform's instance list."""
 
 import aiohttp
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from fuchsiascale.platform._calls import call, decode
 from fuchsiascale.platform._errors import Unavailable
@@ -9,6 +9,8 @@
 
 __all__ = ["HttpInstanceList"]
 
+NOT_MODIFIED = 304
+
 
 class HttpInstanceList:
     """The instance list behind HTTP.
@@ -27,6 +29,8 @@
         self._session = session
         self._url = base_url.rstrip("/") + "/v1/instances"
         self._timeout_s = timeout_s
+        self._known = ListedInstances()
+        self._known_tag = ""
 
     async def fetch(self) -> Result[tuple[ListedInstance, ...], Unavailable]:
         """Read the whole list.
@@ -34,11 +38,23 @@
         Returns
         -------
         Result of tuple of ListedInstance
-            The list as of some moments ago.
+            The list as of some moments ago; it is transferred only where it has
+            changed since the last read, if the service gives entity tags.
         """
-        answered = await call(self._session, "GET", self._url, self._timeout_s)
-        if not isinstance(answered, Failure):
-            answered = decode(answered.unwrap(), ListedInstances)
-        return answered.map(lambda listed: listed.instances).alt(
-            lambda error: Unavailable(detail=error.detail)
+        answered = await call(
+            self._session,
+            "GET",
+            self._url,
+            self._timeout_s,
+            known_tag=self._known_tag,
         )
+        if isinstance(answered, Failure):
+            return Failure(Unavailable(detail=answered.failure().detail))
+        raw = answered.unwrap()
+        if self._known_tag and raw.status == NOT_MODIFIED:
+            return Success(self._known.instances)
+        listed = decode(raw, ListedInstances)
+        if isinstance(listed, Failure):
+            return Failure(Unavailable(detail=listed.failure().detail))
+        self._known, self._known_tag = listed.unwrap(), raw.entity_tag
+        return Success(self._known.instances)
--- a/fuchsiascale/platform/tests/test_objects_and_list.py
+++ b/fuchsiascale/platform/tests/test_objects_and_list.py
@@ -56,16 +56,20 @@
 
 
 async def test_the_list_under_faults(listing_standin):
-    first = ListedInstances(instances=(list_instance("w1"), list_instance("w2")))
-    post_control(listing_standin.control, "/control/instances", first)
+    """Each fault meets a list that has changed, so that its body must travel."""
     async with aiohttp.ClientSession() as session:
         listed = HttpInstanceList(session, listing_standin.base_url, TIMEOUT_S)
-        for name, faults in (*READ_FAULTS, ("truncated", {"truncated_answers": 1})):
-            await set_faults(listing_standin, **faults)
+        rows = (*READ_FAULTS, ("truncated", {"truncated_answers": 1}))
+        for number, (name, faults) in enumerate(rows):
+            changed = ListedInstances(
+                instances=(list_instance("w1"), list_instance(f"w{number + 2}"))
+            )
+            post_control(listing_standin.control, "/control/instances", changed)
+            await set_faults(listing_standin, lag_ms=0, **faults)
             failed = await listed.fetch()
-            await set_faults(listing_standin)
+            await set_faults(listing_standin, lag_ms=0)
             assert isinstance(failed.failure(), Unavailable), name
-            assert await listed.fetch() == Success(first.instances), name
+            assert await listed.fetch() == Success(changed.instances), name
 
 
 async def test_the_list_lags(listing_standin):
@@ -79,3 +83,25 @@
         assert await listed.fetch() == Success(())
         await set_faults(listing_standin, lag_ms=0)
         assert await listed.fetch() == Success(leaving.instances)
+
+
+async def test_an_unchanged_list_is_not_sent_again(listing_standin):
+    first = ListedInstances(instances=(list_instance("w1"),))
+    second = ListedInstances(instances=(list_instance("w1"), list_instance("w2")))
+    received = []
+    trace = aiohttp.TraceConfig()
+
+    async def count(session, context, chunk):
+        received.append(len(chunk.chunk))
+
+    trace.on_response_chunk_received.append(count)
+    async with aiohttp.ClientSession(trace_configs=[trace]) as session:
+        listed = HttpInstanceList(session, listing_standin.base_url, TIMEOUT_S)
+        await set_faults(listing_standin, lag_ms=0)
+        post_control(listing_standin.control, "/control/instances", first)
+        assert await listed.fetch() == Success(first.instances)
+        sent_once = sum(received)
+        assert await listed.fetch() == Success(first.instances)
+        assert sum(received) == sent_once
+        post_control(listing_standin.control, "/control/instances", second)
+        assert await listed.fetch() == Success(second.instances)
--- a/measurements/configuration.py
+++ b/measurements/configuration.py
@@ -78,7 +78,7 @@
     random = Random(SEED)
     with Deployment(PLAN) as deployment, ThreadPoolExecutor(8) as pool:
         names = sorted(deployment.operators)
-        apply_fleet(deployment.operators[names[0]], DEFAULT_FLEET)
+        apply_fleet(deployment, names[0], DEFAULT_FLEET)
         for address in deployment.callers.values():
             deployment.wait_until(lambda a=address: is_ready(a), f"{address} ready")
         time.sleep(SETTLE_S)
--- a/measurements/control.py
+++ b/measurements/control.py
@@ -110,7 +110,7 @@
     with Deployment(PLAN) as deployment:
         for address in deployment.callers.values():
             deployment.wait_until(lambda a=address: _is_live(a), f"{address} live")
-        apply_fleet(next(iter(deployment.operators.values())), DEFAULT_FLEET)
+        apply_fleet(deployment, next(iter(deployment.operators)), DEFAULT_FLEET)
         for address in deployment.callers.values():
             deployment.wait_until(lambda a=address: is_ready(a), f"{address} ready")
         pid = deployment.processes[next(iter(deployment.callers))].pid
--- a/standins/listing.py
+++ b/standins/listing.py
@@ -1,9 +1,11 @@
 """Stand-in of the platform's lagging instance list."""
 
+import hashlib
 import time
 from pathlib import Path
 
 import msgspec
+from aiohttp import web
 
 from fuchsiascale.platform import ListedInstances
 from standins._journal import Event
@@ -64,7 +66,12 @@
         lag_ms = self.standin.faults.lag_ms
         if lag_ms < 0:
             lag_ms = self._lag_ms
-        return encode_answer(self._list.read(time.monotonic(), lag_ms / 1000))
+        answer = encode_answer(self._list.read(time.monotonic(), lag_ms / 1000))
+        tag = f'"{hashlib.sha256(answer.body).hexdigest()[:16]}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        answer.headers["ETag"] = tag
+        return answer
 
     async def _change(self, request):
         listed = await decode_body(request, ListedInstances)
