--- /dev/null
+++ b/scenarios/leaving.feature
@@ -0,0 +1,43 @@
+Feature: a leaving upstream gets no new work after 3 s
+
+  Scenario: runner and worker leave, by the list
+    Given a deployment
+      | option  | value |
+      | workers | 2     |
+    And every worker of "porto" is claimed
+    And a load of 4 callers with plain requests
+    When the job "j" of 60 tasks of 300 ms is accepted by "porto-e0"
+    And "porto-r0" leaves, by the list
+    And "porto-w0" leaves, by the list
+    And 6 s pass
+    And the load ends
+    Then at least 50 requests were done
+    And the job "j" is finished within 15 s
+
+  Scenario: runner and worker say that they leave while the list lags by 10 s
+    Given a deployment
+      | option      | value |
+      | workers     | 2     |
+    And every worker of "porto" is claimed
+    And a load of 4 callers with plain requests
+    When "listing" gets the faults {"lag_ms": 10000}
+    And the job "j" of 60 tasks of 300 ms is accepted by "porto-e0"
+    And "porto-r0" leaves
+    And "porto-w0" leaves
+    And 6 s pass
+    And the load ends
+    Then at least 50 requests were done
+
+  Scenario: a worker leaves during a flood while the list can't be read
+    Given a deployment
+      | option  | value |
+      | workers | 2     |
+    And every worker of "porto" is claimed
+    And a load of 16 callers with plain requests
+    When "listing" gets the faults {"down": true}
+    And the job "j" of 60 tasks of 300 ms is accepted by "porto-e0"
+    And "porto-w0" leaves, by its own word
+    And "porto-r0" leaves, by its own word
+    And 6 s pass
+    And the load ends
+    Then at least 50 requests were done
