Split a failure domain, and advertise a peer address

Cause: 'two owners in a split failure domain' could not be brought about, since an instance told its peers the address that it listens on, and no relay could stand in between; a translated address needs the same.

--- a/fuchsiascale/daemon/_control.py
+++ b/fuchsiascale/daemon/_control.py
@@ -16,7 +16,7 @@
     settings = application.settings
     member = Member(
         instance=settings.instance,
-        address=settings.peer.address,
+        address=settings.peer_address,
         failure_domain=settings.failure_domain,
         region=settings.region,
     )
--- a/fuchsiascale/daemon/_latencies.py
+++ b/fuchsiascale/daemon/_latencies.py
@@ -49,7 +49,7 @@
 
 async def _report(application, shard, latencies):
     address = find_shard_owner(application, shard)
-    if address == application.settings.peer.address:
+    if address == application.settings.peer_address:
         _observe(application, latencies)
     elif address is not None:
         report = LatencyReport(latencies=latencies)
--- a/fuchsiascale/daemon/_operator_work.py
+++ b/fuchsiascale/daemon/_operator_work.py
@@ -105,7 +105,7 @@
     names = tuple(chunk.chunk for chunk in chunks)
     address = find_shard_owner(application, shard)
     reply, silence = ExplainReply(), "no owner of the shard is known"
-    if address == application.settings.peer.address:
+    if address == application.settings.peer_address:
         reply = _explain_here(application, names)
         silence = "the shard's owner has not read the task yet"
     elif address is not None:
--- a/fuchsiascale/daemon/_settings.py
+++ b/fuchsiascale/daemon/_settings.py
@@ -142,6 +142,7 @@
     region: RegionId
     caller: ListenSettings
     peer: ListenSettings
+    peer_address: str
     operator: ListenSettings
     platform: PlatformSettings
     upstreams: UpstreamSettings
@@ -265,13 +266,19 @@
             detail = f"{address} is the {taken[address]} listener's address as well"
             problems.append(OptionProblem(section="listen", key=name, detail=detail))
         taken[address] = name
-    host = _split_address(listen["peer"])[0]
+    key = "peer_advertised" if listen["peer_advertised"] else "peer"
+    host = _split_address(_choose_peer_address(listen))[0]
     if ipaddress.ip_address(host).is_unspecified:
         detail = f"{host} is no address that peers can connect to"
-        problems.append(OptionProblem(section="listen", key="peer", detail=detail))
+        problems.append(OptionProblem(section="listen", key=key, detail=detail))
     return problems
 
 
+def _choose_peer_address(listen):
+    """Return the address that peers are told."""
+    return listen["peer_advertised"] or listen["peer"]
+
+
 def _check_tls(section, values, prefix):
     problems = []
     for part in ("certificate", "key", "authority"):
@@ -310,6 +317,7 @@
         failure_domain=FailureDomainId(instance["failure_domain"]),
         region=RegionId(instance["region"]),
         **{name: _build_listener(values["listen"], name) for name in LISTENERS},
+        peer_address=_choose_peer_address(values["listen"]),
         platform=PlatformSettings(
             tables=platform["tables"],
             objects=platform["objects"],
--- a/fuchsiascale/daemon/_settings_options.py
+++ b/fuchsiascale/daemon/_settings_options.py
@@ -104,6 +104,13 @@
         _address("caller", "Address of the caller interface"),
         _address("peer", "Address that other instances connect to"),
         _address("operator", "Address of the operator interface"),
+        Option(
+            name="peer_advertised",
+            convert=parse_address,
+            default="",
+            accepts="IP:port",
+            meaning="Address that peers are told, where it is not that of `peer`",
+        ),
         *(
             option
             for name in LISTENERS
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -121,7 +121,7 @@
 async def notify_owner(application, notice):
     """Pass a notice to the shard's owner; a lost one is made good by a scan."""
     address = find_shard_owner(application, notice.shard)
-    if address == application.settings.peer.address:
+    if address == application.settings.peer_address:
         await application.shards.notice(notice)
     elif address is not None:
         await application.peers.call(address, WORK_PATH, notice, Accepted)
--- a/fuchsiascale/daemon/tests/test_settings.py
+++ b/fuchsiascale/daemon/tests/test_settings.py
@@ -33,6 +33,12 @@
     ("caller = 127.0.0.1:8001", "caller = 127.0.0.1:0", "listen", "caller"),
     ("caller = 127.0.0.1:8001", "caller = 127.0.0.1:8003", "listen", "operator"),
     ("peer = 127.0.0.1:8002", "peer = 0.0.0.0:8002", "listen", "peer"),
+    (
+        "peer = 127.0.0.1:8002",
+        "peer = 127.0.0.1:8002\npeer_advertised = 0.0.0.0:8002",
+        "listen",
+        "peer_advertised",
+    ),
     ("tables = http://", "tables = ftp://", "platform", "tables"),
     ("[platform]", "[platform]\ntimeout_ms = 1.5", "platform", "timeout_ms"),
     ("[platform]", "[platform]\ntimeout_ms = 9", "platform", "timeout_ms"),
@@ -89,3 +95,12 @@
 def test_an_absent_or_malformed_file_is_named(folder):
     assert "absent.ini" in str(read_settings(folder / "absent.ini").failure()[0])
     assert "instance.ini" in str(read_text(folder, "[instance").failure()[0])
+
+
+def test_peers_are_told_the_advertised_address(folder):
+    sound = read_text(folder, SOUND).unwrap()
+    assert sound.peer_address == sound.peer.address
+    text = SOUND.replace("peer = 127.0.0.1:8002", "peer = 0.0.0.0:8002").replace(
+        "[platform]", "peer_advertised = 10.0.0.7:9002\n[platform]"
+    )
+    assert read_text(folder, text).unwrap().peer_address == "10.0.0.7:9002"
--- a/scenarios/one_place.feature
+++ b/scenarios/one_place.feature
@@ -82,3 +82,23 @@
     And "the owner of porto-w0" is killed
     And it is started again
     Then the job "j" is finished within 18 s, each of its 24 tasks having finished on a worker
+
+  Scenario: a failure domain is split, and each half is killed in turn
+    Given a deployment
+      | option    | value |
+      | instances | 2     |
+      | workers   | 2     |
+      | split     | yes   |
+    And every worker of "porto" is claimed
+    When the job "j" of 40 tasks of 1000 ms is accepted by "porto-e0"
+    And at least 4 tasks have been started
+    And all links are silent
+    And 4 s pass
+    And "porto-e0" is killed
+    And 1 s pass
+    And it is started again
+    And 1 s pass
+    And "porto-e1" is killed
+    And it is started again
+    And all links are up
+    Then the job "j" is finished within 18 s, each of its 40 tasks having finished on a worker
--- a/scenarios/steps/deployments.py
+++ b/scenarios/steps/deployments.py
@@ -9,6 +9,7 @@
 from standins.callers import Callers
 from standins.clients import apply_fleet, is_ready
 from standins.deployment import DEFAULT_FLEET, Deployment, Plan, Site
+from standins.relay import LinkState
 
 SITE_OPTIONS = ("instances", "workers", "racks")
 PLAN_NUMBERS = (
@@ -22,7 +23,7 @@
     "usage_lag_ms",
     "platform_timeout_ms",
 )
-PLAN_FLAGS = ("guards", "links")
+PLAN_FLAGS = ("guards", "links", "split")
 TIMERS = {
     "heartbeat_ms": 300,
     "list_poll_ms": 500,
@@ -99,6 +100,18 @@
     return owners[-1] if owners else None
 
 
+@then('at least {count:d} instances claimed "{worker}" while the links were silent')
+def check_claims(context, count, worker):
+    owners = {
+        entry.token.partition("/")[2]
+        for entry in context.deployment.read_journals()
+        if entry.event is Event.CLAIMED
+        and entry.source == worker
+        and context.silent_ms < entry.at_ms < context.up_ms
+    }
+    assert len(owners) >= count, owners
+
+
 def find_name(context, text):
     """Return the process that a step names: itself, or "the owner of WORKER"."""
     prefix = "the owner of "
@@ -176,6 +189,11 @@
 
 @when("all links are {state}")
 def set_all_links(context, state):
+    now_ms = time.monotonic() * 1000
+    if state == LinkState.SILENT.value:
+        context.silent_ms = now_ms
+    else:
+        context.up_ms = now_ms
     for name in context.deployment.controls:
         if name.startswith("link-"):
             context.deployment.set_link(name, state=state)
--- a/standins/_plans.py
+++ b/standins/_plans.py
@@ -59,6 +59,8 @@
     links : bool
         Whether a relay stands on the way from each failure domain to the
         platform and to each other failure domain, with a list of its own.
+    split : bool
+        Whether a relay stands before the peer listener of each instance.
     timers : dict of str to int
         Options of the daemons' section ``[timers]``, in milliseconds.
     platform_timeout_ms : int
@@ -75,6 +77,7 @@
     accelerators: int = 0
     guards: bool = True
     links: bool = False
+    split: bool = False
     list_lag_ms: int = 200
     usage_lag_ms: int = 1_000
     timers: dict[str, int] = {}
@@ -100,7 +103,7 @@
     return RackId(f"rack{number % site.racks}")
 
 
-def format_settings(plan, listed, caller, operator, tables, objects, instances):
+def format_settings(plan, listed, caller, peer, operator, tables, objects, instances):
     """Return the text of a daemon's settings file.
 
     Parameters
@@ -109,7 +112,7 @@
         Where the timers and the time limit come from.
     listed : ListedInstance
         The instance as it is listed.
-    caller, operator : str
+    caller, peer, operator : str
         Addresses of its listeners, as ``host:port``.
     tables, objects, instances : str
         Addresses under which it reaches the platform, as ``host:port``.
@@ -129,7 +132,8 @@
 
 [listen]
 caller = {caller}
-peer = {listed.address}
+peer = {peer}
+peer_advertised = {listed.address}
 operator = {operator}
 
 [platform]
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -114,7 +114,16 @@
         post_control(self.controls[name], "/control/faults", Faults(**faults))
 
     def set_link(self, name, **settings):
-        """Change a link: ``link-platform-FD`` or ``link-FD-FD`` in sorted order."""
+        """Change a link.
+
+        Parameters
+        ----------
+        name : str
+            ``link-platform-FD``, ``link-FD-FD`` in sorted order, or
+            ``link-peer-INSTANCE``.
+        **settings
+            Fields of :class:`~standins.relay.LinkSettings`.
+        """
         post_control(self.controls[name], "/control/link", LinkSettings(**settings))
 
     def change_list(self, name, **changes):
@@ -207,7 +216,10 @@
         self.callers[instance] = find_free_address()
         self.operators[instance] = find_free_address()
         self.peers[instance] = find_free_address()
-        self._list(site, instance, InstanceRole.ENTRY, self.peers[instance])
+        advertised = self.peers[instance]
+        if self.plan.split:
+            advertised = find_free_address()
+        self._list(site, instance, InstanceRole.ENTRY, advertised)
 
     def _list(self, site, name, role, address, **fields):
         self._sites[name] = site
@@ -228,6 +240,7 @@
                 self.plan,
                 self.listed[instance],
                 caller=self.callers[instance],
+                peer=self.peers[instance],
                 operator=self.operators[instance],
                 tables=self._find_address("tables", domain),
                 objects=self._find_address("objects", domain),
@@ -305,6 +318,10 @@
 
     def _start_links(self):
         """Start the relays, and note under which address each end is reached."""
+        if self.plan.split:
+            for name in self.list_names(InstanceRole.ENTRY):
+                route = f"{self.listed[name].address}={self.peers[name]}"
+                self._start_relay(f"link-peer-{name}", [route])
         if not self.plan.links:
             return
         domains = [site.failure_domain for site in self.plan.sites]
