--- a/standins/_journal.py
+++ b/standins/_journal.py
@@ -16,6 +16,7 @@
 
     READY = "ready"
     FAULTS = "faults"
+    CUT = "cut"
     CLAIMED = "claimed"
     REFUSED = "refused"
     STARTED = "started"
--- a/standins/_server.py
+++ b/standins/_server.py
@@ -172,6 +172,7 @@
             return False
         cut = msgspec.structs.replace(self.faults.cut, **{point: left - 1})
         self.faults = msgspec.structs.replace(self.faults, cut=cut)
+        self.journal.record(Event.CUT, detail=point)
         return True
 
     def take_count(self, name):
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -127,13 +127,17 @@
     Returns
     -------
     dict of str to list of Silence
-        Spans by process: paused, or refusing connections.
+        Spans by process: paused, refusing connections, or a moment at which a
+        connection was cut.
     """
     spans = defaultdict(list)
     for entry in entries:
         down = entry.event is Event.FAULTS and '"down":true' in entry.detail
         name = entry.source if entry.event is Event.FAULTS else entry.about
-        if down or entry.event is Event.PAUSED:
+        if entry.event is Event.CUT:
+            cut = Silence(began_ms=entry.at_ms, ended_ms=entry.at_ms)
+            spans[entry.source].insert(0, cut)
+        elif down or entry.event is Event.PAUSED:
             spans[name].append(Silence(began_ms=entry.at_ms))
         elif entry.event in (Event.FAULTS, Event.RESUMED) and spans[name]:
             last = spans[name][-1]
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -70,6 +70,13 @@
     (*CLAIMS, started("w"), started("v", "u")),
     (*CLAIMS, started("w"), killed("w"), started("v", attempt=2)),
     (*CLAIMS, started("w"), ended("w"), killed("w"), started("v", attempt=2)),
+    (
+        *CLAIMS,
+        started("w"),
+        ended("w"),
+        ("w", Event.CUT, {}),
+        started("v", attempt=2),
+    ),
     (
         *CLAIMS,
         started("w"),
@@ -124,6 +131,16 @@
             started("v", attempt=2),
         ),
     ),
+    (
+        "finished once",
+        (
+            *CLAIMS,
+            ("w", Event.CUT, {}),
+            started("w"),
+            ended("w"),
+            started("v", attempt=2),
+        ),
+    ),
     (
         "resumed",
         (
