Print why a scenario failed

Cause: the suite named the scenarios that failed, but not what was wrong. Ruled out: behave's plain format, which buries it under each step's text. Change: the failing step and its message are printed from the JSON report. Conclusion: a red run can be read.

--- a/.ci/suite.py
+++ b/.ci/suite.py
@@ -72,6 +72,20 @@
     return names - bad, bad
 
 
+def print_failed_steps(name, scenario):
+    """Print what was wrong in each step of a scenario that failed."""
+    for step in scenario.get("steps", ()):
+        result = step.get("result", {})
+        if result.get("status") not in (None, "passed", "skipped"):
+            print(f"{name}: {step['name']}")
+            print(format_message(result.get("error_message", "no message")))
+
+
+def format_message(message):
+    """Return an error message of the report, which may be a list of lines."""
+    return message if isinstance(message, str) else "\n".join(message)
+
+
 def run_scenarios(match):
     """Run the behave scenarios; return the sets of passed and failed names."""
     with tempfile.TemporaryDirectory() as folder:
@@ -89,7 +103,11 @@
             if element["type"] != "scenario":
                 continue
             name = f"{feature['name']}: {element['name']}"
-            (passed if element.get("status") == "passed" else failed).add(name)
+            if element.get("status") == "passed":
+                passed.add(name)
+                continue
+            failed.add(name)
+            print_failed_steps(name, element)
     if finished.returncode and not failed:
         failed.add("scenarios: behave itself failed")
     return passed, failed
