--- /dev/null
+++ b/measurements/request_cost.py
@@ -0,0 +1,130 @@
+"""Processor time of a request through one daemon, against a bare pass-through."""
+
+import asyncio
+import statistics
+import sys
+
+import aiohttp
+
+from measurements._processes import read_cpu_s
+from measurements._report import Report, compare, measurement
+from standins.clients import apply_fleet, is_ready
+from standins.deployment import DEFAULT_FLEET, Deployment, Plan, Site
+from standins.processes import ManagedProcess, find_free_address
+
+MAX_RATIO = 1.5
+ROUNDS = 7
+REQUESTS_A_ROUND = 1_500
+WARM_UP = 500
+IN_FLIGHT = 8
+BODY = b"x" * 200
+READY_S = 10.0
+HEADERS = {
+    "X-Team": "shop",
+    "X-Idempotent": "true",
+    "Content-Type": "application/octet-stream",
+}
+PLAN = Plan(
+    sites=(Site(failure_domain="porto", region="norte", instances=1, workers=2),),
+    service_ms=0,
+    settings="[traces]\nexporter = console\nsample_ratio = 0.01\n",
+)
+
+
+async def send_round(session, address, amount):
+    """Send requests over a fixed number of connections, one after the other."""
+    url = f"http://{address}/v1/services/echo/match"
+    left = iter(range(amount))
+
+    async def send_some():
+        for number in left:
+            headers = {**HEADERS, "X-Request-Id": f"r{number}"}
+            async with session.post(url, data=BODY, headers=headers) as answer:
+                content = await answer.read()
+                if answer.status != 200 or content != BODY:
+                    raise RuntimeError(f"{answer.status}: {content[:200]}")
+
+    await asyncio.gather(*(send_some() for _ in range(IN_FLIGHT)))
+
+
+async def measure_rounds(targets):
+    """Return the processor time a request of each target, by round, in ms.
+
+    Parameters
+    ----------
+    targets : dict of str to tuple of str and int
+        Address and process id by name; they take turns in every round.
+    """
+    costs = {name: [] for name in targets}
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        for address, _ in targets.values():
+            await send_round(session, address, WARM_UP)
+        for _ in range(ROUNDS):
+            for name, (address, pid) in targets.items():
+                before_s = read_cpu_s(pid)
+                await send_round(session, address, REQUESTS_A_ROUND)
+                used_s = read_cpu_s(pid) - before_s
+                costs[name].append(used_s * 1000 / REQUESTS_A_ROUND)
+    return costs
+
+
+def start_proxy(deployment):
+    """Start the baseline in front of the deployment's first runner."""
+    address = find_free_address()
+    upstream = deployment.addresses["porto-r0"]
+    command = [sys.executable, "-m", "measurements._pass_through"]
+    command += ["--listen", address, "--upstream", upstream]
+    proxy = ManagedProcess("proxy", command, deployment.log("proxy"))
+    proxy.start()
+    deployment.wait_until(proxy.is_ready, "the pass-through", READY_S)
+    return address, proxy
+
+
+@measurement("request_cost", "Processor time of a request through one daemon")
+def measure_request_cost():
+    """Run daemon and pass-through in turns on the same stand-ins."""
+    with Deployment(PLAN) as deployment:
+        name, address = next(iter(deployment.callers.items()))
+        deployment.wait_until(lambda: is_ready(address), "the daemon")
+        apply_fleet(deployment.operators[name], DEFAULT_FLEET)
+        proxy_address, proxy = start_proxy(deployment)
+        try:
+            asyncio.run(wait_for_credits(address))
+            targets = {
+                "pass-through": (proxy_address, proxy.pid),
+                "daemon": (address, deployment.processes[name].pid),
+            }
+            costs = asyncio.run(measure_rounds(targets))
+        finally:
+            proxy.kill()
+    baseline = statistics.median(costs["pass-through"])
+    measured = statistics.median(costs["daemon"])
+    return Report(
+        baseline="a bare aiohttp pass-through, same run, same runner",
+        setting=(
+            f"median of {ROUNDS} rounds of {REQUESTS_A_ROUND} requests of "
+            f"{len(BODY)} bytes, {IN_FLIGHT} in flight, all filters, traces at 1%"
+        ),
+        figures=(
+            compare(
+                "processor time a request (ms)",
+                baseline,
+                measured,
+                at_most=MAX_RATIO,
+            ),
+        ),
+    )
+
+
+async def wait_for_credits(address):
+    """Send single requests until the daemon has credits and the document."""
+    async with aiohttp.ClientSession() as session:
+        for _ in range(50):
+            try:
+                await send_round(session, address, 1)
+            except RuntimeError:
+                await asyncio.sleep(0.2)
+            else:
+                return
+    raise TimeoutError("the daemon got no credits")
--- a/standins/_plans.py
+++ b/standins/_plans.py
@@ -63,6 +63,8 @@
         Options of the daemons' section ``[timers]``, in milliseconds.
     platform_timeout_ms : int
         Time limit of the daemons' platform calls, in milliseconds.
+    settings : str
+        More sections of the daemons' settings, as INI text.
     """
 
     sites: tuple[Site, ...]
@@ -80,6 +82,7 @@
     timers: dict[str, int] = {}
     platform_timeout_ms: int = 2_000
     fleet: str = ""
+    settings: str = ""
 
 
 def name_rack(site, number):
@@ -145,4 +148,5 @@
 
 [timers]
 {timers}
-"""
+
+{plan.settings}"""
