--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -121,6 +121,16 @@
     live.sequence = command.sequence
     _forget_recorded(state, live)
     reconcile_chunk(state, live)
+    if record.cancelled:
+        _hasten_stops(state, live)
+
+
+def _hasten_stops(state, live):
+    """Have the workers of a cancelled chunk told without delay."""
+    for attempt in live.attempts.values():
+        link = state.links.get(attempt.worker)
+        if link is not None and not link.failures:
+            link.due_s = state.now_s()
 
 
 def list_writes(state):
@@ -133,18 +143,30 @@
         if now_s < live.due_s or not _has_ends(live):
             continue
         record = compute_record(live, state.max_failures(live.record))
-        if record == live.record:
+        if record == live.record or _may_wait(state, live, record):
             continue
         write = ChunkWrite(
             record=record,
             expected_version=live.version,
             assignment_version=live.assignment_version,
         )
+        live.written_s = now_s
         live.pending = WriteChunk(write=write)
         commands.append(live.pending)
     return commands
 
 
+def _may_wait(state, live, record):
+    """Tell whether more ends may be gathered first, since none is waited for."""
+    if state.now_s() - live.written_s >= state.timing.commit_s or not state.placing:
+        return False
+    again = any(
+        new.attempt != old.attempt and not new.state.final
+        for old, new in zip(live.record.tasks, record.tasks, strict=True)
+    )
+    return not again and not record.final
+
+
 def _has_ends(live):
     return live.record.cancelled or any(
         attempt.over for attempt in live.attempts.values()
@@ -161,6 +183,7 @@
     if not isinstance(result, Success):
         meet_failed_write(state, live, result.failure())
         return
+    state.meters.count_changes(live.record, write.record)
     live.record = write.record
     live.version = result.unwrap()
     _forget_recorded(state, live)
--- a/fuchsiascale/pipelines/_sends.py
+++ b/fuchsiascale/pipelines/_sends.py
@@ -81,16 +81,22 @@
     retries = ports.retries
     retries.budget = record_fresh(retries.budget, ports.fleet().policy.retry_budget)
     tried = set()
+    uncertain = None
     while True:
         tried.add(call.slot.runner.instance_id)
         answer = await _send_once(call, ports)
         if answer.outcome is Outcome.DONE:
             break
+        if answer.outcome is Outcome.UNKNOWN:
+            uncertain = answer
         again = await _plan_again(call, ports, answer, tried)
         if again is None:
             break
         ports.meters.count_retry(call.service_id)
         call = again
+    if answer.outcome is Outcome.NOT_RUN and uncertain is not None:
+        # An earlier send may have run, whatever became of the last one.
+        answer = uncertain
     return replace(call, answer=answer)
 
 
@@ -163,6 +169,7 @@
                 max(0.0, left_s), dispatcher.end_slot, call.admission, slot
             )
     if isinstance(result, Success):
+        _note_leaving(ports, slot, result.unwrap())
         return make_answer(result.unwrap())
     error = result.failure()
     if isinstance(error, RequestNotRun):
@@ -171,6 +178,12 @@
     return CallAnswer(outcome=Outcome.UNKNOWN, detail=error.detail)
 
 
+def _note_leaving(ports, slot, answer):
+    name = slot.runner.instance_id
+    if answer.leaving and name not in ports.view().leaving:
+        ports.mark_leaving((name,))
+
+
 def _has_ended(result):
     """Return whether the upstream surely no longer works on the request."""
     if result is None:
--- a/fuchsiascale/testing.py
+++ b/fuchsiascale/testing.py
@@ -2,7 +2,8 @@
 
 A test module holds plain functions named ``test_*``. A parameter of a test
 function names a fixture: a generator function marked by :func:`fixture` that
-yields one value and cleans up after it. Coroutine functions run in an event
+yields one value and cleans up after it. One of the test's own module goes before
+one of the same name elsewhere. Coroutine functions run in an event
 loop of their own.
 """
 
@@ -20,7 +21,9 @@
 
 def fixture(function):
     """Register a generator function as the fixture of its name."""
-    _FIXTURES[function.__name__] = contextlib.contextmanager(function)
+    manager = contextlib.contextmanager(function)
+    _FIXTURES[function.__module__, function.__name__] = manager
+    _FIXTURES.setdefault(function.__name__, manager)
     return function
 
 
@@ -76,7 +79,8 @@
     arguments = {}
     for name in inspect.signature(function).parameters:
         if name not in entered:
-            manager = _FIXTURES[name]
+            own = (function.__module__, name)
+            manager = _FIXTURES.get(own) or _FIXTURES[name]
             needed = _enter_fixtures(inspect.unwrap(manager), stack, entered)
             entered[name] = stack.enter_context(manager(**needed))
         arguments[name] = entered[name]
