--- a/fuchsiascale/pipelines/tests/_fakes.py
+++ b/fuchsiascale/pipelines/tests/_fakes.py
@@ -50,11 +50,11 @@
     )
 
 
-def make_runner(name="runner-1", domain="porto"):
+def make_runner(name="runner-1", domain="porto", address=""):
     return ListedInstance(
         instance_id=name,
         role=InstanceRole.RUNNER,
-        address=f"{name}:80",
+        address=address or f"{name}:80",
         failure_domain=domain,
         region="norte",
         rack="r1",
@@ -63,13 +63,13 @@
     )
 
 
-def make_view(runners=("runner-1",), **fields):
+def make_view(runners=("runner-1",), address="", **fields):
     return ClusterView(
         instance="a",
         failure_domain="porto",
         region="norte",
         members=(MEMBER,),
-        upstreams=tuple(make_runner(name) for name in runners),
+        upstreams=tuple(make_runner(name, address=address) for name in runners),
         **fields,
     )
 
@@ -194,7 +194,7 @@
     return RequestPorts(**{**fields, **changed})
 
 
-def make_call(body=b"take", service="hub", method="POST", **headers):
+def make_call(body=b"take", service="hub", method="POST", received_s=0.0, **headers):
     async def read_body(limit):
         return Success(body)
 
@@ -202,7 +202,7 @@
         service_id=service,
         method=method,
         path="match",
-        received_s=0.0,
+        received_s=received_s,
         read_body=read_body,
         headers=CallHeaders(**{"authorization": f"Bearer {TOKEN}", **headers}),
     )
