--- a/fuchsiascale/daemon/tests/test_caller.py
+++ b/fuchsiascale/daemon/tests/test_caller.py
@@ -121,7 +121,7 @@
     """Serve the caller interface in front of one scripted runner."""
     runner = ScriptedRunner(script)
     server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
-    address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     async with aiohttp.ClientSession() as session:
         ports = make_ports(
             clock=SystemClock(),
--- a/fuchsiascale/pipelines/tests/_fakes.py
+++ b/fuchsiascale/pipelines/tests/_fakes.py
@@ -166,6 +166,8 @@
     holder = SlotHolder("a", clock)
     request = holder.make_request("porto:r1", [(n, slots - 1) for n in runners])
     tenures = dict.fromkeys(runners, tenure)
+    if request is None:
+        return holder
     amounts = dict.fromkeys(runners, slots)
     holder.apply(request, ledger.lend(request, tenures, amounts, 1))
     return holder
