--- /dev/null
+++ b/fuchsiascale/daemon/tests/test_keyclaims.py
@@ -0,0 +1,132 @@
+"""Tests of claims through a key's home, with the way to it failing."""
+
+from random import Random
+
+import msgspec
+from returns.result import Failure, Success
+
+from fuchsiascale.api import KeyClaimReply
+from fuchsiascale.coordination import (
+    CLAIMS_TABLE,
+    ClaimRecord,
+    ClaimStands,
+    ClaimUnavailable,
+    ClusterView,
+    KeyClaims,
+    Member,
+    find_owner,
+    format_claim_key,
+)
+from fuchsiascale.daemon._keyclaims import CLAIM_PATH, HomeClaims, answer_claim
+from fuchsiascale.daemon._peers import PeerUncertain, PeerUnreachable
+from fuchsiascale.pipelines.tests._fakes import FakeTables
+from fuchsiascale.states import Outcome
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+NAMES = ("a", "b")
+KEY = "booking-7"
+ROW = CLAIMS_TABLE, format_claim_key("schools", KEY)
+
+
+class Home(msgspec.Struct):
+    """Stands for the application of the key's home."""
+
+    claims: KeyClaims
+
+
+class Way:
+    """The way to the home instance, with its faults."""
+
+    def __init__(self, home):
+        self.home = home
+        self.fault = ""
+        self.held = []
+
+    async def call(self, address, path, message, reply_type, timeout_s):
+        if self.fault == "cut":
+            return Failure(PeerUnreachable("refused"))
+        if self.fault == "late":
+            self.held.append(message)
+            return Failure(PeerUncertain("timeout"))
+        if path != CLAIM_PATH:
+            return Failure(PeerUncertain("timeout"))
+        reply = await answer_claim(self.home, message, None)
+        if self.fault == "reply lost":
+            return Failure(PeerUncertain("timeout"))
+        assert isinstance(reply, KeyClaimReply)
+        return Success(reply)
+
+
+def make_two():
+    """Return the store, the way to the home, and the claims of the other instance."""
+    members = tuple(
+        Member(instance=name, address=name, failure_domain="porto", region="norte")
+        for name in NAMES
+    )
+    home = find_owner(ROW[1], members)
+    other = next(name for name in NAMES if name != home)
+    view = ClusterView(
+        instance=other, failure_domain="porto", region="norte", members=members
+    )
+    tables = FakeTables()
+    way = Way(Home(claims=KeyClaims(tables, Random(1))))
+    own = KeyClaims(tables, Random(2))
+    return tables, way, own, HomeClaims(own, lambda: view, way.call)
+
+
+def make_record(nonce):
+    return ClaimRecord(
+        key=KEY,
+        team="schools",
+        request="r",
+        holder="x",
+        body_digest="d",
+        nonce=nonce,
+        expires_ms=1,
+    )
+
+
+def read_row(tables):
+    return msgspec.json.decode(tables.rows[ROW].value, type=ClaimRecord)
+
+
+async def test_a_claim_is_granted_once_whatever_happens_on_the_way():
+    for fault in ("", "cut", "late", "reply lost"):
+        tables, way, _, claims = make_two()
+        way.fault = fault
+        granted = await claims.claim(make_record("first"))
+        assert isinstance(granted, Success), fault
+        again = await claims.claim(make_record("second"))
+        assert isinstance(again.failure(), ClaimStands), fault
+        done = msgspec.structs.replace(make_record("first"), outcome=Outcome.DONE)
+        assert await claims.settle(granted.unwrap(), done), fault
+        for message in way.held:
+            if hasattr(message.record, "nonce") and not message.record.settled:
+                await answer_claim(way.home, message, None)
+        assert read_row(tables).outcome is Outcome.DONE, fault
+
+
+async def test_a_home_that_can_not_write_leaves_the_claim_not_run():
+    tables, way, own, claims = make_two()
+    tables.lose_reply = True
+    refused = await claims.claim(make_record("first"))
+    assert isinstance(refused.failure(), ClaimUnavailable)
+    assert way.home.claims.pending == 0
+    assert own.pending == 1
+    tables.lose_reply = False
+    await own.record_ends()
+    assert read_row(tables).outcome is Outcome.NOT_RUN
+
+
+async def test_a_late_claim_of_a_request_that_ended_changes_nothing():
+    tables, way, own, claims = make_two()
+    way.fault = "late"
+    granted = await claims.claim(make_record("first"))
+    refused = msgspec.structs.replace(make_record("first"), outcome=Outcome.NOT_RUN)
+    await own.settle(granted.unwrap(), refused)
+    await answer_claim(way.home, way.held[0], None)
+    row = read_row(tables)
+    assert row.settled
+    assert row.outcome is Outcome.NOT_RUN
