Start a takeover afresh where a worker may have changed hands

Cause: the state machine, 4,000 examples, found two runs of one attempt: an owner that lost the replies of its starts claimed the workers again over the tokens of another owner, and went on from what it knew before. A claim whose reply was lost could hide the other owner's token as well. Change: a new claim counts only if the worker had seen nothing since the last grant (ClaimReply.previous); else the owner forgets the shard and takes it over afresh. Notices to shards of other failure domains go by rendezvous where no digest is known yet; they were lost, and the job waited 10 s for a scan. A worker is asked at the declared end of what was started. Ruled out: comparing holders only, since an own lost claim hides another's.

--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -93,6 +93,8 @@
         The sequence when every worker that may hold attempts was claimed or gone.
     full : set of WorkerId
         Workers that had room for no task in the last round of placements.
+    covered_s : float
+        Monotonic time of that moment, in seconds.
     unseen_gone : bool
         Whether a worker is gone whose inventory this owner has never had.
     swept : bool
@@ -129,6 +131,7 @@
         self.row_due_s = 0.0
         self.sequence = 0
         self.covered_at = None
+        self.covered_s = float("inf")
         self.unseen_gone = False
         self.swept = False
         self.to_sweep = set()
--- a/fuchsiascale/coordination/_starts.py
+++ b/fuchsiascale/coordination/_starts.py
@@ -236,6 +236,7 @@
         if result is not None and result.started:
             attempt.phase = AttemptPhase.RUNNING
             state.meters.count_start(start.kind)
+            _expect_end(state, link, start)
             continue
         reason = "the worker gave no result" if result is None else result.reason
         _withdraw_start(state, attempt, f"{link.worker}: {reason}")
@@ -243,6 +244,12 @@
         link.due_s = state.now_s()
 
 
+def _expect_end(state, link, start):
+    """Have the worker asked at the declared end of an attempt, if that is sooner."""
+    run_s = max(state.timing.busy_exchange_s, start.run_ms / 1000)
+    link.due_s = min(link.due_s, state.now_s() + run_s)
+
+
 def _meet_failed_start(state, link, starts, error):
     without_effect = isinstance(error, Unavailable | Fenced)
     for start in starts:
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -119,8 +119,11 @@
     if link is None:
         return
     match result:
+        case Success(reply) if reply.granted and _may_have_changed_hands(link, reply):
+            link.highest = command.request.token
+            step_down(state)
         case Success(reply) if reply.granted:
-            link.highest = link.token = command.request.token
+            link.highest = link.token = link.granted = command.request.token
             link.failures = 0
             link.due_s = link.claimed_s = state.now_s()
             link.confirmed_s = link.sent_s
@@ -133,6 +136,16 @@
             meet_failure(state, link, result.failure())
 
 
+def _may_have_changed_hands(link, reply):
+    """Tell whether another owner may have held a worker since the last own claim.
+
+    Then it may have started attempts at other workers, and what is known here is
+    out of date. A token in between is another's, or one of an own claim whose
+    reply was lost and that may have fenced another owner.
+    """
+    return link.granted is not None and reply.previous != link.granted
+
+
 def list_row_commands(state):
     """Return the read or write of the shard's row that is due."""
     if not state.owner or state.row_pending or state.now_s() < state.row_due_s:
@@ -252,6 +265,7 @@
     if state.covered_at is not None or not is_covered(state):
         return
     state.covered_at = state.sequence
+    state.covered_s = state.now_s()
     require_fresh_rows(state)
 
 
@@ -329,6 +343,8 @@
 def step_down(state):
     """Give up all that is known of the shard, and wait for a while."""
     timing = state.timing
+    if state.now_s() - state.covered_s > timing.max_step_down_s:
+        state.step_downs = 0
     doublings = min(state.step_downs, MAX_BACKOFF_DOUBLINGS)
     delay_s = min(timing.step_down_s * 2**doublings, timing.max_step_down_s)
     state.step_downs += 1
--- a/fuchsiascale/coordination/_workerlinks.py
+++ b/fuchsiascale/coordination/_workerlinks.py
@@ -60,6 +60,8 @@
         Highest token that the worker is known to have seen.
     token : FencingToken or None
         Token of the own claim; None until a claim is granted.
+    granted : FencingToken or None
+        Token of the last own claim that is known to have been granted.
     pending : Message or None
         The one command in flight, so that inventories and starts keep order.
     due_s : float
@@ -95,6 +97,7 @@
     absent_since_s: float | None = None
     highest: FencingToken = NO_TOKEN
     token: FencingToken | None = None
+    granted: FencingToken | None = None
     pending: Message | None = None
     due_s: float = 0.0
     period_s: float = 0.0
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -2,6 +2,7 @@
 
 from fuchsiascale.coordination import (
     SHARDS_TABLE,
+    ClaimWorker,
     ExchangeWorker,
     MoveChunk,
     ShardOffer,
@@ -155,6 +156,32 @@
         assert (task.state, task.attempt) == (TaskState.FINISHED, 1)
 
 
+def test_a_new_claim_over_another_owners_starts_the_takeover_afresh(world):
+    first, second = world.owners
+    world.submit(tasks=2, run_ms=3_000)
+    for start in advance_until_held(world, first, StartAttempts):
+        world.lose(start)
+    second.owns = True
+    second.restart()
+    world.run(2, second)
+    second.cut = {"w0"}
+    world.run(3, first)
+    assert first.shard.state.step_downs == 1
+    assert not first.shard.held
+
+
+def test_a_lost_claim_reply_starts_the_takeover_afresh(world):
+    first, _ = world.owners
+    world.submit(tasks=1, run_ms=3_000)
+    (start,) = advance_until_held(world, first, StartAttempts)
+    world.lose(start)
+    (claim,) = advance_until_held(world, first, ClaimWorker)
+    world.deliver(claim)
+    world.lose(claim)
+    world.run(2, first)
+    assert first.shard.state.step_downs == 1
+
+
 def test_a_lost_reply_to_the_record_of_an_end_does_no_harm(world):
     first, _ = world.owners
     chunk = world.submit(tasks=2, run_ms=1_000)
--- a/fuchsiascale/coordination/tests/workfakes.py
+++ b/fuchsiascale/coordination/tests/workfakes.py
@@ -127,10 +127,15 @@
         self._lapse()
         if self.fences and request.token <= self.highest:
             return ClaimReply(granted=False, highest=self.highest)
+        previous = self.highest
         self.highest = request.token
         self._extend(request.lease_ms)
-        inventory = self.inventory()
-        return ClaimReply(granted=True, highest=self.highest, inventory=inventory)
+        return ClaimReply(
+            granted=True,
+            highest=self.highest,
+            inventory=self.inventory(),
+            previous=previous,
+        )
 
     def start(self, request):
         """Start attempts under the highest token and a lease."""
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -8,6 +8,7 @@
     ShardTiming,
     find_owner,
     format_shard_id,
+    parse_shard_id,
 )
 from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
 from fuchsiascale.daemon._routes import PEER_ROUTES
@@ -128,18 +129,18 @@
 
 
 def find_shard_owner(application, shard: ShardId):
-    """Return the peer address of the instance that should own a shard."""
+    """Return the peer address of the instance that owns a shard, or should."""
     view = application.membership.view()
-    local = {
-        format_shard_id(entry.failure_domain, entry.rack)
-        for entry in view.upstreams
-        if entry.failure_domain == view.failure_domain
-    }
-    if shard in local:
-        owner = find_owner(shard, view.members)
-        found = [m.address for m in view.members if m.instance == owner]
-        return found[0] if found else None
-    for peer in application.membership.digests():
-        if any(digest.shard == shard for digest in peer.shards):
-            return peer.address
-    return None
+    domain, _ = parse_shard_id(shard)
+    if domain != view.failure_domain:
+        for peer in application.membership.digests():
+            if any(digest.shard == shard for digest in peer.shards):
+                return peer.address
+    members = [
+        member
+        for member in (*view.members, *view.peers)
+        if member.failure_domain == domain
+    ]
+    owner = find_owner(shard, members)
+    found = [member.address for member in members if member.instance == owner]
+    return found[0] if found else None
--- a/fuchsiascale/daemon/tests/test_shardkeeper.py
+++ b/fuchsiascale/daemon/tests/test_shardkeeper.py
@@ -77,6 +77,7 @@
             random=random.Random(name),
             view=lambda: self.view(name),
             fleet=lambda: self.fleet,
+            settle_s=0.0,
         )
 
     def view(self, name):
