--- a/fuchsiascale/pipelines/_jobreads.py
+++ b/fuchsiascale/pipelines/_jobreads.py
@@ -3,7 +3,7 @@
 import msgspec
 from returns.result import Failure, Success
 
-from fuchsiascale.api import ChunkStatus, JobList, JobStatus, JobSummary
+from fuchsiascale.api import ChunkStatus, JobList, JobStatus, JobSummary, TaskStatus
 from fuchsiascale.coordination import JOBS_TABLE, JobRecord
 from fuchsiascale.ids import JobId
 from fuchsiascale.pipelines._joberrors import JobUnavailable
@@ -26,7 +26,7 @@
     record = found.unwrap().job.record
     chunks = [stored.record for stored in found.unwrap().chunks]
     statuses = tuple(
-        ChunkStatus(chunk=chunk.chunk, shard=chunk.shard, tasks=chunk.tasks)
+        ChunkStatus(chunk=chunk.chunk, shard=chunk.shard, tasks=_describe_tasks(chunk))
         for chunk in chunks
     )
     return Success(
@@ -71,6 +71,7 @@
 
     Examples
     --------
+    >>> from fuchsiascale.coordination import JobSpec
     >>> spec = JobSpec(job="j", team="t", kind="k")
     >>> summarize_state(JobRecord(spec=spec, chunks=(), submitted_ms=0), [])
     'finished'
@@ -83,3 +84,9 @@
     if TaskState.CANCELLED in states:
         return "cancelled"
     return "finished"
+
+
+def _describe_tasks(chunk):
+    return tuple(
+        msgspec.convert(task, TaskStatus, from_attributes=True) for task in chunk.tasks
+    )
