Spread what upstreams themselves say of leaving

Cause: marks spread between instances, but nobody made one: an inventory or an answer that said 'leaving' was seen by the owner alone, and the list lags. Change: ports to workers and runners note such answers; the driver tells all members. Also: fixtures of a test's own module go before others of the same name; a 'tables' fixture of another module had replaced mine in the full run (6 failures there).

--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -14,6 +14,7 @@
 from fuchsiascale.daemon._access import build_client_context, choose_scheme
 from fuchsiascale.daemon._metrics import make_registry
 from fuchsiascale.daemon._peers import PeerClient
+from fuchsiascale.daemon._signs import WatchedRunners, WatchedWorkers
 from fuchsiascale.platform import (
     HttpInstanceList,
     HttpObjects,
@@ -94,8 +95,12 @@
             platform, settings.platform.instances, timeout_s
         )
         scheme = choose_scheme(settings.upstreams.tls)
-        self.workers = HttpWorkers(upstreams, timeout_s, scheme)
-        self.runners = HttpRunners(upstreams, RUNNER_TIMEOUT_S, scheme)
+        self.workers = WatchedWorkers(
+            HttpWorkers(upstreams, timeout_s, scheme), self.note_leaving
+        )
+        self.runners = WatchedRunners(
+            HttpRunners(upstreams, RUNNER_TIMEOUT_S, scheme), self.note_leaving
+        )
         self.peers = PeerClient(
             peers,
             settings.access.peer_token,
@@ -103,6 +108,12 @@
             choose_scheme(settings.peer.tls),
         )
 
+    def note_leaving(self, address):
+        """Spread that the upstream at an address said that it leaves."""
+        upstreams = self.membership.view().upstreams
+        names = [each.instance_id for each in upstreams if each.address == address]
+        self.membership_driver.mark_leaving(names)
+
     async def disconnect(self):
         """Close the connections of all clients."""
         for session in self._sessions:
--- /dev/null
+++ b/fuchsiascale/daemon/tests/test_signs.py
@@ -0,0 +1,69 @@
+"""Tests of the ports that notice upstreams that leave."""
+
+from returns.result import Failure, Success
+
+from fuchsiascale.daemon._signs import WatchedRunners, WatchedWorkers
+from fuchsiascale.platform import (
+    NO_TOKEN,
+    ClaimReply,
+    ExchangeReply,
+    Resources,
+    Unavailable,
+    UpstreamAnswer,
+    WorkerInventory,
+)
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+
+class Port:
+    """A port whose every call has the same result."""
+
+    def __init__(self, result):
+        self._result = result
+
+    def __getattr__(self, method):
+        async def call(address, request):
+            return self._result
+
+        return call
+
+
+def make_inventory(leaving):
+    return WorkerInventory(
+        worker="w", token=NO_TOKEN, capacity=Resources(), leaving=leaving
+    )
+
+
+async def test_signs_of_leaving_are_noted_and_results_passed_on():
+    answers = [
+        UpstreamAnswer(request_id="r", runner="w", status=200, leaving=leaving)
+        for leaving in (True, False)
+    ]
+    replies = [
+        kind(**accepted, highest=NO_TOKEN, inventory=make_inventory(leaving))
+        for kind, accepted in (
+            (ClaimReply, {"granted": True}),
+            (ExchangeReply, {"accepted": True}),
+        )
+        for leaving in (True, False)
+    ]
+    refused = ExchangeReply(accepted=False, highest=NO_TOKEN)
+    failed = Failure(Unavailable(detail="down"))
+    table = (
+        (WatchedRunners, "send", Success(answers[0]), True),
+        (WatchedRunners, "send", Success(answers[1]), False),
+        (WatchedRunners, "send", failed, False),
+        (WatchedWorkers, "claim", Success(replies[0]), True),
+        (WatchedWorkers, "claim", Success(replies[1]), False),
+        (WatchedWorkers, "exchange", Success(replies[2]), True),
+        (WatchedWorkers, "exchange", Success(replies[3]), False),
+        (WatchedWorkers, "exchange", Success(refused), False),
+        (WatchedWorkers, "exchange", failed, False),
+    )
+    for watched, method, result, leaving in table:
+        noted = []
+        port = watched(Port(result), noted.append)
+        assert await getattr(port, method)("10.0.0.9:1", None) is result
+        assert noted == (["10.0.0.9:1"] if leaving else []), (watched, method)
--- a/fuchsiascale/testing.py
+++ b/fuchsiascale/testing.py
@@ -17,6 +17,7 @@
 __all__ = ["collect_functions", "fixture"]
 
 _FIXTURES = {}
+_MANAGERS = {}
 
 
 def fixture(function):
@@ -85,3 +86,11 @@
             entered[name] = stack.enter_context(manager(**needed))
         arguments[name] = entered[name]
     return arguments
+
+
+def _find_manager(function, name):
+    """Return the fixture that a test or fixture function names."""
+    own = function.__globals__.get(name)
+    if inspect.isfunction(own) and own in _MANAGERS:
+        return _MANAGERS[own]
+    return _FIXTURES[name]
