--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -15,7 +15,6 @@
 )
 from fuchsiascale.coordination._shardstate import drop_chunk, require_read
 from fuchsiascale.platform import Conflict
-from fuchsiascale.states import AttemptState
 
 __all__ = [
     "MAX_LIVE_CHUNKS",
@@ -143,41 +142,37 @@
             continue
         if now_s < live.due_s or not _has_ends(live):
             continue
-        if now_s < live.record_due_s and state.placing and not _is_urgent(live):
-            continue
         record = compute_record(live, state.max_failures(live.record))
-        if record == live.record:
+        if record == live.record or _may_wait(state, live, record):
             continue
         write = ChunkWrite(
             record=record,
             expected_version=live.version,
             assignment_version=live.assignment_version,
         )
+        live.written_s = now_s
         live.pending = WriteChunk(write=write)
         commands.append(live.pending)
     return commands
 
 
+def _may_wait(state, live, record):
+    """Tell whether more ends may be gathered first, since none is waited for."""
+    if state.now_s() - live.written_s >= state.timing.commit_s or not state.placing:
+        return False
+    again = any(
+        new.attempt != old.attempt and not new.state.final
+        for old, new in zip(live.record.tasks, record.tasks, strict=True)
+    )
+    return not again and not record.final
+
+
 def _has_ends(live):
     return live.record.cancelled or any(
         attempt.over for attempt in live.attempts.values()
     )
 
 
-def _is_urgent(live):
-    """Tell whether something waits for the record.
-
-    A task runs again only after the end of its last attempt is recorded, and a job
-    ends only with the record of its last task.
-    """
-    if live.record.cancelled:
-        return True
-    over = [attempt for attempt in live.attempts.values() if attempt.over]
-    if any(each.report.state is not AttemptState.FINISHED for each in over):
-        return True
-    return len(over) >= sum(not task.state.final for task in live.record.tasks)
-
-
 def apply_write(state, command, result):
     """Take in whether a chunk row was written."""
     write = command.write
@@ -191,7 +186,6 @@
     state.meters.count_changes(live.record, write.record)
     live.record = write.record
     live.version = result.unwrap()
-    live.record_due_s = state.now_s() + state.timing.record_s
     _forget_recorded(state, live)
     if live.record.final:
         drop_chunk(state, live)
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -1,6 +1,7 @@
 """State of a shard at its owner, and the questions asked of it throughout."""
 
 from fuchsiascale.coordination._attempts import parse_task_id
+from fuchsiascale.coordination._leases import LEASE_S
 from fuchsiascale.coordination._livechunks import LiveChunk
 from fuchsiascale.coordination._shard_policy import parse_job_id
 from fuchsiascale.platform import Message
@@ -33,6 +34,11 @@
         Period of the exchanges with a worker where no attempt ends.
     busy_exchange_s : float
         Shortest period of the exchanges while attempts end.
+    lease_s : float
+        Length of the leases granted to workers.
+    commit_s : float
+        Least time between two writes of a chunk, unless a task of it is to run
+        again or the chunk is final.
     scan_s : float
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
@@ -43,9 +49,6 @@
         How long the list must lack a worker that it has shown.
     unlisted_s : float
         How long it must lack one that it has never shown to this owner.
-    record_s : float
-        Shortest time between two records of ends in one chunk row, but for the
-        last ends.
     move_s : float
         How long a chunk must have waited before it is moved.
     place_retry_s : float
@@ -54,6 +57,8 @@
 
     exchange_s: float = 1.0
     busy_exchange_s: float = 1.0
+    lease_s: float = LEASE_S
+    commit_s: float = 2.0
     scan_s: float = 10.0
     retry_s: float = 0.5
     max_retry_s: float = 4.0
@@ -61,7 +66,6 @@
     max_step_down_s: float = 30.0
     gone_s: float = 2.0
     unlisted_s: float = 30.0
-    record_s: float = 0.0
     move_s: float = 30.0
     place_retry_s: float = 1.0
 
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -320,7 +320,7 @@
 def test_ends_are_recorded_together_and_the_last_at_once(world):
     owner = world.owners[0]
     state = owner.shard.state
-    state.timing = msgspec.structs.replace(state.timing, record_s=1_000.0)
+    state.timing = msgspec.structs.replace(state.timing, commit_s=1_000.0)
     chunk = world.submit(tasks=8, run_ms=1_000)
     written = world.tables.rows[CHUNKS_TABLE, chunk].version
     world.run(15.0, owner)
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -22,7 +22,6 @@
 
 WORK_PATH = "/peer/v1/work"
 KEEPER_PERIOD_MS = 250
-RECORD_S = 2.0
 
 
 class Accepted(Message):
@@ -44,7 +43,7 @@
         notify=functools.partial(notify_owner, application),
         timing=ShardTiming(
             exchange_s=application.settings.timers.exchange_ms / 1_000,
-            record_s=RECORD_S,
+            lease_s=application.settings.timers.lease_ms / 1_000,
         ),
         meters=PrometheusWorkMeters(application.registry),
     )
