--- a/measurements/control.py
+++ b/measurements/control.py
@@ -44,7 +44,7 @@
     memory_mb: float
     sent_per_s: float
     received_per_s: float
-    by_part: dict[str, float]
+    by_part: dict[str, tuple[float, float]]
 
 
 def name_parts(deployment):
@@ -74,7 +74,11 @@
         received += into - before[1]
         local, remote = (address.rpartition(":")[2] for address in key)
         part = ports.get(remote) or ports.get(local) or "other"
-        by_part[part] = by_part.get(part, 0.0) + (out - before[0]) / passed_s
+        sums = by_part.get(part, (0.0, 0.0))
+        by_part[part] = (
+            sums[0] + (out - before[0]) / passed_s,
+            sums[1] + (into - before[1]) / passed_s,
+        )
     return Usage(
         core=core,
         memory_mb=read_memory_mb(pid),
@@ -92,10 +96,15 @@
         judge(
             f"{when}: bytes sent a second", usage.sent_per_s, at_most=MAX_BYTES_PER_S
         ),
-        judge(f"{when}: bytes received a second", usage.received_per_s),
+        judge(
+            f"{when}: bytes received a second",
+            usage.received_per_s,
+            at_most=MAX_BYTES_PER_S,
+        ),
     ]
-    for part, rate in sorted(usage.by_part.items()):
-        figures.append(judge(f"{when}: bytes sent a second, {part}", rate))
+    for part, (out, into) in sorted(usage.by_part.items()):
+        figures.append(judge(f"{when}: bytes sent a second, {part}", out))
+        figures.append(judge(f"{when}: bytes received a second, {part}", into))
     return figures
 
 
