--- a/scenarios/steps/jobs.py
+++ b/scenarios/steps/jobs.py
@@ -152,3 +152,12 @@
     runs = find_runs(context.deployment.read_journals())
     bad = [run for run in runs if run.state == AttemptState.STOPPED.value or run.lost]
     assert not bad, f"{len(bad)} attempts: {bad[:3]}"
+
+
+@then("at least {count:d} tasks finished on workers that did not leave")
+def check_others(context, count):
+    entries = context.deployment.read_journals()
+    left = {entry.about for entry in entries if entry.event is Event.LEAVING}
+    runs = [run for run in find_runs(entries) if run.worker not in left]
+    done = sum(run.state == AttemptState.FINISHED.value for run in runs)
+    assert done >= count, f"{done} tasks"
