--- a/standins/_worker_rules.py
+++ b/standins/_worker_rules.py
@@ -104,6 +104,11 @@
         elapsed_ms = (now_s - self._since_s) * 1000
         return self._done_ms + elapsed_ms * self._share / FULL_SHARE_PERMILLE
 
+    def find_end_s(self):
+        """Return when the run time is done, in seconds of the monotonic clock."""
+        left_ms = self.run_ms - self._done_ms
+        return self._since_s + left_ms / max(1, self._share)
+
     def throttle(self, share_permille, now_s):
         """Run on at a share of full speed."""
         self._done_ms = self.done_ms(now_s)
@@ -360,7 +365,8 @@
         if held.done_ms(now_s) < run_ms:
             return
         state = AttemptState.FAILED if fails else AttemptState.FINISHED
-        self._end(held.key, state, "failed at its end" if fails else "")
+        detail = "failed at its end" if fails else ""
+        self._end(held.key, state, detail, min(now_s, held.find_end_s()))
 
     def _fails_here(self, held):
         return self.worker in held.script.fail_on
--- a/standins/tests/test_worker_rules.py
+++ b/standins/tests/test_worker_rules.py
@@ -128,6 +128,20 @@
     }
 
 
+def test_an_attempt_ends_when_its_time_is_done_not_when_that_is_noticed(
+    rules, clock, events
+):
+    claim(rules)
+    start(rules, run_ms=1000)
+    clock.advance(0.5)
+    throttle = Throttle(task=TaskId("t"), attempt=AttemptNumber(1), share_permille=500)
+    exchange(rules, throttles=(throttle,))
+    clock.advance(100.0)
+    rules.advance()
+    (ended,) = [fields for event, fields in events if event is Event.ENDED]
+    assert (ended["state"], ended["until_ms"]) == ("finished", 1500.0)
+
+
 def test_a_repeated_start_is_idempotent(rules, events):
     claim(rules)
     assert start(rules)
