Let an instance learn of its peers before it claims shards

Ruled out: a shorter tenure of credits (it bounds what a paused owner may have lent); following the chain of owners for their ledgers (they have stepped down). Change: a new instance greets every other of its failure domain, and claims nothing for 1.5 s. Conclusion: a start, and a rolling replacement, no longer strand slots.

--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -57,7 +57,7 @@
         self.random = source or random.Random()
         self.log = logbook.Logger("fuchsiascaled")
         self.state = ApplicationState.STARTING
-        self.started_ms = self.clock.wall_ms()
+        self.started_s = self.clock.monotonic()
         self.stop_requested = asyncio.Event()
         self._sessions = []
         self.tables = None
--- a/fuchsiascale/daemon/_control.py
+++ b/fuchsiascale/daemon/_control.py
@@ -51,8 +51,9 @@
 
 @on_start(Phase.READINESS)
 async def start_followers(application):
-    """Start the tasks that act on news at once."""
+    """Make the instance known, and start the tasks that act on news at once."""
     driver = application.membership_driver
+    await driver.greet()
     application.keep(driver.tell_news())
     application.keep(driver.follow_peers())
 
--- a/fuchsiascale/daemon/_membership.py
+++ b/fuchsiascale/daemon/_membership.py
@@ -59,6 +59,13 @@
         self._refresh()
         await self._send(self._membership.choose_targets())
 
+    async def greet(self):
+        """Send one heartbeat to every other instance of the own failure domain."""
+        view = self._membership.view()
+        entries = self._membership.entries()
+        near = [e.address for e in entries if e.failure_domain == view.failure_domain]
+        await self._send(near)
+
     async def tell_news(self):
         """Tell peers of news as soon as there is any; runs until cancelled."""
         while True:
--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -23,6 +23,7 @@
 
 WORK_PATH = "/peer/v1/work"
 KEEPER_PERIOD_MS = 250
+SETTLE_S = 1.5
 
 
 class Accepted(Message):
@@ -60,8 +61,16 @@
 
 @keeper("shards", lambda settings: KEEPER_PERIOD_MS)
 async def keep_shards(application):
-    """Let the shard keeper do what is due."""
-    await application.shards.run_once()
+    """Let the shard keeper do what is due.
+
+    Notes
+    -----
+    An instance that has just started does not know its peers yet. It would claim
+    every shard, and each claim that a peer then takes over keeps the slots of the
+    shard's runners unlent until the credits before have run out.
+    """
+    if application.clock.monotonic() - application.started_s >= SETTLE_S:
+        await application.shards.run_once()
 
 
 @on_stop(Phase.WORK)
