--- a/.ci/suite.py
+++ b/.ci/suite.py
@@ -10,11 +10,13 @@
 import sys
 import tempfile
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_TIMEOUT_S = 120
+PARALLEL_FEATURES = 2
 TEST_ROOTS = ("fuchsiascale", "standins", "measurements")
 
 
@@ -88,19 +90,44 @@
 
 def run_scenarios(match):
     """Run the behave scenarios; return the sets of passed and failed names."""
+    passed, failed = set(), set()
+    features = sorted(ROOT.glob("scenarios/*.feature"))
+    with ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+        for feature_passed, feature_failed in pool.map(
+            lambda feature: run_feature(feature, match), features
+        ):
+            passed |= feature_passed
+            failed |= feature_failed
+    return passed, failed
+
+
+def run_feature(feature, match):
+    """Run one feature file; return the sets of passed and failed names."""
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
-        command = [sys.executable, "-m", "behave", "--no-capture", "scenarios"]
+        command = [sys.executable, "-m", "behave", "--no-capture", str(feature)]
         command += ["--format", "json", "--outfile", str(report)]
         command += ["--format", "progress"]
         if match:
             command += ["--name", match]
-        finished = subprocess.run(command, cwd=ROOT, check=False)
+        finished = subprocess.run(
+            command, cwd=ROOT, check=False, stdout=subprocess.PIPE, text=True
+        )
         text = report.read_text() if report.exists() else "[]"
+    print(finished.stdout, flush=True)
+    passed, failed = read_report(text, match)
+    if finished.returncode and not failed:
+        failed.add(f"scenarios: behave itself failed on {feature.name}")
+    return passed, failed
+
+
+def read_report(text, match):
+    """Return the names of the scenarios that passed and failed in a report."""
     passed, failed = set(), set()
     for feature in json.loads(text or "[]"):
         for element in feature.get("elements", ()):
-            if element["type"] != "scenario":
+            left_out = bool(match) and element.get("status") == "skipped"
+            if element["type"] != "scenario" or left_out:
                 continue
             name = f"{feature['name']}: {element['name']}"
             if element.get("status") == "passed":
@@ -108,8 +135,6 @@
                 continue
             failed.add(name)
             print_failed_steps(name, element)
-    if finished.returncode and not failed:
-        failed.add("scenarios: behave itself failed")
     return passed, failed
 
 
