--- a/scenarios/environment.py
+++ b/scenarios/environment.py
@@ -22,7 +22,7 @@
         return
     try:
         violations = check_all(context.deployment.read_journals())
-        if scenario.status == "failed" or violations:
+        if scenario.status != "passed" or violations:
             print_outputs(context.deployment)
     finally:
         context.deployment.stop()
