Lend credits for as long as the service's longest request

Cause: a credit had to outlast a request's deadline, and lived 8 s at most: a service with a deadline above that got no slots. Change: a credit covers the time to start requests and the longest request after it; a takeover waits for both.

--- a/fuchsiascale/coordination/_credits.py
+++ b/fuchsiascale/coordination/_credits.py
@@ -5,8 +5,9 @@
 For each runner the slots lent never exceed its own, counted so that a credit whose
 reply was lost, or whose holder is gone, stays counted until it has surely run out.
 An owner lends only while it is confirmed as the holder of the worker's fencing token,
-and no credit outlasts that confirmation by more than ``TENURE_S``. A new owner
-therefore either gets the ledger of the one before, or waits that long.
+and requests start on no credit later than ``TENURE_S`` after that confirmation. A new
+owner therefore either gets the ledger of the one before, or waits that long and for
+the longest request.
 """
 
 import msgspec
@@ -20,10 +21,17 @@
 )
 from fuchsiascale.platform import NO_TOKEN, FencingToken, Message
 
-__all__ = ["FLOOR_LEASE_S", "TENURE_S", "SlotLedger", "Tenure", "share_slots"]
+__all__ = [
+    "FLOOR_LEASE_S",
+    "TENURE_S",
+    "LoanTerms",
+    "SlotLedger",
+    "Tenure",
+    "share_slots",
+]
 
 TENURE_S = 10.0
-CREDIT_LEASE_S = 8.0
+CREDIT_LEASE_S = 6.0
 FLOOR_LEASE_S = 60.0
 CLOCK_DRIFT = 0.01
 MARGIN_S = 0.5
@@ -52,6 +60,21 @@
     confirmed_s: float
 
 
+class LoanTerms(Message):
+    """How a runner's slots are lent.
+
+    Parameters
+    ----------
+    slots : int
+        Slots of the runner.
+    drain_s : float
+        Time that the longest request may take, in seconds.
+    """
+
+    slots: int
+    drain_s: float
+
+
 class Debt(msgspec.Struct):
     """Slots that count as lent until a time."""
 
@@ -139,7 +162,7 @@
         self._clock = clock
         self._runners = {}
 
-    def lend(self, request: CreditRequest, tenures, slots, members) -> CreditReply:
+    def lend(self, request: CreditRequest, tenures, terms, members) -> CreditReply:
         """Answer one ask for credits.
 
         Parameters
@@ -148,8 +171,8 @@
             The ask.
         tenures : mapping of RunnerId to Tenure
             Runners whose worker this instance holds.
-        slots : mapping of RunnerId to int
-            Slots of each runner.
+        terms : mapping of RunnerId to LoanTerms
+            How the slots of each runner are lent.
         members : int
             Number of instances that share the runners.
 
@@ -163,7 +186,10 @@
         grants = []
         for wish in request.wishes:
             tenure = tenures.get(wish.runner)
-            if tenure is None or not self.open(wish.runner, tenure):
+            loan = terms.get(wish.runner)
+            if tenure is None or loan is None:
+                continue
+            if not self.open(wish.runner, tenure, loan):
                 continue
             runner = self._runners[wish.runner]
             state = runner.holders.setdefault(holder, _Holder())
@@ -175,12 +201,11 @@
             state.clip(wish.kept, wish.floor)
             _note_floor(runner, state, wish.floor, now_s)
             left_s = min(CREDIT_LEASE_S, tenure.confirmed_s + TENURE_S - now_s)
-            grants.append(
-                self._grant(wish.runner, holder, slots[wish.runner], members, left_s)
-            )
+            left_s += loan.drain_s
+            grants.append(self._grant(wish.runner, holder, loan.slots, members, left_s))
         return CreditReply(owner=True, grants=tuple(grants))
 
-    def open(self, name, tenure):
+    def open(self, name, tenure, loan):
         """Open or keep a runner's ledger; tell whether it may lend.
 
         Parameters
@@ -189,6 +214,8 @@
             The runner.
         tenure : Tenure
             The hold on its worker.
+        loan : LoanTerms
+            How its slots are lent.
 
         Returns
         -------
@@ -205,7 +232,7 @@
         if kept and runner.token == tenure.previous:
             runner.token = tenure.token
         else:
-            self._runners[name] = _start_ledger(tenure)
+            self._runners[name] = _start_ledger(tenure, loan)
         return now_s < tenure.confirmed_s + TENURE_S
 
     def needs_copy(self, name, tenure):
@@ -307,10 +334,11 @@
         )
 
 
-def _start_ledger(tenure):
+def _start_ledger(tenure, loan):
     if tenure.previous == NO_TOKEN:
         return _Runner(tenure.token, 0.0, 0.0, {})
-    until_s = tenure.claimed_s + TENURE_S * (1 + 2 * CLOCK_DRIFT) + MARGIN_S
+    longest_s = TENURE_S + loan.drain_s
+    until_s = tenure.claimed_s + longest_s * (1 + 2 * CLOCK_DRIFT) + MARGIN_S
     floors_s = FLOOR_LEASE_S * (1 + 2 * CLOCK_DRIFT) + MARGIN_S
     return _Runner(tenure.token, until_s, until_s + floors_s, {})
 
--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -8,7 +8,7 @@
 
 __all__ = ["RunnerIndex", "Slot", "SlotHolder", "index_runners"]
 
-RENEW_BEFORE_S = 4.0
+RENEW_AFTER_S = 3.0
 RENEW_FLOOR_BEFORE_S = 40.0
 
 
@@ -32,6 +32,7 @@
     in_use: int = 0
     limit: int = 0
     until_s: float = 0.0
+    lent_s: float = float("-inf")
     floor: int = 0
     floor_until_s: float = 0.0
     peak: int = 0
@@ -169,6 +170,7 @@
             if grant.slots:
                 credit.limit = grant.slots
                 credit.until_s = credit.sent_s + grant.lease_ms / 1000
+                credit.lent_s = credit.sent_s
             if grant.floor:
                 credit.floor = grant.floor
                 credit.floor_until_s = credit.sent_s + grant.floor_lease_ms / 1000
@@ -183,7 +185,7 @@
         credit = self._credit(name)
         if credit.pending:
             return False
-        if now_s + RENEW_BEFORE_S >= credit.until_s:
+        if now_s >= credit.lent_s + RENEW_AFTER_S:
             return True
         if now_s + RENEW_FLOOR_BEFORE_S >= credit.floor_until_s:
             return True
--- a/fuchsiascale/daemon/_credits.py
+++ b/fuchsiascale/daemon/_credits.py
@@ -11,10 +11,12 @@
     LedgerClaim,
     LedgerReply,
     LedgerRequest,
+    LoanTerms,
     find_owner,
     format_shard_id,
 )
 from fuchsiascale.daemon._routes import PEER_ROUTES
+from fuchsiascale.pipelines import RUNNER_GRACE_S
 from fuchsiascale.states import InstanceRole
 
 __all__ = ["CREDITS_PATH", "LEDGERS_PATH", "CreditDriver"]
@@ -94,14 +96,8 @@
         held = self._list_tenures(runners)
         if not held:
             return CreditReply(owner=False)
-        services = self._fleet().services
-        slots = {
-            each.instance_id: services[each.service].slots
-            for each in runners
-            if each.service in services
-        }
-        held = {name: tenure for name, tenure in held.items() if name in slots}
-        return self._ledger.lend(request, held, slots, len(view.members))
+        terms = self._list_terms(runners)
+        return self._ledger.lend(request, held, terms, len(view.members))
 
     def hand_over(self, request) -> LedgerReply:
         """Close ledgers for their new owner."""
@@ -115,6 +111,18 @@
         while self._calls:
             await asyncio.wait(self._calls)
 
+    def _list_terms(self, runners):
+        """Return how the slots of each runner of a known service are lent."""
+        services = self._fleet().services
+        return {
+            each.instance_id: LoanTerms(
+                slots=services[each.service].slots,
+                drain_s=services[each.service].deadline_ms / 1000 + RUNNER_GRACE_S,
+            )
+            for each in runners
+            if each.service in services
+        }
+
     def _list_tenures(self, runners):
         tenures = self._tenures()
         return {
@@ -127,8 +135,11 @@
         """Open the ledgers held now, and fetch those of the owners before."""
         claims = {}
         for members in runners.values():
+            terms = self._list_terms(members)
             for name, tenure in self._list_tenures(members).items():
-                self._ledger.open(name, tenure)
+                if name not in terms:
+                    continue
+                self._ledger.open(name, tenure, terms[name])
                 before = self._ledger.needs_copy(name, tenure)
                 if before is not None and before != self._instance:
                     claims.setdefault(before, {})[name] = tenure
