--- a/fuchsiascale/pipelines/_calls.py
+++ b/fuchsiascale/pipelines/_calls.py
@@ -136,6 +136,10 @@
     budget: RetryBudget = RetryBudget()
 
 
+def ignore_leaving(upstreams):
+    """Pass no sign of leaving on."""
+
+
 class RequestPorts(msgspec.Struct, frozen=True, kw_only=True):
     """What the request pipeline needs from outside.
 
