Send a keyed request once, also where it is called idempotent

Cause: a request with a key and X-Idempotent: true was sent again after an unknown end, though its key promises one run at most. Run: the test of unknown ends, extended to 20 keyed requests on five runners, fails without the change (9 passed, 1 failed) and passes with it (10 passed, 0 failed).

--- a/fuchsiascale/pipelines/_checks.py
+++ b/fuchsiascale/pipelines/_checks.py
@@ -99,6 +99,8 @@
             detail = f"X-Urgency is not one of {known}"
             return refuse(call, Refusal.BAD_REQUEST, detail)
     claimed = IdempotencyKey(key) if key else None
+    # A key promises one run at most, whatever else the headers say.
+    idempotent = idempotent and claimed is None
     return replace(call, urgency=urgency, idempotent=idempotent, key=claimed)
 
 
--- a/fuchsiascale/pipelines/tests/test_keyed_requests.py
+++ b/fuchsiascale/pipelines/tests/test_keyed_requests.py
@@ -36,6 +36,7 @@
 def make_instance(claim_tables, runners=None, seed=1):
     """Return the ports and pipeline of one instance on a shared store."""
     ports = make_ports(
+        ("runner-1", "runner-2", "runner-3", "runner-4", "runner-5"),
         runners=runners or FakeRunners(),
         claims=KeyClaims(claim_tables, Random(seed)),
         random=Random(seed + 100),
@@ -145,7 +146,11 @@
     async def cut(address, request):
         return Failure(RequestUncertain(detail="cut"))
 
-    _, first = make_instance(claim_tables, FakeRunners(cut))
+    cut_off, first = make_instance(claim_tables, FakeRunners(cut))
+    for number in range(20):
+        call = make_call(idempotency_key=f"k{number}", idempotent="true")
+        await first.handle(call)
+    assert len(cut_off.runners.sent) == 20
     assert (await ask(first, idempotent="true")).outcome is Outcome.UNKNOWN
     ports, other = make_instance(claim_tables, seed=2)
     assert (await ask(other)).outcome is Outcome.UNKNOWN
