Ask for credits twice a second at most while none are given

Cause: an instance that got nothing, or less than it wished, asked again in each round: up to 50 times a second a shard while requests waited.

--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -9,6 +9,8 @@
 __all__ = ["RunnerIndex", "Slot", "SlotHolder", "index_runners"]
 
 RENEW_AFTER_S = 3.0
+ASK_AGAIN_S = 0.05
+ASK_REFUSED_AGAIN_S = 0.5
 RENEW_FLOOR_BEFORE_S = 40.0
 
 
@@ -38,6 +40,7 @@
     peak: int = 0
     sequence: int = 0
     sent_s: float = 0.0
+    next_s: float = 0.0
     pending: bool = False
 
     def usable(self, end_s):
@@ -165,6 +168,9 @@
                 continue
             credit.pending = False
             grant = grants.get(wish.runner)
+            met = grant is not None and grant.slots >= wish.slots
+            pause_s = ASK_AGAIN_S if met else ASK_REFUSED_AGAIN_S
+            credit.next_s = credit.sent_s + pause_s
             if grant is None:
                 continue
             if grant.slots:
@@ -183,7 +189,7 @@
 
     def _is_due(self, name, extra, now_s):
         credit = self._credit(name)
-        if credit.pending:
+        if credit.pending or now_s < credit.next_s:
             return False
         if now_s >= credit.lent_s + RENEW_AFTER_S:
             return True
--- /dev/null
+++ b/fuchsiascale/daemon/tests/test_credits.py
@@ -0,0 +1,189 @@
+"""Tests of the credits' driver between two instances in one process."""
+
+from random import Random
+
+import msgspec
+from returns.result import Failure, Success
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.coordination import (
+    ClusterView,
+    Member,
+    SlotHolder,
+    SlotLedger,
+    Tenure,
+    find_owner,
+)
+from fuchsiascale.daemon._credits import CREDITS_PATH, CreditDriver
+from fuchsiascale.daemon._peers import PeerUnreachable
+from fuchsiascale.pipelines import Dispatcher
+from fuchsiascale.pipelines.tests._fakes import make_fleet, make_runner
+from fuchsiascale.platform import NO_TOKEN, FencingToken
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+NAMES = ("a", "b")
+RUNNERS = ("runner-1", "runner-2")
+SHARD = "porto:r1"
+REQUEST_S = 2.5
+
+
+class Cluster:
+    """Two instances, the workers' tokens, and the way between them."""
+
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.members = NAMES
+        self.cut = False
+        self.highest = NO_TOKEN
+        self.tenures = {}
+        self.drivers = {name: self.build(name) for name in NAMES}
+        self.paths = []
+
+    def build(self, name):
+        fleet = make_fleet()
+        dispatcher = Dispatcher(
+            SlotHolder(name, self.clock),
+            lambda: self.view(name),
+            lambda: fleet,
+            self.clock,
+            Random(1),
+        )
+        return CreditDriver(
+            name,
+            dispatcher,
+            SlotLedger(self.clock),
+            lambda: self.view(name),
+            lambda: fleet,
+            lambda: self.tenures.get(name, {}),
+            self.call,
+        )
+
+    def view(self, name):
+        members = tuple(
+            Member(instance=each, address=each, failure_domain="porto", region="norte")
+            for each in self.members
+        )
+        return ClusterView(
+            instance=name,
+            failure_domain="porto",
+            region="norte",
+            members=members,
+            upstreams=tuple(make_runner(each) for each in RUNNERS),
+        )
+
+    def claim(self, name):
+        now_s = self.clock.monotonic()
+        token = FencingToken(counter=self.highest.counter + 1, holder=name)
+        tenure = Tenure(
+            token=token, previous=self.highest, claimed_s=now_s, confirmed_s=now_s
+        )
+        self.tenures[name] = {f"worker-of-{each}": tenure for each in RUNNERS}
+        self.highest = token
+
+    def confirm(self, name):
+        now_s = self.clock.monotonic()
+        self.tenures[name] = {
+            worker: msgspec.structs.replace(tenure, confirmed_s=now_s)
+            for worker, tenure in self.tenures[name].items()
+        }
+
+    async def call(self, address, path, message, reply_type, timeout_s):
+        self.paths.append(path)
+        if self.cut:
+            return Failure(PeerUnreachable("cut"))
+        driver = self.drivers[address]
+        answer = driver.lend if path == CREDITS_PATH else driver.hand_over
+        sent = msgspec.json.decode(msgspec.json.encode(message), type=type(message))
+        return Success(
+            msgspec.json.decode(msgspec.json.encode(answer(sent)), type=reply_type)
+        )
+
+    async def run(self, *names):
+        for name in names:
+            await self.drivers[name].run_once()
+            await self.drivers[name].settle()
+
+    def count(self, name):
+        slots = self.drivers[name]._dispatcher.slots
+        end_s = self.clock.monotonic() + REQUEST_S
+        return [slots.count_usable(runner, end_s) for runner in RUNNERS]
+
+
+def find_names(cluster):
+    owner = find_owner(SHARD, cluster.view("a").members)
+    return owner, next(name for name in NAMES if name != owner)
+
+
+async def test_both_instances_get_credits_from_the_owner():
+    cluster = Cluster()
+    owner, other = find_names(cluster)
+    cluster.claim(owner)
+    await cluster.run(owner, other)
+    assert all(cluster.count(owner) + cluster.count(other))
+
+
+async def test_a_new_owner_gets_the_ledger_and_lends_at_once():
+    cluster = Cluster()
+    owner, other = find_names(cluster)
+    cluster.claim(other)
+    cluster.members = (other,)
+    await cluster.run(other)
+    cluster.members = NAMES
+    cluster.claim(owner)
+    await cluster.run(owner)
+    cluster.clock.advance(0.5)
+    await cluster.run(owner)
+    assert all(cluster.count(owner))
+    request = cluster.drivers[owner]._dispatcher.slots.make_request(
+        SHARD, [("runner-1", 7)], force=True
+    )
+    assert not cluster.drivers[other].lend(request).grants
+
+
+async def test_a_new_owner_cut_off_from_the_old_one_waits():
+    cluster = Cluster()
+    owner, other = find_names(cluster)
+    cluster.claim(other)
+    cluster.cut = True
+    cluster.claim(owner)
+    await cluster.run(owner, owner)
+    assert cluster.count(owner) == [0, 0]
+    cluster.clock.advance(9.0)
+    await cluster.run(owner)
+    assert cluster.count(owner) == [0, 0]
+
+
+async def test_an_owner_that_is_cut_off_leaves_the_floor():
+    cluster = Cluster()
+    owner, other = find_names(cluster)
+    cluster.claim(owner)
+    await cluster.run(owner, other)
+    cluster.cut = True
+    cluster.clock.advance(20.0)
+    await cluster.run(other)
+    assert cluster.count(other) == [2, 2]
+
+
+async def count_asks(cluster, seconds):
+    """Return how often the other instance asks in some seconds."""
+    owner, other = find_names(cluster)
+    for _ in range(4 * seconds):
+        cluster.clock.advance(0.25)
+        cluster.confirm(owner)
+        await cluster.run(owner, other)
+    return cluster.paths.count(CREDITS_PATH)
+
+
+async def test_an_idle_instance_asks_every_three_seconds():
+    cluster = Cluster()
+    cluster.claim(find_names(cluster)[0])
+    assert 4 <= await count_asks(cluster, 15) <= 6
+
+
+async def test_an_instance_that_gets_nothing_asks_twice_a_second_at_most():
+    cluster = Cluster()
+    cluster.claim(find_names(cluster)[1])
+    cluster.claim(find_names(cluster)[0])
+    assert await count_asks(cluster, 10) <= 20
