--- a/measurements/request_cost.py
+++ b/measurements/request_cost.py
@@ -13,8 +13,8 @@
 from standins.processes import ManagedProcess, find_free_address
 
 MAX_RATIO = 1.5
-ROUNDS = 7
-REQUESTS_A_ROUND = 1_500
+ROUNDS = 15
+REQUESTS_A_ROUND = 800
 WARM_UP = 500
 IN_FLIGHT = 8
 BODY = b"x" * 200
@@ -87,7 +87,7 @@
     with Deployment(PLAN) as deployment:
         name, address = next(iter(deployment.callers.items()))
         deployment.wait_until(lambda: is_ready(address), "the daemon")
-        apply_fleet(deployment.operators[name], DEFAULT_FLEET)
+        apply_fleet(deployment, name, DEFAULT_FLEET)
         proxy_address, proxy = start_proxy(deployment)
         try:
             asyncio.run(wait_for_credits(address))
