--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -217,14 +217,21 @@
     def __init__(self):
         self._view = None
         self._by_service = {}
+        self._by_name = {}
 
     def find(self, view, service):
         """Return the live runners of a service in the view's failure domain."""
         if view is not self._view:
             self._view = view
             self._by_service = index_runners(view)
+            found = self._by_service.values()
+            self._by_name = {each.instance_id: each for some in found for each in some}
         return self._by_service.get(service, ())
 
+    def get(self, name):
+        """Return a runner that `find` returned last, by its id."""
+        return self._by_name[name]
+
 
 def index_runners(view):
     """Return the runners that may get requests, by service.
--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -204,8 +204,7 @@
         chosen = choose_runner(loads, self._random)
         if chosen is None:
             return None
-        runner = next(each for each in runners if each.instance_id == chosen.runner)
-        slot = self.slots.acquire(runner, end_s)
+        slot = self.slots.acquire(self._index.get(chosen.runner), end_s)
         if slot is not None:
             call.admission.slots += 1
         return slot
