Bound the bytes of bodies held and the time to read one; log unknown ends

Cause: waiting requests could hold 256 bodies of a megabyte a share, and a body that trickles in held its request for ever.

--- a/fuchsiascale/daemon/_caller.py
+++ b/fuchsiascale/daemon/_caller.py
@@ -1,7 +1,10 @@
 """Handlers of the caller interface for services."""
 
+import asyncio
 import http
+from functools import partial
 
+import logbook
 import msgspec
 from aiohttp import ClientPayloadError, web
 from returns.result import Failure as Failed
@@ -18,6 +21,7 @@
     URGENCY_HEADER,
     Failure,
 )
+from fuchsiascale.daemon._logs import bind_ids
 from fuchsiascale.ids import ServiceId
 from fuchsiascale.pipelines import BodyError, Call, CallHeaders
 from fuchsiascale.states import Outcome, Refusal
@@ -27,6 +31,7 @@
 RUNNER_HEADER = "X-Runner"
 TRACE_PARENT_HEADER = "traceparent"
 RETRY_AFTER_HEADER = "Retry-After"
+TRACE_ID_PLACE = slice(3, 35)
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 REFUSAL_STATUS = {
@@ -39,6 +44,9 @@
 }
 
 
+log = logbook.Logger("requests")
+
+
 def make_caller_routes(pipeline, clock):
     """Return the routes of the caller interface for services.
 
@@ -58,11 +66,21 @@
     async def handle(request):
         call = _read_head(request, clock)
         ended, answer = await pipeline.handle(call)
+        if answer.outcome is Outcome.UNKNOWN:
+            _log_unknown(ended, answer)
         return make_response(ended.request_id, answer)
 
     return [web.route("*", "/v1/services/{service}/{path:.*}", handle)]
 
 
+def _log_unknown(call, answer):
+    trace = call.headers.trace_parent[TRACE_ID_PLACE]
+    with bind_ids(request=call.request_id, trace=trace):
+        log.warning(
+            "a request to {} ended as unknown: {}", call.service_id, answer.detail
+        )
+
+
 def _read_head(request, clock):
     headers = request.headers
     return Call(
@@ -70,7 +88,7 @@
         method=request.method,
         path=request.path_qs.split("/", 4)[4],
         received_s=clock.monotonic(),
-        read_body=lambda limit: _read_body(request, limit),
+        read_body=partial(_read_body, request),
         headers=CallHeaders(
             request_id=headers.get(REQUEST_ID_HEADER, ""),
             idempotency_key=headers.get(IDEMPOTENCY_KEY_HEADER, ""),
@@ -85,7 +103,7 @@
     )
 
 
-async def _read_body(request, limit):
+async def _read_body(request, limit, timeout_s):
     declared = request.content_length
     if not request.body_exists:
         return Success(b"")
@@ -95,10 +113,14 @@
     try:
         if request.content.is_eof():
             return _check_body(request.content.read_nowait(), declared, limit)
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > limit:
-                return _refuse_large(limit)
+        async with asyncio.timeout(timeout_s):
+            async for chunk in request.content.iter_any():
+                body += chunk
+                if len(body) > limit:
+                    return _refuse_large(limit)
+    except TimeoutError:
+        detail = "the body did not arrive before the deadline"
+        return Failed(BodyError(refusal=Refusal.DEADLINE, detail=detail))
     except (ClientPayloadError, web.RequestPayloadError, ConnectionError) as error:
         return _refuse_body(str(error) or "the body ended early")
     return _check_body(bytes(body), declared, limit)
--- a/fuchsiascale/pipelines/_answers.py
+++ b/fuchsiascale/pipelines/_answers.py
@@ -13,6 +13,7 @@
         if call.slot is not None and not call.slot.handed:
             ports.dispatcher.end_slot(call.admission, call.slot)
         ports.dispatcher.leave(call.admission)
+    ports.bodies.give(call.held_bytes)
     if call.claim is not None:
         await settle_key(call, ports)
     seconds = ports.clock.monotonic() - call.received_s
--- a/fuchsiascale/pipelines/_calls.py
+++ b/fuchsiascale/pipelines/_calls.py
@@ -21,6 +21,7 @@
 from fuchsiascale.states import Outcome, Refusal, Urgency
 
 __all__ = [
+    "BodyBudget",
     "BodyError",
     "BodyReader",
     "Call",
@@ -34,6 +35,7 @@
 ]
 
 DEFAULT_RETRY_AFTER_MS = 1_000
+MAX_HELD_BYTES = 32 * 1024 * 1024
 
 
 class BodyError(Message):
@@ -43,7 +45,7 @@
     detail: str
 
 
-BodyReader = Callable[[int], Awaitable[Result[bytes, BodyError]]]
+BodyReader = Callable[[int, float], Awaitable[Result[bytes, BodyError]]]
 
 
 class CallHeaders(Message):
@@ -93,7 +95,9 @@
     deadline_s : float
         Monotonic time after which nobody waits for the answer, in seconds.
     read_body : callable
-        Reads the whole body up to a limit in bytes.
+        Reads the whole body up to a limit in bytes, within a time in seconds.
+    held_bytes : int
+        Bytes of the body that count in the budget of bodies.
     claim : object or None
         Handle of the idempotency-key claim that this request holds.
     admission : object or None
@@ -117,6 +121,7 @@
     request_id: RequestId = RequestId("")
     service: ServiceSettings | None = None
     body: bytes = b""
+    held_bytes: int = 0
     team: TeamId = TeamId("")
     urgency: Urgency = Urgency.URGENT
     deadline_s: float = 0.0
@@ -136,6 +141,31 @@
     budget: RetryBudget = RetryBudget()
 
 
+class BodyBudget(msgspec.Struct):
+    """Bounds the bytes of bodies that wait or are under way.
+
+    Examples
+    --------
+    >>> budget = BodyBudget(limit=10)
+    >>> budget.take(8), budget.take(8)
+    (True, False)
+    """
+
+    limit: int = MAX_HELD_BYTES
+    held: int = 0
+
+    def take(self, amount):
+        """Count bytes in, if there is room; return whether there was."""
+        if self.held + amount > self.limit:
+            return False
+        self.held += amount
+        return True
+
+    def give(self, amount):
+        """Count bytes out."""
+        self.held -= amount
+
+
 def ignore_leaving(upstreams):
     """Pass no sign of leaving on."""
 
@@ -159,6 +189,8 @@
         Claims of idempotency keys.
     forwarder : Forwarder or None
         Sends requests to other failure domains; None where that is not allowed.
+    bodies : BodyBudget
+        Bytes of bodies held at once.
     retries : RetryMeter
         The budget of retries.
     meters, traces : object
@@ -175,6 +207,7 @@
     dispatcher: Any
     claims: KeyClaims
     forwarder: Any = None
+    bodies: BodyBudget = msgspec.field(default_factory=BodyBudget)
     retries: RetryMeter = msgspec.field(default_factory=RetryMeter)
     meters: NoMeters = msgspec.field(default_factory=NoMeters)
     traces: NoTraces = msgspec.field(default_factory=NoTraces)
--- a/fuchsiascale/pipelines/_checks.py
+++ b/fuchsiascale/pipelines/_checks.py
@@ -34,11 +34,16 @@
     service = ports.fleet().services.get(call.service_id)
     if service is None:
         return refuse(call, Refusal.UNKNOWN_SERVICE, f"no service {call.service_id}")
-    body = await call.read_body(service.max_body_bytes)
-    if isinstance(body, Failure):
-        error = body.failure()
+    left_s = call.received_s + service.deadline_ms / 1000 - ports.clock.monotonic()
+    read = await call.read_body(service.max_body_bytes, left_s)
+    if isinstance(read, Failure):
+        error = read.failure()
         return refuse(call, error.refusal, error.detail)
-    return replace(call, service=service, body=body.unwrap())
+    body = read.unwrap()
+    if not ports.bodies.take(len(body)):
+        detail = "too many bytes of request bodies are held"
+        return refuse(call, Refusal.NO_CAPACITY, detail)
+    return replace(call, service=service, body=body, held_bytes=len(body))
 
 
 def find_team(fleet, token):
--- a/fuchsiascale/pipelines/tests/test_dispatch.py
+++ b/fuchsiascale/pipelines/tests/test_dispatch.py
@@ -8,6 +8,7 @@
 
 from fuchsiascale.coordination import DomainSettings, Member
 from fuchsiascale.pipelines import (
+    BodyBudget,
     CallAnswer,
     Forwarder,
     NoMeters,
@@ -190,3 +191,15 @@
     for _ in range(50):
         await ask(ports)
     assert 1 <= len(sent) <= 10
+
+
+async def test_bodies_held_at_once_are_bounded():
+    ports = make_ports(runners=GatedRunners(), bodies=BodyBudget(limit=10))
+    pipeline = build_request_pipeline(ports)
+    calls = [asyncio.ensure_future(pipeline.handle(make_call())) for _ in range(4)]
+    await let_run()
+    ports.runners.gate.set()
+    answers = [answer for _, answer in await asyncio.gather(*calls)]
+    refused = [answer for answer in answers if answer.outcome is Outcome.NOT_RUN]
+    assert [answer.refusal for answer in refused] == [Refusal.NO_CAPACITY] * 2
+    assert ports.bodies.held == 0
