Forward what the local runners refuse; a missing domain section has the default link

Cause: with all local runners dead, 299 of 299 requests were refused (trial on processes), since forwarding was weighed before the send only, and a failure domain without a section had a link of 0 bytes/s.

--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -178,7 +178,9 @@
         return Admission(pool, ticket, self._clock.monotonic())
 
     def leave(self, admission):
-        """Give an admission back, once its last slot is free."""
+        """Give an admission back, once its last slot is free; more calls do nothing."""
+        if admission.left:
+            return
         admission.left = True
         self._free(admission)
 
--- a/fuchsiascale/pipelines/_forward.py
+++ b/fuchsiascale/pipelines/_forward.py
@@ -23,6 +23,7 @@
 MESSAGE_OVERHEAD_BYTES = 1_024
 BUDGET_FRACTION = 0.5
 PAUSE_S = 0.5
+DEFAULT_LINK_BYTES_PER_S = 1_875_000
 
 
 class Forwarder:
@@ -143,10 +144,8 @@
         """Return what may be sent to a peer's region, refilled up to now."""
         now_s = self._clock.monotonic()
         domain = self._fleet().domains.get(view.failure_domain)
-        rate = 0.0
-        if domain is not None:
-            share = BUDGET_FRACTION / max(1, len(view.members))
-            rate = domain.link_bytes_per_s * share
+        rate = DEFAULT_LINK_BYTES_PER_S if domain is None else domain.link_bytes_per_s
+        rate *= BUDGET_FRACTION / max(1, len(view.members))
         before = self._budgets.get(peer.region)
         if before is None:
             return LinkBudget(rate, rate * LINK_BURST_S, now_s)
@@ -156,11 +155,12 @@
 @register_filter("forward")
 async def forward(call, ports):
     """Let another failure domain run what no local runner can take."""
-    if call.slot is not None:
-        return call
     peer = ports.forwarder.choose(call) if ports.forwarder else None
     if peer is None:
         return replace(call, answer=call.turned)
+    if call.admission is not None:
+        ports.dispatcher.leave(call.admission)
+        call = replace(call, admission=None)
     span = ports.traces.start_send(call.span, call, peer.instance)
     try:
         answer = await ports.forwarder.forward(replace(call, span=span), peer)
--- a/fuchsiascale/pipelines/_requests.py
+++ b/fuchsiascale/pipelines/_requests.py
@@ -38,8 +38,8 @@
     "admit",
     "claim",
     "route",
-    "forward",
     "send",
+    "forward",
     "answer",
 )
 FORWARDED_FILTERS = ("admit", "route", "send", "answer")
--- a/fuchsiascale/pipelines/_sends.py
+++ b/fuchsiascale/pipelines/_sends.py
@@ -78,6 +78,8 @@
 @register_filter("send")
 async def send(call, ports):
     """Send the request, and again where that is safe and the budget allows."""
+    if call.slot is None:
+        return call
     retries = ports.retries
     retries.budget = record_fresh(retries.budget, ports.fleet().policy.retry_budget)
     tried = set()
@@ -97,6 +99,8 @@
     if answer.outcome is Outcome.NOT_RUN and uncertain is not None:
         # An earlier send may have run, whatever became of the last one.
         answer = uncertain
+    if answer.outcome is Outcome.NOT_RUN and ports.forwarder is not None:
+        return replace(call, turned=answer)
     return replace(call, answer=answer)
 
 
--- a/fuchsiascale/pipelines/tests/test_dispatch.py
+++ b/fuchsiascale/pipelines/tests/test_dispatch.py
@@ -185,6 +185,50 @@
         assert answer.outcome is (Outcome.DONE if expected else Outcome.NOT_RUN)
 
 
+async def test_what_the_local_runners_refuse_is_forwarded():
+    done = CallAnswer(outcome=Outcome.DONE, status=200, body=b"x")
+
+    async def gone(address, request):
+        return Failure(RequestNotRun(detail="refused"))
+
+    async def cut(address, request):
+        return Failure(RequestUncertain(detail="cut"))
+
+    for behaviour, outcome, forwards in ((gone, "done", 1), (cut, "unknown", 0)):
+        forwarding, sent = make_forwarding(done)
+        local = make_ports(THREE, runners=FakeRunners(behaviour))
+        ports = replace(local, forwarder=forwarding.forwarder)
+        ports.clock.advance(1.0)
+        answer = await ask(ports)
+        assert answer.outcome is Outcome(outcome)
+        assert len(sent) == forwards
+        assert local.dispatcher.slots.in_use == 1 - forwards
+
+
+async def test_a_caller_that_leaves_while_forwarded_leaves_nothing_taken():
+    async def gone(address, request):
+        return Failure(RequestNotRun(detail="refused"))
+
+    forwarding, _ = make_forwarding(None)
+    started = asyncio.Event()
+
+    async def hang(member, call, timeout_s):
+        started.set()
+        await asyncio.Event().wait()
+
+    forwarding.forwarder._send = hang
+    local = make_ports(THREE, runners=FakeRunners(gone))
+    ports = replace(local, forwarder=forwarding.forwarder)
+    ports.clock.advance(1.0)
+    asked = asyncio.ensure_future(ask(ports))
+    await started.wait()
+    asked.cancel()
+    await asyncio.wait({asked})
+    await let_run()
+    assert ports.dispatcher.slots.in_use == 0
+    assert ports.bodies.held == 0
+
+
 async def test_the_link_budget_bounds_forwarded_bytes():
     done = CallAnswer(outcome=Outcome.DONE, status=200)
     ports, sent = make_forwarding(done, (FAR,), 20_000)
