Hand the ledgers of slots over in a planned stop

Cause: a stopping owner ended before its successor could ask for its ledger, and was no longer among the members whose addresses are known, so the successor waited out all credits. Change: addresses of members that have left are remembered; a stop waits up to 3 s until the ledgers are taken.

--- a/fuchsiascale/coordination/_credits.py
+++ b/fuchsiascale/coordination/_credits.py
@@ -293,6 +293,13 @@
             state.bursts = [Debt(debt.slots, _end(now_s, debt.lease_ms))]
             state.floors = [Debt(debt.floor, _end(now_s, debt.floor_lease_ms))]
 
+    def count_open(self):
+        """Return the number of ledgers with lent slots that no successor has taken."""
+        return sum(
+            not runner.closed and self.count_lent(name) > 0
+            for name, runner in self._runners.items()
+        )
+
     def count_lent(self, name):
         """Return the slots of a runner that count as lent."""
         runner = self._runners.get(name)
--- a/fuchsiascale/daemon/_credits.py
+++ b/fuchsiascale/daemon/_credits.py
@@ -26,6 +26,8 @@
 ROUND_S = 0.25
 MIN_ROUND_S = 0.02
 CALL_TIMEOUT_S = 1.0
+HAND_OVER_POLL_S = 0.05
+MAX_ADDRESSES = 64
 
 log = logbook.Logger("credits")
 
@@ -60,6 +62,7 @@
         self._wanted = asyncio.Event()
         self._calls = set()
         self._copying = set()
+        self._addresses = {}
 
     def demand(self):
         """Note that requests wait for credits."""
@@ -106,6 +109,27 @@
         )
         return LedgerReply(copies=tuple(copy for copy in copies if copy is not None))
 
+    async def wait_handed_over(self, timeout_s):
+        """Wait until successors have taken the ledgers that lend to anybody.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Bound of the wait, in seconds; successors wait credits out after it.
+
+        Returns
+        -------
+        bool
+            Whether all were taken.
+        """
+        members = self._view().members
+        others = any(member.instance != self._instance for member in members)
+        left = round(timeout_s / HAND_OVER_POLL_S)
+        while others and self._ledger.count_open() and left > 0:
+            await asyncio.sleep(HAND_OVER_POLL_S)
+            left -= 1
+        return not self._ledger.count_open()
+
     async def settle(self):
         """Wait until no call is under way."""
         while self._calls:
@@ -143,11 +167,19 @@
                 before = self._ledger.needs_copy(name, tenure)
                 if before is not None and before != self._instance:
                     claims.setdefault(before, {})[name] = tenure
-        addresses = {member.instance: member.address for member in view.members}
+        self._note_addresses(view)
         for before, tenures in claims.items():
-            if before in addresses and before not in self._copying:
+            if before in self._addresses and before not in self._copying:
                 self._copying.add(before)
-                self._spawn(self._copy(before, addresses[before], tenures))
+                self._spawn(self._copy(before, self._addresses[before], tenures))
+
+    def _note_addresses(self, view):
+        """Remember the members' addresses, also once they are leaving."""
+        for member in view.members:
+            self._addresses.pop(member.instance, None)
+            self._addresses[member.instance] = member.address
+        while len(self._addresses) > MAX_ADDRESSES:
+            del self._addresses[next(iter(self._addresses))]
 
     async def _copy(self, before, address, tenures):
         claims = tuple(
--- a/fuchsiascale/daemon/_requests.py
+++ b/fuchsiascale/daemon/_requests.py
@@ -20,6 +20,7 @@
 
 RECORD_PERIOD_MS = 1_000
 SWEEP_PERIOD_MS = 10_000
+HAND_OVER_S = 3.0
 
 
 @on_start(Phase.REQUESTS)
@@ -98,4 +99,5 @@
             await application.claims.record_ends()
     except TimeoutError:
         application.log.error("requests still in flight after {} s", grace_s)
+    await application.credits.wait_handed_over(HAND_OVER_S)
     application.traces.close()
--- a/fuchsiascale/daemon/tests/test_credits.py
+++ b/fuchsiascale/daemon/tests/test_credits.py
@@ -142,6 +142,22 @@
     assert not cluster.drivers[other].lend(request).grants
 
 
+async def test_a_leaving_owner_hands_its_ledger_over_before_it_ends():
+    cluster = Cluster()
+    owner, other = find_names(cluster)
+    cluster.claim(owner)
+    await cluster.run(owner, other)
+    leaving = cluster.drivers[owner]
+    assert not await leaving.wait_handed_over(0.0)
+    cluster.members = (other,)
+    cluster.claim(other)
+    await cluster.run(other)
+    assert await leaving.wait_handed_over(0.0)
+    cluster.clock.advance(0.5)
+    await cluster.run(other)
+    assert all(cluster.count(other))
+
+
 async def test_a_new_owner_cut_off_from_the_old_one_waits():
     cluster = Cluster()
     owner, other = find_names(cluster)
