Wait for an unreachable worker before its attempts are run again

Cause: a scenario that loses six replies in a row of each worker saw six tasks finish twice, one after the other: the attempts had finished at a worker whose answers were lost, their lease was over, and they were run again. Lost claim replies also cost the back-off of a contested shard. Change: after the end of a lease the worker is waited for 30 s more, shown as in doubt, since its inventory says what finished; a lost own claim starts the takeover afresh at once; unreachable workers are asked every 2 s at most. Ruled out: no retry before the list's word at all, since a cut may outlast the list.

--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -43,6 +43,8 @@
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
         First and longest delay before a call that got no answer is repeated.
+    doubt_s : float
+        How long after the end of its lease an unreachable worker is waited for.
     step_down_s, max_step_down_s : float
         First and longest delay before a shard that was lost is claimed again.
     gone_s : float
@@ -61,7 +63,8 @@
     commit_s: float = 2.0
     scan_s: float = 10.0
     retry_s: float = 0.5
-    max_retry_s: float = 4.0
+    max_retry_s: float = 2.0
+    doubt_s: float = 30.0
     step_down_s: float = 2.0
     max_step_down_s: float = 30.0
     gone_s: float = 2.0
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -35,6 +35,7 @@
     "meet_failure",
     "observe_workers",
     "require_fresh_rows",
+    "start_afresh",
     "step_down",
 ]
 
@@ -121,7 +122,10 @@
     match result:
         case Success(reply) if reply.granted and _may_have_changed_hands(link, reply):
             link.highest = command.request.token
-            step_down(state)
+            if reply.previous is None or reply.previous.holder == state.instance:
+                start_afresh(state)
+            else:
+                step_down(state)
         case Success(reply) if reply.granted:
             link.highest = link.token = link.granted = command.request.token
             link.failures = 0
@@ -295,11 +299,15 @@
 
 
 def end_lapsed(state):
-    """End the attempts whose lease, granted by this owner, is surely over."""
+    """End the attempts whose lease is surely over, and was for a while.
+
+    They run no more, but may have finished, and a worker that comes back tells;
+    so they are left in doubt for some time before they are run again.
+    """
     now_s = state.now_s()
     for link in state.links.values():
-        lease = link.lease
-        if not lease.surely_over(now_s) or state.confirmed_s < lease.over_at_s():
+        over_at_s = link.lease.over_at_s()
+        if now_s < over_at_s + state.timing.doubt_s or state.confirmed_s < over_at_s:
             continue
         for attempt in link.attempts.values():
             if attempt.phase is not AttemptPhase.ENDED:
@@ -341,7 +349,7 @@
 
 
 def step_down(state):
-    """Give up all that is known of the shard, and wait for a while."""
+    """Give up a shard that another owner may hold, and wait for a while."""
     timing = state.timing
     if state.now_s() - state.covered_s > timing.max_step_down_s:
         state.step_downs = 0
@@ -349,6 +357,11 @@
     delay_s = min(timing.step_down_s * 2**doublings, timing.max_step_down_s)
     state.step_downs += 1
     state.backoff_until_s = state.now_s() + delay_s * (0.5 + state.random.random())
+    start_afresh(state)
+
+
+def start_afresh(state):
+    """Forget all that is known of the shard but its workers and their tokens."""
     links = state.links
     state.forget()
     state.links = {}
