--- a/fuchsiascale/coordination/_shard_policy.py
+++ b/fuchsiascale/coordination/_shard_policy.py
@@ -164,7 +164,7 @@
         estimated = []
         for request in requests:
             self._job_teams[request.job] = request.team
-            demand = self.estimate(request)
+            demand = _keep_placeable(self.estimate(request), request.demand, entries)
             estimated.append(msgspec.structs.replace(request, demand=demand))
         return placing.place_all(estimated, 1.0 + self._thresholds.hold)
 
@@ -363,6 +363,16 @@
         self._health.workers.pop(worker, None)
 
 
+def _keep_placeable(estimated, declared, entries):
+    """Return the declared demand where the estimated one fits no worker at all.
+
+    Else a task whose estimate has grown beyond every worker would wait for ever.
+    """
+    if any(estimated.fits(entry.capacity) for entry in entries):
+        return estimated
+    return declared
+
+
 def _sum_loads(state):
     cores = {}
     for report in state.attempts:
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -65,7 +65,7 @@
     retry_s: float = 0.5
     max_retry_s: float = 2.0
     doubt_s: float = 30.0
-    step_down_s: float = 2.0
+    step_down_s: float = 1.0
     max_step_down_s: float = 30.0
     gone_s: float = 2.0
     unlisted_s: float = 30.0
--- a/fuchsiascale/coordination/_starts.py
+++ b/fuchsiascale/coordination/_starts.py
@@ -17,7 +17,11 @@
     meet_failure,
     step_down,
 )
-from fuchsiascale.coordination._workerlinks import accepts_work, compute_free
+from fuchsiascale.coordination._workerlinks import (
+    accepts_work,
+    compute_free,
+    compute_shape,
+)
 from fuchsiascale.decisions import PlacementRequest, WorkerFree
 from fuchsiascale.ids import AttemptNumber
 from fuchsiascale.platform import (
@@ -121,7 +125,7 @@
     return WorkerFree(
         worker=link.worker,
         free=compute_free(link),
-        capacity=link.inventory.capacity,
+        capacity=compute_shape(link),
         services=link.entry.services,
     )
 
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -29,7 +29,6 @@
 __all__ = ["HAND_OVER_S", "ShardKeeper"]
 
 HAND_OVER_S = 5.0
-SETTLE_S = 1.5
 HAND_OVER_POLL_S = 0.05
 ORPHAN_SEARCH_S = 30.0
 MOVE_PERIOD_S = 5.0
@@ -57,9 +56,6 @@
         ``async (WorkNotice) -> None``, tells the owner of another shard.
     timing : ShardTiming or None
     meters : WorkMeters or None
-    settle_s : float
-        Time from the start in which nothing is claimed, in seconds: instances
-        that start together do not know each other yet.
     """
 
     def __init__(
@@ -75,7 +71,6 @@
         notify=None,
         timing=None,
         meters=None,
-        settle_s=SETTLE_S,
     ):
         self._instance = instance
         self._tables = tables
@@ -87,7 +82,6 @@
         self._notify = notify
         self._timing = timing
         self._meters = meters
-        self._settled_s = clock.monotonic() + settle_s
         self._calls_out = ShardCalls(instance, tables, workers, random)
         self._entries = EntryCache()
         self._orphans = frozenset()
@@ -108,8 +102,7 @@
             if shard_id not in self._shards:
                 self._shards[shard_id] = self._build_shard(shard_id)
         offers = self._collect_offers()
-        settled = self._clock.monotonic() >= self._settled_s
-        may_own = settled and not self._stopping
+        may_own = not self._stopping
         for shard_id, shard in list(self._shards.items()):
             workers = entries.get(shard_id, ())
             owner = choose_owner(shard_id, view) == self._instance
