Keep tasks placeable whose estimate has grown beyond every worker

Cause: a task that uses all that it was given is taken to need more; three of four cores became 1.7 times as much after one run, and an estimate beyond every worker would keep the task waiting for ever. Ruled out: bounding the estimate in the decision, which does not know the workers.

--- a/fuchsiascale/coordination/tests/test_shard_policy.py
+++ b/fuchsiascale/coordination/tests/test_shard_policy.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import msgspec
+
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import (
     ServiceLatency,
@@ -151,3 +153,23 @@
     assert 1 <= evicted <= 7
     placements = policy.place(workers, make_requests(20))
     assert "w0" not in {entry.worker for entry in placements}
+
+
+def test_an_estimate_beyond_every_worker_keeps_nothing_waiting(policy):
+    (request,) = make_requests(1)
+    request = msgspec.structs.replace(request, demand=WORKER)
+    report = AttemptReport(
+        task="job.0.9",
+        attempt=1,
+        kind="tuning",
+        state=AttemptState.RUNNING,
+        demand=WORKER,
+        used=WORKER,
+    )
+    inventory = make_inventory("w9", ())
+    inventory = msgspec.structs.replace(inventory, attempts=(report,))
+    for _ in range(10):
+        policy.observe_inventory("w9", (), inventory)
+    assert not policy.estimate(request).fits(WORKER)
+    (placement,) = policy.place(make_workers(1), [request])
+    assert (placement.worker, placement.demand) == ("w0", WORKER)
