--- a/scenarios/resume.feature
+++ b/scenarios/resume.feature
@@ -5,10 +5,10 @@
       | option  | value |
       | workers | 3     |
     And every worker of "porto" is claimed
-    When the job "j" of 6 tasks of 4000 ms is accepted by "porto-e0"
-    And at least 6 tasks have been started
+    When the job "j" of 7 tasks of 4000 ms is accepted by "porto-e0"
+    And at least 7 tasks have been started
     And "porto-w0" leaves
-    Then the job "j" is finished within 18 s, each of its 6 tasks having finished on a worker
+    Then the job "j" is finished within 18 s, each of its 7 tasks having finished on a worker
     And at least 1 attempts were checkpointed and resumed
 
   Scenario: the owner is killed between checkpoint and record
@@ -16,14 +16,14 @@
       | option  | value |
       | workers | 3     |
     And every worker of "porto" is claimed
-    When the job "j" of 6 tasks of 4000 ms is accepted by "porto-e0"
-    And at least 6 tasks have been started
+    When the job "j" of 7 tasks of 4000 ms is accepted by "porto-e0"
+    And at least 7 tasks have been started
     And "tables" gets the faults {"slow_ms": 1500}
     And "porto-w0" leaves
     And 1 s pass
     And "the owner of porto-w0" is killed
     And the faults of "tables" end
-    Then the job "j" is finished within 18 s, each of its 6 tasks having finished on a worker
+    Then the job "j" is finished within 18 s, each of its 7 tasks having finished on a worker
     And at least 1 attempts were checkpointed and resumed
 
   Scenario: the object store is down when a worker leaves
@@ -31,13 +31,13 @@
       | option  | value |
       | workers | 3     |
     And every worker of "porto" is claimed
-    When the job "j" of 6 tasks of 4000 ms is accepted by "porto-e0"
-    And at least 6 tasks have been started
+    When the job "j" of 7 tasks of 4000 ms is accepted by "porto-e0"
+    And at least 7 tasks have been started
     And "objects" gets the faults {"down": true}
     And "porto-w0" leaves
     And 2 s pass
     And the faults of "objects" end
-    Then the job "j" is finished within 18 s, each of its 6 tasks having finished on a worker
+    Then the job "j" is finished within 18 s, each of its 7 tasks having finished on a worker
 
   Scenario: tasks are evicted twice
     Given a deployment
