Back off from a store that does not answer; wait two lease lengths in doubt

Change: one delay a shard for all reads and writes after a failure, 0.25 to 0.75 s doubling to 6 s; 32 chunk reads in flight at most; doubt is two lease lengths; unreachable workers are asked after 0.25 s, at most every 1 s. Ruled out: a breaker across shards: one delay a shard with jitter is enough spread.

--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -13,12 +13,17 @@
     ReadChunk,
     WriteChunk,
 )
-from fuchsiascale.coordination._shardstate import drop_chunk, require_read
+from fuchsiascale.coordination._shardstate import (
+    drop_chunk,
+    may_ask_store,
+    note_store_answer,
+    require_read,
+)
 from fuchsiascale.platform import Conflict
 
 __all__ = [
     "MAX_LIVE_CHUNKS",
-    "MAX_READS_A_ROUND",
+    "MAX_CONCURRENT_READS",
     "apply_assignments",
     "apply_chunk",
     "apply_write",
@@ -28,12 +33,12 @@
 ]
 
 MAX_LIVE_CHUNKS = 2_048
-MAX_READS_A_ROUND = 64
+MAX_CONCURRENT_READS = 32
 
 
 def list_reads(state):
     """Return the reads that are due."""
-    if not may_read(state):
+    if not may_read(state) or not may_ask_store(state):
         return []
     now_s = state.now_s()
     commands = []
@@ -42,8 +47,11 @@
             shard=state.shard, after=state.scan_page or ""
         )
         commands.append(state.scan_pending)
+    room = MAX_CONCURRENT_READS - sum(
+        isinstance(live.pending, ReadChunk) for live in state.chunks.values()
+    )
     for live in state.chunks.values():
-        if len(commands) >= MAX_READS_A_ROUND:
+        if len(commands) >= room:
             break
         if not live.stale or live.pending is not None or now_s < live.due_s:
             continue
@@ -63,8 +71,9 @@
     if state.scan_pending is not command:
         return
     state.scan_pending = None
+    note_store_answer(state, result)
     if not isinstance(result, Success):
-        state.scan_due_s = state.now_s() + state.timing.retry_s
+        state.scan_due_s = state.now_s()
         return
     page = result.unwrap()
     for row in page.rows:
@@ -107,8 +116,8 @@
     if live is None or live.pending is not command:
         return
     live.pending = None
+    note_store_answer(state, result)
     if not isinstance(result, Success):
-        live.due_s = state.now_s() + state.timing.retry_s
         return
     row = result.unwrap()
     record = row and msgspec.json.decode(row.value, type=ChunkRecord)
@@ -137,6 +146,8 @@
     """Return the writes of ends and cancellations that are due."""
     now_s = state.now_s()
     commands = []
+    if not may_ask_store(state):
+        return commands
     for live in state.chunks.values():
         if live.record is None or live.stale or live.pending is not None:
             continue
@@ -180,6 +191,7 @@
     if live is None or live.pending is not command:
         return
     live.pending = None
+    note_store_answer(state, result)
     if not isinstance(result, Success):
         meet_failed_write(state, live, result.failure())
         return
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -1,10 +1,12 @@
 """State of a shard at its owner, and the questions asked of it throughout."""
 
+from returns.result import Success
+
 from fuchsiascale.coordination._attempts import parse_task_id
 from fuchsiascale.coordination._leases import LEASE_S
 from fuchsiascale.coordination._livechunks import LiveChunk
 from fuchsiascale.coordination._shard_policy import parse_job_id
-from fuchsiascale.platform import Message
+from fuchsiascale.platform import Conflict, Message
 
 __all__ = [
     "DEFAULT_MAX_FAILURES",
@@ -17,12 +19,15 @@
     "is_recorded",
     "is_unwanted",
     "list_attempts",
+    "may_ask_store",
+    "note_store_answer",
     "remove_attempt",
     "require_read",
     "store_attempt",
 ]
 
 DEFAULT_MAX_FAILURES = 3
+MAX_DOUBLINGS = 8
 
 
 class ShardTiming(Message):
@@ -43,8 +48,11 @@
         Period of the scans of the shard's assignment rows.
     retry_s, max_retry_s : float
         First and longest delay before a call that got no answer is repeated.
-    doubt_s : float
-        How long after the end of its lease an unreachable worker is waited for.
+    store_retry_s, max_store_retry_s : float
+        First and longest delay before the store is asked again after a failure.
+    doubt_leases : float
+        How long after the end of its lease an unreachable worker is waited for, as
+        a multiple of the lease's length.
     step_down_s, max_step_down_s : float
         First and longest delay before a shard that was lost is claimed again.
     gone_s : float
@@ -62,9 +70,11 @@
     lease_s: float = LEASE_S
     commit_s: float = 2.0
     scan_s: float = 10.0
-    retry_s: float = 0.5
-    max_retry_s: float = 2.0
-    doubt_s: float = 30.0
+    retry_s: float = 0.25
+    max_retry_s: float = 1.0
+    store_retry_s: float = 0.5
+    max_store_retry_s: float = 4.0
+    doubt_leases: float = 2.0
     step_down_s: float = 1.0
     max_step_down_s: float = 30.0
     gone_s: float = 2.0
@@ -142,6 +152,8 @@
         self.scan_page = None
         self.scan_due_s = 0.0
         self.scanned = {}
+        self.store_due_s = 0.0
+        self.store_failures = 0
         self.place_due_s = 0.0
         self.full = set()
         self.turn = 0
@@ -156,6 +168,24 @@
         return DEFAULT_MAX_FAILURES if kind is None else kind.max_failures
 
 
+def note_store_answer(state, result):
+    """Take in whether the store answered, and wait longer each time it did not."""
+    failed = not isinstance(result, Success)
+    if not failed or isinstance(result.failure(), Conflict):
+        state.store_failures = 0
+        return
+    timing = state.timing
+    delay_s = timing.store_retry_s * 2 ** min(state.store_failures, MAX_DOUBLINGS)
+    state.store_failures += 1
+    jitter = 0.5 + state.random.random()
+    state.store_due_s = state.now_s() + min(delay_s, timing.max_store_retry_s) * jitter
+
+
+def may_ask_store(state):
+    """Tell whether the store may be read or written now."""
+    return state.now_s() >= state.store_due_s
+
+
 def list_attempts(state):
     """Return all attempts whose end is not recorded."""
     return [
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -16,6 +16,7 @@
 from fuchsiascale.coordination._ownership import raise_token
 from fuchsiascale.coordination._records import ShardRecord
 from fuchsiascale.coordination._shardcommands import ClaimWorker, ReadShard, WriteShard
+from fuchsiascale.coordination._shardstate import may_ask_store, note_store_answer
 from fuchsiascale.coordination._workerlinks import WorkerEntry, WorkerLink
 from fuchsiascale.platform import ClaimRequest, Conflict, Fenced, Unavailable
 from fuchsiascale.states import AttemptState
@@ -152,7 +153,9 @@
 
 def list_row_commands(state):
     """Return the read or write of the shard's row that is due."""
-    if not state.owner or state.row_pending or state.now_s() < state.row_due_s:
+    if not state.owner or state.row_pending or not may_ask_store(state):
+        return []
+    if state.now_s() < state.row_due_s:
         return []
     if state.record is not None:
         wanted = _list_roster(state)
@@ -199,8 +202,8 @@
     if state.row_pending is not command:
         return
     state.row_pending = None
+    note_store_answer(state, result)
     if not isinstance(result, Success):
-        state.row_due_s = state.now_s() + state.timing.retry_s
         return
     row = result.unwrap()
     state.row_read = True
@@ -229,6 +232,7 @@
     if state.row_pending is not command:
         return
     state.row_pending = None
+    note_store_answer(state, result)
     if isinstance(result, Success):
         state.record = command.record
         state.version = result.unwrap()
@@ -305,9 +309,10 @@
     so they are left in doubt for some time before they are run again.
     """
     now_s = state.now_s()
+    doubt_s = state.timing.doubt_leases * state.timing.lease_s
     for link in state.links.values():
         over_at_s = link.lease.over_at_s()
-        if now_s < over_at_s + state.timing.doubt_s or state.confirmed_s < over_at_s:
+        if now_s < over_at_s + doubt_s or state.confirmed_s < over_at_s:
             continue
         for attempt in link.attempts.values():
             if attempt.phase is not AttemptPhase.ENDED:
--- a/fuchsiascale/coordination/tests/shardworld.py
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -120,6 +120,7 @@
         self.finished = {}
         self.begun = {}
         self.count = 0
+        self.asked = 0
         self.broken = False
 
     # Work
@@ -283,6 +284,7 @@
 
     def execute(self, command):
         """Carry out a command on the store at once."""
+        self.asked += 1
         return DOWN if self.tables.down else self._call_tables(command)
 
     def _call_tables(self, command):
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -262,6 +262,19 @@
     assert world.read(chunk).final
 
 
+def test_an_outage_does_not_cause_a_storm_of_retries(world):
+    first, _ = world.owners
+    for _ in range(10):
+        world.submit(tasks=1, run_ms=2_000)
+    world.run(2, first)
+    world.tables.down = True
+    world.run(10, first)
+    assert len(world.finished) == 10
+    asked = world.asked
+    world.run(20, first)
+    assert 0 < world.asked - asked <= 10 * 10
+
+
 def test_a_new_owner_in_an_outage_keeps_work_alive_but_starts_nothing(world):
     first, second = world.owners
     chunk = world.submit(tasks=6, run_ms=LONG_MS)
