--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -16,6 +16,7 @@
 from fuchsiascale.coordination._ownership import raise_token
 from fuchsiascale.coordination._records import ShardRecord
 from fuchsiascale.coordination._shardcommands import ClaimWorker, ReadShard, WriteShard
+from fuchsiascale.coordination._shardstate import may_ask_store, note_store_answer
 from fuchsiascale.coordination._workerlinks import WorkerEntry, WorkerLink
 from fuchsiascale.platform import ClaimRequest, Conflict, Fenced, Unavailable
 from fuchsiascale.states import AttemptState
@@ -35,6 +36,7 @@
     "meet_failure",
     "observe_workers",
     "require_fresh_rows",
+    "start_afresh",
     "step_down",
 ]
 
@@ -121,7 +123,10 @@
     match result:
         case Success(reply) if reply.granted and _may_have_changed_hands(link, reply):
             link.highest = command.request.token
-            step_down(state)
+            if reply.previous is None or reply.previous.holder == state.instance:
+                start_afresh(state)
+            else:
+                step_down(state)
         case Success(reply) if reply.granted:
             link.highest = link.token = link.granted = command.request.token
             link.failures = 0
@@ -148,7 +153,9 @@
 
 def list_row_commands(state):
     """Return the read or write of the shard's row that is due."""
-    if not state.owner or state.row_pending or state.now_s() < state.row_due_s:
+    if not state.owner or state.row_pending or not may_ask_store(state):
+        return []
+    if state.now_s() < state.row_due_s:
         return []
     if state.record is not None:
         wanted = _list_roster(state)
@@ -195,8 +202,8 @@
     if state.row_pending is not command:
         return
     state.row_pending = None
+    note_store_answer(state, result)
     if not isinstance(result, Success):
-        state.row_due_s = state.now_s() + state.timing.retry_s
         return
     row = result.unwrap()
     state.row_read = True
@@ -225,6 +232,7 @@
     if state.row_pending is not command:
         return
     state.row_pending = None
+    note_store_answer(state, result)
     if isinstance(result, Success):
         state.record = command.record
         state.version = result.unwrap()
@@ -295,11 +303,16 @@
 
 
 def end_lapsed(state):
-    """End the attempts whose lease, granted by this owner, is surely over."""
+    """End the attempts whose lease is surely over, and was for a while.
+
+    They run no more, but may have finished, and a worker that comes back tells;
+    so they are left in doubt for some time before they are run again.
+    """
     now_s = state.now_s()
+    doubt_s = state.timing.doubt_leases * state.timing.lease_s
     for link in state.links.values():
-        lease = link.lease
-        if not lease.surely_over(now_s) or state.confirmed_s < lease.over_at_s():
+        over_at_s = link.lease.over_at_s()
+        if now_s < over_at_s + doubt_s or state.confirmed_s < over_at_s:
             continue
         for attempt in link.attempts.values():
             if attempt.phase is not AttemptPhase.ENDED:
@@ -341,7 +354,7 @@
 
 
 def step_down(state):
-    """Give up all that is known of the shard, and wait for a while."""
+    """Give up a shard that another owner may hold, and wait for a while."""
     timing = state.timing
     if state.now_s() - state.covered_s > timing.max_step_down_s:
         state.step_downs = 0
@@ -349,6 +362,11 @@
     delay_s = min(timing.step_down_s * 2**doublings, timing.max_step_down_s)
     state.step_downs += 1
     state.backoff_until_s = state.now_s() + delay_s * (0.5 + state.random.random())
+    start_afresh(state)
+
+
+def start_afresh(state):
+    """Forget all that is known of the shard but its workers and their tokens."""
     links = state.links
     state.forget()
     state.links = {}
