--- a/fuchsiascale/daemon/_lifecycle.py
+++ b/fuchsiascale/daemon/_lifecycle.py
@@ -9,6 +9,7 @@
 __all__ = [
     "Keeper",
     "Phase",
+    "StartError",
     "keeper",
     "on_start",
     "on_stop",
@@ -20,6 +21,10 @@
 Hook = Callable[[object], Awaitable[None]]
 
 
+class StartError(Exception):
+    """Something outside of the daemon keeps it from starting, as the text says."""
+
+
 class Phase(IntEnum):
     """Order of the start hooks; the stop hooks run from the last to the first."""
 
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -14,7 +14,7 @@
     require_peer_token,
 )
 from fuchsiascale.daemon._caller import make_caller_routes
-from fuchsiascale.daemon._lifecycle import Phase, on_start, on_stop
+from fuchsiascale.daemon._lifecycle import Phase, StartError, on_start, on_stop
 from fuchsiascale.daemon._metrics import make_metrics_routes
 from fuchsiascale.daemon._routes import CALLER_ROUTES, OPERATOR_ROUTES, PEER_ROUTES
 
@@ -38,10 +38,10 @@
     check_operator = require_operator_token(access, application.count_refusal)
     peer = _make_web_application(application, PEER_ROUTES, check_peer)
     operator = _make_web_application(application, OPERATOR_ROUTES, check_operator)
-    for listen, web_application in (
-        (settings.caller, caller),
-        (settings.peer, peer),
-        (settings.operator, operator),
+    for name, listen, web_application in (
+        ("caller", settings.caller, caller),
+        ("peer", settings.peer, peer),
+        ("operator", settings.operator, operator),
     ):
         runner = web.AppRunner(
             web_application,
@@ -51,10 +51,14 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         await runner.setup()
-        context = build_server_context(listen.tls)
-        site = web.TCPSite(runner, listen.host, listen.port, ssl_context=context)
-        await site.start()
         application.listeners.append(runner)
+        try:
+            context = build_server_context(listen.tls)
+            site = web.TCPSite(runner, listen.host, listen.port, ssl_context=context)
+            await site.start()
+        except OSError as error:
+            detail = f"the {name} listener at {listen.address} can't be opened: {error}"
+            raise StartError(detail) from error
 
 
 @on_stop(Phase.CLIENTS)
@@ -69,7 +73,10 @@
 @on_start(Phase.CLIENTS)
 async def start_clients(application):
     """Make the clients of platform, upstreams and peers."""
-    application.connect()
+    try:
+        application.connect()
+    except OSError as error:
+        raise StartError(f"TLS files of a client can't be used: {error}") from error
 
 
 def _make_web_application(application, routes, check=None):
--- a/fuchsiascale/daemon/_main.py
+++ b/fuchsiascale/daemon/_main.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from fuchsiascale.daemon._application import Application
+from fuchsiascale.daemon._lifecycle import StartError
 from fuchsiascale.daemon._logs import set_up_logs
 from fuchsiascale.daemon._settings import read_settings
 
@@ -33,5 +34,9 @@
 
 async def _serve(settings):
     application = Application(settings)
-    await application.run()
+    try:
+        await application.run()
+    except StartError as error:
+        application.log.critical(str(error))
+        return EXIT_FAILED
     return EXIT_FAILED if application.failed else 0
--- /dev/null
+++ b/fuchsiascale/daemon/tests/test_start.py
@@ -0,0 +1,48 @@
+"""Tests of a daemon that can't start."""
+
+import asyncio
+import io
+import json
+import socket
+
+from fuchsiascale.daemon._logs import JsonLines
+from fuchsiascale.daemon._main import EXIT_FAILED, _serve
+from fuchsiascale.daemon._settings import read_settings
+from fuchsiascale.daemon.tests.test_settings import SOUND
+from fuchsiascale.testing import collect_functions, fixture
+
+load_tests = collect_functions(__name__)
+
+LISTENERS = ("caller", "peer", "operator")
+
+
+@fixture
+def ports():
+    """Yield a port that is taken for each listener, in bound sockets."""
+    sockets = [socket.socket() for _ in LISTENERS]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        yield sockets
+    finally:
+        for each in sockets:
+            each.close()
+
+
+def test_a_taken_address_is_named_and_nothing_is_left_running(ports, folder):
+    text = SOUND
+    for number, each in enumerate(ports):
+        text = text.replace(
+            f"127.0.0.1:800{number + 1}", f"127.0.0.1:{each.getsockname()[1]}"
+        )
+    ports[0].listen()
+    path = folder / "instance.ini"
+    path.write_text(text)
+    stream = io.StringIO()
+    with JsonLines(stream).applicationbound():
+        code = asyncio.run(_serve(read_settings(path).unwrap()))
+    assert code == EXIT_FAILED
+    last = json.loads(stream.getvalue().splitlines()[-1])
+    assert last["level"] == "critical"
+    assert "caller listener" in last["message"]
+    assert "Traceback" not in stream.getvalue()
