--- a/standins/_plans.py
+++ b/standins/_plans.py
@@ -59,10 +59,14 @@
     links : bool
         Whether a relay stands on the way from each failure domain to the
         platform and to each other failure domain, with a list of its own.
+    split : bool
+        Whether a relay stands before the peer listener of each instance.
     timers : dict of str to int
         Options of the daemons' section ``[timers]``, in milliseconds.
     platform_timeout_ms : int
         Time limit of the daemons' platform calls, in milliseconds.
+    settings : str
+        More sections of the daemons' settings, as INI text.
     """
 
     sites: tuple[Site, ...]
@@ -75,11 +79,13 @@
     accelerators: int = 0
     guards: bool = True
     links: bool = False
+    split: bool = False
     list_lag_ms: int = 200
     usage_lag_ms: int = 1_000
     timers: dict[str, int] = {}
     platform_timeout_ms: int = 2_000
     fleet: str = ""
+    settings: str = ""
 
 
 def name_rack(site, number):
@@ -100,7 +106,7 @@
     return RackId(f"rack{number % site.racks}")
 
 
-def format_settings(plan, listed, caller, operator, tables, objects, instances):
+def format_settings(plan, listed, caller, peer, operator, tables, objects, instances):
     """Return the text of a daemon's settings file.
 
     Parameters
@@ -109,7 +115,7 @@
         Where the timers and the time limit come from.
     listed : ListedInstance
         The instance as it is listed.
-    caller, operator : str
+    caller, peer, operator : str
         Addresses of its listeners, as ``host:port``.
     tables, objects, instances : str
         Addresses under which it reaches the platform, as ``host:port``.
@@ -129,7 +135,8 @@
 
 [listen]
 caller = {caller}
-peer = {listed.address}
+peer = {peer}
+peer_advertised = {listed.address}
 operator = {operator}
 
 [platform]
@@ -145,4 +152,5 @@
 
 [timers]
 {timers}
-"""
+
+{plan.settings}"""
