Refuse jobs that the fleet document says can never run

Cause: a trial through the tool had a job of an unknown team, and one of 999,999 cores, accepted (exit 0); both would have waited for ever. Change: team, kind and failure domain must stand in the document; a task must fit the team's quota and, where sizes are declared, some declared instance. The answer names which. Left: where no sizes are declared, the inventories are not asked.

--- a/fuchsiascale/daemon/_jobs_api.py
+++ b/fuchsiascale/daemon/_jobs_api.py
@@ -15,6 +15,7 @@
     JobUnavailable,
     JobUncertain,
     cancel_job,
+    find_fleet_problem,
     list_jobs,
     read_job,
     submit_job,
@@ -41,6 +42,10 @@
 async def post_job(application, message, request):
     """Accept a job."""
     _require_team(application, request, message.team)
+    problem = find_fleet_problem(message, application.documents.fleet())
+    if problem:
+        status = http.HTTPStatus.UNPROCESSABLE_ENTITY
+        raise Refused(status, Refusal.BAD_REQUEST, problem)
     return _unwrap(await submit_job(message, make_job_ports(application)))
 
 
--- a/fuchsiascale/pipelines/__init__.py
+++ b/fuchsiascale/pipelines/__init__.py
@@ -9,6 +9,7 @@
 from fuchsiascale.pipelines._joberrors import *  # noqa: F403
 from fuchsiascale.pipelines._jobreads import *  # noqa: F403
 from fuchsiascale.pipelines._jobrows import *  # noqa: F403
+from fuchsiascale.pipelines._jobrules import *  # noqa: F403
 from fuchsiascale.pipelines._jobs import *  # noqa: F403
 from fuchsiascale.pipelines._jobspread import *  # noqa: F403
 from fuchsiascale.pipelines._requests import *  # noqa: F403
