Ask peers at once while the store is known to be away

Cause: told of a newer revision, an instance waited for the store's timeout each time, behind the lock of its own poll; a chain of two such waits and a poll comes near 7 s. Change: while the last call to the store failed, sections are pulled from peers without waiting; the periodic poll goes on trying the store. The measurement has a third case, a store that is silent right after the accept.

--- a/fuchsiascale/daemon/_membership.py
+++ b/fuchsiascale/daemon/_membership.py
@@ -50,7 +50,7 @@
         self._sleep = sleep
         self._calls = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         self._news = asyncio.Event()
-        self._pulling = asyncio.Lock()
+        self._polling = asyncio.Lock()
         self._stale = asyncio.Event()
 
     def observe_heartbeat(self, heartbeat) -> HeartbeatReply:
@@ -81,7 +81,10 @@
         while True:
             await self._stale.wait()
             self._stale.clear()
-            await self.poll_document()
+            if self._documents.store_reachable():
+                await self.poll_document()
+            else:
+                await self._pull_document()
 
     def announce(self, everywhere=False):
         """Tell all members at once of the own state and revision."""
@@ -109,16 +112,19 @@
 
     async def poll_document(self):
         """Read the document from the store, or from peers while it is away."""
-        async with self._pulling:
-            before = self._documents.revision()
+        async with self._polling:
             answered = await self._documents.poll()
-            if not answered:
-                await self._documents.pull(self._find_sources())
-            if self._documents.revision() == before:
-                return
-            self._refresh()
-            if not answered:
-                self.announce()
+        self._refresh()
+        if not answered:
+            await self._pull_document()
+
+    async def _pull_document(self):
+        """Read the document from peers, and tell the members of a newer one.
+
+        While the store is known to be away, this does not wait for it.
+        """
+        if await self._documents.pull(self._find_sources()):
+            self.announce()
 
     async def confirm(self, revision) -> ConfirmReply:
         """Ask every instance that has not yet confirmed a revision.
--- a/measurements/configuration.py
+++ b/measurements/configuration.py
@@ -14,6 +14,8 @@
 IN_FORCE_S = 7.0
 EDITS = 20
 OUTAGES = 5
+DOWN = {"down": True}
+SILENT = {"slow_ms": 60_000}
 POLL_S = 0.02
 LIMIT_S = 30.0
 SETTLE_S = 6.0
@@ -43,8 +45,11 @@
     return time.monotonic() - began_s
 
 
-def measure_edit(deployment, pool, name, value, outage):
-    """Edit through one instance; return the seconds until the last has it."""
+def measure_edit(deployment, pool, name, value, faults):
+    """Edit through one instance; return the seconds until the last has it.
+
+    The faults befall the table service right after the accept.
+    """
     address = deployment.operators[name]
     sections = read_document(address).sections
     known = [section for section in sections if section.name == SECTION]
@@ -53,14 +58,14 @@
     began_s = time.monotonic()
     if not reply.accepted:
         raise RuntimeError(f"the edit was refused: {reply}")
-    if outage:
-        deployment.set_faults("tables", down=True)
+    if faults:
+        deployment.set_faults("tables", **faults)
     waiting = [
         pool.submit(wait_for, other, reply.revision, began_s)
         for other in deployment.operators.values()
     ]
     last_s = max(each.result() for each in waiting)
-    if outage:
+    if faults:
         deployment.set_faults("tables")
         time.sleep(SETTLE_S)
     return last_s
@@ -84,26 +89,36 @@
         time.sleep(SETTLE_S)
         values = iter(range(2, 100))
         usual = [
-            measure_edit(deployment, pool, random.choice(names), next(values), False)
+            measure_edit(deployment, pool, random.choice(names), next(values), {})
             for _ in range(EDITS)
         ]
-        outages = [
-            measure_edit(deployment, pool, random.choice(names), next(values), True)
-            for _ in range(OUTAGES)
-        ]
+        down, silent = (
+            [
+                measure_edit(
+                    deployment, pool, random.choice(names), next(values), faults
+                )
+                for _ in range(OUTAGES)
+            ]
+            for faults in (DOWN, SILENT)
+        )
     return Report(
         baseline="none",
         setting=(
             f"8 daemons in 3 failure domains, {EDITS} edits with the store up and "
-            f"{OUTAGES} with the store down right after the accept, through instances "
+            f"{OUTAGES} each with the store down, and silent until the timeout of 2 s, "
+            "right after the accept, through instances "
             f"at random, seed {SEED}; each instance asked every {POLL_S * 1000:.0f} ms"
         ),
         figures=(
             Figure(name="store up: median s", measured=pick_quantile(usual, 0.5)),
             judge("store up: longest s", max(usual), at_most=IN_FORCE_S),
             Figure(
-                name="store down after: median s", measured=pick_quantile(outages, 0.5)
+                name="store down after: median s", measured=pick_quantile(down, 0.5)
+            ),
+            judge("store down after: longest s", max(down), at_most=IN_FORCE_S),
+            Figure(
+                name="store silent after: median s", measured=pick_quantile(silent, 0.5)
             ),
-            judge("store down after: longest s", max(outages), at_most=IN_FORCE_S),
+            judge("store silent after: longest s", max(silent), at_most=IN_FORCE_S),
         ),
     )
