--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -213,6 +213,7 @@
         "size.ini": "[kind review]\nteam = hub\nmax_failures = 1000000\n",
         "key.ini": "[kind review]\nteam = hub\nfailures = 1\n",
         "twice.ini": "[kind review]\nteam = hub\n[kind review]\nteam = hub\n",
+        "spaced.ini": "[kind review]\nteam = hub\n[kind  review]\nteam = hub\n",
         "orphan.ini": "[kind review]\nteam = nobody\n",
         "reserve.ini": "[service aula-hub]\nteam = hub\nreserve_memory_mb = -1\n",
     }
@@ -225,6 +226,8 @@
         ("hub", ("config", "apply", "size.ini"), 2, "max_failures: 1000000"),
         ("hub", ("config", "apply", "key.ini"), 2, "failures: unknown key"),
         ("hub", ("config", "apply", "twice.ini"), 2, "kind review"),
+        ("hub", ("config", "apply", "spaced.ini"), 2, "[kind review]: stands twice"),
+        ("hub", ("config", "edit", "kind review", "--remove", "kind x"), 2, "[kind x]"),
         ("admin", ("config", "apply", "orphan.ini"), 2, "[team nobody]"),
         ("hub", ("config", "apply", "reserve.ini"), 2, "reserve_memory_mb: -1"),
         ("hub", ("config", "apply", "absent.ini"), 2, "absent.ini"),
--- a/fuchsiascale/coordination/_edits.py
+++ b/fuchsiascale/coordination/_edits.py
@@ -85,6 +85,13 @@
     parsed = parse_fleet(request.text)
     if isinstance(parsed, Failure):
         return Failure(EditInvalid(problems=parsed.failure()))
+    unknown = tuple(
+        OptionProblem(section=name, detail="there is no such section to remove")
+        for name in request.removed
+        if name not in sections
+    )
+    if unknown:
+        return Failure(EditInvalid(problems=unknown))
     wanted = [*parsed.unwrap(), *_find_removed(sections, request.removed)]
     changed = tuple(section for section in wanted if not _is_equal(section, sections))
     problems = () if admin else tuple(_check_owner(changed, sections, team))
--- a/fuchsiascale/coordination/_schema.py
+++ b/fuchsiascale/coordination/_schema.py
@@ -79,10 +79,15 @@
         detail = " ".join(str(error).split())
         return Failure((OptionProblem(section="", detail=detail),))
     sections, problems = [], []
-    for name in parser.sections():
-        section, found = _parse_section(" ".join(name.split()), dict(parser[name]))
+    seen = set()
+    for written in parser.sections():
+        name = " ".join(written.split())
+        section, found = _parse_section(name, dict(parser[written]))
         sections.append(section)
         problems.extend(found)
+        if name in seen:
+            problems.append(OptionProblem(section=name, detail="stands twice"))
+        seen.add(name)
     return Failure(tuple(problems)) if problems else Success(tuple(sections))
 
 
--- a/fuchsiascale/daemon/_settings.py
+++ b/fuchsiascale/daemon/_settings.py
@@ -252,6 +252,7 @@
     if access["admin"] not in {token.team for token in access["operators"]}:
         detail = f"no {OPERATOR_PREFIX}{access['admin']} is given"
         problems.append(OptionProblem(section="access", key="admin", detail=detail))
+    problems.extend(_check_tokens(access["operators"]))
     if timers["lease_ms"] < LEASE_EXCHANGES * timers["exchange_ms"]:
         detail = f"less than {LEASE_EXCHANGES} times exchange_ms"
         problems.append(OptionProblem(section="timers", key="lease_ms", detail=detail))
@@ -279,6 +280,19 @@
     return listen["peer_advertised"] or listen["peer"]
 
 
+def _check_tokens(operators):
+    """Check that no two teams share a token, which would name either of them."""
+    owners = {}
+    for token in operators:
+        owner = owners.setdefault(token.sha256, token.team)
+        if owner != token.team:
+            key, detail = (
+                f"{OPERATOR_PREFIX}{token.team}",
+                f"is {owner}'s token as well",
+            )
+            yield OptionProblem(section="access", key=key, detail=detail)
+
+
 def _check_tls(section, values, prefix):
     problems = []
     for part in ("certificate", "key", "authority"):
--- a/fuchsiascale/daemon/tests/test_settings.py
+++ b/fuchsiascale/daemon/tests/test_settings.py
@@ -47,6 +47,7 @@
     ("operator.admin = 0", "operator.admin = x", "access", "operator.admin"),
     ("operator.admin", "operator.hub", "access", "admin"),
     ("peer_token = between-peers", "", "access", "peer_token"),
+    ("[access]", f"[access]\noperator.hub = {'0' * 64}", "access", "operator.admin"),
     ("peer_token = b", "peer_token_file = absent\n; = b", "access", "peer_token_file"),
     ("[access]", "[timers]\nlease_ms = 900\n[access]", "timers", "lease_ms"),
     ("[access]", "[traces]\nexporter = paper\n[access]", "traces", "exporter"),
