Keep token digests of other teams out of the document's listings

Cause: config show and history gave every team the digests of all teams' tokens, which can be searched where a token is weak. Change: only the admin team, and a section's owner, see them.

--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -41,11 +41,12 @@
 team = admin
 [team ledger]
 team = admin
+token_sha256 = {digest}
 [service aula-hub]
 team = hub
 [kind review]
 team = hub
-"""
+""".format(digest="5" * 64)
 
 
 class Daemon:
@@ -186,6 +187,12 @@
     assert "new" not in daemon.documents.fleet().kinds
 
 
+def test_only_the_admin_team_sees_the_token_digests_of_others(daemon):
+    assert "5" * 64 in call(daemon, "config", "show", team="admin")[1]
+    for words in (("config", "show"), ("config", "history", "--json")):
+        assert "5" * 64 not in call(daemon, *words)[1]
+
+
 def test_wait_says_who_confirmed(daemon):
     words = ("config", "edit", "kind review", "max_failures=9", "--wait")
     code, text, _ = call(daemon, *words, "--wait-seconds", "0")
--- a/fuchsiascale/daemon/_operator.py
+++ b/fuchsiascale/daemon/_operator.py
@@ -2,6 +2,7 @@
 
 import http
 
+import msgspec
 from returns.result import Failure, Success
 
 from fuchsiascale.api import (
@@ -20,6 +21,7 @@
     EditInvalid,
     EditUnavailable,
     EditUncertain,
+    format_sections,
 )
 from fuchsiascale.daemon._access import OPERATOR_KEY
 from fuchsiascale.daemon._http import Refused, encode_reply
@@ -31,6 +33,7 @@
 __all__ = ["BASE"]
 
 BASE = "/operator/v1"
+TOKEN_OPTION = "token_sha256"
 STOP_PATH = "/peer/v1/stop"
 MAX_HISTORY = 500
 DEFAULT_HISTORY = 50
@@ -47,9 +50,12 @@
 async def show_document(application, message, request):
     """Return the document in force here."""
     documents = application.documents
-    sections = tuple(section for section in documents.sections() if not section.removed)
+    stored = (section for section in documents.sections() if not section.removed)
+    sections = _hide_tokens(stored, request[OPERATOR_KEY])
     return DocumentReply(
-        revision=documents.revision(), sections=sections, text=documents.text()
+        revision=documents.revision(),
+        sections=sections,
+        text=format_sections(sections),
     )
 
 
@@ -78,7 +84,14 @@
     limit = _read_number(request, "limit", DEFAULT_HISTORY, MAX_HISTORY)
     result = await application.documents.history(limit)
     if isinstance(result, Success):
-        return HistoryReply(entries=result.unwrap())
+        operator = request[OPERATOR_KEY]
+        entries = (
+            msgspec.structs.replace(
+                entry, sections=_hide_tokens(entry.sections, operator)
+            )
+            for entry in result.unwrap()
+        )
+        return HistoryReply(entries=tuple(entries))
     detail = result.failure().detail
     raise Refused(
         http.HTTPStatus.SERVICE_UNAVAILABLE, Refusal.STORE_UNAVAILABLE, detail
@@ -160,6 +173,25 @@
     return build_status(application)
 
 
+def _hide_tokens(sections, operator):
+    """Return sections without the token digests of other teams.
+
+    An owner sees its sections whole, or writing them back would change them.
+    """
+    own = f"team {operator.team}"
+    return tuple(
+        section
+        if operator.admin or section.team == operator.team or section.name == own
+        else msgspec.structs.replace(
+            section,
+            options=tuple(
+                option for option in section.options if option.name != TOKEN_OPTION
+            ),
+        )
+        for section in sections
+    )
+
+
 def _build_refusal(error, application):
     if isinstance(error, EditConflict):
         problems, conflicts = (), error.conflicts
