--- a/fuchsiascale/daemon/_work.py
+++ b/fuchsiascale/daemon/_work.py
@@ -8,6 +8,7 @@
     ShardTiming,
     find_owner,
     format_shard_id,
+    parse_shard_id,
 )
 from fuchsiascale.daemon._lifecycle import Phase, keeper, on_start, on_stop
 from fuchsiascale.daemon._routes import PEER_ROUTES
@@ -22,6 +23,7 @@
 
 WORK_PATH = "/peer/v1/work"
 KEEPER_PERIOD_MS = 250
+SETTLE_S = 1.5
 
 
 class Accepted(Message):
@@ -59,8 +61,16 @@
 
 @keeper("shards", lambda settings: KEEPER_PERIOD_MS)
 async def keep_shards(application):
-    """Let the shard keeper do what is due."""
-    await application.shards.run_once()
+    """Let the shard keeper do what is due.
+
+    Notes
+    -----
+    An instance that has just started does not know its peers yet. It would claim
+    every shard, and each claim that a peer then takes over keeps the slots of the
+    shard's runners unlent until the credits before have run out.
+    """
+    if application.clock.monotonic() - application.started_s >= SETTLE_S:
+        await application.shards.run_once()
 
 
 @on_stop(Phase.WORK)
@@ -121,25 +131,25 @@
 async def notify_owner(application, notice):
     """Pass a notice to the shard's owner; a lost one is made good by a scan."""
     address = find_shard_owner(application, notice.shard)
-    if address == application.settings.peer.address:
+    if address == application.settings.peer_address:
         await application.shards.notice(notice)
     elif address is not None:
         await application.peers.call(address, WORK_PATH, notice, Accepted)
 
 
 def find_shard_owner(application, shard: ShardId):
-    """Return the peer address of the instance that should own a shard."""
+    """Return the peer address of the instance that owns a shard, or should."""
     view = application.membership.view()
-    local = {
-        format_shard_id(entry.failure_domain, entry.rack)
-        for entry in view.upstreams
-        if entry.failure_domain == view.failure_domain
-    }
-    if shard in local:
-        owner = find_owner(shard, view.members)
-        found = [m.address for m in view.members if m.instance == owner]
-        return found[0] if found else None
-    for peer in application.membership.digests():
-        if any(digest.shard == shard for digest in peer.shards):
-            return peer.address
-    return None
+    domain, _ = parse_shard_id(shard)
+    if domain != view.failure_domain:
+        for peer in application.membership.digests():
+            if any(digest.shard == shard for digest in peer.shards):
+                return peer.address
+    members = [
+        member
+        for member in (*view.members, *view.peers)
+        if member.failure_domain == domain
+    ]
+    owner = find_owner(shard, members)
+    found = [member.address for member in members if member.instance == owner]
+    return found[0] if found else None
