--- a/measurements/_slopes.py
+++ b/measurements/_slopes.py
@@ -8,10 +8,54 @@
 
 from measurements._report import Figure
 
-__all__ = ["Slope", "fit_slope", "measure_cpu_us", "measure_memory"]
-
+__all__ = [
+    "COSTS",
+    "HTTP_BYTES",
+    "Cost",
+    "Slope",
+    "fit_slope",
+    "measure_cpu_us",
+    "measure_memory",
+    "register_cost",
+]
+
+HTTP_BYTES = 120
 MIN_CPU_S = 0.1
 
+COSTS = {}
+
+
+class Cost(msgspec.Struct, frozen=True):
+    """A registered cost, and the sizes to measure it at."""
+
+    title: str
+    sizes: tuple[int, ...]
+    measure: object
+
+
+def register_cost(name, title, sizes):
+    """Register a function that returns a cost at a size.
+
+    Parameters
+    ----------
+    name : str
+    title : str
+        What is measured, its unit, and what the size counts.
+    sizes : tuple of int
+        At least three.
+
+    Returns
+    -------
+    callable
+        The decorator.
+    """
+
+    def register(function):
+        COSTS[name] = Cost(title, sizes, function)
+        return function
+
+    return register
+
 
 class Slope(msgspec.Struct, frozen=True):
     """Costs at several sizes, and the line through them.
--- a/measurements/capacity.py
+++ b/measurements/capacity.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from measurements.slopes import HTTP_BYTES, measure_all
+from measurements._slopes import HTTP_BYTES
+from measurements.slopes import measure_all
 
 __all__ = ["Size", "compute_rows", "main"]
 
