--- a/fuchsiascale/coordination/tests/test_shard_policy.py
+++ b/fuchsiascale/coordination/tests/test_shard_policy.py
@@ -6,6 +6,7 @@
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import (
+    KindSettings,
     ServiceLatency,
     ShardPolicy,
     TeamSettings,
@@ -173,3 +174,34 @@
     assert not policy.estimate(request).fits(WORKER)
     (placement,) = policy.place(make_workers(1), [request])
     assert (placement.worker, placement.demand) == ("w0", WORKER)
+
+
+def test_batch_work_gives_way_to_an_urgent_task_without_room(policy, clock):
+    kinds = {"tuning": KindSettings(kind="tuning", team="a")}
+    policy.configure(kinds, {}, PolicyWeights())
+    tasks = [f"job.0.{index}" for index in range(3)]
+    used = Resources(millicores=400, memory_mb=400)
+    policy.observe_inventory("w0", ("hub",), make_inventory("w0", tasks, used))
+    full = [WorkerFree(worker="w0", free=Resources(), capacity=WORKER)]
+    table = (
+        (Urgency.BATCH, 0),
+        (Urgency.URGENT, 1),
+        (Urgency.URGENT, 0),
+    )
+    for urgency, evicted in table:
+        requests = make_requests(2, "now", urgency=urgency)
+        placements = policy.place(full, requests)
+        responses = policy.preempt(full, requests, placements)
+        keys = [key for entry in responses.values() for key in entry.checkpoints]
+        assert len(keys) == evicted, urgency
+    clock.advance(2.0)
+    assert policy.preempt(full, requests, policy.place(full, requests))
+
+
+def test_urgent_work_never_gives_way(policy):
+    kinds = {"tuning": KindSettings(kind="tuning", team="a", urgency=Urgency.URGENT)}
+    policy.configure(kinds, {}, PolicyWeights())
+    policy.observe_inventory("w0", ("hub",), make_inventory("w0", ["job.0.0"]))
+    full = [WorkerFree(worker="w0", free=Resources(), capacity=WORKER)]
+    requests = make_requests(1, "now", urgency=Urgency.URGENT)
+    assert policy.preempt(full, requests, policy.place(full, requests)) == {}
