Log unknown outcomes and jobs with their ids

Cause: lines could carry request, job and trace ids, but none did. Change: a request whose outcome is unknown is logged with request and trace id; jobs accepted and cancelled with the job's id. Requests that end otherwise write no line, for their number.

--- a/fuchsiascale/daemon/_caller.py
+++ b/fuchsiascale/daemon/_caller.py
@@ -2,6 +2,7 @@
 
 import http
 
+import logbook
 import msgspec
 from aiohttp import ClientPayloadError, web
 from returns.result import Failure as Failed
@@ -18,6 +19,7 @@
     URGENCY_HEADER,
     Failure,
 )
+from fuchsiascale.daemon._logs import bind_ids
 from fuchsiascale.ids import ServiceId
 from fuchsiascale.pipelines import BodyError, Call, CallHeaders
 from fuchsiascale.states import Outcome, Refusal
@@ -26,6 +28,7 @@
 
 RUNNER_HEADER = "X-Runner"
 TRACE_PARENT_HEADER = "traceparent"
+TRACE_PARENT_PARTS = 4
 RETRY_AFTER_HEADER = "Retry-After"
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
@@ -38,6 +41,8 @@
     Refusal.KEY_CONFLICT: http.HTTPStatus.UNPROCESSABLE_ENTITY,
 }
 
+log = logbook.Logger("requests")
+
 
 def make_caller_routes(pipeline, clock):
     """Return the routes of the caller interface for services.
@@ -58,11 +63,21 @@
     async def handle(request):
         call = _read_head(request, clock)
         ended, answer = await pipeline.handle(call)
+        if answer.outcome is Outcome.UNKNOWN:
+            log_unknown(ended, answer)
         return make_response(ended.request_id, answer)
 
     return [web.route("*", "/v1/services/{service}/{path:.*}", handle)]
 
 
+def log_unknown(call, answer):
+    """Log a request that may or may not have run, with its ids."""
+    trace_parent = call.headers.trace_parent.split("-")
+    trace_id = trace_parent[1] if len(trace_parent) == TRACE_PARENT_PARTS else ""
+    with bind_ids(request=call.request_id, trace=trace_id):
+        log.warning("{}: outcome unknown: {}", call.service_id, answer.detail)
+
+
 def _read_head(request, clock):
     headers = request.headers
     return Call(
--- a/fuchsiascale/daemon/_jobs_api.py
+++ b/fuchsiascale/daemon/_jobs_api.py
@@ -2,10 +2,12 @@
 
 import http
 
+import logbook
 from returns.result import Success
 
 from fuchsiascale.coordination import JobSpec
 from fuchsiascale.daemon._http import Refused
+from fuchsiascale.daemon._logs import bind_ids
 from fuchsiascale.daemon._routes import CALLER_ROUTES
 from fuchsiascale.daemon._work import make_job_ports
 from fuchsiascale.pipelines import (
@@ -22,6 +24,8 @@
 )
 from fuchsiascale.states import Outcome, Refusal
 
+log = logbook.Logger("jobs")
+
 JOBS_PATH = "/v1/jobs"
 JOB_PATH = "/v1/jobs/{job}"
 MAX_PAGE_JOBS = 500
@@ -46,7 +50,10 @@
     if problem:
         status = http.HTTPStatus.UNPROCESSABLE_ENTITY
         raise Refused(status, Refusal.BAD_REQUEST, problem)
-    return _unwrap(await submit_job(message, make_job_ports(application)))
+    with bind_ids(job=message.job):
+        record = _unwrap(await submit_job(message, make_job_ports(application)))
+        log.info("accepted from team {}, {} tasks", message.team, message.tasks)
+        return record
 
 
 @CALLER_ROUTES.route("GET", JOBS_PATH)
@@ -74,7 +81,10 @@
     ports = make_job_ports(application)
     status = _unwrap(await read_job(job, ports))
     _require_team(application, request, status.spec.team)
-    return _unwrap(await cancel_job(job, ports))
+    with bind_ids(job=job):
+        record = _unwrap(await cancel_job(job, ports))
+        log.info("cancelled")
+        return record
 
 
 def _require_team(application, request, team):
--- a/fuchsiascale/daemon/tests/test_logs.py
+++ b/fuchsiascale/daemon/tests/test_logs.py
@@ -2,9 +2,11 @@
 
 import io
 import json
+import types
 
 import logbook
 
+from fuchsiascale.daemon._caller import log_unknown
 from fuchsiascale.daemon._logs import JsonLines, bind_ids
 from fuchsiascale.testing import collect_functions, fixture
 
@@ -36,6 +38,20 @@
     assert "request" not in second
 
 
+def test_an_unknown_outcome_is_written_with_request_and_trace(stream):
+    trace_parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+    call = types.SimpleNamespace(
+        request_id="r9",
+        service_id="hub",
+        headers=types.SimpleNamespace(trace_parent=trace_parent),
+    )
+    log_unknown(call, types.SimpleNamespace(detail="the answer is not whole"))
+    (line,) = read_lines(stream)
+    assert line["request"] == "r9"
+    assert line["trace"] == "0af7651916cd43dd8448eb211c80319c"
+    assert "hub" in line["message"]
+
+
 def test_no_secret_is_written(stream):
     log = logbook.Logger("access")
     log.info("Authorization: Bearer abc.def")
