--- a/fuchsiascale/daemon/_caller.py
+++ b/fuchsiascale/daemon/_caller.py
@@ -30,8 +30,8 @@
 
 RUNNER_HEADER = "X-Runner"
 TRACE_PARENT_HEADER = "traceparent"
+TRACE_PARENT_PARTS = 4
 RETRY_AFTER_HEADER = "Retry-After"
-TRACE_ID_PLACE = slice(3, 35)
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 REFUSAL_STATUS = {
@@ -43,7 +43,6 @@
     Refusal.KEY_CONFLICT: http.HTTPStatus.UNPROCESSABLE_ENTITY,
 }
 
-
 log = logbook.Logger("requests")
 
 
@@ -67,18 +66,18 @@
         call = _read_head(request, clock)
         ended, answer = await pipeline.handle(call)
         if answer.outcome is Outcome.UNKNOWN:
-            _log_unknown(ended, answer)
+            log_unknown(ended, answer)
         return make_response(ended.request_id, answer)
 
     return [web.route("*", "/v1/services/{service}/{path:.*}", handle)]
 
 
-def _log_unknown(call, answer):
-    trace = call.headers.trace_parent[TRACE_ID_PLACE]
-    with bind_ids(request=call.request_id, trace=trace):
-        log.warning(
-            "a request to {} ended as unknown: {}", call.service_id, answer.detail
-        )
+def log_unknown(call, answer):
+    """Log a request that may or may not have run, with its ids."""
+    trace_parent = call.headers.trace_parent.split("-")
+    trace_id = trace_parent[1] if len(trace_parent) == TRACE_PARENT_PARTS else ""
+    with bind_ids(request=call.request_id, trace=trace_id):
+        log.warning("{}: outcome unknown: {}", call.service_id, answer.detail)
 
 
 def _read_head(request, clock):
