--- a/fuchsiascale/coordination/_membership.py
+++ b/fuchsiascale/coordination/_membership.py
@@ -359,6 +359,7 @@
         digest = self._use_listed_address(digest)
         if self._peers.observe(digest) and self._peers.is_local(digest):
             self._leaving.learn(digest.leaving_upstreams)
+            self._drop_view()
 
     def _use_listed_address(self, digest):
         """Prefer the list's address: a link may translate the peer's own."""
--- a/fuchsiascale/coordination/_slots.py
+++ b/fuchsiascale/coordination/_slots.py
@@ -8,7 +8,9 @@
 
 __all__ = ["RunnerIndex", "Slot", "SlotHolder", "index_runners"]
 
-RENEW_BEFORE_S = 4.0
+RENEW_AFTER_S = 3.0
+ASK_AGAIN_S = 0.05
+ASK_REFUSED_AGAIN_S = 0.5
 RENEW_FLOOR_BEFORE_S = 40.0
 
 
@@ -32,11 +34,13 @@
     in_use: int = 0
     limit: int = 0
     until_s: float = 0.0
+    lent_s: float = float("-inf")
     floor: int = 0
     floor_until_s: float = 0.0
     peak: int = 0
     sequence: int = 0
     sent_s: float = 0.0
+    next_s: float = 0.0
     pending: bool = False
 
     def usable(self, end_s):
@@ -164,11 +168,15 @@
                 continue
             credit.pending = False
             grant = grants.get(wish.runner)
+            met = grant is not None and grant.slots >= wish.slots
+            pause_s = ASK_AGAIN_S if met else ASK_REFUSED_AGAIN_S
+            credit.next_s = credit.sent_s + pause_s
             if grant is None:
                 continue
             if grant.slots:
                 credit.limit = grant.slots
                 credit.until_s = credit.sent_s + grant.lease_ms / 1000
+                credit.lent_s = credit.sent_s
             if grant.floor:
                 credit.floor = grant.floor
                 credit.floor_until_s = credit.sent_s + grant.floor_lease_ms / 1000
@@ -181,9 +189,9 @@
 
     def _is_due(self, name, extra, now_s):
         credit = self._credit(name)
-        if credit.pending:
+        if credit.pending or now_s < credit.next_s:
             return False
-        if now_s + RENEW_BEFORE_S >= credit.until_s:
+        if now_s >= credit.lent_s + RENEW_AFTER_S:
             return True
         if now_s + RENEW_FLOOR_BEFORE_S >= credit.floor_until_s:
             return True
@@ -209,14 +217,21 @@
     def __init__(self):
         self._view = None
         self._by_service = {}
+        self._by_name = {}
 
     def find(self, view, service):
         """Return the live runners of a service in the view's failure domain."""
         if view is not self._view:
             self._view = view
             self._by_service = index_runners(view)
+            found = self._by_service.values()
+            self._by_name = {each.instance_id: each for some in found for each in some}
         return self._by_service.get(service, ())
 
+    def get(self, name):
+        """Return a runner that `find` returned last, by its id."""
+        return self._by_name[name]
+
 
 def index_runners(view):
     """Return the runners that may get requests, by service.
