Make evictions certain in the scenarios, and print what a step raised

Change: the worker of a named task leaves, and the owner is killed once a checkpoint is stored; one task is evicted twice, not two tasks once; what a step raises is printed.

--- a/scenarios/environment.py
+++ b/scenarios/environment.py
@@ -1,6 +1,7 @@
 """Hooks of behave: one deployment a scenario, checked and stopped at its end."""
 
 import random
+import traceback
 
 from standins.checker import check_all
 
@@ -15,6 +16,11 @@
     context.entries = None
 
 
+def after_step(context, step):
+    if step.exception is not None:
+        traceback.print_exception(step.exception)
+
+
 def after_scenario(context, scenario):
     if context.load is not None:
         context.load.stop()
--- a/scenarios/steps/deployments.py
+++ b/scenarios/steps/deployments.py
@@ -125,8 +125,24 @@
     assert len(owners) >= count, owners
 
 
+def find_worker(context, task):
+    """Return the worker that started a task last, by the workers' journals."""
+    workers = [
+        entry.source
+        for entry in context.deployment.read_journals()
+        if entry.event is Event.STARTED and entry.task == task
+    ]
+    assert workers, f"{task} was not started"
+    return workers[-1]
+
+
 def find_name(context, text):
-    """Return the process that a step names: itself, or "the owner of WORKER"."""
+    """Return the process that a step names.
+
+    That is the name itself, "the owner of WORKER" or "the worker of TASK".
+    """
+    if text.startswith("the worker of "):
+        return find_worker(context, text.removeprefix("the worker of "))
     prefix = "the owner of "
     if not text.startswith(prefix):
         return text
@@ -232,7 +248,7 @@
 
 @when('"{name}" leaves')
 def leave(context, name):
-    context.deployment.leave(name)
+    context.deployment.leave(find_name(context, name))
 
 
 @when('"{name}" is gone from the list')
--- a/scenarios/steps/jobs.py
+++ b/scenarios/steps/jobs.py
@@ -172,3 +172,22 @@
     runs = [run for run in find_runs(entries) if run.worker not in left]
     done = sum(run.state == AttemptState.FINISHED.value for run in runs)
     assert done >= count, f"{done} tasks"
+
+
+@when("at least {count:d} checkpoint is stored")
+def wait_stored(context, count):
+    context.deployment.wait_until(
+        lambda: count_entries(context, Event.STORED) >= count,
+        f"{count} checkpoints are stored",
+    )
+
+
+@when('task "{task}" has been resumed {count:d} times')
+@then('task "{task}" has been resumed {count:d} times')
+def wait_resumed(context, task, count):
+    def resumed():
+        runs = find_runs(context.deployment.read_journals())
+        own = [run for run in runs if run.task == task and run.resumed_from]
+        return len(own) >= count
+
+    context.deployment.wait_until(resumed, f"{task} is resumed {count} times")
