--- a/fuchsiascale/pipelines/_keys.py
+++ b/fuchsiascale/pipelines/_keys.py
@@ -52,7 +52,11 @@
         expires_ms=ports.clock.wall_ms() + CLAIM_TTL_MS,
         nonce=draw_nonce(ports.random),
     )
-    result = await ports.claims.claim(record)
+    result = await _claim_in_time(call, ports, record)
+    if result is None:
+        ports.meters.count_claim("unavailable")
+        detail = "the key could not be claimed before the deadline"
+        return refuse(call, Refusal.STORE_UNAVAILABLE, detail)
     if isinstance(result, Success):
         ports.meters.count_claim("granted")
         return replace(call, claim=result.unwrap())
@@ -65,6 +69,32 @@
     return _answer_repeat(call, record, error.record)
 
 
+async def _claim_in_time(call, ports, record):
+    """Return the claim's result; None at the deadline.
+
+    A claim whose caller no longer waits is recorded as not run once it is granted.
+    """
+    claiming = ports.dispatcher.keep(ports.claims.claim(record))
+    left_s = max(0.0, call.deadline_s - ports.clock.monotonic())
+    try:
+        done, _ = await asyncio.wait({claiming}, timeout=left_s)
+    except asyncio.CancelledError:
+        ports.dispatcher.keep(_undo_claim(claiming, ports))
+        raise
+    if done:
+        return claiming.result()
+    ports.dispatcher.keep(_undo_claim(claiming, ports))
+    return None
+
+
+async def _undo_claim(claiming, ports):
+    result = await claiming
+    if isinstance(result, Success):
+        granted = result.unwrap()
+        not_run = replace(granted.record, outcome=Outcome.NOT_RUN)
+        await ports.claims.settle(granted, not_run)
+
+
 def _answer_repeat(call, asked, standing):
     if standing.body_digest != asked.body_digest:
         detail = "the idempotency key was used for another request"
--- a/fuchsiascale/pipelines/tests/test_keyed_requests.py
+++ b/fuchsiascale/pipelines/tests/test_keyed_requests.py
@@ -121,6 +121,38 @@
     await asyncio.wait({task})
 
 
+async def test_a_claim_whose_caller_has_gone_can_be_tried_again(claim_tables):
+    ports, first = make_instance(claim_tables)
+    gone = asyncio.ensure_future(ask(first))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    gone.cancel()
+    await asyncio.wait({gone})
+    await first.drain()
+    assert not ports.runners.sent
+    assert read_row(claim_tables).outcome is Outcome.NOT_RUN
+    _, other = make_instance(claim_tables, seed=2)
+    assert (await ask(other)).outcome is Outcome.DONE
+
+
+async def test_a_claim_that_passes_the_deadline_is_not_sent(claim_tables):
+    gate = asyncio.Event()
+    transact = claim_tables.transact
+
+    async def stall(transaction):
+        await gate.wait()
+        return await transact(transaction)
+
+    claim_tables.transact = stall
+    ports, first = make_instance(claim_tables)
+    answer = await ask(first, deadline_ms="40")
+    assert answer.refusal is Refusal.STORE_UNAVAILABLE
+    gate.set()
+    await first.drain()
+    assert not ports.runners.sent
+    assert read_row(claim_tables).outcome is Outcome.NOT_RUN
+
+
 async def test_repeats_at_other_instances_run_once_at_most(claim_tables):
     instances = [make_instance(claim_tables, seed=seed) for seed in range(1, 5)]
     answers = await asyncio.gather(
