--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -41,11 +41,12 @@
 team = admin
 [team ledger]
 team = admin
+token_sha256 = {digest}
 [service aula-hub]
 team = hub
 [kind review]
 team = hub
-"""
+""".format(digest="5" * 64)
 
 
 class Daemon:
@@ -186,6 +187,12 @@
     assert "new" not in daemon.documents.fleet().kinds
 
 
+def test_only_the_admin_team_sees_the_token_digests_of_others(daemon):
+    assert "5" * 64 in call(daemon, "config", "show", team="admin")[1]
+    for words in (("config", "show"), ("config", "history", "--json")):
+        assert "5" * 64 not in call(daemon, *words)[1]
+
+
 def test_wait_says_who_confirmed(daemon):
     words = ("config", "edit", "kind review", "max_failures=9", "--wait")
     code, text, _ = call(daemon, *words, "--wait-seconds", "0")
@@ -213,6 +220,7 @@
         "size.ini": "[kind review]\nteam = hub\nmax_failures = 1000000\n",
         "key.ini": "[kind review]\nteam = hub\nfailures = 1\n",
         "twice.ini": "[kind review]\nteam = hub\n[kind review]\nteam = hub\n",
+        "spaced.ini": "[kind review]\nteam = hub\n[kind  review]\nteam = hub\n",
         "orphan.ini": "[kind review]\nteam = nobody\n",
         "reserve.ini": "[service aula-hub]\nteam = hub\nreserve_memory_mb = -1\n",
     }
@@ -225,6 +233,8 @@
         ("hub", ("config", "apply", "size.ini"), 2, "max_failures: 1000000"),
         ("hub", ("config", "apply", "key.ini"), 2, "failures: unknown key"),
         ("hub", ("config", "apply", "twice.ini"), 2, "kind review"),
+        ("hub", ("config", "apply", "spaced.ini"), 2, "[kind review]: stands twice"),
+        ("hub", ("config", "edit", "kind review", "--remove", "kind x"), 2, "[kind x]"),
         ("admin", ("config", "apply", "orphan.ini"), 2, "[team nobody]"),
         ("hub", ("config", "apply", "reserve.ini"), 2, "reserve_memory_mb: -1"),
         ("hub", ("config", "apply", "absent.ini"), 2, "absent.ini"),
--- a/fuchsiascale/daemon/_membership.py
+++ b/fuchsiascale/daemon/_membership.py
@@ -20,6 +20,7 @@
 SECTIONS_PATH = "/peer/v1/sections"
 MAX_CONCURRENT_CALLS = 16
 PULL_PEERS = 3
+NEWS_RETRY_S = 0.5
 
 
 class MembershipDriver:
@@ -35,16 +36,21 @@
         Client of the peer interface.
     instance_list : InstanceList
         Port to the platform's list.
+    sleep : callable, optional
+        Coroutine function that waits for some seconds.
     """
 
-    def __init__(self, membership, documents, peers, instance_list):
+    def __init__(
+        self, membership, documents, peers, instance_list, sleep=asyncio.sleep
+    ):
         self._membership = membership
         self._documents = documents
         self._peers = peers
         self._instance_list = instance_list
+        self._sleep = sleep
         self._calls = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         self._news = asyncio.Event()
-        self._pulling = asyncio.Lock()
+        self._polling = asyncio.Lock()
         self._stale = asyncio.Event()
 
     def observe_heartbeat(self, heartbeat) -> HeartbeatReply:
@@ -73,13 +79,19 @@
             self._news.clear()
             self._refresh()
             await self._send(self._membership.owed())
+            if self._membership.owed():
+                await self._sleep(NEWS_RETRY_S)
+                self._news.set()
 
     async def follow_peers(self):
         """Catch up with revisions that peers told of; runs until cancelled."""
         while True:
             await self._stale.wait()
             self._stale.clear()
-            await self.poll_document()
+            if self._documents.store_reachable():
+                await self.poll_document()
+            else:
+                await self._pull_document()
 
     def announce(self, everywhere=False):
         """Tell all members at once of the own state and revision."""
@@ -107,16 +119,19 @@
 
     async def poll_document(self):
         """Read the document from the store, or from peers while it is away."""
-        async with self._pulling:
-            before = self._documents.revision()
+        async with self._polling:
             answered = await self._documents.poll()
-            if not answered:
-                await self._documents.pull(self._find_sources())
-            if self._documents.revision() == before:
-                return
-            self._refresh()
-            if not answered:
-                self.announce()
+        self._refresh()
+        if not answered:
+            await self._pull_document()
+
+    async def _pull_document(self):
+        """Read the document from peers, and tell the members of a newer one.
+
+        While the store is known to be away, this does not wait for it.
+        """
+        if await self._documents.pull(self._find_sources()):
+            self.announce()
 
     async def confirm(self, revision) -> ConfirmReply:
         """Ask every instance that has not yet confirmed a revision.
--- a/scenarios/steps/jobs.py
+++ b/scenarios/steps/jobs.py
@@ -1,5 +1,6 @@
 """Steps that submit jobs and watch them in the workers' journals."""
 
+import msgspec
 from behave import then, when
 
 from fuchsiascale.coordination import JobSpec
@@ -54,6 +55,16 @@
     accept_job(context, make_spec(job, tasks, run_ms, payload=payload), instance)
 
 
+@when(
+    'the urgent job "{job}" of {tasks:d} tasks of {run_ms:d} ms '
+    'is accepted by "{instance}"'
+)
+def submit_urgent(context, job, tasks, run_ms, instance):
+    spec = make_spec(job, tasks, run_ms)
+    urgent = msgspec.structs.replace(spec, urgency=Urgency.URGENT)
+    accept_job(context, urgent, instance)
+
+
 @when('the job "{job}" is cancelled through "{instance}"')
 def cancel(context, job, instance):
     address = context.deployment.callers[instance]
@@ -152,3 +163,12 @@
     runs = find_runs(context.deployment.read_journals())
     bad = [run for run in runs if run.state == AttemptState.STOPPED.value or run.lost]
     assert not bad, f"{len(bad)} attempts: {bad[:3]}"
+
+
+@then("at least {count:d} tasks finished on workers that did not leave")
+def check_others(context, count):
+    entries = context.deployment.read_journals()
+    left = {entry.about for entry in entries if entry.event is Event.LEAVING}
+    runs = [run for run in find_runs(entries) if run.worker not in left]
+    done = sum(run.state == AttemptState.FINISHED.value for run in runs)
+    assert done >= count, f"{done} tasks"
