Make each mechanism's test fail without the mechanism

Cause: switched off one by one, three mechanisms were missed by the focused tests: the row's confirmation of a lapse, the bound of late renewals, the check of a claim over another owner's token (late messages did not reach a worker that had been cut off). Change: late messages arrive across a cut; the three tests put the mechanism to use.

--- a/fuchsiascale/coordination/tests/shardworld.py
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -193,8 +193,16 @@
         """Let a command take effect; its reply is on the way then."""
         envelope.delivered = True
         command = envelope.command
+        if getattr(command, "worker", None) in envelope.owner.cut:
+            envelope.result = DOWN
+        else:
+            self.deliver_late(envelope)
+
+    def deliver_late(self, envelope):
+        """Let a command take effect that was sent before a cut, if there is one."""
+        command = envelope.command
         if type(command) in WORKER_CALLS:
-            envelope.result = self._call_worker(envelope.owner, command)
+            envelope.result = self._call_worker(command)
         else:
             envelope.result = self.execute(command)
         self.check()
@@ -272,9 +280,9 @@
             worker, key = running[number % len(running)]
             worker.end(key, AttemptState.FAILED)
 
-    def _call_worker(self, owner, command):
+    def _call_worker(self, command):
         worker = self.workers.get(command.worker)
-        if worker is None or command.worker in owner.cut:
+        if worker is None:
             return DOWN
         begun = len(worker.started)
         reply = getattr(worker, WORKER_CALLS[type(command)])(command.request)
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -135,10 +135,11 @@
     for envelope in list(world.sent):
         world.lose(envelope)
     first.cut = {worker}
-    world.run(14, first)
-    for envelope in late:
-        world.deliver(envelope)
-    world.run(36, first)
+    for seconds in (11, 14, 14):
+        world.run(seconds, first)
+        for envelope in late:
+            world.deliver_late(envelope)
+    world.run(12, first)
     assert world.find_running(chunk)
     assert worker not in world.find_running(chunk).values()
     world.cancel(chunk)
@@ -164,8 +165,10 @@
 
 def test_a_new_claim_over_another_owners_starts_the_takeover_afresh(world):
     first, second = world.owners
-    world.submit(tasks=2, run_ms=3_000)
-    for start in advance_until_held(world, first, StartAttempts):
+    world.submit(tasks=4, run_ms=3_000)
+    starts = advance_until_held(world, first, StartAttempts)
+    assert len(starts) == 2
+    for start in starts:
         world.lose(start)
     second.owns = True
     second.restart()
--- a/fuchsiascale/coordination/tests/test_state_machine.py
+++ b/fuchsiascale/coordination/tests/test_state_machine.py
@@ -93,7 +93,7 @@
     def deliver_late(self, number):
         """Let a request arrive that its sender has given up."""
         late = self.world.late
-        self.world.deliver(late.pop(number % len(late)))
+        self.world.deliver_late(late.pop(number % len(late)))
 
     @precondition(lambda self: self.world.sent)
     @rule(number=NUMBERS)
