Find orphaned shards from every instance of a domain; move chunks in a row

Cause: only the instance ranked first for a domain looked for shards without workers, while another one owned the shard found, and never learnt of it (test: the chunk stayed); one chunk moved every 5 s, so a rack's hundred chunks took 500 s. Change: all instances of a domain look (one read a shard and 30 s); one instance takes up all of a lost domain; up to 64 moves every 5 s, with what was moved counted as waiting.

--- a/fuchsiascale/daemon/_orphans.py
+++ b/fuchsiascale/daemon/_orphans.py
@@ -22,17 +22,14 @@
     Returns
     -------
     tuple of FailureDomainId
-        The own one and those that are lost as a whole by the list's word, as far
-        as this instance ranks first for them.
+        The own one, and those that are lost as a whole by the list's word if this
+        instance ranks first for them.
     """
     if not view.listed:
         return ()
     lost = [domain for domain in fleet.domains if is_lost(domain, view)]
-    return tuple(
-        domain
-        for domain in (view.failure_domain, *lost)
-        if choose_owner(f"{domain}:", view) == view.instance
-    )
+    taken = (name for name in lost if choose_owner(f"{name}:", view) == view.instance)
+    return (view.failure_domain, *taken)
 
 
 def is_lost(domain, view):
@@ -47,12 +44,12 @@
 
 
 def choose_owner(shard, view):
-    """Return the instance that should own a shard, also of a lost domain."""
+    """Return the instance that should own a shard; one owns all of a lost domain."""
     domain, _ = parse_shard_id(shard)
     if domain == view.failure_domain:
         return find_owner(shard, view.members)
     if is_lost(domain, view):
-        return find_owner(shard, view.members + view.peers)
+        return find_owner(domain, view.members + view.peers)
     return None
 
 
--- a/fuchsiascale/daemon/_shardkeeper.py
+++ b/fuchsiascale/daemon/_shardkeeper.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import logbook
+import msgspec
 from returns.result import Failure, Success
 
 from fuchsiascale.api import ShardDigest, ShardStatus, TaskExplanation, WorkNotice
@@ -32,6 +33,7 @@
 HAND_OVER_POLL_S = 0.05
 ORPHAN_SEARCH_S = 30.0
 MOVE_PERIOD_S = 5.0
+MAX_MOVES = 64
 
 log = logbook.Logger("shards")
 
@@ -87,6 +89,8 @@
         self._orphans = frozenset()
         self._orphans_due_s = clock.monotonic() + ORPHAN_SEARCH_S * random.random()
         self._moves_due_s = 0.0
+        self._moves_left = 0
+        self._offered = ()
         self._shards = {}
         self._policies = {}
         self._calls = set()
@@ -119,7 +123,9 @@
         if now_s < self._moves_due_s:
             return ()
         self._moves_due_s = now_s + MOVE_PERIOD_S
-        return tuple(self._offers())
+        self._moves_left = MAX_MOVES
+        self._offered = tuple(self._offers())
+        return self._offered
 
     def _search_orphans(self, view, fleet):
         now_s = self._clock.monotonic()
@@ -294,15 +300,25 @@
             result = Failure(Uncertain(detail=str(error)))
         shard.apply(command, result)
         if isinstance(command, MoveChunk) and isinstance(result, Success):
-            await self._notify_move(command.write.record)
+            await self._follow_move(shard, command.write.record)
         # An exchange that shows no end changes nothing that can't wait.
         if follow and not (isinstance(command, ExchangeWorker) and shard.quiet):
             self._pump(shard)
 
-    async def _notify_move(self, record):
+    async def _follow_move(self, shard, record):
+        """Tell the new owner, and move the next chunk while there is room."""
         log.info("chunk {} moved to shard {}", record.chunk, record.shard)
         if self._notify is not None:
             await self._notify(WorkNotice(shard=record.shard, chunks=(record.chunk,)))
+        self._offered = tuple(
+            msgspec.structs.replace(offer, waiting=offer.waiting + len(record.tasks))
+            if offer.shard == record.shard
+            else offer
+            for offer in self._offered
+        )
+        self._moves_left -= 1
+        if self._moves_left > 0:
+            self._pump(shard, self._offered)
 
 
 def _explain_tasks(shard, live):
--- a/fuchsiascale/daemon/tests/test_shardkeeper.py
+++ b/fuchsiascale/daemon/tests/test_shardkeeper.py
@@ -9,10 +9,12 @@
     CHUNKS_TABLE,
     ChunkRecord,
     ClusterView,
+    DomainSettings,
     Fleet,
     JobSpec,
     Member,
     ShardOffer,
+    parse_shard_id,
 )
 from fuchsiascale.coordination.tests.workfakes import (
     FakeTables,
@@ -43,12 +45,13 @@
 class Deployment:
     """One failure domain with one rack: entry instances, workers, a store."""
 
-    def __init__(self, members=("a", "b"), workers=("w1", "w2")):
+    def __init__(self, members=("a", "b"), workers=("w1", "w2"), racks=("r1", "r1")):
         self.clock = ManualClock(start_s=100.0)
+        self.failure_domain = "north"
         self.tables = FakeTables()
         self.workers = FakeWorkers()
         self.members = tuple(_build_member(name) for name in members)
-        self.upstreams = tuple(_build_worker(name) for name in workers)
+        self.upstreams = tuple(map(_build_worker, workers, racks))
         self.fleet = Fleet()
         for upstream in self.upstreams:
             worker = FakeWorker(self.clock, upstream.worker, CAPACITY)
@@ -77,13 +80,33 @@
             random=random.Random(name),
             view=lambda: self.view(name),
             fleet=lambda: self.fleet,
+            offers=self.list_offers,
+            notify=self.notify,
+        )
+
+    def list_offers(self):
+        """Return what the owners tell of their shards."""
+        return tuple(
+            ShardOffer(
+                shard=digest.shard,
+                failure_domain=parse_shard_id(digest.shard)[0],
+                free=digest.free,
+                waiting=digest.waiting,
+                shapes=digest.shapes,
+            )
+            for keeper in self.keepers.values()
+            for digest in keeper.digests()
         )
 
+    def restart(self):
+        """Start every instance anew."""
+        self.keepers = {name: self.build_keeper(name) for name in self.keepers}
+
     def view(self, name):
         """Return what an instance believes."""
         return ClusterView(
             instance=name,
-            failure_domain="north",
+            failure_domain=self.failure_domain,
             region="n",
             members=self.members,
             upstreams=self.upstreams,
@@ -112,20 +135,18 @@
         return self.tables.read(CHUNKS_TABLE, name, ChunkRecord)
 
 
-def _build_member(name):
-    return Member(
-        instance=name, address=f"{name}:1", failure_domain="north", region="n"
-    )
+def _build_member(name, domain="north"):
+    return Member(instance=name, address=f"{name}:1", failure_domain=domain, region="n")
 
 
-def _build_worker(name):
+def _build_worker(name, rack, domain="north"):
     return ListedInstance(
         instance_id=name,
         role=InstanceRole.WORKER,
         address=f"{name}:1",
-        failure_domain="north",
+        failure_domain=domain,
         region="n",
-        rack="r1",
+        rack=rack,
         worker=name,
     )
 
@@ -227,3 +248,45 @@
 async def test_an_unknown_job_is_not_found(deployment):
     missing = (await read_job("none", deployment.ports)).failure()
     assert isinstance(missing, JobNotFound)
+
+
+async def run_on_a_rack_that_is_lost(deployment):
+    """Start a job on one of two racks, and lose that rack."""
+    await deployment.run(2)
+    await submit_job(build_spec(tasks=2, run_ms=5000), deployment.ports)
+    await deployment.run(2)
+    assert len(deployment.worker("w1").list_running()) == 2
+    deployment.workers.cut.add("w1:1")
+    deployment.upstreams = deployment.upstreams[1:]
+
+
+async def test_work_of_a_lost_rack_is_run_in_another():
+    deployment = Deployment(racks=("r1", "r2"))
+    await run_on_a_rack_that_is_lost(deployment)
+    await deployment.run(30)
+    chunk = deployment.chunk("tune.0")
+    assert (chunk.shard, chunk.final) == ("north:r2", True)
+
+
+async def test_work_of_a_rack_that_no_instance_knows_is_found():
+    deployment = Deployment(racks=("r1", "r2"))
+    await run_on_a_rack_that_is_lost(deployment)
+    deployment.restart()
+    await deployment.run(90)
+    chunk = deployment.chunk("tune.0")
+    assert (chunk.shard, chunk.final) == ("north:r2", True)
+    assert {task.attempt for task in chunk.tasks} == {2}
+
+
+async def test_an_instance_of_another_domain_takes_up_work_of_a_lost_one():
+    deployment = Deployment(members=("a",), racks=("r1", "r2"))
+    await run_on_a_rack_that_is_lost(deployment)
+    deployment.failure_domain = "south"
+    deployment.members = (_build_member("a", "south"),)
+    deployment.upstreams = (_build_worker("w2", "r2", "south"),)
+    domain = DomainSettings(failure_domain="north", team="t", region="n")
+    deployment.fleet = Fleet(domains={"north": domain})
+    deployment.restart()
+    await deployment.run(90)
+    chunk = deployment.chunk("tune.0")
+    assert (chunk.shard, chunk.final) == ("south:r2", True)
