Keep the chunks with ends to record in a set

Cause: each poll, four a second and shard, looked at every attempt of every chunk. Change: an end enters its chunk into a set, by the one function that notes it (the health log hears of lost and lapsed attempts now too).

--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -151,7 +151,9 @@
     for live in state.chunks.values():
         if live.record is None or live.stale or live.pending is not None:
             continue
-        if now_s < live.due_s or not _has_ends(live):
+        if now_s < live.due_s:
+            continue
+        if live.chunk not in state.ended and not live.record.cancelled:
             continue
         record = compute_record(live, state.max_failures(live.record))
         if record == live.record or _may_wait(state, live, record):
@@ -178,12 +180,6 @@
     return not again and not record.final
 
 
-def _has_ends(live):
-    return live.record.cancelled or any(
-        attempt.over for attempt in live.attempts.values()
-    )
-
-
 def apply_write(state, command, result):
     """Take in whether a chunk row was written."""
     write = command.write
@@ -220,5 +216,7 @@
         if link is not None:
             link.attempts.pop(attempt.key, None)
         state.place_due_s = 0.0
+    if not any(attempt.over for attempt in live.attempts.values()):
+        state.ended.discard(live.chunk)
     if not live.attempts:
         live.since_s = state.now_s()
--- a/fuchsiascale/coordination/_inventories.py
+++ b/fuchsiascale/coordination/_inventories.py
@@ -2,7 +2,9 @@
 
 from fuchsiascale.coordination._attempts import Attempt, AttemptPhase, parse_task_id
 from fuchsiascale.coordination._shardstate import (
+    end_attempt,
     is_recorded,
+    note_end,
     remove_attempt,
     require_read,
     store_attempt,
@@ -38,7 +40,7 @@
 
 def _settle_unreported(state, attempt, after_claim):
     if attempt.phase is AttemptPhase.RUNNING:
-        attempt.end(AttemptState.STOPPED, "the worker lost the attempt")
+        end_attempt(state, attempt, "the worker lost the attempt")
     elif after_claim:
         remove_attempt(state, attempt)
 
@@ -51,6 +53,7 @@
                 _reconcile_report(state, link, report)
     if live.chunk in state.to_sweep:
         state.to_sweep.discard(live.chunk)
+        state.ended.add(live.chunk)
         _sweep_chunk(live)
 
 
@@ -97,4 +100,4 @@
         attempt.phase = AttemptPhase.RUNNING
         return
     attempt.phase = AttemptPhase.ENDED
-    state.policy.record_end(attempt.worker, report.task, report.state)
+    note_end(state, attempt)
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -7,12 +7,14 @@
 from fuchsiascale.coordination._livechunks import LiveChunk
 from fuchsiascale.coordination._shard_policy import parse_job_id
 from fuchsiascale.platform import Conflict, Message
+from fuchsiascale.states import AttemptState
 
 __all__ = [
     "DEFAULT_MAX_FAILURES",
     "ShardState",
     "ShardTiming",
     "drop_chunk",
+    "end_attempt",
     "find_attempt",
     "find_record",
     "find_task",
@@ -20,6 +22,7 @@
     "is_unwanted",
     "list_attempts",
     "may_ask_store",
+    "note_end",
     "note_store_answer",
     "remove_attempt",
     "require_read",
@@ -92,6 +95,8 @@
     chunks : dict of ChunkId to LiveChunk
     foreign : set of ChunkId
         Chunks that were read and are not this shard's, or are final.
+    ended : set of ChunkId
+        Chunks that may have attempts whose end is to be recorded.
     owner : bool
         Whether this instance should own the shard.
     record : ShardRecord or None
@@ -136,6 +141,7 @@
         """Drop all that is known but the workers."""
         self.chunks = {}
         self.foreign = set()
+        self.ended = set()
         self.record = None
         self.version = 0
         self.confirmed_s = float("-inf")
@@ -224,6 +230,19 @@
     link.attempts[attempt.key] = attempt
 
 
+def end_attempt(state, attempt, detail):
+    """Note that an attempt is over though its worker has not said so."""
+    attempt.end(AttemptState.STOPPED, detail)
+    note_end(state, attempt)
+
+
+def note_end(state, attempt):
+    """Have the end of an attempt recorded."""
+    report = attempt.report
+    state.policy.record_end(attempt.worker, report.task, report.state)
+    state.ended.add(parse_task_id(report.task)[0])
+
+
 def remove_attempt(state, attempt):
     """Forget an attempt, whose room may be used again."""
     state.place_due_s = 0.0
@@ -255,6 +274,7 @@
     for attempt in list(live.attempts.values()):
         remove_attempt(state, attempt)
     state.chunks.pop(live.chunk, None)
+    state.ended.discard(live.chunk)
     state.foreign.add(live.chunk)
     job = parse_job_id(live.chunk)
     if all(parse_job_id(chunk) != job for chunk in state.chunks):
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -16,10 +16,13 @@
 from fuchsiascale.coordination._ownership import raise_token
 from fuchsiascale.coordination._records import ShardRecord
 from fuchsiascale.coordination._shardcommands import ClaimWorker, ReadShard, WriteShard
-from fuchsiascale.coordination._shardstate import may_ask_store, note_store_answer
+from fuchsiascale.coordination._shardstate import (
+    end_attempt,
+    may_ask_store,
+    note_store_answer,
+)
 from fuchsiascale.coordination._workerlinks import WorkerEntry, WorkerLink
 from fuchsiascale.platform import ClaimRequest, Conflict, Fenced, Unavailable
-from fuchsiascale.states import AttemptState
 
 __all__ = [
     "apply_claim",
@@ -86,10 +89,7 @@
         state.unseen_gone = True
     for attempt in link.attempts.values():
         if not attempt.over:
-            attempt.end(AttemptState.STOPPED, "the worker is gone")
-            state.policy.record_end(
-                link.worker, attempt.report.task, AttemptState.STOPPED
-            )
+            end_attempt(state, attempt, "the worker is gone")
     state.policy.forget_worker(link.worker)
     del state.links[link.worker]
 
@@ -191,9 +191,9 @@
     """Tell whether a lease is over that only counts while the row is still ours."""
     now_s = state.now_s()
     return any(
-        link.lease.surely_over(now_s) and link.lease.over_at_s() > state.confirmed_s
+        any(not attempt.over for attempt in link.attempts.values())
         for link in state.links.values()
-        if any(not attempt.over for attempt in link.attempts.values())
+        if now_s > link.lease.over_at_s() > state.confirmed_s
     )
 
 
@@ -316,7 +316,7 @@
             continue
         for attempt in link.attempts.values():
             if attempt.phase is not AttemptPhase.ENDED:
-                attempt.end(AttemptState.STOPPED, "the worker's lease ran out")
+                end_attempt(state, attempt, "the worker's lease ran out")
 
 
 def finish_call(state, command):
