Move the most urgent chunks of a lost rack first

Cause: chunks were moved in the order in which they were read, one transaction at a time; of a lost failure domain at the design size that takes some 8 s of the store's writes (docs/CAPACITY.md), so urgent work could start after its 8.8 s. Ruled out: moving several chunks in one transaction, which a conflict on one of them would hold up. Change: moves go by urgency, then by age. Before: the new test moved the batch chunk first; after: urgent, normal, batch. Conclusion: the order holds within a shard; shards of a lost domain are not ordered among each other.

--- a/fuchsiascale/coordination/_moves.py
+++ b/fuchsiascale/coordination/_moves.py
@@ -9,9 +9,12 @@
 from fuchsiascale.coordination._shardstate import drop_chunk
 from fuchsiascale.coordination._takeover import is_read_after_claims, step_down
 from fuchsiascale.platform import Conflict, Message, Resources
+from fuchsiascale.states import Urgency
 
 __all__ = ["ShardOffer", "apply_move", "count_room", "list_moves", "may_hold"]
 
+URGENCIES = tuple(Urgency)
+
 
 class ShardOffer(Message):
     """A shard that may take chunks, by its owner's last digest.
@@ -76,13 +79,14 @@
     Returns
     -------
     list of MoveChunk
-        At most one, of a chunk of which nothing runs, or may run, anywhere.
+        At most one, of a chunk of which nothing runs, or may run, anywhere; the
+        most urgent first, and the oldest among equals.
     """
     if not offers or not state.owner or state.covered_at is None:
         return []
     if state.record is None or state.row_pending:
         return []
-    for live in state.chunks.values():
+    for live in sorted(state.chunks.values(), key=_rank_chunk):
         offer = _find_offer(state, live, offers)
         if offer is not None:
             return [_build_move(state, live, offer)]
@@ -111,6 +115,12 @@
     return best
 
 
+def _rank_chunk(live):
+    if live.record is None:
+        return len(URGENCIES), 0
+    return URGENCIES.index(live.record.spec.urgency), live.record.submitted_ms
+
+
 def _rank(offer, demand):
     return count_room(offer, demand), offer.shard
 
--- a/fuchsiascale/coordination/tests/shardworld.py
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -42,7 +42,7 @@
     Unavailable,
     Uncertain,
 )
-from fuchsiascale.states import AttemptState
+from fuchsiascale.states import AttemptState, Urgency
 
 __all__ = ["Broken", "ShardWorld"]
 
@@ -125,7 +125,7 @@
 
     # Work
 
-    def submit(self, tasks, run_ms):
+    def submit(self, tasks, run_ms, urgency=Urgency.BATCH):
         """Write a chunk and its assignment."""
         self.count += 1
         chunk = f"job{self.count}.0"
@@ -136,6 +136,7 @@
             tasks=tasks,
             demand=DEMAND,
             run_ms=run_ms,
+            urgency=urgency,
         )
         record = ChunkRecord(
             chunk=chunk,
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -16,7 +16,7 @@
 )
 from fuchsiascale.coordination.tests.shardworld import CAPACITY, SHARD, ShardWorld
 from fuchsiascale.platform import Resources
-from fuchsiascale.states import TaskState
+from fuchsiascale.states import TaskState, Urgency
 from fuchsiascale.testing import collect_functions, fixture
 
 load_tests = collect_functions(__name__)
@@ -324,6 +324,29 @@
     assert world.read(chunk).shard == "north:r2"
 
 
+def test_urgent_work_of_a_lost_rack_moves_first(world):
+    first, second = world.owners
+    chunks = [
+        world.submit(tasks=1, run_ms=LONG_MS, urgency=urgency)
+        for urgency in (Urgency.BATCH, Urgency.URGENT, Urgency.NORMAL)
+    ]
+    world.run(3, first)
+    for name in ("w0", "w1", "w2"):
+        world.kill_worker(name)
+    change_owner(world)
+    second.restart()
+    second.listed = set()
+    world.run(35, second)
+    offer = ShardOffer(shard="north:r2", failure_domain="north", free=CAPACITY)
+    moved = []
+    while len(moved) < len(chunks):
+        polled = second.shard.poll((offer,))
+        (command,) = [c for c in polled if isinstance(c, MoveChunk)]
+        second.shard.apply(command, world.execute(command))
+        moved.append(command.write.record.chunk)
+    assert moved == [chunks[1], chunks[2], chunks[0]]
+
+
 def test_a_worker_is_used_only_once_the_shards_row_names_it(world):
     first, _ = world.owners
     world.submit(tasks=6, run_ms=3_000)
