--- a/fuchsiascale/coordination/tests/test_membership.py
+++ b/fuchsiascale/coordination/tests/test_membership.py
@@ -148,6 +148,8 @@
 
 
 def test_a_leaving_mark_reaches_all_members_in_one_round(cluster):
+    for node in cluster.nodes.values():
+        assert WORKER not in node.view().leaving
     cluster.nodes["porto-2"].mark_leaving([WORKER])
     cluster.tell_owed()
     for node in cluster.nodes.values():
--- a/fuchsiascale/pipelines/_dispatch.py
+++ b/fuchsiascale/pipelines/_dispatch.py
@@ -178,7 +178,9 @@
         return Admission(pool, ticket, self._clock.monotonic())
 
     def leave(self, admission):
-        """Give an admission back, once its last slot is free."""
+        """Give an admission back, once its last slot is free; more calls do nothing."""
+        if admission.left:
+            return
         admission.left = True
         self._free(admission)
 
@@ -204,8 +206,7 @@
         chosen = choose_runner(loads, self._random)
         if chosen is None:
             return None
-        runner = next(each for each in runners if each.instance_id == chosen.runner)
-        slot = self.slots.acquire(runner, end_s)
+        slot = self.slots.acquire(self._index.get(chosen.runner), end_s)
         if slot is not None:
             call.admission.slots += 1
         return slot
--- a/fuchsiascale/pipelines/tests/_fakes.py
+++ b/fuchsiascale/pipelines/tests/_fakes.py
@@ -11,6 +11,7 @@
     ClusterView,
     Fleet,
     KeyClaims,
+    LoanTerms,
     Member,
     ServiceSettings,
     SlotHolder,
@@ -168,8 +169,8 @@
     tenures = dict.fromkeys(runners, tenure)
     if request is None:
         return holder
-    amounts = dict.fromkeys(runners, slots)
-    holder.apply(request, ledger.lend(request, tenures, amounts, 1))
+    terms = dict.fromkeys(runners, LoanTerms(slots=slots, drain_s=2.5))
+    holder.apply(request, ledger.lend(request, tenures, terms, 1))
     return holder
 
 
@@ -197,7 +198,7 @@
 
 
 def make_call(body=b"take", service="hub", method="POST", received_s=0.0, **headers):
-    async def read_body(limit):
+    async def read_body(limit, timeout_s):
         return Success(body)
 
     return Call(
