--- a/fuchsiascale/coordination/tests/shardworld.py
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -42,7 +42,7 @@
     Unavailable,
     Uncertain,
 )
-from fuchsiascale.states import AttemptState
+from fuchsiascale.states import AttemptState, Urgency
 
 __all__ = ["Broken", "ShardWorld"]
 
@@ -125,7 +125,7 @@
 
     # Work
 
-    def submit(self, tasks, run_ms):
+    def submit(self, tasks, run_ms, urgency=Urgency.BATCH):
         """Write a chunk and its assignment."""
         self.count += 1
         chunk = f"job{self.count}.0"
@@ -136,6 +136,7 @@
             tasks=tasks,
             demand=DEMAND,
             run_ms=run_ms,
+            urgency=urgency,
         )
         record = ChunkRecord(
             chunk=chunk,
@@ -193,8 +194,16 @@
         """Let a command take effect; its reply is on the way then."""
         envelope.delivered = True
         command = envelope.command
+        if getattr(command, "worker", None) in envelope.owner.cut:
+            envelope.result = DOWN
+        else:
+            self.deliver_late(envelope)
+
+    def deliver_late(self, envelope):
+        """Let a command take effect that was sent before a cut, if there is one."""
+        command = envelope.command
         if type(command) in WORKER_CALLS:
-            envelope.result = self._call_worker(envelope.owner, command)
+            envelope.result = self._call_worker(command)
         else:
             envelope.result = self.execute(command)
         self.check()
@@ -272,9 +281,9 @@
             worker, key = running[number % len(running)]
             worker.end(key, AttemptState.FAILED)
 
-    def _call_worker(self, owner, command):
+    def _call_worker(self, command):
         worker = self.workers.get(command.worker)
-        if worker is None or command.worker in owner.cut:
+        if worker is None:
             return DOWN
         begun = len(worker.started)
         reply = getattr(worker, WORKER_CALLS[type(command)])(command.request)
