Claim a worker again after it refused a start

Change: a refused start is in doubt until the worker is claimed under a higher token; a worker that refuses gets nothing for 1 s, doubling to 32 s, where the owner used to try again at once. Ruled out: a sequence number in the start request; the token does the same without a change of the worker's protocol.

--- a/fuchsiascale/coordination/_inventories.py
+++ b/fuchsiascale/coordination/_inventories.py
@@ -42,6 +42,8 @@
     if attempt.phase is AttemptPhase.RUNNING:
         end_attempt(state, attempt, "the worker lost the attempt")
     elif after_claim:
+        task = attempt.report.task
+        state.policy.record_end(attempt.worker, task, AttemptState.STOPPED)
         remove_attempt(state, attempt)
 
 
--- a/fuchsiascale/coordination/_starts.py
+++ b/fuchsiascale/coordination/_starts.py
@@ -39,6 +39,7 @@
 __all__ = ["MAX_STARTS_A_ROUND", "apply_start", "list_starts"]
 
 MAX_STARTS_A_ROUND = 128
+MAX_REFUSALS = 5
 URGENCIES = list(Urgency)
 
 
@@ -241,6 +242,7 @@
 
 def _apply_results(state, link, starts, results):
     by_task = {result.task: result for result in results}
+    refused = False
     for start in starts:
         attempt = find_attempt(state, start.task)
         if attempt is None or attempt is not link.attempts.get(attempt.key):
@@ -251,10 +253,27 @@
             state.meters.count_start(start.kind)
             _expect_end(state, link, start)
             continue
+        refused = True
+        attempt.phase = AttemptPhase.IN_DOUBT
         reason = "the worker gave no result" if result is None else result.reason
-        _withdraw_start(state, attempt, f"{link.worker}: {reason}")
-        # A refusal shows that the inventory is out of date.
-        link.due_s = state.now_s()
+        _note_reason(state, start.task, f"{link.worker}: {reason}")
+    if refused:
+        _meet_refusal(state, link)
+    else:
+        link.refusals = 0
+
+
+def _meet_refusal(state, link):
+    """Claim a worker again that refused a start, and place nothing there for a while.
+
+    A copy of the request that arrives later might be accepted; a higher token
+    keeps it out before the same attempt is started elsewhere.
+    """
+    delay_s = state.timing.step_down_s * 2 ** min(link.refusals, MAX_REFUSALS)
+    link.refusals += 1
+    link.place_due_s = state.now_s() + delay_s
+    link.token = None
+    link.due_s = state.now_s()
 
 
 def _expect_end(state, link, start):
@@ -281,7 +300,11 @@
 
 
 def _withdraw_start(state, attempt, reason):
-    chunk, index = parse_task_id(attempt.report.task)
     state.policy.record_end(attempt.worker, attempt.report.task, AttemptState.STOPPED)
     remove_attempt(state, attempt)
+    _note_reason(state, attempt.report.task, reason)
+
+
+def _note_reason(state, task, reason):
+    chunk, index = parse_task_id(task)
     state.chunks[chunk].reasons[index] = reason
--- a/fuchsiascale/coordination/_workerlinks.py
+++ b/fuchsiascale/coordination/_workerlinks.py
@@ -70,6 +70,10 @@
         Present period of the exchanges, in seconds; 0 for the longest.
     failures : int
         Calls in a row that got no answer.
+    refusals : int
+        Batches of starts in a row of which the worker refused some.
+    place_due_s : float
+        Monotonic time before which it gets no starts, in seconds.
     inventory : WorkerInventory or None
         The last one; None before the first claim.
     inventory_s : float
@@ -102,6 +106,8 @@
     due_s: float = 0.0
     period_s: float = 0.0
     failures: int = 0
+    refusals: int = 0
+    place_due_s: float = 0.0
     inventory: WorkerInventory | None = None
     inventory_s: float = 0.0
     rostered: bool = False
@@ -155,6 +161,7 @@
         and link.inventory is not None
         and link.rostered
         and link.failures == 0
+        and now_s >= link.place_due_s
         and link.absent_since_s is None
         and link.lease.surely_alive(now_s)
         and not link.leaving
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -163,6 +163,22 @@
         assert (task.state, task.attempt) == (TaskState.FINISHED, 1)
 
 
+def test_a_refused_start_that_comes_twice_is_not_accepted_later(world):
+    first, _ = world.owners
+    chunk = world.submit(tasks=1, run_ms=LONG_MS)
+    (start,) = advance_until_held(world, first, StartAttempts)
+    world.clock.advance(16.5)
+    world.workers[start.command.worker].leaving = True
+    world.deliver(start)
+    world.answer(start)
+    assert not any(worker.started for worker in world.workers.values())
+    world.run(5, first)
+    assert any(worker.started for worker in world.workers.values())
+    world.deliver_late(start)
+    world.check()
+    world.cancel(chunk)
+
+
 def test_a_new_claim_over_another_owners_starts_the_takeover_afresh(world):
     first, second = world.owners
     world.submit(tasks=4, run_ms=3_000)
