Keep a gone worker in the shard's row until its attempts are recorded

Both workers were gone, so nothing ran in two places, but a number and its checkpoint key were used twice.

--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -177,14 +177,20 @@
 
 
 def _list_roster(state):
-    """Return the workers that may be used, or that may hold attempts."""
-    return tuple(
-        sorted(
-            link.worker
-            for link in state.links.values()
-            if link.rostered or link.claimed or link.attempts
-        )
-    )
+    """Return the workers that may be used, or that may hold attempts.
+
+    One that is gone stays until the ends of its attempts are recorded, so that the
+    next owner knows of it too.
+    """
+    names = {
+        link.worker
+        for link in state.links.values()
+        if link.rostered or link.claimed or link.attempts
+    }
+    unswept = state.unseen_gone and not state.swept
+    if unswept or state.to_sweep or state.ended:
+        names.update(state.record.workers)
+    return tuple(sorted(names))
 
 
 def _needs_confirmation(state):
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -8,6 +8,7 @@
     ClaimWorker,
     ExchangeWorker,
     MoveChunk,
+    ReadAssignments,
     ShardOffer,
     ShardRecord,
     StartAttempts,
@@ -363,6 +364,29 @@
     assert moved == [chunks[1], chunks[2], chunks[0]]
 
 
+def test_a_gone_worker_stays_in_the_row_until_its_attempts_are_recorded(world):
+    first, second = world.owners
+    chunk = world.submit(tasks=2, run_ms=LONG_MS)
+    world.run(3, first)
+    for name in ("w0", "w1"):
+        world.kill_worker(name)
+    change_owner(world)
+    second.listed = {"w2"}
+    world.run(1, second)
+    world.clock.advance(31)
+    (scan,) = hold_back(world, second, ReadAssignments)
+    world.sent.remove(scan)
+    world.run(2, second)
+    row = world.tables.read(SHARDS_TABLE, SHARD, ShardRecord)
+    assert row.workers == ("w0", "w1", "w2")
+    world.sent.append(scan)
+    world.run(5, second)
+    assert {task.attempt for task in world.read(chunk).tasks} == {1}
+    row = world.tables.read(SHARDS_TABLE, SHARD, ShardRecord)
+    assert row.workers == ("w2",)
+    world.cancel(chunk)
+
+
 def test_a_worker_is_used_only_once_the_shards_row_names_it(world):
     first, _ = world.owners
     world.submit(tasks=6, run_ms=3_000)
