Share how commands print a reply or its failure

Ruled out: a declarative base class (path, reply type and columns as class attributes): explain, job list and config apply each need a line beside the table, so the attributes would grow into a second language. Change: DeploymentCommand.show_reply and show_done; column names are constants, rows come from plain functions; the job path and its line are functions. Conclusion: behaviour as before; one place decides how a reply is shown.

--- a/fuchsiascale/cli/_command.py
+++ b/fuchsiascale/cli/_command.py
@@ -66,6 +66,43 @@
         error = result.failure()
         return self.fail(error.details, error.exit_code)
 
+    def show_reply(self, result, headers, list_rows, format_title=None):
+        """Print the reply of a call, or why it failed; return the exit code.
+
+        Parameters
+        ----------
+        result : Result of Message
+            What the call returned.
+        headers : sequence of str
+            Names of the columns; the first names what the rows are.
+        list_rows : callable
+            Takes the reply and returns the rows of the table.
+        format_title : callable, optional
+            Takes the reply and returns the line above the table.
+
+        Returns
+        -------
+        Exit
+            The exit code of the command.
+        """
+        if isinstance(result, Failure):
+            return self.fail_call(result)
+        reply = result.unwrap()
+        if format_title is not None and not self.option("json"):
+            self.say(format_title(reply))
+        return self.show(reply, headers, list_rows(reply))
+
+    def show_done(self, result, format_line):
+        """Print the line that ``format_line`` makes of a call's reply."""
+        if isinstance(result, Failure):
+            return self.fail_call(result)
+        reply = result.unwrap()
+        if self.option("json"):
+            self.show_json(reply)
+        else:
+            self.say(format_line(reply))
+        return Exit.OK
+
     def show(self, message, headers, rows):
         """Print a message as JSON, or rows as a table; return the exit code."""
         if self.option("json"):
--- a/fuchsiascale/cli/_config.py
+++ b/fuchsiascale/cli/_config.py
@@ -41,6 +41,7 @@
 ]
 
 BASE = "/operator/v1"
+HISTORY_COLUMNS = ("revision", "time", "team", "author", "sections")
 BASE_REVISION_PATTERN = re.compile(r"^; read at revision (\d+)$", re.MULTILINE)
 CONFIRM_PERIOD_S = 0.25
 DEFAULT_WAIT_S = 10.0
@@ -253,21 +254,21 @@
         result = await client.call_operator(
             "GET", f"{BASE}/history", HistoryReply, query={"limit": limit}
         )
-        if isinstance(result, Failure):
-            return self.fail_call(result)
-        reply = result.unwrap()
-        rows = [
-            (
-                entry.revision,
-                format_time(entry.at_ms),
-                entry.team,
-                entry.author,
-                ", ".join(_describe(section) for section in entry.sections),
-            )
-            for entry in reply.entries
-        ]
-        headers = ("revision", "time", "team", "author", "sections")
-        return self.show(reply, headers, rows)
+        return self.show_reply(result, HISTORY_COLUMNS, list_edit_rows)
+
+
+def list_edit_rows(reply):
+    """Return one row an edit, in the order of ``HISTORY_COLUMNS``."""
+    return [
+        (
+            entry.revision,
+            format_time(entry.at_ms),
+            entry.team,
+            entry.author,
+            ", ".join(_describe(section) for section in entry.sections),
+        )
+        for entry in reply.entries
+    ]
 
 
 def read_text(path):
@@ -298,18 +299,10 @@
     edit = build_edit(text, document.unwrap(), removed, os.environ.get("USER", ""))
     edit = msgspec.structs.replace(edit, check_only=check_only)
     result = await client.call_operator("POST", f"{BASE}/edits", EditReply, edit)
-    if isinstance(result, Failure):
-        return command.fail_call(result)
-    reply = result.unwrap()
-    if not check_only and command.option("wait"):
-        return await wait_for_all(command, client, reply.revision)
-    if command.option("json"):
-        command.show_json(reply)
-    elif check_only:
-        command.say(f"sound against revision {reply.revision}")
-    else:
-        command.say(f"accepted as revision {reply.revision}")
-    return Exit.OK
+    if isinstance(result, Success) and not check_only and command.option("wait"):
+        return await wait_for_all(command, client, result.unwrap().revision)
+    done = "sound against" if check_only else "accepted as"
+    return command.show_done(result, lambda reply: f"{done} revision {reply.revision}")
 
 
 async def wait_for_all(command, client, revision):
--- a/fuchsiascale/cli/_fleet.py
+++ b/fuchsiascale/cli/_fleet.py
@@ -1,7 +1,6 @@
 """Commands on instances, shards and the whole deployment."""
 
 from cleo.helpers import argument
-from returns.result import Failure
 
 from fuchsiascale.api import (
     DrainRequest,
@@ -11,7 +10,6 @@
     StatusReply,
 )
 from fuchsiascale.cli._command import DeploymentCommand, register
-from fuchsiascale.cli._exits import Exit
 
 __all__ = [
     "ExplainCommand",
@@ -22,6 +20,27 @@
 ]
 
 BASE = "/operator/v1"
+INSTANCE_COLUMNS = (
+    "instance",
+    "role",
+    "failure domain",
+    "state",
+    "revision",
+    "in flight",
+)
+SHARD_COLUMNS = (
+    "shard",
+    "owner",
+    "workers",
+    "cores",
+    "committed",
+    "waiting",
+    "running",
+    "in doubt",
+)
+TASK_COLUMNS = ("task", "state", "worker", "reason", "figures")
+STATUS_COLUMNS = ("field", "value")
+MILLICORES_A_CORE = 1000
 
 
 @register
@@ -34,29 +53,7 @@
     async def perform(self, client):
         """Print one line an instance."""
         result = await client.call_operator("GET", f"{BASE}/instances", InstancesReply)
-        if isinstance(result, Failure):
-            return self.fail_call(result)
-        reply = result.unwrap()
-        headers = (
-            "instance",
-            "role",
-            "failure domain",
-            "state",
-            "revision",
-            "in flight",
-        )
-        rows = [
-            (
-                entry.instance,
-                entry.role,
-                entry.failure_domain,
-                entry.state,
-                entry.revision,
-                entry.in_flight,
-            )
-            for entry in reply.instances
-        ]
-        return self.show(reply, headers, rows)
+        return self.show_reply(result, INSTANCE_COLUMNS, list_instance_rows)
 
 
 @register
@@ -73,13 +70,7 @@
         result = await client.call_operator(
             "POST", f"{BASE}/drain", StatusReply, DrainRequest(instance=instance)
         )
-        if isinstance(result, Failure):
-            return self.fail_call(result)
-        if self.option("json"):
-            self.show_json(result.unwrap())
-        else:
-            self.say(f"{instance} is draining")
-        return Exit.OK
+        return self.show_done(result, lambda reply: f"{instance} is draining")
 
 
 @register
@@ -92,33 +83,7 @@
     async def perform(self, client):
         """Print one line a shard."""
         result = await client.call_operator("GET", f"{BASE}/shards", ShardsReply)
-        if isinstance(result, Failure):
-            return self.fail_call(result)
-        reply = result.unwrap()
-        headers = (
-            "shard",
-            "owner",
-            "workers",
-            "cores",
-            "committed",
-            "waiting",
-            "running",
-            "in doubt",
-        )
-        rows = [
-            (
-                entry.shard,
-                entry.owner,
-                entry.workers,
-                entry.capacity.millicores / 1000,
-                entry.committed.millicores / 1000,
-                entry.waiting,
-                entry.running,
-                entry.in_doubt,
-            )
-            for entry in reply.shards
-        ]
-        return self.show(reply, headers, rows)
+        return self.show_reply(result, SHARD_COLUMNS, list_shard_rows)
 
 
 @register
@@ -133,17 +98,12 @@
         """Print one line a task."""
         path = f"{BASE}/explain/{self.argument('job')}"
         result = await client.call_operator("GET", path, Explanation)
-        if isinstance(result, Failure):
-            return self.fail_call(result)
-        reply = result.unwrap()
-        headers = ("task", "state", "worker", "reason", "figures")
-        rows = [
-            (task.task, task.state, task.worker, task.reason, ", ".join(task.figures))
-            for task in reply.tasks
-        ]
-        if not self.option("json"):
-            self.say(f"{reply.job}: {reply.state}")
-        return self.show(reply, headers, rows)
+        return self.show_reply(
+            result,
+            TASK_COLUMNS,
+            list_task_rows,
+            format_title=lambda reply: f"{reply.job}: {reply.state}",
+        )
 
 
 @register
@@ -156,11 +116,52 @@
     async def perform(self, client):
         """Print one line a field."""
         result = await client.call_operator("GET", f"{BASE}/status", StatusReply)
-        if isinstance(result, Failure):
-            return self.fail_call(result)
-        reply = result.unwrap()
-        rows = [
-            (name.replace("_", " "), getattr(reply, name))
-            for name in reply.__struct_fields__
-        ]
-        return self.show(reply, ("field", "value"), rows)
+        return self.show_reply(result, STATUS_COLUMNS, list_field_rows)
+
+
+def list_instance_rows(reply):
+    """Return one row an instance, in the order of ``INSTANCE_COLUMNS``."""
+    return [
+        (
+            entry.instance,
+            entry.role,
+            entry.failure_domain,
+            entry.state,
+            entry.revision,
+            entry.in_flight,
+        )
+        for entry in reply.instances
+    ]
+
+
+def list_shard_rows(reply):
+    """Return one row a shard, in the order of ``SHARD_COLUMNS``."""
+    return [
+        (
+            entry.shard,
+            entry.owner,
+            entry.workers,
+            entry.capacity.millicores / MILLICORES_A_CORE,
+            entry.committed.millicores / MILLICORES_A_CORE,
+            entry.waiting,
+            entry.running,
+            entry.in_doubt,
+        )
+        for entry in reply.shards
+    ]
+
+
+def list_task_rows(reply):
+    """Return one row a task, in the order of ``TASK_COLUMNS``."""
+    return [
+        (task.task, task.state, task.worker, task.reason, ", ".join(task.figures))
+        for task in reply.tasks
+    ]
+
+
+def list_field_rows(reply):
+    """Return one row a field of a message, in the order of ``STATUS_COLUMNS``."""
+    return [
+        (name.replace("_", " "), getattr(reply, name))
+        for name in reply.__struct_fields__
+    ]
--- a/fuchsiascale/cli/_jobs.py
+++ b/fuchsiascale/cli/_jobs.py
@@ -19,6 +19,9 @@
 ]
 
 JOBS = "/v1/jobs"
+JOB_COLUMNS = ("job", "team", "kind", "tasks", "cancelled")
+COUNTED_STATES = ("waiting", "finished", "failed", "cancelled")
+CHUNK_COLUMNS = ("chunk", "shard", "tasks", *COUNTED_STATES)
 DEMAND_OPTIONS = ("millicores", "memory_mb", "accelerators")
 SPEC_OPTIONS = (
     ("team", "Team that the job counts for."),
@@ -86,7 +89,7 @@
         if isinstance(spec, Failure):
             return self.fail((f"job: {spec.failure()}",), Exit.INVALID)
         result = await client.call_caller("POST", JOBS, JobRecord, spec.unwrap())
-        return show_record(self, result, "accepted")
+        return self.show_done(result, lambda job: format_job_line(job, "accepted"))
 
 
 @register
@@ -99,8 +102,14 @@
 
     async def perform(self, client):
         """Print one line a task state and chunk."""
-        path = f"{JOBS}/{quote(self.argument('job'), safe='')}"
-        return show_status(self, await client.call_caller("GET", path, JobStatus))
+        path = format_job_path(self.argument("job"))
+        result = await client.call_caller("GET", path, JobStatus)
+        return self.show_reply(
+            result,
+            CHUNK_COLUMNS,
+            list_chunk_rows,
+            format_title=lambda reply: f"{reply.spec.job}: {reply.state}",
+        )
 
 
 @register
@@ -113,9 +122,9 @@
 
     async def perform(self, client):
         """Ask for the cancellation and print the job's state."""
-        path = f"{JOBS}/{quote(self.argument('job'), safe='')}"
+        path = format_job_path(self.argument("job"))
         result = await client.call_caller("DELETE", path, JobRecord)
-        return show_record(self, result, "cancelled")
+        return self.show_done(result, lambda job: format_job_line(job, "cancelled"))
 
 
 @register
@@ -135,47 +144,43 @@
         after = self.option("after")
         query = {"after": after} if after else None
         result = await client.call_caller("GET", JOBS, JobList, query=query)
-        if isinstance(result, Failure):
-            return self.fail_call(result)
-        reply = result.unwrap()
-        headers = ("job", "team", "kind", "tasks", "cancelled")
-        rows = [
-            (entry.job, entry.team, entry.kind, entry.tasks, entry.cancelled)
-            for entry in reply.jobs
-        ]
-        self.show(reply, headers, rows)
-        if reply.next_after and not self.option("json"):
-            self.say(f"more: job list --after {reply.next_after}")
-        return Exit.OK
-
-
-def show_record(command, result, done):
-    """Print that a job was accepted or cancelled; return the exit code."""
-    if isinstance(result, Failure):
-        return command.fail_call(result)
-    record = result.unwrap()
-    if command.option("json"):
-        command.show_json(record)
-    else:
-        command.say(f"{record.spec.job}: {done}, in {len(record.chunks)} chunks")
-    return Exit.OK
-
-
-def show_status(command, result):
-    """Print a job's state by chunk; return the exit code."""
-    if isinstance(result, Failure):
-        return command.fail_call(result)
-    reply = result.unwrap()
-    if not command.option("json"):
-        command.say(f"{reply.spec.job}: {reply.state}")
-    headers = ("chunk", "shard", "tasks", "waiting", "finished", "failed", "cancelled")
-    rows = [_count_states(chunk) for chunk in reply.chunks]
-    return command.show(reply, headers, rows)
+        exit_code = self.show_reply(result, JOB_COLUMNS, list_job_rows)
+        next_after = result.map(lambda reply: reply.next_after).value_or("")
+        if next_after and not self.option("json"):
+            self.say(f"more: job list --after {next_after}")
+        return exit_code
+
+
+def format_job_path(job):
+    """Return the path of a job on the caller interface.
+
+    Examples
+    --------
+    >>> format_job_path("reviews/7")
+    '/v1/jobs/reviews%2F7'
+    """
+    return f"{JOBS}/{quote(job, safe='')}"
+
+
+def format_job_line(record, done):
+    """Return the line that says what was done with a recorded job."""
+    return f"{record.spec.job}: {done}, in {len(record.chunks)} chunks"
+
+
+def list_job_rows(reply):
+    """Return one row a job, in the order of ``JOB_COLUMNS``."""
+    return [
+        (entry.job, entry.team, entry.kind, entry.tasks, entry.cancelled)
+        for entry in reply.jobs
+    ]
+
+
+def list_chunk_rows(reply):
+    """Return one row a chunk, in the order of ``CHUNK_COLUMNS``."""
+    return [_count_states(chunk) for chunk in reply.chunks]
 
 
 def _count_states(chunk):
     states = [task.state.value for task in chunk.tasks]
-    counts = [
-        states.count(state) for state in ("waiting", "finished", "failed", "cancelled")
-    ]
+    counts = [states.count(state) for state in COUNTED_STATES]
     return (chunk.chunk, chunk.shard, len(states), *counts)
