Give the adapters of one address a common base

Cause: HttpTables, HttpObjects and HttpInstanceList had the same constructor and joined address and path each in its own way; the scheme of HttpWorkers and HttpRunners was not described. The scheme parameter is documented.

--- a/fuchsiascale/platform/_runners.py
+++ b/fuchsiascale/platform/_runners.py
@@ -39,6 +39,8 @@
         Shared session; not closed here.
     timeout_s : float
         Bound of each request, in seconds; a shorter deadline goes first.
+    scheme : str, optional
+        URL scheme of the calls: ``http`` or ``https``.
     """
 
     def __init__(
--- a/fuchsiascale/platform/_tables.py
+++ b/fuchsiascale/platform/_tables.py
@@ -7,7 +7,7 @@
 import tenacity
 from returns.result import Failure, Result, Success
 
-from fuchsiascale.platform._calls import call, decode, quote_key
+from fuchsiascale.platform._calls import decode, quote_key
 from fuchsiascale.platform._errors import Conflict, Unavailable, Uncertain
 from fuchsiascale.platform._messages import (
     Message,
@@ -17,6 +17,7 @@
     Transaction,
     TransactionReply,
 )
+from fuchsiascale.platform._services import HttpService
 
 __all__ = ["HttpTables"]
 
@@ -27,23 +28,11 @@
 ABSENT = 0
 
 
-class HttpTables:
-    """The table service behind HTTP.
-
-    Parameters
-    ----------
-    session : aiohttp.ClientSession
-        Shared session; not closed here.
-    base_url : str
-        Address of the service, such as ``http://127.0.0.1:7000``.
-    timeout_s : float
-        Bound of each call, in seconds.
-    """
+class HttpTables(HttpService):
+    """The table service behind HTTP; its parameters are those of `HttpService`."""
 
     def __init__(self, session: aiohttp.ClientSession, base_url: str, timeout_s: float):
-        self._session = session
-        self._base_url = base_url.rstrip("/")
-        self._timeout_s = timeout_s
+        super().__init__(session, base_url, timeout_s)
         self._reads = asyncio.Semaphore(MAX_PARALLEL_READS)
 
     async def get(self, table: str, key: str) -> Result[Row | None, Unavailable]:
@@ -170,10 +159,6 @@
         async with self._reads:
             return await self.get(change.table, change.key)
 
-    async def _call(self, method, path, message=None, params=None):
-        url = self._base_url + path
-        return await call(self._session, method, url, self._timeout_s, message, params)
-
 
 @dataclass
 class History:
--- a/fuchsiascale/platform/_workers.py
+++ b/fuchsiascale/platform/_workers.py
@@ -32,6 +32,8 @@
         Shared session; not closed here.
     timeout_s : float
         Bound of each call, in seconds.
+    scheme : str, optional
+        URL scheme of the calls: ``http`` or ``https``.
     """
 
     def __init__(
