Build both token middlewares from one

Cause: the peer's and the operator's middleware read the header, counted and refused with the same lines. Ruled out: one middleware with a mode argument: the operator's also records who called. Change: each gives its check to _require.

--- a/fuchsiascale/daemon/_access.py
+++ b/fuchsiascale/daemon/_access.py
@@ -116,39 +116,34 @@
         The checks.
     count_refusal : callable
         Takes the listener's name on each refused call.
+
+    Returns
+    -------
+    callable
+        Middleware of an aiohttp application.
     """
 
-    @web.middleware
-    async def check(request, handler):
-        if not access.is_peer(request.headers.get("Authorization", "")):
-            count_refusal("peer")
-            return _refuse("no peer token")
-        return await handler(request)
+    def admit(request, authorization):
+        return access.is_peer(authorization)
 
-    return check
+    return _require(admit, "peer", "no peer token", count_refusal)
 
 
 def require_operator_token(access, count_refusal):
     """Return a middleware that lets only operators pass, and says which.
 
-    Parameters
-    ----------
-    access : Access
-        The checks.
-    count_refusal : callable
-        Takes the listener's name on each refused call.
+    Parameters and result are those of `require_peer_token`; a handler finds the
+    operator in the request under ``OPERATOR_KEY``.
     """
 
-    @web.middleware
-    async def check(request, handler):
-        operator = access.identify(request.headers.get("Authorization", ""))
-        if operator is None:
-            count_refusal("operator")
-            return _refuse("no operator token that is known")
-        request[OPERATOR_KEY] = operator
-        return await handler(request)
+    def admit(request, authorization):
+        operator = access.identify(authorization)
+        if operator is not None:
+            request[OPERATOR_KEY] = operator
+        return operator is not None
 
-    return check
+    detail = "no operator token that is known"
+    return _require(admit, "operator", detail, count_refusal)
 
 
 def build_server_context(files) -> ssl.SSLContext | None:
@@ -202,6 +197,19 @@
     return authorization.removeprefix(BEARER_PREFIX)
 
 
+def _require(admit, listener, detail, count_refusal):
+    """Return a middleware that refuses and counts the calls not admitted."""
+
+    @web.middleware
+    async def check(request, handler):
+        if admit(request, request.headers.get("Authorization", "")):
+            return await handler(request)
+        count_refusal(listener)
+        return _refuse(detail)
+
+    return check
+
+
 def _refuse(detail):
     failure = Failure(
         outcome=Outcome.NOT_RUN, reason=Refusal.UNAUTHORIZED, detail=detail
