Make options by shared functions

Cause: the fleet document, the daemon's settings and the tool's profile each had their own makers of integer, name and URL options, and repeated the accepted values of an enumeration by hand. Ruled out: subclasses of Option; read_options needs only the fields. For _schema.py a table of types in place of its decorated builders: team and policy differ in owner, quota and name, so the table would hold more exceptions than the six short functions. Change: options.py has integer_option, number_option, choice_option (accepted values from the enumeration), flag_option, name_option, text_option, path_option and url_option; the three lists use them.

--- a/fuchsiascale/cli/_profile.py
+++ b/fuchsiascale/cli/_profile.py
@@ -7,12 +7,11 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiascale.options import (
-    Option,
-    integer,
-    parse_path,
-    parse_text,
-    parse_url,
+    integer_option,
+    path_option,
     read_options,
+    text_option,
+    url_option,
 )
 
 __all__ = ["ENVIRONMENT_PREFIX", "PROFILE_OPTIONS", "Profile", "read_profile"]
@@ -22,56 +21,13 @@
 DEFAULT_PROFILE = "default"
 
 PROFILE_OPTIONS = (
-    Option(
-        name="operator",
-        convert=parse_url,
-        default="",
-        accepts="http://IP:port or https://IP:port",
-        meaning="Operator interface of any instance",
-    ),
-    Option(
-        name="caller",
-        convert=parse_url,
-        default="",
-        accepts="http://IP:port or https://IP:port",
-        meaning="Caller interface of any instance, or the balancer's",
-    ),
-    Option(
-        name="token",
-        convert=parse_text,
-        default="",
-        accepts="text",
-        meaning="Token of the own team",
-    ),
-    Option(
-        name="token_file",
-        convert=parse_path,
-        default="",
-        accepts="path",
-        meaning="File that holds the token",
-    ),
-    Option(
-        name="authority",
-        convert=parse_path,
-        default="",
-        accepts="path",
-        meaning="PEM authority that the listeners are checked by",
-    ),
-    Option(
-        name="certificate",
-        convert=parse_path,
-        default="",
-        accepts="path",
-        meaning="PEM file with the own certificate and key",
-    ),
-    Option(
-        name="timeout_ms",
-        convert=integer(100, 600_000),
-        default=10_000,
-        unit="ms",
-        accepts="100 to 600000",
-        meaning="Time limit of one call",
-    ),
+    url_option("operator", "Operator interface of any instance"),
+    url_option("caller", "Caller interface of any instance, or the balancer's"),
+    text_option("token", "Token of the own team"),
+    path_option("token_file", "File that holds the token"),
+    path_option("authority", "PEM authority that the listeners are checked by"),
+    path_option("certificate", "PEM file with the own certificate and key"),
+    integer_option("timeout_ms", 10_000, 100, 600_000, "ms", "Time limit of one call"),
 )
 
 
--- a/fuchsiascale/coordination/_schema_options.py
+++ b/fuchsiascale/coordination/_schema_options.py
@@ -4,11 +4,11 @@
 
 from fuchsiascale.options import (
     Option,
-    choice,
-    flag,
-    integer,
-    number,
-    parse_name,
+    choice_option,
+    flag_option,
+    integer_option,
+    name_option,
+    number_option,
     parse_sha256,
 )
 from fuchsiascale.states import Urgency
@@ -44,61 +44,15 @@
     meaning: str
 
 
-def _integer(name, default, low, high, unit, meaning):
-    return Option(
-        name=name,
-        convert=integer(low, high),
-        default=default,
-        unit=unit,
-        accepts=f"{low} to {high}",
-        meaning=meaning,
-    )
-
-
-def _number(name, default, low, high, meaning):
-    return Option(
-        name=name,
-        convert=number(low, high),
-        default=default,
-        accepts=f"{low:g} to {high:g}",
-        meaning=meaning,
-    )
-
-
-def _flag(name, default, meaning):
-    return Option(
-        name=name, convert=flag, default=default, accepts="yes, no", meaning=meaning
-    )
-
-
-def _urgency(default, meaning):
-    return Option(
-        name="urgency",
-        convert=choice(Urgency),
-        default=default,
-        accepts="urgent, normal, batch",
-        meaning=meaning,
-    )
-
-
-def _name(name, meaning, required=False):
-    return Option(
-        name=name,
-        convert=parse_name,
-        default="",
-        required=required,
-        accepts="name",
-        meaning=meaning,
-    )
-
-
 def _resources(prefix, of, millicores, memory_mb, accelerators):
     return (
-        _integer(
+        integer_option(
             f"{prefix}millicores", 0, 0, millicores, "1/1000 core", f"Processors {of}"
         ),
-        _integer(f"{prefix}memory_mb", 0, 0, memory_mb, "MB", f"Memory {of}"),
-        _integer(f"{prefix}accelerators", 0, 0, accelerators, "", f"Accelerators {of}"),
+        integer_option(f"{prefix}memory_mb", 0, 0, memory_mb, "MB", f"Memory {of}"),
+        integer_option(
+            f"{prefix}accelerators", 0, 0, accelerators, "", f"Accelerators {of}"
+        ),
     )
 
 
@@ -112,10 +66,16 @@
     meaning="A latency-critical service, answered by runners",
     teams_create=True,
     options=(
-        _integer("slots", 8, 1, 1_024, "", "Requests that a runner answers at once"),
-        _integer("connections", 64, 1, 65_535, "", "Connections that a runner accepts"),
-        _urgency(Urgency.URGENT, "Urgency class of requests that name none"),
-        _integer(
+        integer_option(
+            "slots", 8, 1, 1_024, "", "Requests that a runner answers at once"
+        ),
+        integer_option(
+            "connections", 64, 1, 65_535, "", "Connections that a runner accepts"
+        ),
+        choice_option(
+            "urgency", Urgency.URGENT, "Urgency class of requests that name none"
+        ),
+        integer_option(
             "deadline_ms",
             2_000,
             1,
@@ -123,7 +83,7 @@
             "ms",
             "Deadline where a request has none",
         ),
-        _integer(
+        integer_option(
             "max_body_bytes", 1_048_576, 0, 67_108_864, "bytes", "Longest request body"
         ),
         *_resources("reserve_", "that a runner takes of its worker", *_MACHINE_SIZES),
@@ -134,19 +94,19 @@
     meaning="A kind of batch job",
     teams_create=True,
     options=(
-        _urgency(Urgency.BATCH, "Urgency class of its jobs"),
-        _integer(
+        choice_option("urgency", Urgency.BATCH, "Urgency class of its jobs"),
+        integer_option(
             "max_failures", 3, 1, 100, "", "Failures after which a task is stopped"
         ),
-        _flag("evictable", True, "Whether its tasks may be evicted"),
-        _flag("checkpointable", True, "Whether its tasks can write a checkpoint"),
+        flag_option("evictable", True, "Whether its tasks may be evicted"),
+        flag_option("checkpointable", True, "Whether its tasks can write a checkpoint"),
     ),
 )
 
 _TEAM = SectionKind(
     meaning="A team: its share, its quota and its token",
     options=(
-        _number("weight", 1.0, 0.001, 1_000, "Weight of the team's fair share"),
+        number_option("weight", 1.0, 0.001, 1_000, "Weight of the team's fair share"),
         *_resources(
             "quota_",
             "that its tasks may hold at once; all three 0 for no quota",
@@ -167,8 +127,8 @@
 _DOMAIN = SectionKind(
     meaning="A failure domain",
     options=(
-        _name("region", "Region that it belongs to", required=True),
-        _integer(
+        name_option("region", "Region that it belongs to", required=True),
+        integer_option(
             "link_bytes_per_s",
             1_875_000,
             0,
@@ -182,9 +142,9 @@
 _INSTANCE = SectionKind(
     meaning="A worker or runner of the platform's list",
     options=(
-        _flag("cordoned", False, "Whether it gets no new work"),
-        _name("failure_domain", "Failure domain that it stands in"),
-        _name("rack", "Rack that it stands in"),
+        flag_option("cordoned", False, "Whether it gets no new work"),
+        name_option("failure_domain", "Failure domain that it stands in"),
+        name_option("rack", "Rack that it stands in"),
         *_resources("", "that it has", *_MACHINE_SIZES),
     ),
 )
@@ -193,13 +153,13 @@
     meaning="Weights of what is measured",
     named=False,
     options=(
-        _number("tail_latency_weight", 1.0, 0, 100, "Weight of tail latency"),
-        _number("throughput_weight", 1.0, 0, 100, "Weight of batch throughput"),
-        _number("eviction_weight", 1.0, 0, 100, "Weight of evictions"),
-        _number("urgent_floor", 0.2, 0, 1, "Share kept for the urgent class"),
-        _number("normal_floor", 0.1, 0, 1, "Share kept for the normal class"),
-        _number("batch_floor", 0.1, 0, 1, "Share kept for the batch class"),
-        _number("retry_budget", 0.1, 0, 1, "Retries per fresh request"),
+        number_option("tail_latency_weight", 1.0, 0, 100, "Weight of tail latency"),
+        number_option("throughput_weight", 1.0, 0, 100, "Weight of batch throughput"),
+        number_option("eviction_weight", 1.0, 0, 100, "Weight of evictions"),
+        number_option("urgent_floor", 0.2, 0, 1, "Share kept for the urgent class"),
+        number_option("normal_floor", 0.1, 0, 1, "Share kept for the normal class"),
+        number_option("batch_floor", 0.1, 0, 1, "Share kept for the batch class"),
+        number_option("retry_budget", 0.1, 0, 1, "Retries per fresh request"),
     ),
 )
 
--- a/fuchsiascale/daemon/_settings_options.py
+++ b/fuchsiascale/daemon/_settings_options.py
@@ -4,15 +4,15 @@
 
 from fuchsiascale.options import (
     Option,
-    choice,
-    integer,
-    number,
+    choice_option,
+    integer_option,
+    name_option,
+    number_option,
     parse_address,
     parse_addresses,
-    parse_name,
-    parse_path,
-    parse_text,
-    parse_url,
+    path_option,
+    text_option,
+    url_option,
 )
 
 __all__ = ["LISTENERS", "OPERATOR_PREFIX", "SECTIONS", "LogLevel", "TraceExporter"]
@@ -39,12 +39,6 @@
     ERROR = "error"
 
 
-def _name(name, meaning):
-    return Option(
-        name=name, convert=parse_name, required=True, accepts="name", meaning=meaning
-    )
-
-
 def _address(name, meaning):
     return Option(
         name=name,
@@ -55,25 +49,16 @@
     )
 
 
-def _url(name, meaning):
-    return Option(
-        name=name,
-        convert=parse_url,
-        required=True,
-        accepts="http://IP:port or https://IP:port",
-        meaning=meaning,
-    )
+def _required_name(name, meaning):
+    return name_option(name, meaning, required=True)
 
 
-def _period(name, default, low, high, meaning):
-    return Option(
-        name=name,
-        convert=integer(low, high),
-        default=default,
-        unit="ms",
-        accepts=f"{low} to {high}",
-        meaning=meaning,
-    )
+def _required_url(name, meaning):
+    return url_option(name, meaning, required=True)
+
+
+def _period(name, default_ms, low_ms, high_ms, meaning):
+    return integer_option(name, default_ms, low_ms, high_ms, "ms", meaning)
 
 
 def _tls(prefix, whose):
@@ -83,22 +68,16 @@
         "authority": f"PEM authority that the other side of {whose} is checked by",
     }
     return tuple(
-        Option(
-            name=f"{prefix}tls_{part}",
-            convert=parse_path,
-            default="",
-            accepts="path",
-            meaning=meaning,
-        )
+        path_option(f"{prefix}tls_{part}", meaning)
         for part, meaning in meanings.items()
     )
 
 
 SECTIONS = {
     "instance": (
-        _name("id", "Name of this instance, as in the instance list"),
-        _name("failure_domain", "Failure domain that the instance stands in"),
-        _name("region", "Region that the failure domain belongs to"),
+        _required_name("id", "Name of this instance, as in the instance list"),
+        _required_name("failure_domain", "Failure domain that the instance stands in"),
+        _required_name("region", "Region that the failure domain belongs to"),
     ),
     "listen": (
         _address("caller", "Address of the caller interface"),
@@ -118,9 +97,9 @@
         ),
     ),
     "platform": (
-        _url("tables", "Base URL of the table service"),
-        _url("objects", "Base URL of the object store"),
-        _url("instances", "Base URL of the instance list"),
+        _required_url("tables", "Base URL of the table service"),
+        _required_url("objects", "Base URL of the object store"),
+        _required_url("instances", "Base URL of the instance list"),
         _period("timeout_ms", 2_000, 50, 30_000, "Time limit of one platform call"),
         *_tls("", "calls to the platform"),
     ),
@@ -135,27 +114,13 @@
         ),
     ),
     "access": (
-        Option(
-            name="peer_token",
-            convert=parse_text,
-            default="",
-            accepts="text",
-            meaning="Token between instances",
-        ),
-        Option(
-            name="peer_token_file",
-            convert=parse_path,
-            default="",
+        text_option("peer_token", "Token between instances"),
+        path_option(
+            "peer_token_file",
+            "File that holds the token between instances",
             accepts="path, relative to the settings file",
-            meaning="File that holds the token between instances",
-        ),
-        Option(
-            name="admin",
-            convert=parse_name,
-            default="admin",
-            accepts="name",
-            meaning="Team that may edit every section",
         ),
+        name_option("admin", "Team that may edit every section", default="admin"),
     ),
     "timers": (
         _period("heartbeat_ms", 2_000, 200, 5_000, "Time between heartbeats"),
@@ -166,28 +131,12 @@
         _period("stop_grace_ms", 30_000, 0, 600_000, "Bound of a graceful stop"),
     ),
     "traces": (
-        Option(
-            name="exporter",
-            convert=choice(TraceExporter),
-            default=TraceExporter.NONE,
-            accepts="none, console, otlp",
-            meaning="Where sampled spans go",
-        ),
-        Option(
-            name="sample_ratio",
-            convert=number(0, 1),
-            default=0.01,
-            accepts="0 to 1",
-            meaning="Share of requests whose spans are recorded",
+        choice_option("exporter", TraceExporter.NONE, "Where sampled spans go"),
+        number_option(
+            "sample_ratio", 0.01, 0, 1, "Share of requests whose spans are recorded"
         ),
     ),
     "logs": (
-        Option(
-            name="level",
-            convert=choice(LogLevel),
-            default=LogLevel.INFO,
-            accepts="debug, info, notice, warning, error",
-            meaning="Least level of the lines written",
-        ),
+        choice_option("level", LogLevel.INFO, "Least level of the lines written"),
     ),
 }
--- a/fuchsiascale/options.py
+++ b/fuchsiascale/options.py
@@ -14,9 +14,14 @@
     "Option",
     "OptionProblem",
     "choice",
+    "choice_option",
     "flag",
+    "flag_option",
     "integer",
+    "integer_option",
+    "name_option",
     "number",
+    "number_option",
     "parse_address",
     "parse_addresses",
     "parse_name",
@@ -24,7 +29,10 @@
     "parse_sha256",
     "parse_text",
     "parse_url",
+    "path_option",
     "read_options",
+    "text_option",
+    "url_option",
 ]
 
 MAX_PORT = 65_535
@@ -213,6 +221,93 @@
     return parse_address(match[2]).map(lambda address: f"{match[1]}://{address}")
 
 
+def integer_option(name, default, low, high, unit, meaning):
+    """Return an option that takes whole numbers from ``low`` to ``high``."""
+    return Option(
+        name=name,
+        convert=integer(low, high),
+        default=default,
+        unit=unit,
+        accepts=f"{low} to {high}",
+        meaning=meaning,
+    )
+
+
+def number_option(name, default, low, high, meaning):
+    """Return an option that takes numbers from ``low`` to ``high``."""
+    return Option(
+        name=name,
+        convert=number(low, high),
+        default=default,
+        accepts=f"{low:g} to {high:g}",
+        meaning=meaning,
+    )
+
+
+def choice_option(name, default, meaning):
+    """Return an option that takes the members of the default's enumeration.
+
+    Examples
+    --------
+    >>> from fuchsiascale.states import Urgency
+    >>> choice_option("urgency", Urgency.BATCH, "Urgency class").accepts
+    'urgent, normal, batch'
+    """
+    states = type(default)
+    return Option(
+        name=name,
+        convert=choice(states),
+        default=default,
+        accepts=", ".join(member.value for member in states),
+        meaning=meaning,
+    )
+
+
+def flag_option(name, default, meaning):
+    """Return an option that takes ``yes`` or ``no``."""
+    return Option(
+        name=name, convert=flag, default=default, accepts="yes, no", meaning=meaning
+    )
+
+
+def name_option(name, meaning, default="", required=False):
+    """Return an option that takes a name; see `parse_name`."""
+    return Option(
+        name=name,
+        convert=parse_name,
+        default=default,
+        required=required,
+        accepts="name",
+        meaning=meaning,
+    )
+
+
+def text_option(name, meaning):
+    """Return an option that takes any text, empty by default."""
+    return Option(
+        name=name, convert=parse_text, default="", accepts="text", meaning=meaning
+    )
+
+
+def path_option(name, meaning, accepts="path"):
+    """Return an option that takes the path of a file, absent by default."""
+    return Option(
+        name=name, convert=parse_path, default="", accepts=accepts, meaning=meaning
+    )
+
+
+def url_option(name, meaning, required=False):
+    """Return an option that takes the base URL of a server; see `parse_url`."""
+    return Option(
+        name=name,
+        convert=parse_url,
+        default="",
+        required=required,
+        accepts="http://IP:port or https://IP:port",
+        meaning=meaning,
+    )
+
+
 def read_options(section, items, options):
     """Convert the items of a section by their options.
 
