Use one fake of the table service in all unit tests

Cause: three fakes stood beside each other and differed: one let a scan pass while the service was down and did not check the versions of removals; two gave a row that is written again after its removal an old version number. Ruled out: keeping the store of standins/tables.py as the fake: unit tests of the package should not need the stand-ins. Change: platform/tests/fakes.py with FakeTables, the union of the faults (down, lost replies, a hook before a transaction and after a lost reply), versions that never return, versions of removals checked, a scan that fails when down, calls that yield once. lose_reply = True is now lost_replies = math.inf. The unused fault of a lost reply to a refused transaction is gone with its fake. Tests changed in names and imports only; shardworld reads rows at once. Conclusion: same tests, a stricter store.

--- a/fuchsiascale/cli/tests/test_commands.py
+++ b/fuchsiascale/cli/tests/test_commands.py
@@ -24,12 +24,12 @@
     Member,
     Membership,
 )
-from fuchsiascale.coordination.tests.fakes import MemoryTables
 from fuchsiascale.daemon._access import Access, hash_token, require_operator_token
 from fuchsiascale.daemon._http import APPLICATION_KEY
 from fuchsiascale.daemon._operator import BASE
 from fuchsiascale.daemon._routes import OPERATOR_ROUTES
 from fuchsiascale.daemon._settings import AccessSettings, OperatorToken
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.testing import collect_functions, fixture
 
 load_tests = collect_functions(__name__)
@@ -53,7 +53,7 @@
     """The operator routes over a document in memory, served from a thread."""
 
     def __init__(self):
-        self.tables = MemoryTables()
+        self.tables = FakeTables()
         self.counted = []
         self.missing = ()
         self.loop = asyncio.new_event_loop()
--- a/fuchsiascale/coordination/tests/shardworld.py
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -34,7 +34,7 @@
     format_assignment_key,
     parse_task_id,
 )
-from fuchsiascale.coordination.tests.workfakes import FakeTables, FakeWorker
+from fuchsiascale.coordination.tests.workfakes import FakeWorker
 from fuchsiascale.platform import (
     Conflict,
     Resources,
@@ -42,6 +42,7 @@
     Unavailable,
     Uncertain,
 )
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.states import AttemptState, Urgency
 
 __all__ = ["Broken", "ShardWorld"]
@@ -300,11 +301,11 @@
         tables = self.tables
         if isinstance(command, ReadAssignments):
             prefix = f"{command.shard}/"
-            return _finish(tables.scan(ASSIGNMENTS_TABLE, prefix, command.after))
+            return Success(tables.read_page(ASSIGNMENTS_TABLE, prefix, command.after))
         if isinstance(command, ReadChunk):
-            return _finish(tables.get(CHUNKS_TABLE, command.chunk))
+            return Success(tables.rows.get((CHUNKS_TABLE, command.chunk)))
         if isinstance(command, ReadShard):
-            return _finish(tables.get(SHARDS_TABLE, command.shard))
+            return Success(tables.rows.get((SHARDS_TABLE, command.shard)))
         self.count += 1
         transaction, table, key = _build_transaction(command, f"write-{self.count}")
         reply = tables.apply(transaction)
@@ -380,15 +381,6 @@
         ]
 
 
-def _finish(coroutine):
-    """Return the result of a coroutine that waits for nothing."""
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise RuntimeError("the coroutine waits")
-
-
 def _build_transaction(command, write_id):
     if isinstance(command, WriteChunk):
         write = command.write
--- a/fuchsiascale/coordination/tests/test_document_state_machine.py
+++ b/fuchsiascale/coordination/tests/test_document_state_machine.py
@@ -8,12 +8,12 @@
 from returns.result import Success
 
 from fuchsiascale.coordination import EditConflict, EditRequest, EditUncertain
-from fuchsiascale.coordination.tests.fakes import MemoryTables
 from fuchsiascale.coordination.tests.test_documents import (
     make_keeper,
     set_failures,
     write_base,
 )
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -38,7 +38,7 @@
     """Keepers over one table service, and what was accepted of their edits."""
 
     def __init__(self):
-        self.tables = MemoryTables()
+        self.tables = FakeTables()
         self.keepers = []
         for name in NAMES:
             keeper = make_keeper(self.tables, name, self.keepers, history_kept=3)
--- a/fuchsiascale/coordination/tests/test_documents.py
+++ b/fuchsiascale/coordination/tests/test_documents.py
@@ -16,7 +16,7 @@
     EditUnavailable,
     EditUncertain,
 )
-from fuchsiascale.coordination.tests.fakes import MemoryTables
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.testing import collect_functions, fixture
 
 load_tests = collect_functions(__name__)
@@ -59,7 +59,7 @@
 
 @fixture
 def tables():
-    yield MemoryTables()
+    yield FakeTables()
 
 
 @fixture
--- a/fuchsiascale/coordination/tests/workfakes.py
+++ b/fuchsiascale/coordination/tests/workfakes.py
@@ -1,4 +1,4 @@
-"""In-memory platform services for tests, on a clock that the test moves."""
+"""Fakes of the workers, on a clock that the test moves."""
 
 import msgspec
 from returns.result import Failure, Success
@@ -7,100 +7,17 @@
     NO_TOKEN,
     AttemptReport,
     ClaimReply,
-    Conflict,
     ExchangeReply,
     Resources,
-    Row,
-    ScanPage,
     StartReply,
     StartResult,
-    TransactionReply,
     Unavailable,
     Uncertain,
     WorkerInventory,
 )
 from fuchsiascale.states import AttemptState
 
-__all__ = ["FakeTables", "FakeWorker", "FakeWorkers"]
-
-
-class FakeTables:
-    """Conditional rows; can be down, and can lose replies after the write."""
-
-    def __init__(self):
-        self.rows = {}
-        self.down = False
-        self.lose_replies = 0
-        self.transactions = 0
-
-    async def get(self, table, key):
-        """Read one row."""
-        if self.down:
-            return Failure(Unavailable(detail="down"))
-        return Success(self.rows.get((table, key)))
-
-    async def scan(self, table, prefix, after="", limit=500):
-        """Read rows in key order."""
-        if self.down:
-            return Failure(Unavailable(detail="down"))
-        keys = sorted(
-            key
-            for name, key in self.rows
-            if name == table and key.startswith(prefix) and key > after
-        )
-        page = tuple(self.rows[table, key] for key in keys[:limit])
-        more = len(keys) > limit
-        return Success(ScanPage(rows=page, next_after=page[-1].key if more else ""))
-
-    async def transact(self, transaction):
-        """Apply conditional writes."""
-        if self.down:
-            return Failure(Unavailable(detail="down"))
-        reply = self.apply(transaction)
-        if self.lose_replies:
-            self.lose_replies -= 1
-            return Failure(Uncertain(detail="reply lost"))
-        if not reply.applied:
-            return Failure(Conflict(rows=reply.conflicts))
-        return Success(tuple(self.rows[put.table, put.key] for put in transaction.puts))
-
-    def apply(self, transaction):
-        """Apply a transaction or none of it."""
-        self.transactions += 1
-        items = transaction.puts + transaction.deletes
-        conflicts = tuple(
-            self._find(item)
-            for item in items
-            if self._find(item).version != item.expected_version
-        )
-        if conflicts:
-            return TransactionReply(applied=False, conflicts=conflicts)
-        for put in transaction.puts:
-            self.rows[put.table, put.key] = Row(
-                table=put.table,
-                key=put.key,
-                version=put.expected_version + 1,
-                write_id=transaction.write_id,
-                value=put.value,
-            )
-        for delete in transaction.deletes:
-            self.rows.pop((delete.table, delete.key), None)
-        return TransactionReply(applied=True)
-
-    def read(self, table, key, record_type):
-        """Return a decoded row, or None."""
-        row = self.rows.get((table, key))
-        return row and msgspec.json.decode(row.value, type=record_type)
-
-    def _find(self, item):
-        absent = Row(
-            table=item.table,
-            key=item.key,
-            version=0,
-            write_id="",
-            value=msgspec.Raw(b"null"),
-        )
-        return self.rows.get((item.table, item.key), absent)
+__all__ = ["FakeWorker", "FakeWorkers"]
 
 
 class FakeWorker:
--- a/fuchsiascale/daemon/tests/test_control.py
+++ b/fuchsiascale/daemon/tests/test_control.py
@@ -8,10 +8,10 @@
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import DocumentKeeper, EditRequest, Member, Membership
-from fuchsiascale.coordination.tests.fakes import MemoryTables
 from fuchsiascale.daemon._membership import HEARTBEAT_PATH, MembershipDriver
 from fuchsiascale.daemon._peers import PeerUnreachable
 from fuchsiascale.platform import ListedInstance, Unavailable
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.states import InstanceRole, ListedState
 from fuchsiascale.testing import collect_functions
 
@@ -104,7 +104,7 @@
 
     def __init__(self):
         self.clock = ManualClock(100.0, 1_000_000)
-        self.tables = MemoryTables()
+        self.tables = FakeTables()
         self.instances = {}
         self.without_platform = set()
         self.cut_domains = set()
--- a/fuchsiascale/daemon/tests/test_keyclaims.py
+++ b/fuchsiascale/daemon/tests/test_keyclaims.py
@@ -1,5 +1,6 @@
 """Tests of claims through a key's home, with the way to it failing."""
 
+import math
 from random import Random
 
 import msgspec
@@ -19,7 +20,7 @@
 )
 from fuchsiascale.daemon._keyclaims import CLAIM_PATH, HomeClaims, answer_claim
 from fuchsiascale.daemon._peers import PeerUncertain, PeerUnreachable
-from fuchsiascale.pipelines.tests._fakes import FakeTables
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.states import Outcome
 from fuchsiascale.testing import collect_functions
 
@@ -110,12 +111,12 @@
 
 async def test_a_home_that_can_not_write_leaves_the_claim_not_run():
     tables, way, own, claims = make_two()
-    tables.lose_reply = True
+    tables.lost_replies = math.inf
     refused = await claims.claim(make_record("first"))
     assert isinstance(refused.failure(), ClaimUnavailable)
     assert way.home.claims.pending == 0
     assert own.pending == 1
-    tables.lose_reply = False
+    tables.lost_replies = 0
     await own.record_ends()
     assert read_row(tables).outcome is Outcome.NOT_RUN
 
--- a/fuchsiascale/daemon/tests/test_shardkeeper.py
+++ b/fuchsiascale/daemon/tests/test_shardkeeper.py
@@ -17,7 +17,6 @@
     parse_shard_id,
 )
 from fuchsiascale.coordination.tests.workfakes import (
-    FakeTables,
     FakeWorker,
     FakeWorkers,
 )
@@ -33,6 +32,7 @@
     submit_job,
 )
 from fuchsiascale.platform import ListedInstance, Resources
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.states import InstanceRole, TaskState
 from fuchsiascale.testing import collect_functions, fixture
 
--- a/fuchsiascale/pipelines/tests/_fakes.py
+++ b/fuchsiascale/pipelines/tests/_fakes.py
@@ -1,10 +1,9 @@
 """Fakes at the ports of the request pipeline."""
 
-import asyncio
 import hashlib
 from random import Random
 
-from returns.result import Failure, Success
+from returns.result import Success
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.coordination import (
@@ -22,15 +21,11 @@
 from fuchsiascale.pipelines import Call, CallHeaders, Dispatcher, RequestPorts
 from fuchsiascale.platform import (
     NO_TOKEN,
-    Conflict,
     FencingToken,
     ListedInstance,
-    Row,
-    ScanPage,
-    Unavailable,
-    Uncertain,
     UpstreamAnswer,
 )
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.states import InstanceRole
 
 TOKEN = "open sesame"
@@ -75,67 +70,6 @@
     )
 
 
-class FakeTables:
-    """Conditional rows in memory, with the faults of the table service."""
-
-    def __init__(self):
-        self.rows = {}
-        self.down = False
-        self.lose_reply = False
-        self.versions = 0
-        self.transactions = 0
-
-    async def get(self, table, key):
-        if self.down:
-            return Failure(Unavailable(detail="down"))
-        return Success(self.rows.get((table, key)))
-
-    async def scan(self, table, prefix, after="", limit=500):
-        found = [
-            row
-            for (name, key), row in self.rows.items()
-            if name == table and key.startswith(prefix)
-        ]
-        return Success(ScanPage(rows=tuple(found)))
-
-    async def transact(self, transaction):
-        await asyncio.sleep(0)
-        self.transactions += 1
-        if self.down:
-            return Failure(Unavailable(detail="down"))
-        conflicts = [
-            self.rows.get((put.table, put.key))
-            for put in transaction.puts
-            if self._version(put) != put.expected_version
-        ]
-        if conflicts:
-            return Failure(Conflict(rows=tuple(row for row in conflicts if row)))
-        for delete in transaction.deletes:
-            del self.rows[delete.table, delete.key]
-        written = tuple(
-            self._put(put, transaction.write_id) for put in transaction.puts
-        )
-        if self.lose_reply:
-            return Failure(Uncertain(detail="reply lost"))
-        return Success(written)
-
-    def _version(self, put):
-        row = self.rows.get((put.table, put.key))
-        return row.version if row else 0
-
-    def _put(self, put, write_id):
-        self.versions += 1
-        row = Row(
-            table=put.table,
-            key=put.key,
-            version=self.versions,
-            write_id=write_id,
-            value=put.value,
-        )
-        self.rows[put.table, put.key] = row
-        return row
-
-
 class FakeRunners:
     """Runners that answer by a function, and the requests they were sent."""
 
--- a/fuchsiascale/pipelines/tests/test_keyed_requests.py
+++ b/fuchsiascale/pipelines/tests/test_keyed_requests.py
@@ -1,6 +1,7 @@
 """Tests of idempotency keys through the pipeline, with a store that fails."""
 
 import asyncio
+import math
 from random import Random
 
 import msgspec
@@ -15,11 +16,11 @@
 from fuchsiascale.pipelines import build_request_pipeline
 from fuchsiascale.pipelines.tests._fakes import (
     FakeRunners,
-    FakeTables,
     make_call,
     make_ports,
 )
 from fuchsiascale.platform import RequestNotRun, RequestUncertain, Uncertain
+from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.states import Outcome, Refusal
 from fuchsiascale.testing import collect_functions, fixture
 
@@ -68,13 +69,13 @@
 async def test_a_claim_whose_reply_is_lost_is_not_sent_and_can_be_tried_again(
     claim_tables,
 ):
-    claim_tables.lose_reply = True
+    claim_tables.lost_replies = math.inf
     ports, pipeline = make_instance(claim_tables)
     answer = await ask(pipeline)
     assert answer.refusal is Refusal.STORE_UNAVAILABLE
     assert not ports.runners.sent
     assert not read_row(claim_tables).settled
-    claim_tables.lose_reply = False
+    claim_tables.lost_replies = 0
     _, other = make_instance(claim_tables, seed=2)
     assert (await ask(other)).outcome is Outcome.UNKNOWN
     assert await ports.claims.record_ends() == 0
