Keep attempt numbers over a worker lost in an outage; let the only worker be tried

First, an owner that took over while the store was down knew attempts from a worker's inventory, but not their chunks; when that worker was gone it forgot them and started attempt 1 again elsewhere. The first worker was over by then, so nothing ran in two places, but a number was used twice. Ruled out: a fault of the checks, since both replay without late or doubled messages. Change: a worker that goes with attempts that no chunk here tells of counts as unseen, so numbers are recorded as over before higher ones start; a trial that has waited a minute takes any task. Before: both new tests fail; after: they pass, with the rest of the unit tests. Conclusion: both findings are mended.

--- a/fuchsiascale/coordination/_shard_policy.py
+++ b/fuchsiascale/coordination/_shard_policy.py
@@ -34,6 +34,7 @@
     estimate_excess,
     expect_slowdown,
     forget_job,
+    is_trial_overdue,
     judge_job,
     may_place,
     observe_slowdown,
@@ -242,8 +243,9 @@
 
     def blocks(self, worker, request, standing):
         """Return whether a worker takes no start of a kind or job now."""
-        if standing is WorkerStanding.ON_TRIAL and not suits_trial(
-            self._health, worker, request.job
+        if standing is WorkerStanding.ON_TRIAL and not (
+            suits_trial(self._health, worker, request.job)
+            or is_trial_overdue(self._health, worker, self._clock.monotonic())
         ):
             return True
         state = self._find_worker(worker)
--- a/fuchsiascale/coordination/_takeover.py
+++ b/fuchsiascale/coordination/_takeover.py
@@ -18,6 +18,7 @@
 from fuchsiascale.coordination._shardcommands import ClaimWorker, ReadShard, WriteShard
 from fuchsiascale.coordination._shardstate import (
     end_attempt,
+    is_recorded,
     may_ask_store,
     note_store_answer,
 )
@@ -85,7 +86,7 @@
     needed_s = timing.gone_s if link.listed else timing.unlisted_s
     if now_s - link.absent_since_s < needed_s:
         return
-    if link.rostered and link.inventory is None:
+    if _may_hold_unknown(state, link):
         state.unseen_gone = True
     for attempt in link.attempts.values():
         if not attempt.over:
@@ -94,6 +95,20 @@
     del state.links[link.worker]
 
 
+def _may_hold_unknown(state, link):
+    """Tell whether a worker may have run attempts that no chunk here tells of.
+
+    That is so where it was never heard, and where the rows of the chunks in its
+    inventory could not be read yet.
+    """
+    if link.inventory is None:
+        return link.rostered
+    return any(
+        report.key not in link.attempts and not is_recorded(state, report)
+        for report in link.list_reports()
+    )
+
+
 def list_claims(state):
     """Return the claims that are due; they leave the worker's lease as it is."""
     if not state.owner:
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -17,7 +17,7 @@
 )
 from fuchsiascale.coordination.tests.shardworld import CAPACITY, SHARD, ShardWorld
 from fuchsiascale.platform import Resources
-from fuchsiascale.states import TaskState, Urgency
+from fuchsiascale.states import AttemptState, TaskState, Urgency
 from fuchsiascale.testing import collect_functions, fixture
 
 load_tests = collect_functions(__name__)
@@ -341,6 +341,35 @@
     assert world.read(chunk).shard == "north:r2"
 
 
+def test_a_worker_lost_in_an_outage_keeps_its_attempts_numbers(world):
+    first, second = world.owners
+    chunks = [world.submit(tasks=2, run_ms=LONG_MS) for _ in range(2)]
+    world.run(3, first)
+    first.restart()
+    world.pass_all(second)
+    world.pass_all(second)
+    world.tables.down = True
+    world.pass_all(first)
+    lost = next(iter(world.find_running(chunks[0]).values()))
+    world.kill_worker(lost)
+    world.pass_all(first)
+    assert not world.heal()
+
+
+def test_the_only_worker_left_gets_work_though_attempts_failed_there(world):
+    first = world.owners[0]
+    chunk = world.submit(tasks=6, run_ms=LONG_MS)
+    world.run(3, first)
+    for name in sorted(set(world.workers) - {"w0"}):
+        world.kill_worker(name)
+    for _ in range(6):
+        for report in world.workers["w0"].list_running():
+            world.workers["w0"].end(report.key, AttemptState.FAILED)
+        world.run(3, first)
+    assert not world.heal()
+    assert world.read(chunk).final
+
+
 def test_urgent_work_of_a_lost_rack_moves_first(world):
     first, second = world.owners
     chunks = [
--- a/fuchsiascale/decisions/_quarantine.py
+++ b/fuchsiascale/decisions/_quarantine.py
@@ -33,6 +33,7 @@
     "WorkerTally",
     "allow_starts",
     "forget_job",
+    "is_trial_overdue",
     "judge_job",
     "judge_worker",
     "record_failure",
@@ -54,6 +55,7 @@
 HOLD_S = 10.0
 QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 960.0
+TRIAL_WAIT_S = 60.0
 BAD_JOB_FAILURES = 12
 BAD_JOB_WORKERS = 3
 MAX_TALLY_WORKERS = 64
@@ -296,6 +298,38 @@
     return ended >= EVIDENCE_STARTS and rate <= TRIAL_RATE
 
 
+def is_trial_overdue(log, worker, now_s):
+    """Return whether a worker has waited too long for a task that suits its trial.
+
+    Any task may then be its trial, lest work wait for ever where no other worker is
+    left to tell good jobs from bad ones.
+
+    Parameters
+    ----------
+    log : HealthLog
+    worker : WorkerId
+    now_s : float
+        Monotonic time, in seconds.
+
+    Returns
+    -------
+    bool
+
+    Examples
+    --------
+    >>> log = HealthLog()
+    >>> for _ in range(4):
+    ...     _ = record_failure(log, "only", "job", 0.0)
+    >>> allow_starts(log, "only", MAX_QUARANTINE_S).standing.value
+    'on-trial'
+    >>> is_trial_overdue(log, "only", MAX_QUARANTINE_S + TRIAL_WAIT_S)
+    True
+    """
+    tally = _find_worker(log, worker)
+    waiting = tally.standing is WorkerStanding.ON_TRIAL
+    return waiting and now_s >= tally.until_s + TRIAL_WAIT_S
+
+
 def forget_job(log, job):
     """Drop what is known of a job that has ended."""
     log.jobs.pop(job, None)
