Lose six replies a worker again in the scenario of lost starts

Cause: the scenario had been eased from six lost replies a worker to three, since the job once took over 18 s; the 18 s were only the test's patience, no stated target. Ruled out: keeping three. Conclusion: as strict as it was.

--- a/scenarios/capacity.feature
+++ b/scenarios/capacity.feature
@@ -49,9 +49,9 @@
       | workers   | 2     |
       | guards    | no    |
     And every worker of "porto" is claimed
-    When every worker of "porto" gets the faults {"cut": {"after_effect": 3}}
+    When every worker of "porto" gets the faults {"cut": {"after_effect": 6}}
     And the job "j" of 20 tasks of 500 ms is accepted by "porto-e0"
-    Then the job "j" is finished within 18 s, each of its 20 tasks having finished on a worker
+    Then the job "j" is finished within 40 s, each of its 20 tasks having finished on a worker
 
   Scenario: two owners in a split failure domain
     Given a deployment
