Have the model's replies keep to the ports' word about copies

Ruled out: a fault of the shard, which may believe that word; dropping copies that come before their original. Change: where a copy took effect, the original's reply is uncertain, as the adapters would say. Conclusion: the model is as strict in what may arrive, and consistent in what is answered.

--- a/fuchsiascale/coordination/tests/shardworld.py
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -64,13 +64,24 @@
 
 
 class Envelope(msgspec.Struct, eq=False):
-    """One command of an owner on its way, and its reply."""
+    """One command of an owner on its way, and its reply.
+
+    Parameters
+    ----------
+    copied : bool
+        Whether a copy of the command has taken effect; no reply may then say that
+        it had none.
+    original : Envelope or None
+        The envelope that this one is a copy of.
+    """
 
     owner: "Owner"
     shard: Shard
     command: object
     result: object = None
     delivered: bool = False
+    copied: bool = False
+    original: "Envelope | None" = None
 
 
 class Owner:
@@ -201,10 +212,14 @@
             envelope.result = DOWN
         else:
             self.deliver_late(envelope)
+        if envelope.copied and envelope.result is DOWN:
+            envelope.result = LOST
 
     def deliver_late(self, envelope):
         """Let a command take effect that was sent before a cut, if there is one."""
         command = envelope.command
+        if envelope.original is not None:
+            envelope.original.copied = True
         if type(command) in WORKER_CALLS:
             envelope.result = self._call_worker(command)
         else:
--- a/fuchsiascale/coordination/tests/test_state_machine.py
+++ b/fuchsiascale/coordination/tests/test_state_machine.py
@@ -100,9 +100,9 @@
     def duplicate(self, number):
         """Let a request arrive once more, later."""
         envelope = self.world.sent[number % len(self.world.sent)]
-        self.world.late.append(
-            type(envelope)(envelope.owner, envelope.shard, envelope.command)
-        )
+        copy = type(envelope)(envelope.owner, envelope.shard, envelope.command)
+        copy.original = envelope
+        self.world.late.append(copy)
 
     @rule(seconds=st.sampled_from([0.3, 1.1, 1.1, 2.2, 5.0, 9.0, 16.5, 31.0]))
     def advance(self, seconds):
