Split the tests of shards by what is lost

Ruled out: a table, since each interleaving has steps of its own. Change: lost workers, racks and stores in a module of their own; the shared fixture and steps stand with the world.

--- a/fuchsiascale/coordination/tests/shardworld.py
+++ b/fuchsiascale/coordination/tests/shardworld.py
@@ -44,8 +44,18 @@
 )
 from fuchsiascale.platform.tests.fakes import FakeTables
 from fuchsiascale.states import AttemptState, Urgency
+from fuchsiascale.testing import fixture
 
-__all__ = ["Broken", "ShardWorld"]
+__all__ = [
+    "LONG_MS",
+    "Broken",
+    "ShardWorld",
+    "advance_until_held",
+    "change_owner",
+    "hold_back",
+]
+
+LONG_MS = 600_000
 
 SHARD = "north:r1"
 CAPACITY = Resources(millicores=2000, memory_mb=2000)
@@ -409,3 +419,40 @@
     assert isinstance(command, MoveChunk)
     transaction = build_move_transaction(command, write_id)
     return transaction, SHARDS_TABLE, command.from_shard.shard
+
+
+@fixture
+def world():
+    """Two owners, the second of which does not believe that it owns the shard."""
+    world = ShardWorld(owners=2, workers=3, listed=2)
+    world.owners[1].owns = False
+    world.run(1, world.owners[0])
+    yield world
+    assert not world.heal(), "unfinished after all faults were mended"
+
+
+def change_owner(world):
+    """Let the second owner believe that the shard is its own, and not the first."""
+    first, second = world.owners
+    first.owns, second.owns = False, True
+    return first, second
+
+
+def hold_back(world, owner, command_type):
+    """Poll and return the commands of a type; all others pass."""
+    owner.poll()
+    held = [e for e in world.sent if isinstance(e.command, command_type)]
+    for envelope in [e for e in world.sent if e not in held]:
+        world.deliver(envelope)
+        world.answer(envelope)
+    return held
+
+
+def advance_until_held(world, owner, command_type):
+    """Let time pass until an owner sends commands of a type; return them."""
+    for _ in range(100):
+        held = hold_back(world, owner, command_type)
+        if held:
+            return held
+        world.clock.advance(0.25)
+    raise AssertionError(f"no {command_type.__name__} within 25 s")
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -8,57 +8,25 @@
     ClaimWorker,
     ExchangeWorker,
     MoveChunk,
-    ReadAssignments,
     ShardOffer,
     ShardRecord,
     StartAttempts,
     WriteChunk,
     WriteShard,
 )
-from fuchsiascale.coordination.tests.shardworld import CAPACITY, SHARD, ShardWorld
+from fuchsiascale.coordination.tests.shardworld import (
+    CAPACITY,
+    LONG_MS,
+    SHARD,
+    advance_until_held,
+    change_owner,
+)
 from fuchsiascale.platform import Resources
-from fuchsiascale.states import AttemptState, TaskState, Urgency
-from fuchsiascale.testing import collect_functions, fixture
+from fuchsiascale.states import TaskState
+from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
 
-LONG_MS = 600_000
-
-
-@fixture
-def world():
-    """Two owners, the second of which does not believe that it owns the shard."""
-    world = ShardWorld(owners=2, workers=3, listed=2)
-    world.owners[1].owns = False
-    world.run(1, world.owners[0])
-    yield world
-    assert not world.heal(), "unfinished after all faults were mended"
-
-
-def change_owner(world):
-    first, second = world.owners
-    first.owns, second.owns = False, True
-    return first, second
-
-
-def hold_back(world, owner, command_type):
-    """Poll and return the commands of a type; all others pass."""
-    owner.poll()
-    held = [e for e in world.sent if isinstance(e.command, command_type)]
-    for envelope in [e for e in world.sent if e not in held]:
-        world.deliver(envelope)
-        world.answer(envelope)
-    return held
-
-
-def advance_until_held(world, owner, command_type):
-    for _ in range(100):
-        held = hold_back(world, owner, command_type)
-        if held:
-            return held
-        world.clock.advance(0.25)
-    raise AssertionError(f"no {command_type.__name__} within 25 s")
-
 
 def test_a_paused_owner_cannot_finish_its_starts(world):
     first, second = world.owners
@@ -269,44 +237,6 @@
     world.cancel(chunk)
 
 
-def test_an_owner_goes_on_in_an_outage_and_records_afterwards(world):
-    first, _ = world.owners
-    chunk = world.submit(tasks=8, run_ms=2_000)
-    world.run(1.5, first)
-    world.tables.down = True
-    world.run(20, first)
-    assert len(world.finished) == 8
-    assert not world.read(chunk).final
-    world.tables.down = False
-    world.run(5, first)
-    assert world.read(chunk).final
-
-
-def test_an_outage_does_not_cause_a_storm_of_retries(world):
-    first, _ = world.owners
-    for _ in range(10):
-        world.submit(tasks=1, run_ms=2_000)
-    world.run(2, first)
-    world.tables.down = True
-    world.run(10, first)
-    assert len(world.finished) == 10
-    asked = world.asked
-    world.run(20, first)
-    assert 0 < world.asked - asked <= 10 * 10
-
-
-def test_a_new_owner_in_an_outage_keeps_work_alive_but_starts_nothing(world):
-    first, second = world.owners
-    chunk = world.submit(tasks=6, run_ms=LONG_MS)
-    world.run(3, first)
-    before = world.find_running(chunk)
-    world.tables.down = True
-    change_owner(world)
-    world.run(60, second)
-    assert world.find_running(chunk) == before
-    world.cancel(chunk)
-
-
 def test_a_cancelled_chunk_does_not_move(world):
     first, _ = world.owners
     world.workers["w0"].leaving = world.workers["w1"].leaving = True
@@ -323,99 +253,6 @@
     assert {t.state for t in world.read(chunk).tasks} == {TaskState.CANCELLED}
 
 
-def test_work_of_a_lost_rack_moves_and_may_have_run(world):
-    first, second = world.owners
-    chunk = world.submit(tasks=2, run_ms=LONG_MS)
-    world.run(3, first)
-    for name in ("w0", "w1", "w2"):
-        world.kill_worker(name)
-    change_owner(world)
-    second.restart()
-    second.listed = set()
-    world.run(35, second)
-    (task, _) = world.read(chunk).tasks
-    assert task.attempt == 1
-    offer = ShardOffer(shard="north:r2", failure_domain="north", free=CAPACITY)
-    (command,) = [c for c in second.shard.poll((offer,)) if isinstance(c, MoveChunk)]
-    second.shard.apply(command, world.execute(command))
-    assert world.read(chunk).shard == "north:r2"
-
-
-def test_a_worker_lost_in_an_outage_keeps_its_attempts_numbers(world):
-    first, second = world.owners
-    chunks = [world.submit(tasks=2, run_ms=LONG_MS) for _ in range(2)]
-    world.run(3, first)
-    first.restart()
-    world.pass_all(second)
-    world.pass_all(second)
-    world.tables.down = True
-    world.pass_all(first)
-    lost = next(iter(world.find_running(chunks[0]).values()))
-    world.kill_worker(lost)
-    world.pass_all(first)
-    assert not world.heal()
-
-
-def test_the_only_worker_left_gets_work_though_attempts_failed_there(world):
-    first = world.owners[0]
-    chunk = world.submit(tasks=6, run_ms=LONG_MS)
-    world.run(3, first)
-    for name in sorted(set(world.workers) - {"w0"}):
-        world.kill_worker(name)
-    for _ in range(6):
-        for report in world.workers["w0"].list_running():
-            world.workers["w0"].end(report.key, AttemptState.FAILED)
-        world.run(3, first)
-    assert not world.heal()
-    assert world.read(chunk).final
-
-
-def test_urgent_work_of_a_lost_rack_moves_first(world):
-    first, second = world.owners
-    chunks = [
-        world.submit(tasks=1, run_ms=LONG_MS, urgency=urgency)
-        for urgency in (Urgency.BATCH, Urgency.URGENT, Urgency.NORMAL)
-    ]
-    world.run(3, first)
-    for name in ("w0", "w1", "w2"):
-        world.kill_worker(name)
-    change_owner(world)
-    second.restart()
-    second.listed = set()
-    world.run(35, second)
-    offer = ShardOffer(shard="north:r2", failure_domain="north", free=CAPACITY)
-    moved = []
-    while len(moved) < len(chunks):
-        polled = second.shard.poll((offer,))
-        (command,) = [c for c in polled if isinstance(c, MoveChunk)]
-        second.shard.apply(command, world.execute(command))
-        moved.append(command.write.record.chunk)
-    assert moved == [chunks[1], chunks[2], chunks[0]]
-
-
-def test_a_gone_worker_stays_in_the_row_until_its_attempts_are_recorded(world):
-    first, second = world.owners
-    chunk = world.submit(tasks=2, run_ms=LONG_MS)
-    world.run(3, first)
-    for name in ("w0", "w1"):
-        world.kill_worker(name)
-    change_owner(world)
-    second.listed = {"w2"}
-    world.run(1, second)
-    world.clock.advance(31)
-    (scan,) = hold_back(world, second, ReadAssignments)
-    world.sent.remove(scan)
-    world.run(2, second)
-    row = world.tables.read(SHARDS_TABLE, SHARD, ShardRecord)
-    assert row.workers == ("w0", "w1", "w2")
-    world.sent.append(scan)
-    world.run(5, second)
-    assert {task.attempt for task in world.read(chunk).tasks} == {1}
-    row = world.tables.read(SHARDS_TABLE, SHARD, ShardRecord)
-    assert row.workers == ("w2",)
-    world.cancel(chunk)
-
-
 def test_a_worker_is_used_only_once_the_shards_row_names_it(world):
     first, _ = world.owners
     world.submit(tasks=6, run_ms=3_000)
