Keep the room of attempts that are forgotten with their chunk

Ruled out: letting only the owner in office write the row, which needs the shard's row in each record. Change: such attempts count as committed until the next inventory, which has them stopped.

--- a/fuchsiascale/coordination/_inventories.py
+++ b/fuchsiascale/coordination/_inventories.py
@@ -27,6 +27,7 @@
         Whether it answers a claim, which fences all starts sent before.
     """
     link.inventory = inventory
+    link.dropped = {}
     link.inventory_s = state.now_s()
     link.lease.observe(link.inventory_s, inventory.lease_ms / 1000)
     state.policy.observe_inventory(link.worker, link.entry.services, inventory)
--- a/fuchsiascale/coordination/_shardstate.py
+++ b/fuchsiascale/coordination/_shardstate.py
@@ -270,8 +270,15 @@
 
 
 def drop_chunk(state, live):
-    """Forget a chunk that is final or another shard's."""
+    """Forget a chunk that is final or another shard's.
+
+    Attempts that may still run keep their room until their worker's next inventory,
+    which tells of them and has them stopped.
+    """
     for attempt in list(live.attempts.values()):
+        link = state.links.get(attempt.worker)
+        if link is not None and not attempt.over:
+            link.dropped[attempt.key] = attempt.report.demand
         remove_attempt(state, attempt)
     state.chunks.pop(live.chunk, None)
     state.ended.discard(live.chunk)
--- a/fuchsiascale/coordination/_workerlinks.py
+++ b/fuchsiascale/coordination/_workerlinks.py
@@ -82,6 +82,9 @@
         Whether the shard's row names the worker, so that it may be used.
     attempts : dict
         Attempts placed here whose end is not recorded.
+    dropped : dict
+        Demands of attempts that were forgotten with their chunk since the last
+        inventory, and may still run.
     previous : FencingToken or None
         Token that the worker had seen before the own claim, where it said so.
     sent_s : float
@@ -113,6 +116,7 @@
     rostered: bool = False
     lease: Lease = msgspec.field(default_factory=Lease)
     attempts: dict[AttemptKey, Attempt] = {}
+    dropped: dict[AttemptKey, Resources] = {}
     previous: FencingToken | None = None
     sent_s: float = 0.0
     claimed_s: float = 0.0
@@ -172,14 +176,16 @@
 def compute_committed(link):
     """Return the sum of demands that a worker holds or may hold.
 
-    Running attempts of its inventory count, known here or not, and attempts
-    that are being started or in doubt.
+    Running attempts of its inventory count, known here or not, attempts that are
+    being started or in doubt, and those forgotten with their chunk.
     """
     reports = link.list_reports()
     demands = {report.key: report.demand for report in reports}
     for key, attempt in link.attempts.items():
         if not attempt.over:
             demands.setdefault(key, attempt.report.demand)
+    for key, demand in link.dropped.items():
+        demands.setdefault(key, demand)
     for report in reports:
         if report.state.ended:
             del demands[report.key]
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -1,10 +1,13 @@
 """Interleavings that processes can't hit reliably, one by one."""
 
 import msgspec
+from returns.result import Success
 
 from fuchsiascale.coordination import (
+    ASSIGNMENTS_TABLE,
     CHUNKS_TABLE,
     SHARDS_TABLE,
+    ChunkWrite,
     ClaimWorker,
     ExchangeWorker,
     MoveChunk,
@@ -13,6 +16,7 @@
     StartAttempts,
     WriteChunk,
     WriteShard,
+    format_assignment_key,
 )
 from fuchsiascale.coordination.tests.shardworld import (
     CAPACITY,
@@ -278,6 +282,30 @@
     assert not first.shard.held
 
 
+def test_room_of_a_chunk_that_a_replaced_owner_ended_is_not_used_at_once(world):
+    owner = world.owners[0]
+    chunk = world.submit(tasks=4, run_ms=LONG_MS)
+    world.pass_all(owner)
+    assert len(world.find_running(chunk)) == 4
+    world.submit(tasks=2, run_ms=LONG_MS)
+    world.cancel(chunk)
+    record = world.read(chunk)
+    tasks = tuple(
+        msgspec.structs.replace(task, state=TaskState.CANCELLED)
+        for task in record.tasks
+    )
+    write = ChunkWrite(
+        record=msgspec.structs.replace(record, tasks=tasks),
+        expected_version=world.tables.rows[CHUNKS_TABLE, chunk].version,
+        assignment_version=world.tables.rows[
+            ASSIGNMENTS_TABLE, format_assignment_key(SHARD, chunk)
+        ].version,
+    )
+    assert isinstance(world.execute(WriteChunk(write=write)), Success)
+    world.pass_all(owner)
+    world.run(5, owner)
+
+
 def test_commitments_count_what_the_worker_holds_and_reserves(world):
     first, _ = world.owners
     world.workers["w0"].reserved = Resources(millicores=1500)
