Answer standing connections before a planned stop closes them

The stop closed kept connections while a caller was sending on them. Ruled out: requests in flight, which the drain waits for. Change: from the begin of a stop each answer is the last of its connection and says so; listeners stop accepting, and standing connections are answered for another second before they are closed. Conclusion: what remains is a caller that sends on a connection it left idle for the whole stop.

Also found, not mended: a task that a replaced owner recorded as cancelled may be started once by the owner in office, until its next scan.

--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -282,28 +282,45 @@
     assert not first.shard.held
 
 
-def test_room_of_a_chunk_that_a_replaced_owner_ended_is_not_used_at_once(world):
-    owner = world.owners[0]
-    chunk = world.submit(tasks=4, run_ms=LONG_MS)
-    world.pass_all(owner)
-    assert len(world.find_running(chunk)) == 4
-    world.submit(tasks=2, run_ms=LONG_MS)
+def record_cancelled(world, chunk):
+    """Cancel a chunk, and record its end as an owner that knows of no attempt."""
     world.cancel(chunk)
     record = world.read(chunk)
     tasks = tuple(
         msgspec.structs.replace(task, state=TaskState.CANCELLED)
         for task in record.tasks
     )
+    assignment = format_assignment_key(SHARD, chunk)
     write = ChunkWrite(
         record=msgspec.structs.replace(record, tasks=tasks),
         expected_version=world.tables.rows[CHUNKS_TABLE, chunk].version,
-        assignment_version=world.tables.rows[
-            ASSIGNMENTS_TABLE, format_assignment_key(SHARD, chunk)
-        ].version,
+        assignment_version=world.tables.rows[ASSIGNMENTS_TABLE, assignment].version,
     )
     assert isinstance(world.execute(WriteChunk(write=write)), Success)
+
+
+def test_room_of_a_chunk_that_a_replaced_owner_ended_is_not_used_at_once(world):
+    owner = world.owners[0]
+    chunk = world.submit(tasks=4, run_ms=LONG_MS)
+    world.pass_all(owner)
+    assert len(world.find_running(chunk)) == 4
+    world.submit(tasks=2, run_ms=LONG_MS)
+    record_cancelled(world, chunk)
+    world.pass_all(owner)
+    world.run(5, owner)
+
+
+def test_a_task_that_a_replaced_owner_recorded_as_cancelled_is_not_started(world):
+    owner = world.owners[0]
+    first = world.submit(tasks=4, run_ms=2_000)
+    second = world.submit(tasks=2, run_ms=LONG_MS)
     world.pass_all(owner)
+    assert len(world.find_running(first)) == 4
+    owner.owns = False
+    record_cancelled(world, second)
+    owner.owns = True
     world.run(5, owner)
+    assert not world.find_running(second)
 
 
 def test_commitments_count_what_the_worker_holds_and_reserves(world):
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -1,5 +1,6 @@
 """The three HTTP listeners of the daemon."""
 
+import asyncio
 import http
 
 from aiohttp import web
@@ -63,8 +64,19 @@
 
 @on_stop(Phase.CLIENTS)
 async def stop_listeners(application):
-    """Close the listeners last, after the parts behind them have stopped."""
+    """Close the listeners last, after the parts behind them have stopped.
+
+    Notes
+    -----
+    No new connection is taken, but those that stand are answered for a while, each
+    answer being their last: a connection that is closed while its caller sends on it
+    leaves the caller without an answer.
+    """
     await application.stop_keepers()
+    sites = [site for runner in application.listeners for site in runner.sites]
+    for site in sites:
+        await site.stop()
+    await asyncio.sleep(LINGER_S)
     for runner in application.listeners:
         await runner.cleanup()
     await application.disconnect()
@@ -80,7 +92,9 @@
 
 
 def _make_web_application(application, routes, check=None):
-    middlewares = [] if check is None else [check]
+    middlewares = [close_when_stopping]
+    if check is not None:
+        middlewares.append(check)
     web_application = web.Application(
         client_max_size=MAX_PEER_BODY_BYTES, middlewares=middlewares
     )
@@ -90,6 +104,15 @@
     return web_application
 
 
+@web.middleware
+async def close_when_stopping(request, handler):
+    """Tell callers not to use their connection again once a stop has begun."""
+    response = await handler(request)
+    if request.app[_http.APPLICATION_KEY].stopping:
+        response.force_close()
+    return response
+
+
 async def drop_server_headers(request, response):
     """Leave out headers that tell nothing to whoever calls."""
     for name in ("Server", "Date"):
