--- a/fuchsiascale/decisions/__init__.py
+++ b/fuchsiascale/decisions/__init__.py
@@ -4,6 +4,7 @@
 from fuchsiascale.decisions._capacity import *  # noqa: F403
 from fuchsiascale.decisions._free_index import *  # noqa: F403
 from fuchsiascale.decisions._interference import *  # noqa: F403
+from fuchsiascale.decisions._pairharm import *  # noqa: F403
 from fuchsiascale.decisions._placement import *  # noqa: F403
 from fuchsiascale.decisions._preemption import *  # noqa: F403
 from fuchsiascale.decisions._quarantine import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/jobs/_entry.py
@@ -0,0 +1,223 @@
+"""What callers ask for: hand in, state, cancel, count of what waits."""
+
+import time
+import uuid
+from enum import Enum
+
+import logbook
+import msgspec
+from returns.result import Failure, Success
+
+from fuchsiascale.jobs._model import JobRecord, JobState
+from fuchsiascale.jobs._ports import Busy, Change, Changed, Expect, NoAnswer
+from fuchsiascale.jobs._records import (
+    ACCEPTED,
+    FINISHED,
+    PROGRESS,
+    AcceptedRow,
+    FinishedRow,
+    OwnerRow,
+    cancel_place,
+    decode_row,
+    encode_row,
+    job_place,
+    owner_place,
+)
+
+__all__ = ["Entry", "Outcome", "Reply"]
+
+SUBMIT_TRIES = 4
+"""Commits of one submission, for conditions that changed meanwhile."""
+
+
+class Outcome(Enum):
+    """What became of a caller's request."""
+
+    DONE = "done"
+    NOT_RUN = "not run"
+    ABSENT = "absent"
+    UNKNOWN = "unknown"
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """The answer to a caller."""
+
+    outcome: Outcome
+    state: JobState | None = None
+    count: int = 0
+
+
+DONE = Reply(Outcome.DONE)
+NOT_RUN = Reply(Outcome.NOT_RUN)
+ABSENT = Reply(Outcome.ABSENT)
+UNKNOWN = Reply(Outcome.UNKNOWN)
+
+
+class Entry:
+    """Requests of callers at one instance.
+
+    Parameters
+    ----------
+    store : StorePort
+        The store.
+    offices : Offices
+        Who owns which service.
+    """
+
+    def __init__(self, store, offices):
+        self.store = store
+        self.offices = offices
+        self.log = logbook.Logger("entry")
+        self._final = {}
+
+    # Submission ----------------------------------------------------------------
+
+    async def submit(self, policy, job, spec):
+        """Accept a job, or say that it was not accepted and never runs."""
+        service = policy.service
+        record = JobRecord(
+            job=job, spec=spec, policy=policy, accepted_ms=time.time_ns() // 1_000_000
+        )
+        mark = uuid.uuid4().hex[:12]
+        version = 0
+        for _ in range(SUBMIT_TRIES):
+            view = self.offices.view(service)
+            row = AcceptedRow(token=view.token, write=mark, record=record)
+            reply = await self._write_job(view, row, job, version)
+            if isinstance(reply, Success):
+                return self._accept(service, row, "stored")
+            error = reply.failure()
+            if isinstance(error, Busy):
+                self.log.info(
+                    "refused", extra={"job": job, "why": f"store: {error.detail}"}
+                )
+                return NOT_RUN
+            if isinstance(error, NoAnswer):
+                return await self._settle(service, job, row)
+            found = self._find_job(service, job, error.rows, view)
+            if found is not None and not isinstance(found, int):
+                return self._accept(service, row, "stored before", found)
+            version = found or 0
+        self.log.info("refused", extra={"job": job, "why": "conditions changed"})
+        return NOT_RUN
+
+    async def _write_job(self, view, row, job, version):
+        service = view.service
+        expected = (
+            Expect(owner_place(service), view.version),
+            Expect(job_place(ACCEPTED, service, job), version),
+            Expect(job_place(FINISHED, service, job), 0),
+        )
+        place = job_place(ACCEPTED, service, job)
+        return await self.store.commit(expected, (Change(place, encode_row(row)),))
+
+    def _find_job(self, service, job, rows, view):
+        """Return the accepted row or True if there is one, or a withdrawn row's version."""
+        seen_owner = False
+        for row in rows:
+            if row.place == owner_place(service):
+                seen_owner = True
+                owner = decode_row(row.value, OwnerRow)
+                self.offices.learn(service, owner, row.version)
+            elif row.place == job_place(FINISHED, service, job) and row.version:
+                return True
+            elif row.place == job_place(ACCEPTED, service, job) and row.version:
+                accepted = decode_row(row.value, AcceptedRow)
+                if accepted is None or accepted.record is None:
+                    return row.version
+                return accepted
+        if not seen_owner and view.version:
+            self.offices.learn(service, None, 0)
+        return None
+
+    def _accept(self, service, row, how, found=None):
+        job = row.record.job
+        self.log.info("accepted", extra={"job": job, "how": how, "token": row.token})
+        if found is None or isinstance(found, AcceptedRow):
+            self.offices.tell_job(service, found or row)
+        return DONE
+
+    async def _settle(self, service, job, row):
+        """Find out what became of a write without an answer, or withdraw it."""
+        place = job_place(ACCEPTED, service, job)
+        withdrawn = AcceptedRow(token=row.token, write=row.write)
+        reply = await self.store.commit(
+            (Expect(place, 0), Expect(job_place(FINISHED, service, job), 0)),
+            (Change(place, encode_row(withdrawn)),),
+        )
+        if isinstance(reply, Success):
+            self.log.info("refused", extra={"job": job, "why": "store: withdrawn"})
+            return NOT_RUN
+        error = reply.failure()
+        if isinstance(error, Changed):
+            found = self._find_job(service, job, error.rows, self.offices.view(service))
+            if found is not None and not isinstance(found, int):
+                return self._accept(service, row, "found stored", found)
+            if isinstance(found, int):
+                return NOT_RUN
+        self.log.warning("outcome unknown", extra={"job": job, "why": repr(error)})
+        return UNKNOWN
+
+    # State ---------------------------------------------------------------------
+
+    async def state(self, service, job):
+        """Return the state of a job."""
+        if job in self._final:
+            return Reply(Outcome.DONE, self._final[job])
+        told = await self.offices.ask_state(service, job)
+        if told is None:
+            told = await self._read_state(service, job)
+        if isinstance(told, JobState):
+            if told.final:
+                self._final[job] = told
+            return Reply(Outcome.DONE, told)
+        return told
+
+    async def _read_state(self, service, job):
+        """Read a job's state from the store."""
+        for table, kind in ((ACCEPTED, AcceptedRow), (FINISHED, FinishedRow)):
+            found = await self.store.read(table, service, job, job + "\0")
+            if isinstance(found, Failure):
+                return UNKNOWN
+            for row in found.unwrap().rows:
+                value = decode_row(row.value, kind)
+                if isinstance(value, FinishedRow):
+                    return value.state
+                if isinstance(value, AcceptedRow) and value.record is not None:
+                    self.offices.tell_job(service, value)
+                    return await self._read_progress(service, job)
+        return ABSENT
+
+    async def _read_progress(self, service, job):
+        found = await self.store.read(PROGRESS, service, job, job + "\0")
+        if isinstance(found, Success) and found.unwrap().rows:
+            return JobState.RUNNING
+        return JobState.QUEUED
+
+    async def cancel(self, service, job):
+        """Cancel a job; a job that has ended stays as it is."""
+        told = await self.state(service, job)
+        if told.outcome is not Outcome.DONE:
+            return told
+        if told.state.final:
+            return DONE
+        expected = (
+            Expect(cancel_place(service, job), 0),
+            Expect(job_place(FINISHED, service, job), 0),
+        )
+        change = Change(cancel_place(service, job), b"{}")
+        reply = await self.store.commit(expected, (change,))
+        if isinstance(reply, Failure) and isinstance(reply.failure(), NoAnswer):
+            reply = await self.store.commit(expected, (change,))
+        if isinstance(reply, Success) or isinstance(reply.failure(), Changed):
+            self.log.info("cancelled", extra={"job": job})
+            self.offices.tell_cancel(service, job)
+            return DONE
+        return UNKNOWN if isinstance(reply.failure(), NoAnswer) else NOT_RUN
+
+    async def waiting(self, policy):
+        """Return how many jobs of a queue wait for their first start."""
+        counts = await self.offices.ask_waiting(policy.service)
+        if counts is None:
+            return NOT_RUN
+        return Reply(Outcome.DONE, count=counts.get(policy.queue, 0))
--- /dev/null
+++ b/fuchsiascale/jobs/_relay.py
@@ -0,0 +1,124 @@
+"""A store that peers are asked to reach where this instance can't."""
+
+import time
+
+import logbook
+from returns.result import Failure, Success
+
+from fuchsiascale.jobs._peermessages import RelayCommit, Relayed, RelayRead
+from fuchsiascale.jobs._ports import Busy, Changed, Changes, NoAnswer
+
+__all__ = ["RelayedStore", "answer_relay"]
+
+DIRECT_PAUSE_S = 0.5
+"""Time after a failed direct call in which peers are asked first."""
+RELAY_TIMEOUT_S = 1.5
+"""Time for a peer's answer; longer than a call of its own to the store."""
+MAX_PEERS = 2
+"""Peers asked for one call."""
+
+
+class RelayedStore:
+    """The store, reached directly or through peers.
+
+    Parameters
+    ----------
+    direct : StorePort
+        The store itself.
+    peers : PeerPort
+        Calls to other instances.
+    members : callable
+        Returns the addresses of peers that are alive.
+    """
+
+    def __init__(self, direct, peers, members):
+        self.direct = direct
+        self.peers = peers
+        self.members = members
+        self.log = logbook.Logger("store")
+        self.reachable = True
+        self._retry_s = 0.0
+
+    async def commit(self, expected, changes):
+        """Apply all changes or none; see `StorePort.commit`.
+
+        After no answer the call is made again through a peer: its conditions
+        allow only one of the two to be applied.
+        """
+        first = None
+        if time.monotonic() >= self._retry_s:
+            first = self._note(await self.direct.commit(expected, changes))
+            if not _failed(first):
+                return first
+        unsure = first is not None and isinstance(first.failure(), NoAnswer)
+        reply = await self._relay(RelayCommit(expected, changes))
+        if reply is None:
+            if first is None:
+                return self._note(await self.direct.commit(expected, changes))
+            return first
+        if reply.status == "done":
+            return Success(reply.version)
+        if reply.status == "changed":
+            return Failure(Changed(reply.rows))
+        return Failure(NoAnswer() if unsure or reply.status != "busy" else Busy())
+
+    async def read(self, table, partition, first="", last=""):
+        """Read rows; see `StorePort.read`."""
+        direct = None
+        if time.monotonic() >= self._retry_s:
+            direct = self._note(await self.direct.read(table, partition, first, last))
+            if not _failed(direct):
+                return direct
+        reply = await self._relay(RelayRead(table, partition, first, last))
+        if reply is not None and reply.status == "done":
+            return Success(Changes(reply.rows, reply.version))
+        if direct is None:
+            return self._note(await self.direct.read(table, partition, first, last))
+        return direct
+
+    async def follow(self, table, after, wait_ms):
+        """Wait for changes; see `StorePort.follow`. Not relayed: callers read."""
+        return self._note(await self.direct.follow(table, after, wait_ms))
+
+    def _note(self, reply):
+        failed = _failed(reply)
+        if failed:
+            self._retry_s = time.monotonic() + DIRECT_PAUSE_S
+        if failed == self.reachable:
+            self.reachable = not failed
+            why = reply.failure().detail if failed else ""
+            self.log.warning(
+                "store lost" if failed else "store regained", extra={"why": why}
+            )
+        if not failed:
+            self._retry_s = 0.0
+        return reply
+
+    async def _relay(self, message):
+        for address in self.members()[:MAX_PEERS]:
+            reply = await self.peers.ask(address, message, RELAY_TIMEOUT_S)
+            if isinstance(reply, Relayed):
+                return reply
+        return None
+
+
+def _failed(reply):
+    return isinstance(reply, Failure) and isinstance(reply.failure(), Busy | NoAnswer)
+
+
+async def answer_relay(store, message):
+    """Return what the store says to a peer's call; the call is not passed on."""
+    if isinstance(message, RelayCommit):
+        reply = await store.commit(message.expected, message.changes)
+        if isinstance(reply, Success):
+            return Relayed("done", reply.unwrap())
+    else:
+        reply = await store.read(
+            message.table, message.partition, message.first, message.last
+        )
+        if isinstance(reply, Success):
+            return Relayed("done", reply.unwrap().version, reply.unwrap().rows)
+    error = reply.failure()
+    if isinstance(error, Changed):
+        return Relayed("changed", 0, error.rows)
+    return Relayed("busy" if isinstance(error, Busy) else "no answer")
--- /dev/null
+++ b/fuchsiascale/jobs/_shard.py
@@ -0,0 +1,494 @@
+"""What an owner knows of a service's workers and jobs, and what it orders.
+
+The class holds state and does no I/O: inventories and replies go in, orders come
+out. The rules that keep a task from running twice are in docs/design/platform.md.
+"""
+
+import logbook
+import msgspec
+
+from fuchsiascale.decisions import PairHarm
+from fuchsiascale.ids import TaskId
+from fuchsiascale.jobs._model import JobState, split_task
+from fuchsiascale.jobs._ports import EndKind, RefusedReason
+from fuchsiascale.jobs._runs import (
+    Attempt,
+    AttemptPhase,
+    JobRun,
+    WorkerRun,
+)
+
+__all__ = ["PaceNow", "Shard", "StartNow", "StopNow"]
+
+CLOCK_DRIFT = 0.02
+"""Most by which a worker's clock is slow; from the platform's pages."""
+LAPSE_MARGIN_S = 0.25
+"""Added to the end of a lease before its attempts count as over."""
+NO_ROOM_PAUSE_S = 0.4
+"""Pause of a worker that refused a start for want of room."""
+UNHEALTHY_PAUSE_S = 1.5
+"""Pause of a worker that refused a start because it is unhealthy."""
+STOP_RETRY_S = 0.6
+"""Time after which an unanswered stop is sent again."""
+GONE_AFTER_S = 2.0
+"""Time missing from the list after which a worker counts as leaving the pool."""
+
+
+class StartNow(msgspec.Struct, frozen=True):
+    """Order: start this attempt."""
+
+    attempt: Attempt
+
+
+class StopNow(msgspec.Struct, frozen=True):
+    """Order: stop an attempt, which may be unknown or not there yet."""
+
+    worker: WorkerRun
+    task: TaskId
+    number: int
+
+
+class PaceNow(msgspec.Struct, frozen=True):
+    """Order: set the speed of an attempt."""
+
+    attempt: Attempt
+    percent: int
+
+
+class Shard:
+    """Workers and jobs of one service under one owner.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    token : int
+        The owner's fencing token.
+    log : logbook.Logger, optional
+        Where decisions are logged.
+    """
+
+    def __init__(self, service, token, log=None):
+        self.service = service
+        self.token = token
+        self.log = log or logbook.Logger("shard")
+        self.jobs = {}
+        self.finished = {}
+        self.workers = {}
+        self.pending_cancels = set()
+        self.dirty = {}
+        self.orders = []
+        self.loaded = False
+        self.uncovered = {}
+        self.harm = PairHarm()
+
+    # Jobs ------------------------------------------------------------------
+
+    def add_job(self, record, row_token, now_s, wall_ms, progress=None):
+        """Take on an accepted job; a job that is known already is left alone."""
+        if record.job in self.jobs or record.job in self.finished:
+            return None
+        inherited = row_token < self.token
+        job = JobRun(record, self.token, inherited, now_s, wall_ms)
+        self.jobs[record.job] = job
+        if progress is not None:
+            job.restore(progress)
+        job.open_due(now_s, wall_ms)
+        if record.job in self.pending_cancels:
+            self.cancel_job(record.job, now_s)
+        return job
+
+    def cancel_job(self, job_id, now_s):
+        """Cancel a job and stop its attempts."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            if job_id not in self.finished:
+                self.pending_cancels.add(job_id)
+            return
+        if job.state.final:
+            return
+        job.cancelled = True
+        self._finish(job, JobState.CANCELLED, now_s)
+
+    def _finish(self, job, state, now_s):
+        job.state = state
+        self.dirty[job.job] = job
+        for attempt in job.attempts():
+            self.stop_attempt(attempt, now_s)
+        self.log.info("job ended", extra={"job": job.job, "state": state.value})
+
+    def note_finished(self, job_id, state, now_s):
+        """Forget a job whose final state is recorded, but for that state."""
+        job = self.jobs.pop(job_id, None)
+        self.finished[job_id] = (state, now_s)
+        if job is not None:
+            for attempt in job.attempts():
+                attempt.worker.strays[attempt.task.name] = attempt.number
+
+    def forget_finished(self, before_s):
+        """Drop final states that were recorded before a time; returns their ids."""
+        old = [job for job, (_, at_s) in self.finished.items() if at_s < before_s]
+        for job in old:
+            del self.finished[job]
+        return old
+
+    # Workers ---------------------------------------------------------------
+
+    def list_worker(self, listed, now_s):
+        """Take on a worker, or the change of its entry."""
+        known = self.workers.get(listed.worker)
+        if known is None:
+            known = self.workers[listed.worker] = WorkerRun(listed, now_s)
+        known.listed = listed
+        known.present = True
+        known.missing_since_s = None
+        return known
+
+    def miss_worker(self, worker_id, now_s):
+        """Note that the list lacks a worker."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.present:
+            worker.present = False
+            worker.missing_since_s = now_s
+
+    def drop_worker(self, worker_id):
+        """Forget a worker that has no attempts left and is not listed."""
+        worker = self.workers.pop(worker_id, None)
+        if worker is not None:
+            self.uncovered.pop(worker_id, None)
+
+    def covered(self):
+        """Return whether no earlier owner's attempt can be unknown."""
+        return not self.uncovered
+
+    def note_exchange_sent(self, worker, lease_until_ms):
+        """Note the lease that a worker may have been granted by now."""
+        if lease_until_ms is not None:
+            worker.granted_ms = max(worker.granted_ms, lease_until_ms)
+            self._reckon_lapse(worker)
+
+    def _reckon_lapse(self, worker):
+        if worker.clock_ms is None:
+            return
+        left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
+        worker.lapse_s = worker.clock_at_s + left_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+
+    def read_clock(self, worker, clock_ms, now_s):
+        """Note a reading of a worker's clock; older readings change nothing."""
+        if worker.clock_ms is not None and clock_ms <= worker.clock_ms:
+            return
+        worker.clock_ms = clock_ms
+        worker.clock_at_s = now_s
+        worker.heard_s = now_s
+        self._reckon_lapse(worker)
+
+    def clock_of(self, worker, now_s):
+        """Return the least that a worker's clock may show now."""
+        passed_s = (now_s - worker.clock_at_s) * (1 - CLOCK_DRIFT)
+        return worker.clock_ms + int(passed_s * 1000)
+
+    def observe(self, worker, inventory, sent_s, now_s):
+        """Take in an inventory that was asked for at ``sent_s``."""
+        if inventory.incarnation != worker.incarnation:
+            self._note_restart(worker, inventory, now_s)
+        self.read_clock(worker, inventory.clock_ms, now_s)
+        worker.heard_s = now_s
+        worker.claimed = True
+        self.uncovered.pop(worker.worker, None)
+        for end in inventory.ended:
+            if end.number > worker.seen:
+                worker.seen = end.number
+                self._take_end(worker, end, now_s)
+        shown = {}
+        for running in inventory.running:
+            shown[running.task] = running.attempt
+            self._take_running(worker, running, now_s)
+        for attempt in list(worker.attempts.values()):
+            if shown.get(attempt.task.name) != attempt.number:
+                self._take_absence(attempt, sent_s, now_s)
+        for name, number in list(worker.strays.items()):
+            if shown.get(name) == number:
+                self.orders.append(StopNow(worker, name, number))
+            else:
+                del worker.strays[name]
+
+    def _note_restart(self, worker, inventory, now_s):
+        if worker.incarnation:
+            self.log.warning(
+                "worker restarted",
+                extra={"worker": worker.worker, "lost": len(worker.attempts)},
+            )
+        worker.incarnation = inventory.incarnation
+        self.lose_all(worker, now_s, "worker restarted")
+        worker.strays.clear()
+        worker.seen = worker.recorded = 0
+        worker.granted_ms = 0
+        worker.clock_ms = None
+
+    def _take_running(self, worker, running, now_s):
+        attempt = worker.attempts.get(running.task)
+        if attempt is None or attempt.number != running.attempt:
+            attempt = self._adopt(worker, running, now_s)
+            if attempt is None:
+                return
+        if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
+            attempt.enter(AttemptPhase.RUNNING, now_s)
+        if running.checkpoint:
+            attempt.checkpoint = running.checkpoint
+        attempt.percent = running.percent
+        attempt.figure = running.figure
+        stuck = attempt.phase is AttemptPhase.STOPPING and (
+            attempt.stop_sent_s is None or now_s - attempt.stop_sent_s > STOP_RETRY_S
+        )
+        if stuck:
+            self._order_stop(attempt, now_s)
+
+    def _adopt(self, worker, running, now_s):
+        """Take over an attempt that an earlier owner has started, or stop it."""
+        place = split_task(running.task)
+        job = self.jobs.get(place[0]) if place else None
+        task = job.find_task(*place[1:]) if job else None
+        fits = task is not None and task.waiting and not job.state.final
+        if not fits or (running.attempt < task.next_number - 1 and not job.inherited):
+            if self.loaded and worker.strays.get(running.task) != running.attempt:
+                self.log.warning(
+                    "stopping an unknown attempt",
+                    extra={
+                        "task": running.task,
+                        "attempt": running.attempt,
+                        "worker": worker.worker,
+                    },
+                )
+                worker.strays[running.task] = running.attempt
+            return None
+        attempt = Attempt(task, worker, running.attempt, AttemptPhase.RUNNING, now_s)
+        task.attempt = attempt
+        task.next_number = max(task.next_number, running.attempt + 1)
+        worker.occupy(attempt)
+        self._mark_running(job)
+        return attempt
+
+    def _take_absence(self, attempt, sent_s, now_s):
+        """Decide on an attempt that an inventory does not show."""
+        if sent_s <= attempt.since_s:
+            return
+        if attempt.phase is AttemptPhase.STARTING:
+            return
+        if attempt.stop_answered_s is not None:
+            if sent_s > attempt.stop_answered_s:
+                self._lose(attempt, now_s, "not there after its stop")
+            return
+        retry = (
+            attempt.stop_sent_s is None or now_s - attempt.stop_sent_s > STOP_RETRY_S
+        )
+        if retry:
+            # A start that is still under way must not come true after this look.
+            self._order_stop(attempt, now_s)
+
+    def _take_end(self, worker, end, now_s):
+        place = split_task(end.task)
+        job = self.jobs.get(place[0]) if place else None
+        worker.strays.pop(end.task, None)
+        attempt = worker.attempts.get(end.task)
+        if attempt is not None and attempt.number == end.attempt:
+            worker.release(attempt)
+            attempt.task.attempt = None
+            attempt.task.waiting_since_s = now_s
+        task = job.find_task(*place[1:]) if job else None
+        if task is None or task.done or task.attempt is not None:
+            return
+        if end.attempt < task.next_number - 1 and end.how is not EndKind.DONE:
+            return
+        task.next_number = max(task.next_number, end.attempt + 1)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        self.dirty[job.job] = job
+        self._apply_end(worker, job, task, end, now_s)
+
+    def _apply_end(self, worker, job, task, end, now_s):
+        if end.how is EndKind.DONE and not task.step.spec.lasting:
+            task.done = True
+            if task.step.spec.gang:
+                for member in task.step.tasks:
+                    member.done = True
+            if job.complete() and not job.state.final:
+                self._finish(job, JobState.COMPLETED, now_s)
+            return
+        if end.how is EndKind.FAILED:
+            worker.failures.append((now_s, job.job))
+            task.avoid = worker.worker
+            task.failed += 1
+            self.log.info(
+                "attempt failed",
+                extra={
+                    "task": task.name,
+                    "attempt": end.attempt,
+                    "worker": worker.worker,
+                    "failures": task.failed,
+                },
+            )
+            spent = task.failed >= job.policy.max_attempts
+            if spent and not task.step.spec.lasting and not job.state.final:
+                self._finish(job, JobState.FAILED, now_s)
+
+    def lose_all(self, worker, now_s, why):
+        """Count all attempts on a worker as over without an end."""
+        for attempt in list(worker.attempts.values()):
+            self._lose(attempt, now_s, why)
+
+    def _lose(self, attempt, now_s, why):
+        attempt.worker.release(attempt)
+        task = attempt.task
+        if task.attempt is attempt:
+            task.attempt = None
+            task.checkpoint = attempt.checkpoint or task.checkpoint
+            task.waiting_since_s = now_s
+        self.log.info(
+            "attempt lost",
+            extra={
+                "task": task.name,
+                "attempt": attempt.number,
+                "worker": attempt.worker.worker,
+                "why": why,
+            },
+        )
+
+    def lapse_silent(self, now_s):
+        """Count the attempts of workers whose lease is over as lapsed."""
+        for worker in self.workers.values():
+            lapsed = worker.lapse_s is not None and now_s > worker.lapse_s
+            if lapsed and worker.attempts:
+                self.lose_all(worker, now_s, "lease over")
+        for worker_id, until_s in list(self.uncovered.items()):
+            if now_s > until_s:
+                self.log.warning("worker not reached", extra={"worker": worker_id})
+                del self.uncovered[worker_id]
+
+    # Orders ----------------------------------------------------------------
+
+    def take_orders(self):
+        """Return the orders to send, and forget them."""
+        orders, self.orders = self.orders, []
+        return orders
+
+    def start_task(self, task, worker, now_s):
+        """Decide to start a task on a worker."""
+        attempt = Attempt(task, worker, task.next_number, AttemptPhase.STARTING, now_s)
+        task.next_number += 1
+        task.attempt = attempt
+        worker.occupy(attempt)
+        self.orders.append(StartNow(attempt))
+        return attempt
+
+    def stop_attempt(self, attempt, now_s):
+        """Decide to stop an attempt; its task waits again once it has ended."""
+        if attempt.phase is AttemptPhase.STOPPING:
+            return
+        if attempt.phase is AttemptPhase.STARTING:
+            return
+        attempt.enter(AttemptPhase.STOPPING, now_s)
+        self._order_stop(attempt, now_s)
+
+    def _order_stop(self, attempt, now_s):
+        attempt.stop_sent_s = now_s
+        self.orders.append(StopNow(attempt.worker, attempt.task.name, attempt.number))
+
+    def set_pace(self, attempt, percent):
+        """Decide on the speed of an attempt."""
+        if attempt.pace_wanted != percent:
+            attempt.pace_wanted = percent
+            self.orders.append(PaceNow(attempt, percent))
+
+    def note_started(self, attempt, now_s):
+        """Take in that a worker has carried out a start."""
+        if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
+            attempt.enter(AttemptPhase.RUNNING, now_s)
+        attempt.worker.refusals = 0
+        self._mark_running(attempt.task.step.job)
+        self._stop_if_over(attempt, now_s)
+
+    def _mark_running(self, job):
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+
+    def note_start_unanswered(self, attempt, now_s):
+        """Take in that a start may be carried out, now or later."""
+        if attempt.phase is AttemptPhase.STARTING:
+            attempt.enter(AttemptPhase.IN_DOUBT, now_s)
+            attempt.worker.blocked_until_s = now_s + NO_ROOM_PAUSE_S
+        self._stop_if_over(attempt, now_s)
+
+    def _stop_if_over(self, attempt, now_s):
+        job = attempt.task.step.job
+        if job.state.final or attempt.task.done:
+            self.stop_attempt(attempt, now_s)
+
+    def note_start_refused(self, attempt, reason, now_s):
+        """Take in that a worker has not carried out a start and never will."""
+        worker = attempt.worker
+        if attempt.phase is AttemptPhase.STARTING:
+            worker.release(attempt)
+            if attempt.task.attempt is attempt:
+                attempt.task.attempt = None
+        worker.refusals += 1
+        pause_s = NO_ROOM_PAUSE_S
+        if reason is RefusedReason.UNHEALTHY:
+            pause_s = UNHEALTHY_PAUSE_S
+            attempt.task.avoid = worker.worker
+        if reason is not RefusedReason.EXPIRED:
+            worker.blocked_until_s = now_s + pause_s
+        self.log.info(
+            "start refused",
+            extra={
+                "task": attempt.task.name,
+                "worker": worker.worker,
+                "why": reason.value,
+            },
+        )
+
+    def note_stop_answered(self, worker, task, number, now_s):
+        """Take in that a worker has carried out a stop."""
+        attempt = worker.attempts.get(task)
+        if attempt is not None and attempt.number == number:
+            attempt.stop_answered_s = now_s
+
+    def note_paced(self, attempt, percent):
+        """Take in that a worker has set the speed of an attempt."""
+        attempt.pace = percent
+
+    # Records ---------------------------------------------------------------
+
+    def snapshot_ends(self):
+        """Return for each worker the ends that the next record will cover."""
+        return [
+            (worker, worker.incarnation, worker.seen)
+            for worker in self.workers.values()
+            if worker.seen > worker.recorded
+        ]
+
+    def note_recorded(self, snapshot):
+        """Let workers forget the ends that a record has covered."""
+        for worker, incarnation, seen in snapshot:
+            if worker.incarnation == incarnation:
+                worker.recorded = max(worker.recorded, seen)
+
+    def count_waiting(self):
+        """Return for each queue its accepted jobs of which nothing has started."""
+        counts = {}
+        for job in self.jobs.values():
+            if job.state is JobState.QUEUED and not job.timed:
+                queue = job.policy.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def state_of(self, job_id):
+        """Return the state of a job as callers may be told; None if unknown.
+
+        A final state is told only once it is recorded.
+        """
+        if job_id in self.finished:
+            return self.finished[job_id][0]
+        job = self.jobs.get(job_id)
+        if job is None:
+            return None
+        return JobState.RUNNING if job.state.final else job.state
--- /dev/null
+++ b/fuchsiascale/jobs/_watches.py
@@ -0,0 +1,164 @@
+"""Keeps the configuration and the list of workers up to date."""
+
+import asyncio
+import time
+
+import logbook
+from returns.result import Failure, Success
+
+from fuchsiascale.jobs._configuration import Configuration, QueueIndex
+
+__all__ = ["ConfigurationWatch", "TableWatch", "WorkerWatch"]
+
+FOLLOW_WAIT_MS = 1_000
+"""How long the store holds a poll open; well under the 2.5 s in which a
+configuration has to be in force, since an open connection may have gone silent."""
+FAILURE_PAUSE_S = 0.25
+"""Pause after a call that failed."""
+
+
+class TableWatch:
+    """Follows a table of the store and keeps its rows of one partition.
+
+    Parameters
+    ----------
+    store : StorePort
+        The store.
+    table : str
+        The table; its rows lie in the empty partition.
+    on_change : callable
+        Called with all rows by key after each change.
+    pause_s : float
+        Least time between two polls.
+    """
+
+    def __init__(self, store, table, on_change, pause_s=0.0):
+        self.store = store
+        self.table = table
+        self.rows = {}
+        self._on_change = on_change
+        self._pause_s = pause_s
+        self._version = None
+        self.fresh_s = None
+        self.log = logbook.Logger("watch")
+
+    async def run(self):
+        """Follow the table until cancelled."""
+        while True:
+            began_s = time.monotonic()
+            if self._version is None:
+                ok = await self._read_all()
+            else:
+                ok = await self._follow()
+            if not ok:
+                await asyncio.sleep(FAILURE_PAUSE_S)
+            passed_s = time.monotonic() - began_s
+            await asyncio.sleep(max(0.0, self._pause_s - passed_s))
+
+    async def _read_all(self):
+        found = await self.store.read(self.table, "")
+        if isinstance(found, Failure):
+            return False
+        changes = found.unwrap()
+        self.rows = {row.place.key: row for row in changes.rows}
+        self._version = changes.version
+        self.fresh_s = time.monotonic()
+        self._on_change(self.rows)
+        return True
+
+    async def _follow(self):
+        reply = await self.store.follow(self.table, self._version, FOLLOW_WAIT_MS)
+        if isinstance(reply, Success):
+            changes = reply.unwrap()
+            self._version = max(self._version, changes.version)
+            self.fresh_s = time.monotonic()
+            self._take(changes.rows)
+            return True
+        self.log.info(
+            "table read again",
+            extra={"table": self.table, "why": repr(reply.failure())[:80]},
+        )
+        return await self._read_all()
+
+    def _take(self, rows):
+        rows = [row for row in rows if not row.place.partition]
+        for row in rows:
+            if row.deleted:
+                self.rows.pop(row.place.key, None)
+            else:
+                self.rows[row.place.key] = row
+        if rows:
+            self._on_change(self.rows)
+
+
+class ConfigurationWatch:
+    """Holds the newest configuration; it never goes back.
+
+    Parameters
+    ----------
+    key : str
+        Key of the row that holds it.
+    decode : callable
+        Returns the configuration of a row's value, or None.
+    """
+
+    def __init__(self, key, decode):
+        self.index = None
+        self._key = key
+        self._decode = decode
+        self.log = logbook.Logger("configuration")
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force; None before the first."""
+        return self.index.configuration if self.index else None
+
+    def take_rows(self, rows):
+        """Take in the operator's rows."""
+        row = rows.get(self._key)
+        if row is None:
+            return
+        found = self._decode(row.value)
+        if found is None:
+            self.log.error(
+                "unreadable configuration", extra={"row_version": row.version}
+            )
+            return
+        if self.index is not None and found.version <= self.configuration.version:
+            return
+        self.index = QueueIndex(found)
+        self.log.info(
+            "configuration in force",
+            extra={"version": found.version, "queues": len(found.queues)},
+        )
+
+
+class WorkerWatch:
+    """Holds the listed workers of each service.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns the worker of a row, or None for an entry that names none.
+    on_change : callable
+        Called after each change.
+    """
+
+    def __init__(self, decode, on_change):
+        self._decode = decode
+        self._on_change = on_change
+        self._workers = {}
+
+    def take_rows(self, rows):
+        """Take in the rows of the list."""
+        found = {}
+        for key, row in rows.items():
+            worker = self._decode(row)
+            if worker is not None:
+                found[key] = worker
+        self._workers = found
+        self._on_change()
+
+    def of_service(self, service):
+        """Return the listed workers of a service."""
+        return [each for each in self._workers.values() if each.service == service]
--- /dev/null
+++ b/fuchsiascale/node/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon of an instance on the users' platform."""
+
+from fuchsiascale.node._main import *  # noqa: F403
--- /dev/null
+++ b/fuchsiascale/node/_application.py
@@ -0,0 +1,218 @@
+"""The application object of an instance on the users' platform."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import time
+import uuid
+
+import aiohttp
+import logbook
+from aiohttp import web
+
+from fuchsiascale.jobs import (
+    ConfigurationWatch,
+    Entry,
+    Offices,
+    Ok,
+    Ping,
+    RelayCommit,
+    RelayedStore,
+    RelayRead,
+    TableWatch,
+    WorkerWatch,
+    answer_relay,
+)
+from fuchsiascale.node._peerlink import PeerLink, make_peer_application
+from fuchsiascale.platform import userplatform
+
+__all__ = ["NodeApplication"]
+
+LISTING_PAUSE_S = 0.3
+"""Least time between two polls of the list of workers."""
+LEAVE_ROTATION_S = 2.6
+"""Time for the balancer to see that the instance is not ready: two looks, 1 s apart."""
+STOP_MARGIN_S = 0.8
+"""Kept of the grace period for closing what is open."""
+LISTEN_BACKLOG = 512
+
+
+class NodeApplication:
+    """Owner of an instance's parts.
+
+    Parameters
+    ----------
+    settings : LocalSettings
+        The checked settings.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.log = logbook.Logger("node")
+        self.stop_requested = asyncio.Event()
+        self.in_flight = 0
+        self._tasks = []
+        self._runners = []
+        self._sessions = []
+
+    async def run(self):
+        """Start all parts, serve until asked to stop, and stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        self._build()
+        await self._listen()
+        self._keep(self.operator_watch.run())
+        self._keep(self.worker_table.run())
+        self.log.info(
+            "started",
+            extra={"incarnation": self.identity.incarnation, "pid": os.getpid()},
+        )
+        await self.stop_requested.wait()
+        await self._stop()
+
+    def _note_reload(self):
+        self.log.info("settings reload asked for", extra={"outcome": "nothing changed"})
+
+    def _build(self):
+        settings = self.settings
+        host, port = settings.peer_listen
+        self.identity = Ping(
+            instance=settings.instance,
+            incarnation=uuid.uuid4().hex[:12],
+            address=f"{host}:{port}",
+        )
+        self.peers = PeerLink(self._open_session())
+        direct = userplatform.HttpRowStore(self._open_session(), settings.store_address)
+        self.direct = direct
+        self.store = RelayedStore(direct, self.peers, lambda: self.offices.members())
+        workers = userplatform.HttpTaskWorkers(self._open_session())
+        self.worker_watch = WorkerWatch(userplatform.decode_worker, self._note_workers)
+        self.offices = Offices(
+            self.identity,
+            self.store,
+            workers,
+            self.peers,
+            self.worker_watch.of_service,
+            settings.longest_lease_s,
+        )
+        self.configuration_watch = ConfigurationWatch(
+            userplatform.CONFIGURATION_KEY, userplatform.decode_configuration
+        )
+        self.operator_watch = TableWatch(
+            self.store, userplatform.OPERATOR_TABLE, self._note_operator
+        )
+        self.worker_table = TableWatch(
+            self.store,
+            userplatform.WORKERS_TABLE,
+            self.worker_watch.take_rows,
+            LISTING_PAUSE_S,
+        )
+        self.entry = Entry(self.store, self.offices)
+        self.front = userplatform.CallerFront(
+            self.entry, self.configuration_watch, self.stop_requested.is_set
+        )
+
+    def _open_session(self):
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0),
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self._sessions.append(session)
+        return session
+
+    def _note_operator(self, rows):
+        self.configuration_watch.take_rows(rows)
+        configuration = self.configuration_watch.configuration
+        if configuration is not None:
+            self.offices.watch(configuration.services)
+
+    def _note_workers(self):
+        for service, owner in list(self.offices.owners.items()):
+            owner.update_listing(self.worker_watch.of_service(service))
+
+    def _keep(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task):
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self.log.critical("background task failed: {!r}", error, exc_info=error)
+        self.stop_requested.set()
+
+    async def _answer_peer(self, message):
+        if isinstance(message, RelayCommit | RelayRead):
+            return await answer_relay(self.direct, message)
+        if self.stop_requested.is_set() and not self.offices.owners:
+            return Ok(False)
+        return await self.offices.answer(message)
+
+    async def _listen(self):
+        settings = self.settings
+        await self._open(make_peer_application(self._answer_peer), settings.peer_listen)
+        await self._open(
+            self._count_requests(self.front.make_application()),
+            settings.caller_listen,
+        )
+        if settings.ready_listen is not None:
+            ready = web.Application()
+            ready.router.add_get("/{path:.*}", self._answer_ready)
+            await self._open(ready, settings.ready_listen)
+
+    def _count_requests(self, application):
+        @web.middleware
+        async def count(request, handler):
+            self.in_flight += 1
+            try:
+                return await handler(request)
+            finally:
+                self.in_flight -= 1
+
+        application.middlewares.append(count)
+        return application
+
+    async def _open(self, application, address):
+        runner = web.AppRunner(
+            application, access_log=None, handle_signals=False, keepalive_timeout=30.0
+        )
+        await runner.setup()
+        site = web.TCPSite(runner, *address, backlog=LISTEN_BACKLOG)
+        await site.start()
+        self._runners.append(runner)
+
+    async def _answer_ready(self, request):
+        ready = (
+            self.configuration_watch.index is not None
+            and not self.stop_requested.is_set()
+        )
+        return web.Response(status=200 if ready else 503)
+
+    async def _stop(self):
+        began_s = time.monotonic()
+        deadline_s = began_s + self.settings.stop_grace_s - STOP_MARGIN_S
+        self.log.info("stopping", extra={"in_flight": self.in_flight})
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_ROTATION_S):
+                await self.offices.hand_over()
+        leave_s = began_s + LEAVE_ROTATION_S
+        while time.monotonic() < deadline_s:
+            if time.monotonic() >= leave_s and not self.in_flight:
+                break
+            await asyncio.sleep(0.05)
+        for task in self._tasks:
+            task.cancel()
+        await self.offices.stop()
+        for runner in self._runners:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await runner.cleanup()
+        for session in self._sessions:
+            await session.close()
+        self.log.info("stopped", extra={"after_s": time.monotonic() - began_s})
--- /dev/null
+++ b/fuchsiascale/node/_main.py
@@ -0,0 +1,34 @@
+"""Entry point of the daemon on the users' platform."""
+
+import asyncio
+import gc
+import sys
+
+from returns.result import Failure
+
+from fuchsiascale.node._application import NodeApplication
+from fuchsiascale.node._logs import set_up_decision_log
+from fuchsiascale.platform.userplatform import read_local_settings
+
+__all__ = ["main"]
+
+EXIT_BAD_SETTINGS = 2
+GC_THRESHOLD = 20_000
+"""Allocations between collections; most objects here are freed by reference count."""
+
+
+def main():
+    """Read the settings and run the daemon until it is asked to stop."""
+    found = read_local_settings()
+    if isinstance(found, Failure):
+        for problem in found.failure():
+            print(problem, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    settings = found.unwrap()
+    set_up_decision_log(settings.instance)
+    gc.set_threshold(GC_THRESHOLD)
+    asyncio.run(_serve(settings))
+
+
+async def _serve(settings):
+    await NodeApplication(settings).run()
--- /dev/null
+++ b/fuchsiascale/platform/_callerfront.py
@@ -0,0 +1,197 @@
+"""The interface for jobs that the users' callers speak, over HTTP."""
+
+import math
+import re
+
+import logbook
+import msgspec
+from aiohttp import web
+
+from fuchsiascale.ids import JobId
+from fuchsiascale.jobs import JobSpec, Outcome, Resources, StepSpec, find_problems
+
+__all__ = ["CallerFront"]
+
+RETRY_AFTER_S = 1
+"""When to come back after a refusal; outages of the store last some seconds."""
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+
+
+class _Step(msgspec.Struct):
+    """A step on the wire; ``cpu`` is in thousandths of a core."""
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct):
+    steps: tuple[_Step, ...]
+    spec: str = ""
+    repeat_count: int = 0
+    first_run_ms: int = 0
+    interval_ms: int = 0
+
+
+class _State(msgspec.Struct):
+    state: str
+
+
+class _Waiting(msgspec.Struct):
+    waiting: int
+
+
+class _Error(msgspec.Struct):
+    error: str
+
+
+class CallerFront:
+    """Answers callers.
+
+    Parameters
+    ----------
+    entry : Entry
+        What carries the requests out.
+    watch : ConfigurationWatch
+        The configuration in force.
+    stopping : callable
+        Tells whether this instance is about to stop.
+    """
+
+    def __init__(self, entry, watch, stopping):
+        self.entry = entry
+        self.watch = watch
+        self.stopping = stopping
+        self.log = logbook.Logger("caller")
+
+    def make_application(self, max_body_bytes=1 << 20):
+        """Return the aiohttp application of the listener."""
+        application = web.Application(client_max_size=max_body_bytes)
+        application.router.add_route("*", "/{path:.*}", self.handle)
+        return application
+
+    async def handle(self, request):
+        """Answer one request."""
+        response = await self._answer(request)
+        if self.stopping():
+            response.force_close()
+        return response
+
+    async def _answer(self, request):
+        index = self.watch.index
+        if index is None:
+            return _reply(503, _Error("no configuration yet"))
+        path = request.raw_path.partition("?")[0]
+        queue = index.find(request.host.partition(":")[0], path)
+        if queue is None:
+            return _reply(404, _Error("no such queue"))
+        name = path[len(queue.prefix) :]
+        if not name and request.method == "GET":
+            return await self._count(queue)
+        if not JOB_ID.match(name):
+            return _reply(404, _Error("the path does not end in a job id"))
+        handler = {
+            "POST": self._submit,
+            "GET": self._state,
+            "DELETE": self._cancel,
+        }.get(request.method)
+        if handler is None:
+            return _reply(405, _Error("method not allowed"))
+        return await handler(queue, JobId(name), request)
+
+    async def _submit(self, queue, job, request):
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return _reply(413, _Error("the body is too large"))
+        try:
+            spec = _decode_job(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return _reply(400, _Error(str(error)))
+        problems = find_problems(spec)
+        if problems:
+            return _reply(400, _Error("; ".join(problems)))
+        reply = await self.entry.submit(queue.policy, job, spec)
+        return _refuse(reply) or web.Response(status=200)
+
+    async def _state(self, queue, job, request):
+        reply = await self.entry.state(queue.policy.service, job)
+        return _refuse(reply) or _reply(200, _State(reply.state.value))
+
+    async def _cancel(self, queue, job, request):
+        reply = await self.entry.cancel(queue.policy.service, job)
+        return _refuse(reply) or web.Response(status=200)
+
+    async def _count(self, queue):
+        reply = await self.entry.waiting(queue.policy)
+        return _refuse(reply) or _reply(200, _Waiting(reply.count))
+
+
+def _refuse(reply):
+    """Return the response to a request that was not carried out; None if it was."""
+    if reply.outcome is Outcome.NOT_RUN:
+        response = _reply(503, _Error("not run: the store is away"))
+        response.headers["Retry-After"] = str(math.ceil(RETRY_AFTER_S))
+        return response
+    if reply.outcome is Outcome.UNKNOWN:
+        return _reply(504, _Error("the outcome is unknown"))
+    if reply.outcome is Outcome.ABSENT:
+        return _reply(410, _Error("no such job"))
+    return None
+
+
+def _decode_job(body):
+    job = msgspec.json.decode(body, type=_Job)
+    return JobSpec(
+        payload=job.spec,
+        steps=tuple(_decode_step(step) for step in job.steps),
+        occurrences=job.repeat_count,
+        first_run_ms=job.first_run_ms,
+        interval_ms=job.interval_ms,
+    )
+
+
+def _decode_step(step):
+    return StepSpec(
+        count=step.count,
+        need=Resources(
+            cpu_millis=step.cpu, memory_mb=step.mem_mb, accelerators=step.gpu
+        ),
+        estimate_ms=int(step.estimate_ms),
+        after=step.after,
+        checkpoints=step.checkpoints,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        required_label=step.required_label,
+        data_rack=step.data_rack,
+        max_per_worker=step.max_per_server,
+        speculative=step.speculative,
+        lasting=step.long_running,
+        image=step.image,
+        tail_target_ms=int(step.target_ms),
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def _reply(status, message):
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(message),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/fuchsiascale/platform/_rowstore.py
@@ -0,0 +1,213 @@
+"""Client of the users' transactional row store."""
+
+import base64
+import binascii
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from fuchsiascale.jobs import (
+    Busy,
+    Change,
+    Changed,
+    Changes,
+    Expect,
+    Lost,
+    NoAnswer,
+    RowKey,
+    StoredRow,
+    StoreError,
+)
+
+__all__ = ["HttpRowStore"]
+
+CALL_TIMEOUT_S = 1.2
+"""Answers take 4 ms, and about 0.4 s where the store is slow."""
+CONNECT_TIMEOUT_S = 0.4
+FOLLOW_SLACK_S = 0.7
+PAGE_ROWS = 500
+
+
+class _Row(msgspec.Struct, omit_defaults=True):
+    """A row on the wire."""
+
+    table: str
+    part: str
+    key: str
+    value: str = ""
+    version_id: int = 0
+    deleted: bool = False
+
+
+class _Condition(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    version_id: int
+
+
+class _Transaction(msgspec.Struct):
+    expected_rev: list[_Condition]
+    write: list[_Row]
+    remove: list[_Row]
+
+
+class _Answer(msgspec.Struct):
+    """Any answer about rows; ``version_id`` is the store's newest version."""
+
+    version_id: int = 0
+    rows: list[_Row] = []
+    has_more: bool = False
+
+
+class HttpRowStore:
+    """The row store behind HTTP.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Where calls are made.
+    address : str
+        ``host:port`` of the store.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, address: str):
+        self._session = session
+        self._base = f"http://{address}/fuchsiascale"
+        self.calls = 0
+
+    async def commit(
+        self, expected: tuple[Expect, ...], changes: tuple[Change, ...]
+    ) -> Result[int, Changed | StoreError]:
+        """Apply all changes or none.
+
+        Parameters
+        ----------
+        expected : tuple of Expect
+            Versions that rows must have.
+        changes : tuple of Change
+            Rows to write or to remove.
+
+        Returns
+        -------
+        Result of int
+            The version written.
+        """
+        body = _Transaction(
+            expected_rev=[
+                _Condition(*_fields(each.place), each.version) for each in expected
+            ],
+            write=[
+                _Row(*_fields(each.place), base64.b64encode(each.value).decode())
+                for each in changes
+                if each.value is not None
+            ],
+            remove=[
+                _Row(*_fields(each.place)) for each in changes if each.value is None
+            ],
+        )
+        answered = await self._call("POST", "/rows-tx", msgspec.json.encode(body))
+        if isinstance(answered, Failure):
+            return answered
+        status, answer = answered.unwrap()
+        if status == 412:
+            return Failure(Changed(_decode_rows(answer.rows)))
+        return Success(answer.version_id)
+
+    async def read(
+        self, table: str, partition: str, first: str = "", last: str = ""
+    ) -> Result[Changes, StoreError]:
+        """Read all rows of a partition from key ``first`` up to before ``last``."""
+        rows, version, start = [], None, first
+        while True:
+            params = {"table": table, "part": partition, "limit": str(PAGE_ROWS)}
+            if start:
+                params["from"] = start
+            if last:
+                params["target"] = last
+            answered = await self._call("GET", "/rows-get", params=params)
+            if isinstance(answered, Failure):
+                return answered
+            _, answer = answered.unwrap()
+            rows += _decode_rows(answer.rows)
+            # Later pages are of later moments: a feed must resume from the first.
+            version = answer.version_id if version is None else version
+            if not answer.has_more or not answer.rows:
+                return Success(Changes(tuple(rows), version))
+            start = answer.rows[-1].key + "\0"
+
+    async def follow(
+        self, table: str, after: int, wait_ms: int
+    ) -> Result[Changes, Lost | StoreError]:
+        """Wait for changes of a table."""
+        params = {"table": table, "after": str(after), "wait_ms": str(wait_ms)}
+        answered = await self._call(
+            "GET",
+            "/rows-feed",
+            params=params,
+            timeout_s=wait_ms / 1000 + FOLLOW_SLACK_S,
+        )
+        if isinstance(answered, Failure):
+            return answered
+        status, answer = answered.unwrap()
+        if status == 410:
+            return Failure(Lost())
+        return Success(Changes(_decode_rows(answer.rows), answer.version_id))
+
+    async def _call(self, method, path, body=None, params=None, timeout_s=None):
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s or CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self.calls += 1
+        headers = {"Content-Type": "application/json"} if body else None
+        try:
+            async with self._session.request(
+                method,
+                self._base + path,
+                data=body,
+                params=params,
+                timeout=timeout,
+                headers=headers,
+            ) as response:
+                content = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return Failure(Busy(f"not connected: {error}"))
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Failure(NoAnswer(repr(error)))
+        if response.status in (429, 503):
+            return Failure(Busy(f"status {response.status}"))
+        if response.status not in (200, 410, 412):
+            detail = content[:200].decode(errors="replace")
+            return Failure(Busy(f"status {response.status}: {detail}"))
+        try:
+            answer = (
+                msgspec.json.decode(content, type=_Answer) if content else _Answer()
+            )
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Failure(NoAnswer(f"unreadable answer: {error}"))
+        return Success((response.status, answer))
+
+
+def _fields(place):
+    return place.table, place.partition, place.key
+
+
+def _decode_rows(rows):
+    return tuple(
+        StoredRow(
+            RowKey(row.table, row.part, row.key),
+            _decode_value(row.value),
+            row.version_id,
+            row.deleted,
+        )
+        for row in rows
+    )
+
+
+def _decode_value(value):
+    """Return a row's bytes; what is no base64 reads as empty, which no type matches."""
+    try:
+        return base64.b64decode(value or "")
+    except (binascii.Error, ValueError):
+        return b""
