Pace and place fillers by the headroom that pairs of images lose

Change: slopes by pair, headroom by job, serving images kept apart, speeds by prediction; a boolean no longer serves as a row's version.

--- a/fuchsiascale/decisions/_pairharm.py
+++ b/fuchsiascale/decisions/_pairharm.py
@@ -1,51 +1,73 @@
 """Learns how much the tasks of one image raise the tail of another's.
 
-The tail of a serving task, as a share of its target, is taken to be a base of its
-own plus, for each task that fills beside it, a weight of the pair of images times
-the share of the worker's processors that the filler uses. The weights are learnt
-by normalised least mean squares (B. Widrow and M. Hoff, "Adaptive switching
-circuits", 1960); a pair that was rarely seen together takes the filler's mean.
+A serving task is taken for a queue: its tail grows as ``1 / (1 - load - pressure)``,
+so that the inverse of the tail falls linearly with the share of the worker's
+processors that each filling image uses beside it. The slopes, one a pair of images,
+are learnt by normalised least mean squares (B. Widrow and M. Hoff, "Adaptive
+switching circuits", 1960). The serving tasks of a job share their load, so the tail
+of a job without pressure is read off its least disturbed tasks.
 """
 
+from collections import deque
+
 __all__ = ["PairHarm"]
 
-PRIOR_WEIGHT = 0.8
-"""Weight of a filler never seen: between harmless (0 to 0.4) and harmful (1 to 2.5)."""
-PRIOR_BASE = 0.4
-"""Tail of a serving task never seen, without fillers, as a share of its target."""
-STEP = 0.25
+PRIOR_SLOPE = 3.0
+"""Slope of a pair never seen together: lets a single filler be tried beside it."""
+MAX_SLOPE = 14.0
+"""Largest slope that is believed."""
+STEP = 0.35
 """Share of the error that one observation corrects."""
-BASE_STEP = 0.05
-"""Share of the error that one observation moves the base by."""
-REGULARISER = 0.02
-"""Keeps observations of little load from moving the weights."""
-PAIR_CONFIDENCE = 6.0
-"""Observations after which a pair's own weight counts as much as the image's mean."""
-MAX_WEIGHT = 8.0
-"""Largest weight that is believed; the tail is a noisy figure."""
+REGULARISER = 0.004
+"""Keeps observations of little load (squared shares) from moving the slopes."""
+PRIOR_HEADROOM = 1.6
+"""Target over tail of a job never seen, without fillers: that of a high load."""
+BASE_WINDOW_S = 1.1
+"""Age up to which tails tell the undisturbed tail; two of the workers' figures."""
+BASE_QUANTILE = 0.2
+"""Headrooms above this quantile are taken to be undisturbed."""
 
 
 class PairHarm:
-    """Weights of pairs of images, and bases of serving images."""
-
-    def __init__(self):
-        self._image = {}
-        self._pair = {}
-        self._base = {}
-
-    def weight(self, serving, filling):
-        """Return how many targets a worker full of ``filling`` adds to the tail."""
-        mean, _ = self._image.get(filling, (PRIOR_WEIGHT, 0))
-        own, seen = self._pair.get((serving, filling), (mean, 0))
-        trust = seen / (seen + PAIR_CONFIDENCE)
-        return trust * own + (1 - trust) * mean
+    """Slopes of pairs of images, and the undisturbed headroom of serving jobs.
 
-    def base(self, serving):
-        """Return the tail without fillers, as a share of the target."""
-        return self._base.get(serving, PRIOR_BASE)
+    Headroom is the target over the tail: below 1 the target is missed.
+    """
 
-    def predict(self, serving, fillers):
-        """Return the expected tail as a share of the target.
+    def __init__(self):
+        self._slopes = {}
+        self._seen = {}
+        self._samples = {}
+        self._bases = {}
+
+    def slope(self, serving, filling):
+        """Return the headroom lost to a worker full of ``filling``."""
+        return self._slopes.get((serving, filling), PRIOR_SLOPE)
+
+    def seen(self, serving, filling):
+        """Return how often a pair of images was observed."""
+        return self._seen.get((serving, filling), 0)
+
+    def headroom(self, job):
+        """Return the present headroom of a job's tasks without fillers."""
+        return self._bases.get(job, PRIOR_HEADROOM)
+
+    def note(self, job, headroom, now_s):
+        """Take in the headroom of one task of a job, whatever runs beside it."""
+        samples = self._samples.setdefault(job, deque())
+        samples.append((now_s, headroom))
+        while samples[0][0] < now_s - BASE_WINDOW_S:
+            samples.popleft()
+        ordered = sorted((value for _, value in samples), reverse=True)
+        self._bases[job] = ordered[int(len(ordered) * BASE_QUANTILE)]
+
+    def forget(self, job):
+        """Drop what is known of a job that has ended."""
+        self._samples.pop(job, None)
+        self._bases.pop(job, None)
+
+    def loss(self, serving, fillers):
+        """Return the headroom lost to fillers.
 
         Parameters
         ----------
@@ -56,40 +78,37 @@
 
         Examples
         --------
-        >>> PairHarm().predict("web", [("scan", 0.5)])
-        0.8
+        >>> PairHarm().loss("web", [("scan", 0.5)])
+        1.5
         """
-        added = sum(self.weight(serving, image) * share for image, share in fillers)
-        return self.base(serving) + added
+        return sum(self.slope(serving, image) * share for image, share in fillers)
 
-    def observe(self, serving, fillers, tail):
-        """Learn from one measured tail, as a share of the target.
+    def learn(self, serving, lost, fillers):
+        """Correct the slopes by the headroom that one serving task has lost.
+
+        Parameters
+        ----------
+        serving : str
+            Image of the serving task.
+        lost : float
+            Headroom of its job without fillers, less its own.
+        fillers : iterable of tuple
+            Image of each filler, and the share of the processors that it uses.
 
         Examples
         --------
         >>> harm = PairHarm()
-        >>> for _ in range(50):
-        ...     harm.observe("web", [("scan", 0.5)], 1.4)
-        ...     harm.observe("web", [], 0.4)
-        >>> 1.7 < harm.weight("web", "scan") < 2.3
+        >>> for _ in range(60):
+        ...     harm.learn("web", 1.0, [("scan", 0.1)])
+        >>> 9.0 < harm.slope("web", "scan") < 11.0
         True
         """
-        fillers = [(image, share) for image, share in fillers if share > 0]
-        error = tail - self.predict(serving, fillers)
-        energy = sum(share * share for _, share in fillers) + REGULARISER
-        base_step = BASE_STEP if fillers else 4 * BASE_STEP
-        self._base[serving] = max(0.05, self.base(serving) + base_step * error)
+        shares = {}
         for image, share in fillers:
-            change = STEP * error * share / energy
-            mean, seen = self._image.get(image, (PRIOR_WEIGHT, 0))
-            self._image[image] = (_clamp(mean + change / 2), seen + 1)
-            own, together = self._pair.get((serving, image), (mean, 0))
-            self._pair[serving, image] = (_clamp(own + change), together + 1)
-
-    def known(self, filling):
-        """Return how often a filling image was observed."""
-        return self._image.get(filling, (PRIOR_WEIGHT, 0))[1]
-
-
-def _clamp(weight):
-    return min(MAX_WEIGHT, max(0.0, weight))
+            shares[image] = shares.get(image, 0.0) + share
+        error = lost - self.loss(serving, shares.items())
+        energy = sum(share * share for share in shares.values()) + REGULARISER
+        for image, share in shares.items():
+            slope = self.slope(serving, image) + STEP * error * share / energy
+            self._slopes[serving, image] = min(MAX_SLOPE, max(0.0, slope))
+            self._seen[serving, image] = self.seen(serving, image) + 1
--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -47,6 +47,18 @@
     count: int = 0
 
 
+class _Found(msgspec.Struct, frozen=True, kw_only=True):
+    """What is stored under a job's id.
+
+    ``row`` is missing for a job that has ended, ``withdrawn_version`` is the version
+    of a row that blocks a late write of a refused submission.
+    """
+
+    known: bool = False
+    row: AcceptedRow | None = None
+    withdrawn_version: int = 0
+
+
 DONE = Reply(Outcome.DONE)
 NOT_RUN = Reply(Outcome.NOT_RUN)
 ABSENT = Reply(Outcome.ABSENT)
@@ -85,7 +97,7 @@
             row = AcceptedRow(token=view.token, write=mark, record=record)
             reply = await self._write_job(view, row, job, version)
             if isinstance(reply, Success):
-                return self._accept(service, row, "stored")
+                return self._accept(service, row, "stored", job)
             error = reply.failure()
             if isinstance(error, Busy):
                 self.log.info(
@@ -95,9 +107,9 @@
             if isinstance(error, NoAnswer):
                 return await self._settle(service, job, row)
             found = self._find_job(service, job, error.rows, view)
-            if found is not None and not isinstance(found, int):
-                return self._accept(service, row, "stored before", found)
-            version = found or 0
+            if found.known:
+                return self._accept(service, found.row, "stored before", job)
+            version = found.withdrawn_version
         self.log.info("refused", extra={"job": job, "why": "conditions changed"})
         return NOT_RUN
 
@@ -112,29 +124,29 @@
         return await self.store.commit(expected, (Change(place, encode_row(row)),))
 
     def _find_job(self, service, job, rows, view):
-        """Return the accepted row or True if there is one, or a withdrawn row's version."""
-        seen_owner = False
+        """Return what the rows of a submission's conditions say of a job."""
+        found, owner_seen = _Found(), False
         for row in rows:
             if row.place == owner_place(service):
-                seen_owner = True
+                owner_seen = True
                 owner = decode_row(row.value, OwnerRow)
                 self.offices.learn(service, owner, row.version)
             elif row.place == job_place(FINISHED, service, job) and row.version:
-                return True
+                found = _Found(known=True)
             elif row.place == job_place(ACCEPTED, service, job) and row.version:
                 accepted = decode_row(row.value, AcceptedRow)
                 if accepted is None or accepted.record is None:
-                    return row.version
-                return accepted
-        if not seen_owner and view.version:
+                    found = _Found(withdrawn_version=row.version)
+                else:
+                    found = _Found(known=True, row=accepted)
+        if not owner_seen and view.version:
             self.offices.learn(service, None, 0)
-        return None
+        return found
 
-    def _accept(self, service, row, how, found=None):
-        job = row.record.job
-        self.log.info("accepted", extra={"job": job, "how": how, "token": row.token})
-        if found is None or isinstance(found, AcceptedRow):
-            self.offices.tell_job(service, found or row)
+    def _accept(self, service, row, how, job):
+        self.log.info("accepted", extra={"job": job, "how": how})
+        if row is not None:
+            self.offices.tell_job(service, row)
         return DONE
 
     async def _settle(self, service, job, row):
@@ -150,10 +162,11 @@
             return NOT_RUN
         error = reply.failure()
         if isinstance(error, Changed):
-            found = self._find_job(service, job, error.rows, self.offices.view(service))
-            if found is not None and not isinstance(found, int):
-                return self._accept(service, row, "found stored", found)
-            if isinstance(found, int):
+            view = self.offices.view(service)
+            found = self._find_job(service, job, error.rows, view)
+            if found.known:
+                return self._accept(service, found.row, "found stored", job)
+            if found.withdrawn_version:
                 return NOT_RUN
         self.log.warning("outcome unknown", extra={"job": job, "why": repr(error)})
         return UNKNOWN
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -441,7 +441,7 @@
         if isinstance(reply, Success):
             seen = worker.seen
             shard.observe(worker, reply.unwrap(), sent_s, now_s)
-            observe_tails(shard, worker)
+            observe_tails(shard, worker, now_s)
             if worker.seen > seen:
                 self._wake_flush.set()
             self.kick()
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -4,13 +4,25 @@
 
 __all__ = ["plan_round"]
 
-TAIL_LIMIT = 0.85
-"""Predicted tail, as a share of the target, up to which fillers are placed."""
-TAIL_RELEASE = 0.75
-"""Predicted tail up to which paced fillers are sped up."""
-TAIL_PACE = 0.95
-"""Measured or predicted tail from which fillers are slowed down."""
-OVER_STOP_S = 1.5
+PLACE_HEADROOM = 1.4
+"""Headroom of serving tasks that a new filler has to leave: load rises meanwhile."""
+PACE_HEADROOM = 1.15
+"""Headroom of serving tasks that running fillers are slowed down to leave."""
+LIGHT_SLOPE = 1.6
+"""Slope up to which a filler is taken to be harmless; harmful ones have 4 to 12."""
+LEAST_RATE = 0.25
+"""Speed under which a filler rather waits for a better worker."""
+NEW_IMAGE_COST = 2.0
+"""Cost of a further serving image on a worker, against that of a fragment (0 to 1)."""
+REMOTE_COST = 10.0
+"""Cost of a rack without the task's data."""
+PACE_PERIOD_S = 0.25
+"""Period in which speeds are set anew."""
+PACE_GRAIN = 10
+"""Speeds are multiples of this percentage, so that few orders are sent."""
+LOOK_PERIOD_S = 0.4
+"""Least time between two figures of a worker that are learnt from."""
+OVER_STOP_S = 2.2
 """Time over the target after which all fillers of a worker are halted."""
 LASTING_USE = 0.5
 """Processor time that lasting tasks use, of what they ask for."""
@@ -97,28 +109,61 @@
 
 
 def _cost(shard, task, worker):
+    """Return how bad a worker is for a task; None where it must not run there."""
     spec = task.step.spec
     capacity = max(1, worker.listed.capacity.cpu_millis)
-    if spec.data_rack and spec.data_rack not in worker.listed.labels:
-        penalty = 10.0
-    else:
-        penalty = 0.0
-    if not spec.fills:
-        left = capacity - worker.cpu_used - spec.need.cpu_millis
-        return penalty + left / capacity
-    left = _leftover(worker) - spec.need.cpu_millis
-    if left < -0.3 * spec.need.cpu_millis:
-        return None
-    share = spec.need.cpu_millis / capacity
-    worst = 0.0
-    for serving, fillers in _servings(worker):
-        tail = shard.harm.predict(
-            serving.task.step.spec.image, [*fillers, (spec.image, share)]
-        )
-        worst = max(worst, tail)
-    if worst > TAIL_LIMIT:
-        return None
-    return penalty + worst - left / capacity
+    remote = spec.data_rack and spec.data_rack not in worker.listed.labels
+    penalty = REMOTE_COST if remote else 0.0
+    if spec.fills:
+        rate = _fill_rate(shard, spec, worker)
+        return None if rate < LEAST_RATE else penalty - rate
+    left = (capacity - worker.cpu_used - spec.need.cpu_millis) / capacity
+    if spec.tail_target_ms:
+        return penalty + _mixing_cost(spec, worker) + left
+    return penalty + left
+
+
+def _mixing_cost(spec, worker):
+    """Return the cost of adding a serving image to those of a worker.
+
+    Few serving images a worker leave more fillers that harm none of them.
+    """
+    images = {
+        attempt.task.step.spec.image
+        for attempt in worker.attempts.values()
+        if attempt.task.step.spec.tail_target_ms
+    }
+    if not images:
+        return NEW_IMAGE_COST / 2
+    return (
+        0.0 if images == {spec.image} else NEW_IMAGE_COST * len(images - {spec.image})
+    )
+
+
+def _fill_rate(shard, spec, worker):
+    """Return the speed, 0 to 1, that a filler is expected to have on a worker."""
+    need = max(1, spec.need.cpu_millis)
+    room = min(1.0, max(0.0, _leftover(worker) / need))
+    share = need / max(1, worker.listed.capacity.cpu_millis)
+    allowed = 1.0
+    fillers = _wanted_fillers(worker)
+    for image, job in _servings(worker):
+        slope = shard.harm.slope(image, spec.image)
+        if slope < LIGHT_SLOPE:
+            continue
+        spare = shard.harm.headroom(job) - PLACE_HEADROOM
+        spare = max(0.0, spare - shard.harm.loss(image, fillers))
+        allowed = min(allowed, spare / (slope * share))
+    return room * allowed
+
+
+def _servings(worker):
+    """Return image and job of the serving tasks of a worker, each once."""
+    return {
+        (attempt.task.step.spec.image, attempt.task.step.job.job)
+        for attempt in worker.attempts.values()
+        if attempt.task.step.spec.tail_target_ms
+    }
 
 
 def _leftover(worker):
@@ -131,15 +176,8 @@
     return worker.listed.capacity.cpu_millis - used
 
 
-def _servings(worker):
-    """Yield each serving attempt with the fillers beside it as asked for."""
-    fillers = _wanted_fillers(worker)
-    for attempt in worker.attempts.values():
-        if attempt.task.step.spec.tail_target_ms:
-            yield attempt, fillers
-
-
 def _wanted_fillers(worker):
+    """Return image and share of each filler, as its speed is set."""
     capacity = max(1, worker.listed.capacity.cpu_millis)
     return [
         (
@@ -154,22 +192,32 @@
     ]
 
 
-def observe_tails(shard, worker):
+def observe_tails(shard, worker, now_s):
     """Learn from the figures of an inventory just taken in."""
+    if now_s < worker.next_look_s:
+        return
+    worker.next_look_s = now_s + LOOK_PERIOD_S
     capacity = max(1, worker.listed.capacity.cpu_millis)
     fillers = [
         (attempt.task.step.spec.image, attempt.figure / capacity)
         for attempt in worker.attempts.values()
-        if attempt.task.step.spec.fills
+        if attempt.task.step.spec.fills and attempt.figure
     ]
     for attempt in worker.attempts.values():
         spec = attempt.task.step.spec
-        if spec.tail_target_ms and attempt.figure:
-            tail = attempt.figure / spec.tail_target_ms
-            shard.harm.observe(spec.image, fillers, tail)
+        at_work = attempt.percent == FULL_SPEED_PERCENT and attempt.figure
+        if not spec.tail_target_ms or not at_work:
+            continue
+        headroom = spec.tail_target_ms / attempt.figure
+        job = attempt.task.step.job.job
+        shard.harm.note(job, headroom, now_s)
+        if fillers:
+            lost = shard.harm.headroom(job) - headroom
+            shard.harm.learn(spec.image, lost, fillers)
 
 
 def _pace_worker(shard, worker, now_s):
+    """Set the speed of the fillers of a worker by the harm that is predicted."""
     fillers = [
         attempt
         for attempt in worker.attempts.values()
@@ -177,56 +225,56 @@
     ]
     if not fillers or now_s < worker.next_pace_s:
         return
-    worker.next_pace_s = now_s + 0.5
-    measured = predicted = 0.0
-    worst = None
-    for serving, shares in _servings(worker):
-        spec = serving.task.step.spec
-        tail = serving.figure / spec.tail_target_ms
-        expected = shard.harm.predict(spec.image, shares)
-        if max(tail, expected) > max(measured, predicted):
-            worst = spec.image
-        measured, predicted = max(measured, tail), max(predicted, expected)
-    if worst is None:
-        for attempt in fillers:
-            shard.set_pace(attempt, FULL_SPEED_PERCENT)
-        return
-    if measured < 1.0:
+    worker.next_pace_s = now_s + PACE_PERIOD_S
+    _note_over(worker, now_s)
+    over_s = now_s - worker.over_since_s if worker.over_since_s is not None else 0.0
+    paces = _choose_paces(shard, worker, fillers)
+    if over_s > OVER_STOP_S:
+        paces = dict.fromkeys(fillers, 0.0)
+    for attempt, pace in paces.items():
+        percent = int(pace * FULL_SPEED_PERCENT / PACE_GRAIN) * PACE_GRAIN
+        shard.set_pace(attempt, percent)
+
+
+def _note_over(worker, now_s):
+    """Keep since when a serving task of a worker misses its target."""
+    over = any(
+        attempt.figure > attempt.task.step.spec.tail_target_ms
+        for attempt in worker.attempts.values()
+        if attempt.task.step.spec.tail_target_ms
+    )
+    if not over:
         worker.over_since_s = None
     elif worker.over_since_s is None:
         worker.over_since_s = now_s
-    if worker.over_since_s is not None and now_s - worker.over_since_s > OVER_STOP_S:
-        for attempt in fillers:
-            shard.set_pace(attempt, 0)
-        return
-    if max(measured, predicted) > TAIL_PACE:
-        _slow_down(shard, worst, worker, fillers)
-    elif max(measured, predicted) < TAIL_RELEASE:
-        _speed_up(shard, worst, fillers)
 
 
-def _slow_down(shard, serving, worker, fillers):
-    """Cut the filler that adds most to the tail."""
+def _choose_paces(shard, worker, fillers):
     capacity = max(1, worker.listed.capacity.cpu_millis)
-
-    def harm(attempt):
-        spec = attempt.task.step.spec
-        weight = shard.harm.weight(serving, spec.image)
-        return weight * spec.need.cpu_millis / capacity * attempt.pace_wanted
-
-    most = max(fillers, key=harm)
-    shard.set_pace(most, int(most.pace_wanted * 0.4) if most.pace_wanted > 8 else 0)
-
-
-def _speed_up(shard, serving, fillers):
-    slowed = [each for each in fillers if each.pace_wanted < FULL_SPEED_PERCENT]
-    if not slowed:
-        return
-    least = min(
-        slowed,
-        key=lambda each: shard.harm.weight(serving, each.task.step.spec.image),
-    )
-    shard.set_pace(least, min(FULL_SPEED_PERCENT, least.pace_wanted + 25))
+    paces = dict.fromkeys(fillers, 1.0)
+    shares = {
+        attempt: attempt.task.step.spec.need.cpu_millis / capacity
+        for attempt in fillers
+    }
+    for image, job in _servings(worker):
+        slopes = {
+            attempt: shard.harm.slope(image, attempt.task.step.spec.image)
+            for attempt in fillers
+        }
+        spare = max(0.0, shard.harm.headroom(job) - PACE_HEADROOM)
+        excess = -spare + sum(
+            slopes[each] * shares[each] * paces[each] for each in fillers
+        )
+        for attempt in sorted(fillers, key=lambda each: -slopes[each]):
+            if excess <= 0:
+                break
+            if slopes[attempt] < LIGHT_SLOPE:
+                break
+            cost = slopes[attempt] * shares[attempt]
+            cut = min(paces[attempt], excess / cost)
+            paces[attempt] -= cut
+            excess -= cut * cost
+    return paces
 
 
 def _drain_workers(shard, now_s):
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -308,6 +308,7 @@
         self.blocked_until_s = 0.0
         self.refusals = 0
         self.next_pace_s = 0.0
+        self.next_look_s = 0.0
         self.over_since_s = None
         self.failures = []
         self.cpu_used = 0
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -120,6 +120,7 @@
     def note_finished(self, job_id, state, now_s):
         """Forget a job whose final state is recorded, but for that state."""
         job = self.jobs.pop(job_id, None)
+        self.harm.forget(job_id)
         self.finished[job_id] = (state, now_s)
         if job is not None:
             for attempt in job.attempts():
