Count failures by attempt, and read the list of workers at the owner alone

Cause: an end that a new owner sees again was counted twice, and an end of the owner before it not at all; every instance polled the list of workers. Change: progress rows hold the numbers of failed attempts; the owner follows the list; clocks are passed in and go on while a machine is suspended.

--- a/fuchsiascale/clock.py
+++ b/fuchsiascale/clock.py
@@ -3,7 +3,7 @@
 import time
 from typing import Protocol
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 
 class Clock(Protocol):
@@ -28,6 +28,17 @@
         return time.time_ns() // 1_000_000
 
 
+class BootClock(SystemClock):
+    """The operating system's clock that goes on while the machine is suspended.
+
+    After a suspension it shows how old a belief is, which the monotonic clock hides.
+    """
+
+    def monotonic(self):
+        """Return the time since the boot in seconds, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that moves only when told to.
 
--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -1,6 +1,5 @@
 """What callers ask for: hand in, state, cancel, count of what waits."""
 
-import time
 import uuid
 from enum import Enum
 
@@ -74,10 +73,13 @@
         The store.
     offices : Offices
         Who owns which service.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, store, offices):
+    def __init__(self, store, offices, clock):
         self.store = store
+        self.clock = clock
         self.offices = offices
         self.log = logbook.Logger("entry")
         self._final = {}
@@ -88,7 +90,7 @@
         """Accept a job, or say that it was not accepted and never runs."""
         service = policy.service
         record = JobRecord(
-            job=job, spec=spec, policy=policy, accepted_ms=time.time_ns() // 1_000_000
+            job=job, spec=spec, policy=policy, accepted_ms=self.clock.wall_ms()
         )
         mark = uuid.uuid4().hex[:12]
         version = 0
--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 
 import logbook
 import msgspec
@@ -74,19 +73,22 @@
         Calls to workers.
     peers : PeerPort
         Calls to other instances.
-    listing : callable
-        Returns the listed workers of a service.
-    longest_lease_s : float
+    listing : WorkerListing
+        Where the platform lists the workers.
+    lease_s : float
         Longest lease that workers grant.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, identity, store, workers, peers, listing, longest_lease_s):
+    def __init__(self, identity, store, workers, peers, listing, lease_s, clock):
         self.identity = identity
         self.store = store
         self.workers = workers
         self.peers = peers
         self.listing = listing
-        self.longest_lease_s = longest_lease_s
+        self.lease_s = lease_s
+        self.clock = clock
         self.log = logbook.Logger("offices")
         self.owners = {}
         self.stopping = False
@@ -108,12 +110,12 @@
         """Take in the owner row of a service."""
         if version >= self.view(service).version or version == 0:
             if version > self.view(service).version:
-                self._heard_s[service] = time.monotonic()
+                self._heard_s[service] = self.clock.monotonic()
             self._views[service] = OwnerView(service, row, version)
 
     def members(self):
         """Return the peer addresses of instances that are alive."""
-        now_s = time.monotonic()
+        now_s = self.clock.monotonic()
         own = {
             address
             for address, heard_s in self._members.items()
@@ -160,7 +162,7 @@
             if service in self.owners:
                 await asyncio.sleep(PING_PERIOD_S)
                 continue
-            began_s = time.monotonic()
+            began_s = self.clock.monotonic()
             view = self.view(service)
             if view.row is None:
                 view = await self._read_view(service)
@@ -170,10 +172,10 @@
             if view.row is None:
                 await self._claim(view, 0.0, None)
             elif view.row.instance == self.identity.instance:
-                await self._claim(view, 0.0, time.monotonic())
+                await self._claim(view, 0.0, self.clock.monotonic())
             else:
                 await self._check_owner(view)
-            passed_s = time.monotonic() - began_s
+            passed_s = self.clock.monotonic() - began_s
             await asyncio.sleep(max(0.02, PING_PERIOD_S - passed_s))
 
     async def _read_view(self, service):
@@ -188,7 +190,7 @@
     async def _check_owner(self, view):
         service = view.service
         reply = await self.peers.ask(view.row.address, self.identity, PING_TIMEOUT_S)
-        now_s = time.monotonic()
+        now_s = self.clock.monotonic()
         if isinstance(reply, Pong):
             for address in reply.members:
                 self._told[address] = now_s
@@ -282,11 +284,12 @@
             version,
             self.store,
             self.workers,
-            self.longest_lease_s,
+            self.listing,
+            self.lease_s,
+            self.clock,
             self._note_lost,
         )
         self.owners[service] = owner
-        owner.update_listing(self.listing(service))
         self._keep(owner.start(gone_s))
         return True
 
@@ -363,7 +366,7 @@
         return Ok(False)
 
     def _answer_ping(self, ping):
-        now_s = time.monotonic()
+        now_s = self.clock.monotonic()
         self._members[ping.address] = now_s
         return Pong(
             instance=self.identity.instance,
@@ -380,7 +383,7 @@
         view = self.view(message.service)
         if view.version != message.version:
             return Ok(False)
-        return Ok(await self._claim(view, 0.0, time.monotonic()))
+        return Ok(await self._claim(view, 0.0, self.clock.monotonic()))
 
     async def hand_over(self):
         """Pass all services to other instances, before this one stops."""
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -1,7 +1,6 @@
 """Drives a shard: exchanges with its workers, records of ends, the feed of jobs."""
 
 import asyncio
-import time
 import uuid
 
 import logbook
@@ -40,6 +39,7 @@
 )
 from fuchsiascale.jobs._rounds import observe_tails, plan_round
 from fuchsiascale.jobs._shard import PaceNow, Shard, StartNow, StopNow
+from fuchsiascale.jobs._watches import TableWatch
 
 __all__ = ["Owner"]
 
@@ -61,6 +61,8 @@
 """How long the store holds a poll open."""
 STORE_PAUSE_S = 0.15
 """Pause after a store call that failed."""
+LISTING_PAUSE_S = 0.3
+"""Least time between two polls of the list of workers."""
 ISOLATION_S = 10.0
 """Time without a word of the store after which an owner grants no more leases."""
 MAX_ROWS = 90
@@ -84,22 +86,29 @@
         The store.
     workers : WorkerPort
         Calls to workers.
-    listing : callable
-        Returns the listed workers of the service, and whether the list is fresh.
+    listing : WorkerListing
+        Where the platform lists the workers.
     lease_s : float
         Longest lease that workers grant.
-    policy : object
-        The placement policy's state.
+    clock : Clock
+        Source of time.
     on_lost : callable
         Called once, when another owner is found in office.
     """
 
-    def __init__(self, service, row, version, store, workers, lease_s, on_lost):
+    def __init__(
+        self, service, row, version, store, workers, listing, lease_s, clock, on_lost
+    ):
         self.service = service
         self.row = row
         self.version = version
         self.store = store
         self.calls = workers
+        self.clock = clock
+        self._decode_worker = listing.decode
+        self._table = TableWatch(
+            store, listing.table, self._take_list, clock, LISTING_PAUSE_S
+        )
         self.lease_s = min(LEASE_S, lease_s)
         self.on_lost = on_lost
         self.log = logbook.Logger("owner")
@@ -111,7 +120,7 @@
         self.roster_version = 0
         self.roster_ids = frozenset()
         self.listed = {}
-        self.confirmed_s = time.monotonic()
+        self.confirmed_s = self.clock.monotonic()
         self._wake_round = asyncio.Event()
         self._wake_flush = asyncio.Event()
         self._recorded = asyncio.Event()
@@ -127,8 +136,7 @@
         if not await self._load(predecessor_gone_s):
             return
         self.shard.loaded = True
-        for listed in list(self.listed.values()):
-            self.shard.list_worker(listed, time.monotonic())
+        self._keep(self._table.run())
         self._keep(self._run_rounds())
         self._keep(self._run_flushes())
         self._keep(self._run_feed())
@@ -184,7 +192,7 @@
         return False
 
     def _restore(self, accepted, progress, pools, predecessor_gone_s):
-        now_s, wall_ms = time.monotonic(), time.time_ns() // 1_000_000
+        now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         self.feed_version = accepted.version
         recorded = {
             row.place.key: decode_row(row.value, ProgressRow) for row in progress.rows
@@ -216,8 +224,6 @@
         for entry in roster.workers:
             worker = self.shard.list_worker(entry.worker, now_s)
             self.shard.uncovered[worker.worker] = until_s
-            if worker.worker not in self.listed:
-                self.shard.miss_worker(worker.worker, now_s)
 
     def _take_row(self, row, now_s, wall_ms, progress=None):
         """Take in a row of the table of accepted jobs."""
@@ -238,13 +244,16 @@
 
     # What other parts tell ---------------------------------------------------
 
-    def update_listing(self, listed):
-        """Take in the list of workers."""
-        now_s = time.monotonic()
-        self.listed = {worker.worker: worker for worker in listed}
-        if not self._ready.is_set():
-            return
-        for worker in listed:
+    def _take_list(self, rows):
+        """Take in the list of workers; entries that name none are left out."""
+        now_s = self.clock.monotonic()
+        found = (self._decode_worker(row) for row in rows.values())
+        self.listed = {
+            worker.worker: worker
+            for worker in found
+            if worker is not None and worker.service == self.service
+        }
+        for worker in self.listed.values():
             self.shard.list_worker(worker, now_s)
         for worker_id in self.shard.workers:
             if worker_id not in self.listed:
@@ -256,7 +265,7 @@
         """Take on a job that an entry has just stored."""
         if accepted.record is None or accepted.token > self.row.token:
             return
-        now_s, wall_ms = time.monotonic(), time.time_ns() // 1_000_000
+        now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         if self._ready.is_set():
             job = accepted.record.job
             if self.shard.add_job(accepted.record, accepted.token, now_s, wall_ms):
@@ -265,7 +274,7 @@
 
     def cancel_job(self, job):
         """Take in a cancellation that is stored."""
-        self.shard.cancel_job(job, time.monotonic())
+        self.shard.cancel_job(job, self.clock.monotonic())
         self.kick()
         self._wake_flush.set()
 
@@ -298,7 +307,7 @@
     def _play_round(self):
         if self.handing_over:
             return
-        now_s, wall_ms = time.monotonic(), time.time_ns() // 1_000_000
+        now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         self.shard.lapse_silent(now_s)
         for job in self.shard.jobs.values():
             if job.timed and not job.state.final:
@@ -323,7 +332,7 @@
         worker = attempt.worker
         shard = self.shard
         job = attempt.task.step.job
-        sent_s = time.monotonic()
+        sent_s = self.clock.monotonic()
         until_ms = self._lease_end(worker, sent_s)
         order = StartOrder(
             task=attempt.task.name,
@@ -335,7 +344,7 @@
         )
         shard.note_exchange_sent(worker, until_ms)
         reply = await self.calls.start(worker.listed, order)
-        now_s = time.monotonic()
+        now_s = self.clock.monotonic()
         if isinstance(reply, Success):
             shard.note_started(attempt, now_s)
             return
@@ -363,14 +372,14 @@
         )
         if isinstance(reply, Success):
             self.shard.note_stop_answered(
-                order.worker, order.task, order.number, time.monotonic()
+                order.worker, order.task, order.number, self.clock.monotonic()
             )
             return
         error = reply.failure()
         self._check_fence(error)
         if isinstance(error, Refused) and error.reason is RefusedReason.SUPERSEDED:
             self.shard.note_stop_answered(
-                order.worker, order.task, order.number, time.monotonic()
+                order.worker, order.task, order.number, self.clock.monotonic()
             )
 
     async def _pace(self, order):
@@ -411,7 +420,7 @@
             self.give_up("link failed")
 
     def _may_grant(self):
-        return time.monotonic() - self.confirmed_s < ISOLATION_S
+        return self.clock.monotonic() - self.confirmed_s < ISOLATION_S
 
     def _lease_end(self, worker, now_s):
         return self.shard.clock_of(worker, now_s) + int(self.lease_s * 1000)
@@ -427,7 +436,7 @@
     async def _exchange(self, worker):
         """Exchange once with a worker; returns whether to go on."""
         shard = self.shard
-        sent_s = time.monotonic()
+        sent_s = self.clock.monotonic()
         until_ms = None
         first = not worker.claimed or worker.clock_ms is None
         if not first and self._may_grant():
@@ -437,7 +446,7 @@
         reply = await self.calls.exchange(
             worker.listed, self.row.token, worker.recorded, until_ms, wait_ms
         )
-        now_s = time.monotonic()
+        now_s = self.clock.monotonic()
         if isinstance(reply, Success):
             seen = worker.seen
             shard.observe(worker, reply.unwrap(), sent_s, now_s)
@@ -528,7 +537,7 @@
     async def _record(self, jobs, roster):
         """Write the state of jobs, and the roster; returns whether it is written."""
         service = self.service
-        now_s, now_ms = time.monotonic(), time.time_ns() // 1_000_000
+        now_s, now_ms = self.clock.monotonic(), self.clock.wall_ms()
         mark = LedgerRow(token=self.row.token, write=uuid.uuid4().hex[:12])
         changes = [Change(ledger_place(service), encode_row(mark))]
         expected = [
@@ -596,24 +605,24 @@
         return False
 
     def _confirm(self):
-        self.confirmed_s = time.monotonic()
+        self.confirmed_s = self.clock.monotonic()
 
     # The feed of jobs ----------------------------------------------------------
 
     async def _run_feed(self):
         while True:
-            began_s = time.monotonic()
+            began_s = self.clock.monotonic()
             reply = await self.store.follow(ACCEPTED, self.feed_version, FEED_WAIT_MS)
             if isinstance(reply, Success):
                 self._take_feed(reply.unwrap())
             elif not await self._read_again(reply.failure()):
                 await asyncio.sleep(STORE_PAUSE_S)
-            passed_s = time.monotonic() - began_s
+            passed_s = self.clock.monotonic() - began_s
             await asyncio.sleep(max(0.0, FEED_PAUSE_S - passed_s))
             self._forget_finished()
 
     def _take_feed(self, changes):
-        now_s, wall_ms = time.monotonic(), time.time_ns() // 1_000_000
+        now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         for row in changes.rows:
             if row.place.partition == self.service:
                 self._take_row(row, now_s, wall_ms)
@@ -632,4 +641,4 @@
         return True
 
     def _forget_finished(self):
-        self.shard.forget_finished(time.monotonic() - KEEP_FINISHED_S)
+        self.shard.forget_finished(self.clock.monotonic() - KEEP_FINISHED_S)
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -1,5 +1,6 @@
 """Ports of the job service: the rows that last, and the workers."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -31,6 +32,7 @@
     "StoredRow",
     "StoreError",
     "StorePort",
+    "WorkerListing",
     "WorkerPort",
     "WorkerReply",
 ]
@@ -132,6 +134,16 @@
     incarnation: int = 0
 
 
+class WorkerListing(msgspec.Struct, frozen=True):
+    """Where the platform lists workers, and how an entry is decoded.
+
+    ``decode`` returns None for an entry that names no worker to use.
+    """
+
+    table: str
+    decode: Callable[[StoredRow], ListedWorker | None]
+
+
 class EndKind(Enum):
     """How an attempt ended."""
 
--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -91,13 +91,14 @@
         For ``occurrence.step`` the tasks that have ended as done, as the bits of
         a hexadecimal number.
     failed : dict
-        For ``occurrence.step.index`` the attempts that have failed.
+        For ``occurrence.step.index`` the numbers of the attempts that have failed;
+        numbers, since an end may be seen again by the next owner.
     checkpoints : dict
         For ``occurrence.step.index`` the last checkpoint of an ended attempt.
     """
 
     done: dict[str, str] = {}
-    failed: dict[str, int] = {}
+    failed: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
 
 
--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -1,7 +1,5 @@
 """A store that peers are asked to reach where this instance can't."""
 
-import time
-
 import logbook
 from returns.result import Failure, Success
 
@@ -29,12 +27,15 @@
         Calls to other instances.
     members : callable
         Returns the addresses of peers that are alive.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, direct, peers, members):
+    def __init__(self, direct, peers, members, clock):
         self.direct = direct
         self.peers = peers
         self.members = members
+        self.clock = clock
         self.log = logbook.Logger("store")
         self.reachable = True
         self._retry_s = 0.0
@@ -46,7 +47,7 @@
         allow only one of the two to be applied.
         """
         first = None
-        if time.monotonic() >= self._retry_s:
+        if self.clock.monotonic() >= self._retry_s:
             first = self._note(await self.direct.commit(expected, changes))
             if not _failed(first):
                 return first
@@ -65,7 +66,7 @@
     async def read(self, table, partition, first="", last=""):
         """Read rows; see `StorePort.read`."""
         direct = None
-        if time.monotonic() >= self._retry_s:
+        if self.clock.monotonic() >= self._retry_s:
             direct = self._note(await self.direct.read(table, partition, first, last))
             if not _failed(direct):
                 return direct
@@ -83,7 +84,7 @@
     def _note(self, reply):
         failed = _failed(reply)
         if failed:
-            self._retry_s = time.monotonic() + DIRECT_PAUSE_S
+            self._retry_s = self.clock.monotonic() + DIRECT_PAUSE_S
         if failed == self.reachable:
             self.reachable = not failed
             why = reply.failure().detail if failed else ""
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -78,6 +78,7 @@
         "done",
         "failed",
         "index",
+        "latest",
         "name",
         "next_number",
         "step",
@@ -89,7 +90,8 @@
         self.index = index
         self.name = name_task(step.job.job, step.occurrence, step.number, index)
         self.next_number = first_number
-        self.failed = 0
+        self.latest = 0
+        self.failed = set()
         self.checkpoint = ""
         self.done = False
         self.attempt = None
@@ -251,7 +253,7 @@
         for name, failures in progress.failed.items():
             task = self.find_task(*(int(part) for part in name.split(".")))
             if task is not None:
-                task.failed = failures
+                task.failed = set(failures)
         for name, checkpoint in progress.checkpoints.items():
             task = self.find_task(*(int(part) for part in name.split(".")))
             if task is not None:
@@ -269,7 +271,7 @@
                         bits |= 1 << task.index
                         continue
                     if task.failed:
-                        failed[name] = task.failed
+                        failed[name] = sorted(task.failed)
                     if task.checkpoint:
                         checkpoints[name] = task.checkpoint
                 if bits:
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -250,7 +250,7 @@
         job = self.jobs.get(place[0]) if place else None
         task = job.find_task(*place[1:]) if job else None
         fits = task is not None and task.waiting and not job.state.final
-        if not fits or (running.attempt < task.next_number - 1 and not job.inherited):
+        if not fits or running.attempt < task.latest:
             if self.loaded and worker.strays.get(running.task) != running.attempt:
                 self.log.warning(
                     "stopping an unknown attempt",
@@ -264,6 +264,7 @@
             return None
         attempt = Attempt(task, worker, running.attempt, AttemptPhase.RUNNING, now_s)
         task.attempt = attempt
+        task.latest = running.attempt
         task.next_number = max(task.next_number, running.attempt + 1)
         worker.occupy(attempt)
         self._mark_running(job)
@@ -296,41 +297,46 @@
             attempt.task.attempt = None
             attempt.task.waiting_since_s = now_s
         task = job.find_task(*place[1:]) if job else None
-        if task is None or task.done or task.attempt is not None:
+        if task is None or task.done:
             return
-        if end.attempt < task.next_number - 1 and end.how is not EndKind.DONE:
+        self.dirty[job.job] = job
+        if end.how is EndKind.FAILED:
+            self._count_failure(worker, job, task, end, now_s)
+        if task.attempt is not None or end.attempt < task.latest:
             return
+        task.latest = end.attempt
         task.next_number = max(task.next_number, end.attempt + 1)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
-        self.dirty[job.job] = job
-        self._apply_end(worker, job, task, end, now_s)
-
-    def _apply_end(self, worker, job, task, end, now_s):
         if end.how is EndKind.DONE and not task.step.spec.lasting:
-            task.done = True
-            if task.step.spec.gang:
-                for member in task.step.tasks:
-                    member.done = True
-            if job.complete() and not job.state.final:
-                self._finish(job, JobState.COMPLETED, now_s)
+            self._note_done(job, task, now_s)
+
+    def _note_done(self, job, task, now_s):
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            member.done = True
+        if job.complete() and not job.state.final:
+            self._finish(job, JobState.COMPLETED, now_s)
+
+    def _count_failure(self, worker, job, task, end, now_s):
+        """Count a failed attempt, once however often its end is seen."""
+        if end.attempt in task.failed:
             return
-        if end.how is EndKind.FAILED:
-            worker.failures.append((now_s, job.job))
-            task.avoid = worker.worker
-            task.failed += 1
-            self.log.info(
-                "attempt failed",
-                extra={
-                    "task": task.name,
-                    "attempt": end.attempt,
-                    "worker": worker.worker,
-                    "failures": task.failed,
-                },
-            )
-            spent = task.failed >= job.policy.max_attempts
-            if spent and not task.step.spec.lasting and not job.state.final:
-                self._finish(job, JobState.FAILED, now_s)
+        task.failed.add(end.attempt)
+        task.avoid = worker.worker
+        worker.failures.append((now_s, job.job))
+        self.log.info(
+            "attempt failed",
+            extra={
+                "task": task.name,
+                "attempt": end.attempt,
+                "worker": worker.worker,
+                "failures": len(task.failed),
+            },
+        )
+        spent = len(task.failed) >= job.policy.max_attempts
+        if spent and not task.step.spec.lasting and not job.state.final:
+            self._finish(job, JobState.FAILED, now_s)
 
     def lose_all(self, worker, now_s, why):
         """Count all attempts on a worker as over without an end."""
@@ -375,6 +381,7 @@
     def start_task(self, task, worker, now_s):
         """Decide to start a task on a worker."""
         attempt = Attempt(task, worker, task.next_number, AttemptPhase.STARTING, now_s)
+        task.latest = task.next_number
         task.next_number += 1
         task.attempt = attempt
         worker.occupy(attempt)
--- a/fuchsiascale/jobs/_watches.py
+++ b/fuchsiascale/jobs/_watches.py
@@ -1,14 +1,13 @@
 """Keeps the configuration and the list of workers up to date."""
 
 import asyncio
-import time
 
 import logbook
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._configuration import Configuration, QueueIndex
 
-__all__ = ["ConfigurationWatch", "TableWatch", "WorkerWatch"]
+__all__ = ["ConfigurationWatch", "TableWatch"]
 
 FOLLOW_WAIT_MS = 1_000
 """How long the store holds a poll open; well under the 2.5 s in which a
@@ -28,11 +27,14 @@
         The table; its rows lie in the empty partition.
     on_change : callable
         Called with all rows by key after each change.
+    clock : Clock
+        Source of time.
     pause_s : float
         Least time between two polls.
     """
 
-    def __init__(self, store, table, on_change, pause_s=0.0):
+    def __init__(self, store, table, on_change, clock, pause_s=0.0):
+        self.clock = clock
         self.store = store
         self.table = table
         self.rows = {}
@@ -45,14 +47,14 @@
     async def run(self):
         """Follow the table until cancelled."""
         while True:
-            began_s = time.monotonic()
+            began_s = self.clock.monotonic()
             if self._version is None:
                 ok = await self._read_all()
             else:
                 ok = await self._follow()
             if not ok:
                 await asyncio.sleep(FAILURE_PAUSE_S)
-            passed_s = time.monotonic() - began_s
+            passed_s = self.clock.monotonic() - began_s
             await asyncio.sleep(max(0.0, self._pause_s - passed_s))
 
     async def _read_all(self):
@@ -62,7 +64,7 @@
         changes = found.unwrap()
         self.rows = {row.place.key: row for row in changes.rows}
         self._version = changes.version
-        self.fresh_s = time.monotonic()
+        self.fresh_s = self.clock.monotonic()
         self._on_change(self.rows)
         return True
 
@@ -71,7 +73,7 @@
         if isinstance(reply, Success):
             changes = reply.unwrap()
             self._version = max(self._version, changes.version)
-            self.fresh_s = time.monotonic()
+            self.fresh_s = self.clock.monotonic()
             self._take(changes.rows)
             return True
         self.log.info(
@@ -131,34 +133,3 @@
             "configuration in force",
             extra={"version": found.version, "queues": len(found.queues)},
         )
-
-
-class WorkerWatch:
-    """Holds the listed workers of each service.
-
-    Parameters
-    ----------
-    decode : callable
-        Returns the worker of a row, or None for an entry that names none.
-    on_change : callable
-        Called after each change.
-    """
-
-    def __init__(self, decode, on_change):
-        self._decode = decode
-        self._on_change = on_change
-        self._workers = {}
-
-    def take_rows(self, rows):
-        """Take in the rows of the list."""
-        found = {}
-        for key, row in rows.items():
-            worker = self._decode(row)
-            if worker is not None:
-                found[key] = worker
-        self._workers = found
-        self._on_change()
-
-    def of_service(self, service):
-        """Return the listed workers of a service."""
-        return [each for each in self._workers.values() if each.service == service]
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -11,6 +11,7 @@
 import logbook
 from aiohttp import web
 
+from fuchsiascale.clock import BootClock
 from fuchsiascale.jobs import (
     ConfigurationWatch,
     Entry,
@@ -21,7 +22,7 @@
     RelayedStore,
     RelayRead,
     TableWatch,
-    WorkerWatch,
+    WorkerListing,
     answer_relay,
 )
 from fuchsiascale.node._peerlink import PeerLink, make_peer_application
@@ -29,8 +30,6 @@
 
 __all__ = ["NodeApplication"]
 
-LISTING_PAUSE_S = 0.3
-"""Least time between two polls of the list of workers."""
 LEAVE_ROTATION_S = 2.6
 """Time for the balancer to see that the instance is not ready: two looks, 1 s apart."""
 STOP_MARGIN_S = 0.8
@@ -65,7 +64,6 @@
         self._build()
         await self._listen()
         self._keep(self.operator_watch.run())
-        self._keep(self.worker_table.run())
         self.log.info(
             "started",
             extra={"incarnation": self.identity.incarnation, "pid": os.getpid()},
@@ -87,30 +85,27 @@
         self.peers = PeerLink(self._open_session())
         direct = userplatform.HttpRowStore(self._open_session(), settings.store_address)
         self.direct = direct
-        self.store = RelayedStore(direct, self.peers, lambda: self.offices.members())
+        self.clock = BootClock()
+        self.store = RelayedStore(
+            direct, self.peers, lambda: self.offices.members(), self.clock
+        )
         workers = userplatform.HttpTaskWorkers(self._open_session())
-        self.worker_watch = WorkerWatch(userplatform.decode_worker, self._note_workers)
         self.offices = Offices(
             self.identity,
             self.store,
             workers,
             self.peers,
-            self.worker_watch.of_service,
+            WorkerListing(userplatform.WORKERS_TABLE, userplatform.decode_worker),
             settings.longest_lease_s,
+            self.clock,
         )
         self.configuration_watch = ConfigurationWatch(
             userplatform.CONFIGURATION_KEY, userplatform.decode_configuration
         )
         self.operator_watch = TableWatch(
-            self.store, userplatform.OPERATOR_TABLE, self._note_operator
-        )
-        self.worker_table = TableWatch(
-            self.store,
-            userplatform.WORKERS_TABLE,
-            self.worker_watch.take_rows,
-            LISTING_PAUSE_S,
+            self.store, userplatform.OPERATOR_TABLE, self._note_operator, self.clock
         )
-        self.entry = Entry(self.store, self.offices)
+        self.entry = Entry(self.store, self.offices, self.clock)
         self.front = userplatform.CallerFront(
             self.entry, self.configuration_watch, self.stop_requested.is_set
         )
@@ -131,10 +126,6 @@
         if configuration is not None:
             self.offices.watch(configuration.services)
 
-    def _note_workers(self):
-        for service, owner in list(self.offices.owners.items()):
-            owner.update_listing(self.worker_watch.of_service(service))
-
     def _keep(self, coroutine):
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._note_end)
