--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -37,7 +37,7 @@
     owner_place,
     roster_place,
 )
-from fuchsiascale.jobs._rounds import observe_tails, plan_round
+from fuchsiascale.jobs._rounds import objective_s, observe_tails, plan_round
 from fuchsiascale.jobs._shard import PaceNow, Shard, StartNow, StopNow
 from fuchsiascale.jobs._watches import TableWatch
 
@@ -268,8 +268,18 @@
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         if self._ready.is_set():
             job = accepted.record.job
-            if self.shard.add_job(accepted.record, accepted.token, now_s, wall_ms):
-                self.log.info("job taken on", extra={"job": job})
+            taken = self.shard.add_job(accepted.record, accepted.token, now_s, wall_ms)
+            if taken is not None:
+                policy = accepted.record.policy
+                self.log.info(
+                    "job taken on",
+                    extra={
+                        "job": job,
+                        "queue": policy.queue,
+                        "prio": policy.priority,
+                        "objective_s": objective_s(taken),
+                    },
+                )
             self.kick()
 
     def cancel_job(self, job):
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -2,7 +2,7 @@
 
 from fuchsiascale.jobs._runs import FULL_SPEED_PERCENT, AttemptPhase
 
-__all__ = ["plan_round"]
+__all__ = ["objective_s", "observe_tails", "plan_round"]
 
 PLACE_HEADROOM = 1.4
 """Headroom of serving tasks that a new filler has to leave: load rises meanwhile."""
@@ -61,11 +61,15 @@
 def _rank_job(job, now_s):
     if job.lasting:
         return (0, 0, job.accepted_s)
-    chain_s = _chain_s(job)
-    objective_s = job.policy.stretch * chain_s + job.policy.target_ms / 1000
+    due_s = objective_s(job)
     age_s = now_s - job.accepted_s
-    late = 0 if age_s < objective_s else 1 if age_s < LATE_FACTOR * objective_s else 2
-    return (late == 2, job.policy.priority, late, job.accepted_s + objective_s)
+    late = 0 if age_s < due_s else 1 if age_s < LATE_FACTOR * due_s else 2
+    return (late == 2, job.policy.priority, late, job.accepted_s + due_s)
+
+
+def objective_s(job):
+    """Return the time in which a job should end, by its declared run times."""
+    return job.policy.stretch * _chain_s(job) + job.policy.target_ms / 1000
 
 
 def _chain_s(job):
@@ -80,11 +84,23 @@
     waiting = [task for task in step.tasks if task.waiting]
     if not waiting:
         return
+    started = 0
     for task in waiting:
         worker = _choose_worker(shard, task, workers)
         if worker is None:
-            return
+            break
         shard.start_task(task, worker, now_s)
+        started += 1
+    if started:
+        shard.log.info(
+            "tasks started",
+            extra={
+                "job": step.job.job,
+                "step": f"{step.occurrence}.{step.number}",
+                "started": started,
+                "of": len(waiting),
+            },
+        )
 
 
 def _choose_worker(shard, task, workers):
