Rank members by bytes, keep a watch alive, and refuse at once while the store is away

Submissions in an outage waited for every time-out. Change: the rank hashes bytes; a look that fails is logged and repeated; a store that neither this instance nor a peer reaches refuses at once.

--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -89,6 +89,9 @@
     async def submit(self, policy, job, spec):
         """Accept a job, or say that it was not accepted and never runs."""
         service = policy.service
+        if self.store.away():
+            self.log.info("refused", extra={"job": job, "why": "store away"})
+            return NOT_RUN
         record = JobRecord(
             job=job, spec=spec, policy=policy, accepted_ms=self.clock.wall_ms()
         )
--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -159,25 +159,30 @@
 
     async def _run_watch(self, service):
         while not self.stopping:
-            if service in self.owners:
-                await asyncio.sleep(PING_PERIOD_S)
-                continue
             began_s = self.clock.monotonic()
-            view = self.view(service)
-            if view.row is None:
-                view = await self._read_view(service)
-                if view is None:
-                    await asyncio.sleep(PING_PERIOD_S)
-                    continue
-            if view.row is None:
-                await self._claim(view, 0.0, None)
-            elif view.row.instance == self.identity.instance:
-                await self._claim(view, 0.0, self.clock.monotonic())
-            else:
-                await self._check_owner(view)
+            if service not in self.owners:
+                try:
+                    await self._look_at(service)
+                except Exception as error:
+                    # A service without a watch would stay without an owner.
+                    self.log.error("watch failed: {!r}", error, exc_info=error)
             passed_s = self.clock.monotonic() - began_s
             await asyncio.sleep(max(0.02, PING_PERIOD_S - passed_s))
 
+    async def _look_at(self, service):
+        """Look once after the owner of a service, and claim it where it is gone."""
+        view = self.view(service)
+        if view.row is None:
+            view = await self._read_view(service)
+        if view is None:
+            return
+        if view.row is None:
+            await self._claim(view, 0.0, None)
+        elif view.row.instance == self.identity.instance:
+            await self._claim(view, 0.0, self.clock.monotonic())
+        else:
+            await self._check_owner(view)
+
     async def _read_view(self, service):
         found = await self.store.read(ACCEPTED, service, OWNER_KEY, OWNER_KEY + "\0")
         if isinstance(found, Failure):
@@ -214,7 +219,8 @@
 
     def _rank(self, view):
         def score(address):
-            return xxhash.xxh64_intdigest(f"{address}|{view.service}|{view.token}")
+            key = f"{address}|{view.service}|{view.token}"
+            return xxhash.xxh64_intdigest(key.encode())
 
         own = score(self.identity.address)
         others = set(self.members()) - {view.row.address if view.row else ""}
--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -1,5 +1,7 @@
 """A store that peers are asked to reach where this instance can't."""
 
+import random
+
 import logbook
 from returns.result import Failure, Success
 
@@ -39,6 +41,7 @@
         self.log = logbook.Logger("store")
         self.reachable = True
         self._retry_s = 0.0
+        self._away_since_s = None
 
     async def commit(self, expected, changes):
         """Apply all changes or none; see `StorePort.commit`.
@@ -61,7 +64,8 @@
             return Success(reply.version)
         if reply.status == "changed":
             return Failure(Changed(reply.rows))
-        return Failure(NoAnswer() if unsure or reply.status != "busy" else Busy())
+        busy = reply.status == "busy" and not unsure
+        return Failure(Busy("also for peers") if busy else NoAnswer("also for peers"))
 
     async def read(self, table, partition, first="", last=""):
         """Read rows; see `StorePort.read`."""
@@ -81,26 +85,46 @@
         """Wait for changes; see `StorePort.follow`. Not relayed: callers read."""
         return self._note(await self.direct.follow(table, after, wait_ms))
 
+    def away(self):
+        """Return whether neither this instance nor a peer has reached the store."""
+        return self._away_since_s is not None
+
     def _note(self, reply):
-        failed = _failed(reply)
-        if failed:
+        """Take in the reply to a direct call."""
+        if _failed(reply):
             self._retry_s = self.clock.monotonic() + DIRECT_PAUSE_S
-        if failed == self.reachable:
-            self.reachable = not failed
-            why = reply.failure().detail if failed else ""
-            self.log.warning(
-                "store lost" if failed else "store regained", extra={"why": why}
-            )
-        if not failed:
-            self._retry_s = 0.0
+            if self.reachable:
+                self.reachable = False
+                self.log.warning("store lost", extra={"why": reply.failure().detail})
+            return reply
+        self._retry_s = 0.0
+        self._away_since_s = None
+        if not self.reachable:
+            self.reachable = True
+            self.log.warning("store regained", extra={"how": "directly"})
+        return reply
+
+    def _note_relayed(self, reply):
+        """Take in whether a peer has reached the store."""
+        if reply is not None and reply.status in ("done", "changed"):
+            self._away_since_s = None
+        elif self._away_since_s is None:
+            self._away_since_s = self.clock.monotonic()
+            self.log.warning("store away for peers too", extra={})
         return reply
 
     async def _relay(self, message):
-        for address in self.members()[:MAX_PEERS]:
-            reply = await self.peers.ask(address, message, RELAY_TIMEOUT_S)
-            if isinstance(reply, Relayed):
-                return reply
-        return None
+        """Ask peers in turn until one has an answer of the store."""
+        reply = None
+        members = self.members()
+        random.shuffle(members)
+        for address in members[:MAX_PEERS]:
+            found = await self.peers.ask(address, message, RELAY_TIMEOUT_S)
+            if isinstance(found, Relayed):
+                reply = found
+                if found.status in ("done", "changed"):
+                    break
+        return self._note_relayed(reply)
 
 
 def _failed(reply):
