Move fillers that are slowed down to workers where they run

Change: a filler that checkpoints, or has barely begun, is stopped where another worker offers 0.8 of its speed; running fillers leave a headroom of 1.3.

--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -6,7 +6,7 @@
 
 PLACE_HEADROOM = 1.4
 """Headroom of serving tasks that a new filler has to leave: load rises meanwhile."""
-PACE_HEADROOM = 1.15
+PACE_HEADROOM = 1.3
 """Headroom of serving tasks that running fillers are slowed down to leave."""
 LIGHT_SLOPE = 1.6
 """Slope up to which a filler is taken to be harmless; harmful ones have 4 to 12."""
@@ -22,6 +22,20 @@
 """Speeds are multiples of this percentage, so that few orders are sent."""
 LOOK_PERIOD_S = 0.4
 """Least time between two figures of a worker that are learnt from."""
+MOVE_PERIOD_S = 0.2
+"""Period in which fillers that hardly progress are looked for."""
+MOVES_A_ROUND = 4
+"""Fillers moved at once: each changes what is best for the next."""
+MOVE_AFTER_S = 0.6
+"""Time on a worker before a filler is moved away."""
+STUCK_PERCENT = 20
+"""Speed up to which a filler is worth moving."""
+BETTER_RATE = 0.8
+"""Speed that another worker has to offer."""
+NEARLY_DONE_PERCENT = 80
+"""Progress from which a filler that checkpoints stays where it is."""
+BARELY_BEGUN_PERCENT = 20
+"""Progress up to which one that doesn't checkpoint may start anew."""
 OVER_STOP_S = 2.2
 """Time over the target after which all fillers of a worker are halted."""
 LASTING_USE = 0.5
@@ -45,6 +59,7 @@
         _pace_worker(shard, worker, now_s)
     _drain_workers(shard, now_s)
     workers = [worker for worker in workers if not worker.strays]
+    _move_fillers(shard, workers, now_s)
     covered = shard.covered()
     for job in _order_jobs(shard, now_s):
         if job.inherited and not covered:
@@ -293,6 +308,50 @@
     return paces
 
 
+def _move_fillers(shard, workers, now_s):
+    """Move fillers that hardly progress to workers where they would."""
+    if now_s < shard.next_move_s:
+        return
+    shard.next_move_s = now_s + MOVE_PERIOD_S
+    moved = 0
+    for worker in shard.workers.values():
+        for attempt in list(worker.attempts.values()):
+            if moved >= MOVES_A_ROUND:
+                return
+            if _is_stuck(attempt, now_s) and _find_better(shard, attempt, workers):
+                shard.log.info(
+                    "moving a slowed task",
+                    extra={
+                        "task": attempt.task.name,
+                        "worker": worker.worker,
+                        "pace": attempt.pace,
+                        "percent": attempt.percent,
+                    },
+                )
+                shard.stop_attempt(attempt, now_s)
+                moved += 1
+
+
+def _is_stuck(attempt, now_s):
+    spec = attempt.task.step.spec
+    if not spec.fills or attempt.phase is not AttemptPhase.RUNNING:
+        return False
+    if attempt.pace_wanted > STUCK_PERCENT or now_s - attempt.since_s < MOVE_AFTER_S:
+        return False
+    latest = NEARLY_DONE_PERCENT if spec.checkpoints else BARELY_BEGUN_PERCENT
+    return attempt.percent < latest
+
+
+def _find_better(shard, attempt, workers):
+    spec = attempt.task.step.spec
+    return any(
+        worker is not attempt.worker
+        and worker.fits(spec)
+        and _fill_rate(shard, spec, worker) >= BETTER_RATE
+        for worker in workers
+    )
+
+
 def _drain_workers(shard, now_s):
     """Move what checkpoints or lasts away from workers that leave."""
     for worker in shard.workers.values():
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -81,6 +81,7 @@
         self.loaded = False
         self.uncovered = {}
         self.harm = PairHarm()
+        self.next_move_s = 0.0
 
     # Jobs ------------------------------------------------------------------
 
