Test the wire's contract and the owner's rules; rank jobs by slack

Cause: the new path had no tests, and jobs whose objective could no longer be met were started before others.

--- a/fuchsiascale/decisions/__init__.py
+++ b/fuchsiascale/decisions/__init__.py
@@ -11,3 +11,4 @@
 from fuchsiascale.decisions._responses import *  # noqa: F403
 from fuchsiascale.decisions._retries import *  # noqa: F403
 from fuchsiascale.decisions._routing import *  # noqa: F403
+from fuchsiascale.decisions._runtimes import *  # noqa: F403
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -277,7 +277,7 @@
                         "job": job,
                         "queue": policy.queue,
                         "prio": policy.priority,
-                        "objective_s": objective_s(taken),
+                        "objective_s": objective_s(taken, self.shard.run_times),
                     },
                 )
             self.kick()
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -44,6 +44,7 @@
         "stop_answered_s",
         "stop_sent_s",
         "task",
+        "whole",
         "worker",
     )
 
@@ -61,6 +62,7 @@
         self.pace_wanted = FULL_SPEED_PERCENT
         self.stop_sent_s = None
         self.stop_answered_s = None
+        self.whole = not task.checkpoint
 
     def enter(self, phase, now_s):
         """Change the phase."""
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -7,7 +7,7 @@
 import logbook
 import msgspec
 
-from fuchsiascale.decisions import PairHarm
+from fuchsiascale.decisions import PairHarm, RunTimes
 from fuchsiascale.ids import TaskId
 from fuchsiascale.jobs._model import JobState, split_task
 from fuchsiascale.jobs._ports import EndKind, RefusedReason
@@ -81,6 +81,7 @@
         self.loaded = False
         self.uncovered = {}
         self.harm = PairHarm()
+        self.run_times = RunTimes()
         self.next_move_s = 0.0
 
     # Jobs ------------------------------------------------------------------
@@ -294,6 +295,9 @@
         worker.strays.pop(end.task, None)
         attempt = worker.attempts.get(end.task)
         if attempt is not None and attempt.number == end.attempt:
+            if end.how is EndKind.DONE and attempt.whole:
+                queue = attempt.task.step.job.policy.queue
+                self.run_times.observe(queue, now_s - attempt.since_s)
             worker.release(attempt)
             attempt.task.attempt = None
             attempt.task.waiting_since_s = now_s
@@ -464,6 +468,7 @@
     def note_paced(self, attempt, percent):
         """Take in that a worker has set the speed of an attempt."""
         attempt.pace = percent
+        attempt.whole = False
 
     # Records ---------------------------------------------------------------
 
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -0,0 +1,286 @@
+"""The rules by which an owner decides what runs, ends and is in doubt."""
+
+import msgspec
+
+from fuchsiascale.jobs import (
+    AttemptPhase,
+    EndedAttempt,
+    EndKind,
+    Inventory,
+    JobRecord,
+    JobSpec,
+    JobState,
+    ListedWorker,
+    ProgressRow,
+    QueuePolicy,
+    RefusedReason,
+    Resources,
+    RunningAttempt,
+    Shard,
+    StartNow,
+    StepSpec,
+    StopNow,
+)
+from fuchsiascale.testing import collect_functions, fixture
+
+load_tests = collect_functions(__name__)
+
+JOB = "5c0e7a21d94b36f8"
+FIRST = f"{JOB}.0.0.0"
+
+
+def make_record(*steps, max_attempts=2, **fields):
+    policy = QueuePolicy(queue="q", service="pool", max_attempts=max_attempts)
+    spec = JobSpec(payload="p", steps=steps or (StepSpec(count=1),), **fields)
+    return JobRecord(job=JOB, spec=spec, policy=policy, accepted_ms=0)
+
+
+def make_worker(name="w1"):
+    return ListedWorker(
+        worker=name,
+        service="pool",
+        address="10.0.0.1:80",
+        domain="a",
+        capacity=Resources(cpu_millis=4_000, memory_mb=8_000),
+        labels=(),
+    )
+
+
+def inventory(clock_ms=1_000, incarnation=1, running=(), ended=()):
+    return Inventory(
+        clock_ms=clock_ms, incarnation=incarnation, running=running, ended=ended
+    )
+
+
+@fixture
+def shard():
+    made = Shard("pool", 1)
+    made.loaded = True
+    worker = made.list_worker(make_worker(), 0.0)
+    made.observe(worker, inventory(), 0.0, 0.1)
+    yield made
+
+
+def start(shard, record=None, now_s=1.0):
+    job = shard.add_job(record or make_record(), 1, now_s, 0)
+    worker = shard.workers["w1"]
+    task = job.find_task(0, 0, 0)
+    attempt = shard.start_task(task, worker, now_s)
+    shard.take_orders()
+    return worker, attempt
+
+
+def end(number, attempt, how, task=FIRST, saved=""):
+    return EndedAttempt(number, task, attempt, how, saved)
+
+
+def test_a_job_is_completed_once_all_its_steps_have_ended(shard):
+    record = make_record(StepSpec(count=1), StepSpec(count=1, after=(0,)))
+    worker, attempt = start(shard, record)
+    shard.note_started(attempt, 1.1)
+    shard.observe(worker, inventory(2_000, ended=(end(1, 1, EndKind.DONE),)), 2, 2)
+    job = shard.jobs[JOB]
+    assert [step.number for step in job.ready_steps()] == [1]
+    shard.start_task(job.find_task(0, 1, 0), worker, 2.0)
+    second = end(2, 1, EndKind.DONE, task=f"{JOB}.0.1.0")
+    shard.observe(worker, inventory(3_000, ended=(second,)), 3.0, 3.0)
+    assert job.state is JobState.COMPLETED
+
+
+def test_a_final_state_is_told_only_once_it_is_recorded(shard):
+    worker, attempt = start(shard)
+    shard.note_started(attempt, 1.1)
+    shard.observe(worker, inventory(2_000, ended=(end(1, 1, EndKind.DONE),)), 2, 2)
+    assert shard.state_of(JOB) is JobState.RUNNING
+    shard.note_finished(JOB, JobState.COMPLETED, 2.1)
+    assert shard.state_of(JOB) is JobState.COMPLETED
+
+
+def test_an_end_is_acknowledged_only_once_it_is_recorded(shard):
+    worker, attempt = start(shard)
+    shard.note_started(attempt, 1.1)
+    shard.observe(worker, inventory(2_000, ended=(end(1, 1, EndKind.DONE),)), 2, 2)
+    snapshot = shard.snapshot_ends()
+    assert worker.recorded == 0
+    shard.note_recorded(snapshot)
+    assert worker.recorded == 1
+
+
+def test_a_record_does_not_cover_the_ends_of_a_later_incarnation(shard):
+    worker, attempt = start(shard)
+    shard.observe(worker, inventory(2_000, ended=(end(3, 1, EndKind.DONE),)), 2, 2)
+    snapshot = shard.snapshot_ends()
+    shard.observe(worker, inventory(10, incarnation=2), 3.0, 3.0)
+    shard.note_recorded(snapshot)
+    assert worker.recorded == 0
+
+
+def test_a_start_without_an_answer_is_stopped_before_the_task_waits_again(shard):
+    worker, attempt = start(shard)
+    shard.note_start_unanswered(attempt, 2.0)
+    shard.observe(worker, inventory(3_000), 3.0, 3.0)
+    assert shard.take_orders() == [StopNow(worker, FIRST, 1)]
+    assert attempt.task.attempt is attempt
+    shard.note_stop_answered(worker, FIRST, 1, 3.1)
+    shard.observe(worker, inventory(4_000), 3.05, 4.0)
+    assert attempt.task.attempt is attempt, "the look was sent before the answer"
+    shard.observe(worker, inventory(5_000), 4.5, 4.6)
+    assert attempt.task.waiting
+    assert attempt.task.next_number == 2
+
+
+def test_a_start_without_an_answer_that_runs_is_kept(shard):
+    worker, attempt = start(shard)
+    shard.note_start_unanswered(attempt, 2.0)
+    running = (RunningAttempt(FIRST, 1, "c", 50),)
+    shard.observe(worker, inventory(3_000, running=running), 3.0, 3.0)
+    assert attempt.phase is AttemptPhase.RUNNING
+    assert shard.take_orders() == []
+
+
+def test_what_is_in_doubt_or_being_stopped_still_counts(shard):
+    record = make_record(StepSpec(count=1, need=Resources(cpu_millis=4_000)))
+    worker, attempt = start(shard, record)
+    spec = StepSpec(count=1, need=Resources(cpu_millis=1))
+    shard.note_start_unanswered(attempt, 2.0)
+    assert not worker.fits(spec)
+    shard.stop_attempt(attempt, 2.0)
+    assert not worker.fits(spec)
+
+
+def test_an_attempt_lapses_only_after_the_longest_that_its_lease_may_last(shard):
+    worker, attempt = start(shard)
+    shard.note_started(attempt, 1.1)
+    shard.note_exchange_sent(worker, 7_000)
+    # 6 s on the worker's clock, read 0.1 s after the start of this one, 2 % slow
+    shard.lapse_silent(0.1 + 6.0 / 0.98)
+    assert not attempt.task.waiting
+    shard.lapse_silent(0.1 + 6.0 / 0.98 + 0.3)
+    assert attempt.task.waiting
+
+
+def test_a_restarted_worker_runs_nothing_of_before(shard):
+    worker, attempt = start(shard)
+    shard.note_started(attempt, 1.1)
+    shard.observe(worker, inventory(10, incarnation=2), 2.0, 2.0)
+    assert attempt.task.waiting
+    assert worker.cpu_used == 0
+
+
+def test_the_same_failed_end_counts_once_however_often_it_is_seen():
+    shard = Shard("pool", 2)
+    shard.loaded = True
+    worker = shard.list_worker(make_worker(), 0.0)
+    job = shard.add_job(make_record(), 1, 0.0, 0, ProgressRow(failed={"0.0.0": [1]}))
+    ended = (end(1, 1, EndKind.FAILED),)
+    shard.observe(worker, inventory(ended=ended), 1.0, 1.0)
+    assert job.state is JobState.QUEUED
+    assert job.find_task(0, 0, 0).failed == {1}
+
+
+def test_failures_under_the_owner_before_count():
+    shard = Shard("pool", 2)
+    shard.loaded = True
+    worker = shard.list_worker(make_worker(), 0.0)
+    job = shard.add_job(make_record(), 1, 0.0, 0, ProgressRow(failed={"0.0.0": [1]}))
+    shard.observe(worker, inventory(ended=(end(1, 2, EndKind.FAILED),)), 1.0, 1.0)
+    assert job.state is JobState.FAILED
+
+
+def test_a_new_owner_adopts_what_runs():
+    shard = Shard("pool", 2)
+    shard.loaded = True
+    worker = shard.list_worker(make_worker(), 0.0)
+    job = shard.add_job(make_record(), 1, 0.0, 0)
+    running = (RunningAttempt(FIRST, 1, "c7", 50),)
+    shard.observe(worker, inventory(running=running), 1.0, 1.0)
+    attempt = job.find_task(0, 0, 0).attempt
+    assert (attempt.number, attempt.checkpoint) == (1, "c7")
+    assert shard.take_orders() == []
+
+
+def test_attempts_of_a_new_owner_have_numbers_of_their_own():
+    shard = Shard("pool", 3)
+    inherited = shard.add_job(make_record(), 2, 0.0, 0)
+    fresh = msgspec.structs.replace(make_record(), job="0000000000000000")
+    assert inherited.find_task(0, 0, 0).next_number == 2_001
+    assert shard.add_job(fresh, 3, 0.0, 0).find_task(0, 0, 0).next_number == 1
+
+
+def test_an_unknown_attempt_is_stopped(shard):
+    worker = shard.workers["w1"]
+    running = (RunningAttempt("0000000000000000.0.0.0", 4),)
+    shard.observe(worker, inventory(2_000, running=running), 2.0, 2.0)
+    assert shard.take_orders() == [StopNow(worker, "0000000000000000.0.0.0", 4)]
+
+
+def test_a_cancelled_job_starts_nothing_more_and_stops_what_runs(shard):
+    worker, attempt = start(shard)
+    shard.note_started(attempt, 1.1)
+    shard.cancel_job(JOB, 2.0)
+    assert shard.take_orders() == [StopNow(worker, FIRST, 1)]
+    assert shard.jobs[JOB].state is JobState.CANCELLED
+
+
+def test_a_start_under_way_is_stopped_when_its_job_is_cancelled(shard):
+    worker, attempt = start(shard)
+    shard.cancel_job(JOB, 1.05)
+    assert shard.take_orders() == []
+    shard.note_started(attempt, 1.1)
+    assert shard.take_orders() == [StopNow(worker, FIRST, 1)]
+
+
+def test_a_cancellation_that_overtakes_its_job_is_kept(shard):
+    shard.cancel_job(JOB, 1.0)
+    job = shard.add_job(make_record(), 1, 1.1, 0)
+    assert job.state is JobState.CANCELLED
+
+
+def test_a_lasting_task_is_started_again_however_it_ends(shard):
+    record = make_record(StepSpec(count=1, lasting=True), max_attempts=1)
+    worker, attempt = start(shard, record)
+    shard.note_started(attempt, 1.1)
+    ends = (end(1, 1, EndKind.FAILED),)
+    shard.observe(worker, inventory(2_000, ended=ends), 2.0, 2.0)
+    assert shard.jobs[JOB].state is JobState.RUNNING
+    assert attempt.task.waiting
+
+
+def test_a_refused_start_frees_its_room_and_pauses_the_worker(shard):
+    worker, attempt = start(shard)
+    shard.note_start_refused(attempt, RefusedReason.NO_ROOM, 1.2)
+    assert attempt.task.waiting
+    assert worker.cpu_used == 0
+    assert not worker.usable(1.3)
+
+
+def test_a_stopped_attempt_resumes_from_its_checkpoint(shard):
+    worker, attempt = start(shard)
+    shard.note_started(attempt, 1.1)
+    shard.stop_attempt(attempt, 1.5)
+    ends = (end(1, 1, EndKind.STOPPED, saved="c9"),)
+    shard.observe(worker, inventory(2_000, ended=ends), 2.0, 2.0)
+    assert attempt.task.waiting
+    shard.take_orders()
+    again = shard.start_task(attempt.task, worker, 2.1)
+    assert (again.number, again.checkpoint) == (2, "c9")
+    assert shard.take_orders() == [StartNow(again)]
+
+
+def test_progress_survives_a_change_of_owner(shard):
+    record = make_record(StepSpec(count=3))
+    worker, attempt = start(shard, record)
+    shard.note_started(attempt, 1.1)
+    shard.observe(worker, inventory(2_000, ended=(end(1, 1, EndKind.DONE),)), 2, 2)
+    progress = shard.jobs[JOB].progress()
+    successor = Shard("pool", 2)
+    job = successor.add_job(record, 1, 5.0, 0, progress)
+    assert [task.done for task in job.occurrences[0][0].tasks] == [True, False, False]
+
+
+def test_only_due_occurrences_are_open(shard):
+    record = make_record(occurrences=3, first_run_ms=1_000, interval_ms=500)
+    job = shard.add_job(record, 1, 0.0, 900)
+    assert sorted(job.occurrences) == []
+    job.open_due(0.0, 1_500)
+    assert sorted(job.occurrences) == [0, 1]
--- a/fuchsiascale/node/__main__.py
+++ b/fuchsiascale/node/__main__.py
@@ -2,4 +2,5 @@
 
 from fuchsiascale.node._main import main
 
-main()
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fuchsiascale/platform/tests/test_rowstore.py
@@ -0,0 +1,144 @@
+"""Contract of the client of the row store, with the faults as a table."""
+
+import aiohttp
+from aiohttp.test_utils import TestServer
+from returns.result import Failure, Success
+
+from fuchsiascale.jobs import (
+    Busy,
+    Change,
+    Changed,
+    Expect,
+    Lost,
+    NoAnswer,
+    RowKey,
+)
+from fuchsiascale.platform.userplatform import HttpRowStore
+from fuchsiascale.testing import collect_functions
+from standins.rowstore import RowStoreStandin
+
+load_tests = collect_functions(__name__)
+
+PLACE = RowKey("jobs", "pool", "a")
+
+# name, fault by attribute, what a write returns, rows written
+WRITE_FAULTS = (
+    ("none", {}, Success, 1),
+    ("answers 503", {"refuse": 503}, Busy, 0),
+    ("answers 429", {"refuse": 429}, Busy, 0),
+    ("answer lost", {"lose_answers": 1}, NoAnswer, 1),
+    ("carried out later", {"delay_writes": 1}, NoAnswer, 0),
+)
+
+
+class Served:
+    """A store stand-in behind a port, and a client of it."""
+
+    async def __aenter__(self):
+        self.standin = RowStoreStandin()
+        self.server = TestServer(self.standin.make_application())
+        await self.server.start_server()
+        self.session = aiohttp.ClientSession()
+        address = f"{self.server.host}:{self.server.port}"
+        self.store = HttpRowStore(self.session, address)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.session.close()
+        await self.server.close()
+
+
+def kind_of(reply):
+    return Success if isinstance(reply, Success) else type(reply.failure())
+
+
+async def test_a_write_says_what_became_of_it():
+    for name, faults, expected, written in WRITE_FAULTS:
+        async with Served() as served:
+            for attribute, value in faults.items():
+                setattr(served.standin.faults, attribute, value)
+            change = Change(PLACE, b"x")
+            reply = await served.store.commit((Expect(PLACE, 0),), (change,))
+            assert kind_of(reply) is expected, name
+            assert len(served.standin.rows) == written, name
+
+
+async def test_a_closed_port_is_busy_since_nothing_was_sent():
+    async with Served() as served:
+        await served.server.close()
+        reply = await served.store.commit((), (Change(PLACE, b"x"),))
+        assert kind_of(reply) is Busy
+
+
+async def test_a_condition_that_fails_returns_the_rows_as_they_are():
+    async with Served() as served:
+        await served.store.commit((Expect(PLACE, 0),), (Change(PLACE, b"first"),))
+        reply = await served.store.commit(
+            (Expect(PLACE, 0),), (Change(PLACE, b"second"),)
+        )
+        changed = reply.failure()
+        assert isinstance(changed, Changed)
+        assert [row.value for row in changed.rows] == [b"first"]
+
+
+async def test_a_late_write_fails_once_its_condition_is_gone():
+    async with Served() as served:
+        served.standin.faults.delay_writes = 1
+        await served.store.commit((Expect(PLACE, 0),), (Change(PLACE, b"late"),))
+        await served.store.commit((Expect(PLACE, 0),), (Change(PLACE, b"now"),))
+        assert served.standin.apply_delayed() == [412]
+
+
+async def test_all_pages_of_a_partition_are_read():
+    async with Served() as served:
+        for number in range(620):
+            served.standin.put("jobs", "pool", f"{number:04}", b"v")
+        served.standin.put("jobs", "other", "0000", b"v")
+        found = (await served.store.read("jobs", "pool")).unwrap()
+        assert [row.place.key for row in found.rows] == [
+            f"{number:04}" for number in range(620)
+        ]
+
+
+async def test_a_range_leaves_its_end_out():
+    async with Served() as served:
+        for key in "abc":
+            served.standin.put("jobs", "pool", key, b"v")
+        found = (await served.store.read("jobs", "pool", "a", "c")).unwrap()
+        assert [row.place.key for row in found.rows] == ["a", "b"]
+
+
+async def test_a_feed_shows_changes_and_removals_in_order():
+    async with Served() as served:
+        served.standin.put("op", "", "config", b"1")
+        served.standin.drop("op", "", "config")
+        changes = (await served.store.follow("op", 0, 100)).unwrap()
+        assert [(row.place.key, row.deleted) for row in changes.rows] == [
+            ("config", False),
+            ("config", True),
+        ]
+
+
+async def test_a_feed_without_changes_returns_the_newest_version():
+    async with Served() as served:
+        served.standin.put("servers", "", "w", b"1")
+        changes = (await served.store.follow("op", 1, 10)).unwrap()
+        assert changes.rows == ()
+        assert changes.version == 1
+
+
+async def test_a_lost_history_is_told_apart():
+    async with Served() as served:
+        served.standin.put("op", "", "config", b"1")
+        served.standin.forget_history()
+        reply = await served.store.follow("op", 0, 10)
+        assert isinstance(reply, Failure)
+        assert isinstance(reply.failure(), Lost)
+
+
+async def test_a_value_that_is_no_base64_reads_as_empty():
+    async with Served() as served:
+        served.standin.put("op", "", "config", b"1")
+        served.standin.rows["op", "", "config"]["value"] = "%%%"
+        found = (await served.store.read("op", "")).unwrap()
+        assert found.rows[0].value == b""
--- /dev/null
+++ b/standins/rowstore.py
@@ -0,0 +1,192 @@
+"""Stand-in of the users' row store, by its published protocol.
+
+Run inside a test; its faults are set by `RowStoreFaults`.
+"""
+
+import asyncio
+import base64
+import json
+
+from aiohttp import web
+
+__all__ = ["RowStoreFaults", "RowStoreStandin"]
+
+MAX_ENTRIES = 100
+PAGE_ROWS = 500
+
+
+class RowStoreFaults:
+    """Faults in force; each count is of calls still to come.
+
+    Parameters
+    ----------
+    refuse : int
+        HTTP status of calls that do nothing; 0 for none.
+    lose_answers : int
+        Calls that are carried out and not answered.
+    delay_writes : int
+        Writes that are not answered, and carried out by `apply_delayed`.
+    silent : bool
+        Whether no call is answered or carried out.
+    """
+
+    def __init__(self):
+        self.refuse = 0
+        self.lose_answers = 0
+        self.delay_writes = 0
+        self.silent = False
+
+
+class RowStoreStandin:
+    """Rows in memory behind the published calls."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.changes = []
+        self.first_kept = 0
+        self.faults = RowStoreFaults()
+        self.delayed = []
+        self.calls = []
+        self._changed = asyncio.Event()
+
+    def make_application(self):
+        """Return the aiohttp application."""
+        application = web.Application(client_max_size=2 << 20)
+        base = "/fuchsiascale"
+        application.router.add_post(f"{base}/rows-tx", self._guard(self._commit))
+        application.router.add_get(f"{base}/rows-get", self._guard(self._read))
+        application.router.add_get(f"{base}/rows-feed", self._guard(self._follow))
+        return application
+
+    def put(self, table, part, key, value):
+        """Write a row as the operator or a worker does."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._apply([self._entry(table, part, key, raw)], [])
+
+    def drop(self, table, part, key):
+        """Remove a row as the operator or a worker does."""
+        self._apply([], [{"table": table, "part": part, "key": key}])
+
+    def forget_history(self):
+        """Drop the history of changes."""
+        self.first_kept = self.version
+        self.changes.clear()
+
+    def apply_delayed(self):
+        """Carry out the writes that were delayed, if their conditions hold."""
+        delayed, self.delayed = self.delayed, []
+        return [self._transact(body)[0] for body in delayed]
+
+    def _entry(self, table, part, key, raw):
+        return {
+            "table": table,
+            "part": part,
+            "key": key,
+            "value": base64.b64encode(raw).decode(),
+        }
+
+    def _guard(self, handler):
+        async def handle(request):
+            self.calls.append(request.path.rpartition("/")[2])
+            faults = self.faults
+            if faults.silent:
+                await asyncio.sleep(3600)
+            if faults.refuse:
+                return web.Response(status=faults.refuse)
+            answer = await handler(request)
+            if faults.lose_answers and request.method == "POST":
+                faults.lose_answers -= 1
+                request.transport.abort()
+            return answer
+
+        return handle
+
+    async def _commit(self, request):
+        body = await request.json()
+        if self.faults.delay_writes:
+            self.faults.delay_writes -= 1
+            self.delayed.append(body)
+            request.transport.abort()
+            return web.Response()
+        status, answer = self._transact(body)
+        return web.json_response(answer, status=status)
+
+    def _transact(self, body):
+        entries = body["expected_rev"] + body["write"] + body["remove"]
+        if len(entries) > MAX_ENTRIES or not self._well_formed(body):
+            return 400, {"error": "a table, key, version or value is missing"}
+        for expected in body["expected_rev"]:
+            row = self.rows.get(_place(expected))
+            if (row["version_id"] if row else 0) != expected["version_id"]:
+                places = [_place(each) for each in body["expected_rev"]]
+                found = [self.rows[place] for place in places if place in self.rows]
+                return 412, {"rows": found, "version_id": self.version}
+        self._apply(body["write"], body["remove"])
+        return 200, {"version_id": self.version, "now_ms": 0}
+
+    def _well_formed(self, body):
+        conditions = all(
+            type(each["version_id"]) is int for each in body["expected_rev"]
+        )
+        values = all(isinstance(each.get("value"), str) for each in body["write"])
+        return conditions and values
+
+    def _apply(self, writes, removals):
+        self.version += 1
+        for entry in writes:
+            row = {**entry, "version_id": self.version}
+            self.rows[_place(entry)] = row
+            self.changes.append(row)
+        for entry in removals:
+            if self.rows.pop(_place(entry), None) is not None:
+                gone = {"version_id": self.version, "deleted": True}
+                self.changes.append({**entry, **gone})
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _read(self, request):
+        query = request.query
+        first, last = query.get("from", ""), query.get("target")
+        rows = [
+            row
+            for (table, part, key), row in sorted(self.rows.items())
+            if (table, part) == (query["table"], query["part"])
+            and key >= first
+            and (last is None or key < last)
+        ]
+        limit = min(PAGE_ROWS, int(query.get("limit", PAGE_ROWS)))
+        return web.json_response(
+            {
+                "rows": rows[:limit],
+                "has_more": len(rows) > limit,
+                "version_id": self.version,
+                "now_ms": 0,
+            }
+        )
+
+    async def _follow(self, request):
+        after = int(request.query["after"])
+        if after < self.first_kept:
+            return web.Response(status=410)
+        wait_s = int(request.query.get("wait_ms", 0)) / 1000
+        try:
+            async with asyncio.timeout(wait_s):
+                while not (rows := self._since(request.query["table"], after)):
+                    await self._changed.wait()
+        except TimeoutError:
+            rows = []
+        return web.json_response(
+            {"rows": rows, "version_id": self.version, "now_ms": 0}
+        )
+
+    def _since(self, table, after):
+        return [
+            row
+            for row in self.changes
+            if row["table"] == table and row["version_id"] > after
+        ]
+
+
+def _place(entry):
+    return entry["table"], entry["part"], entry["key"]
