Never call a commit refused that a silent peer may have passed on

Ruled out: the withdrawal of an unanswered submission, which these jobs never reached. Change: any peer without an answer makes the outcome unknown. Test: a table of what the store and two peers say, failing before.

--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -3,6 +3,7 @@
 import random
 
 import logbook
+import msgspec
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._peermessages import RelayCommit, Relayed, RelayRead
@@ -18,6 +19,21 @@
 """Peers asked for one call."""
 
 
+class _Relay(msgspec.Struct, frozen=True):
+    """What came of asking peers.
+
+    Parameters
+    ----------
+    reply : Relayed or None
+        The store's answer; None where no peer had one.
+    unsure : bool
+        Whether the call may have been carried out all the same.
+    """
+
+    reply: Relayed | None
+    unsure: bool = False
+
+
 class RelayedStore:
     """The store, reached directly or through peers.
 
@@ -54,18 +70,17 @@
             first = self._note(await self.direct.commit(expected, changes))
             if not _failed(first):
                 return first
+        relayed = await self._relay(RelayCommit(expected, changes))
+        if relayed.reply is not None:
+            if relayed.reply.status == "done":
+                return Success(relayed.reply.version)
+            return Failure(Changed(relayed.reply.rows))
+        if first is None and not relayed.unsure:
+            return self._note(await self.direct.commit(expected, changes))
         unsure = first is not None and isinstance(first.failure(), NoAnswer)
-        reply = await self._relay(RelayCommit(expected, changes))
-        if reply is None:
-            if first is None:
-                return self._note(await self.direct.commit(expected, changes))
-            return first
-        if reply.status == "done":
-            return Success(reply.version)
-        if reply.status == "changed":
-            return Failure(Changed(reply.rows))
-        busy = reply.status == "busy" and not unsure
-        return Failure(Busy("also for peers") if busy else NoAnswer("also for peers"))
+        if unsure or relayed.unsure:
+            return Failure(NoAnswer("also through peers"))
+        return Failure(Busy("also for peers"))
 
     async def read(self, table, partition, first="", last=""):
         """Read rows; see `StorePort.read`."""
@@ -74,8 +89,8 @@
             direct = self._note(await self.direct.read(table, partition, first, last))
             if not _failed(direct):
                 return direct
-        reply = await self._relay(RelayRead(table, partition, first, last))
-        if reply is not None and reply.status == "done":
+        reply = (await self._relay(RelayRead(table, partition, first, last))).reply
+        if reply is not None:
             return Success(Changes(reply.rows, reply.version))
         if direct is None:
             return self._note(await self.direct.read(table, partition, first, last))
@@ -104,27 +119,22 @@
             self.log.warning("store regained", extra={"how": "directly"})
         return reply
 
-    def _note_relayed(self, reply):
-        """Take in whether a peer has reached the store."""
-        if reply is not None and reply.status in ("done", "changed"):
-            self._away_since_s = None
-        elif self._away_since_s is None:
-            self._away_since_s = self.clock.monotonic()
-            self.log.warning("store away for peers too", extra={})
-        return reply
-
     async def _relay(self, message):
         """Ask peers in turn until one has an answer of the store."""
-        reply = None
         members = self.members()
         random.shuffle(members)
+        unsure = False
         for address in members[:MAX_PEERS]:
             found = await self.peers.ask(address, message, RELAY_TIMEOUT_S)
-            if isinstance(found, Relayed):
-                reply = found
-                if found.status in ("done", "changed"):
-                    break
-        return self._note_relayed(reply)
+            if isinstance(found, Relayed) and found.status in ("done", "changed"):
+                self._away_since_s = None
+                return _Relay(found)
+            # A peer that doesn't answer may have passed the call on.
+            unsure |= not isinstance(found, Relayed) or found.status != "busy"
+        if self._away_since_s is None:
+            self._away_since_s = self.clock.monotonic()
+            self.log.warning("store away for peers too", extra={"unsure": unsure})
+        return _Relay(None, unsure)
 
 
 def _failed(reply):
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_relay.py
@@ -0,0 +1,98 @@
+"""What a store reached through peers says of a commit."""
+
+from returns.result import Failure, Success
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.jobs import (
+    Busy,
+    Change,
+    Changed,
+    Expect,
+    NoAnswer,
+    Relayed,
+    RelayedStore,
+    RowKey,
+)
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+PLACE = RowKey("jobs", "pool", "a")
+ARGUMENTS = ((Expect(PLACE, 0),), (Change(PLACE, b"x"),))
+
+BUSY, LOST, DONE = Failure(Busy()), Failure(NoAnswer()), Success(7)
+PEER_BUSY, PEER_LOST = Relayed("busy"), Relayed("no answer")
+PEER_DONE, PEER_CHANGED, SILENT = Relayed("done", 8), Relayed("changed"), None
+
+# name, the store's own answer, those of two peers, what the caller is told
+CASES = (
+    ("reached", DONE, (), Success),
+    ("refused here, reached by a peer", BUSY, (PEER_DONE,), Success),
+    ("refused everywhere", BUSY, (PEER_BUSY, PEER_BUSY), Busy),
+    ("unanswered here, refused to peers", LOST, (PEER_BUSY, PEER_BUSY), NoAnswer),
+    ("refused here, a peer without an answer", BUSY, (PEER_LOST, PEER_BUSY), NoAnswer),
+    ("refused here, a silent peer", BUSY, (SILENT, PEER_BUSY), NoAnswer),
+    ("unanswered here, applied meanwhile", LOST, (PEER_CHANGED,), Changed),
+)
+
+
+class FakeStore:
+    """Returns set answers."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.commits = 0
+
+    async def commit(self, expected, changes):
+        self.commits += 1
+        return self.answer
+
+
+class FakePeers:
+    """Peers with set answers."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    async def ask(self, address, message, timeout_s):
+        return self.answers.pop(0)
+
+
+async def commit_twice(answer, peers):
+    """Commit once to find the store away, and again while it is not tried."""
+    direct = FakeStore(answer)
+    store = RelayedStore(
+        direct, FakePeers(*peers * 2), lambda: ["b", "c"], ManualClock()
+    )
+    return await store.commit(*ARGUMENTS), await store.commit(*ARGUMENTS)
+
+
+def kind_of(reply):
+    return Success if isinstance(reply, Success) else type(reply.failure())
+
+
+async def test_nothing_counts_as_refused_that_may_have_been_carried_out():
+    for name, answer, peers, expected in CASES:
+        first, _ = await commit_twice(answer, peers)
+        assert kind_of(first) is expected, name
+
+
+async def test_a_refusal_of_the_last_peer_does_not_hide_a_silent_one():
+    for peers in ((PEER_LOST, PEER_BUSY), (SILENT, PEER_BUSY)):
+        _, second = await commit_twice(BUSY, peers)
+        assert kind_of(second) is NoAnswer
+
+
+async def test_the_store_counts_as_away_until_it_answers():
+    store = RelayedStore(
+        FakeStore(BUSY),
+        FakePeers(PEER_BUSY, PEER_BUSY),
+        lambda: ["b", "c"],
+        ManualClock(),
+    )
+    await store.commit(*ARGUMENTS)
+    assert store.away()
+    store.direct.answer = DONE
+    store.clock.advance(5.0)
+    await store.commit(*ARGUMENTS)
+    assert not store.away()
