Record one thing at a time, so that no end is forgotten unrecorded

A record begun by the handover saw nothing left to write while the first was still under way, and acknowledged the ends of the first; that one failed and the next owner ran the tasks again. Ruled out by reading: late commits, which their condition on the ledger row stops. Change: a lock. Test: two records at once, failing before.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -124,6 +124,7 @@
         self._wake_round = asyncio.Event()
         self._wake_flush = asyncio.Event()
         self._recorded = asyncio.Event()
+        self._flushing = asyncio.Lock()
         self._tasks = set()
         self._links = {}
         self._ready = asyncio.Event()
@@ -512,6 +513,11 @@
 
     async def _flush(self):
         """Record all that has changed; returns whether nothing is left to do."""
+        # A second record at the same time would acknowledge ends of the first.
+        async with self._flushing:
+            return await self._record_all()
+
+    async def _record_all(self):
         shard = self.shard
         snapshot = shard.snapshot_ends()
         dirty, shard.dirty = shard.dirty, {}
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -0,0 +1,97 @@
+"""What an owner records, and when it lets workers forget."""
+
+import asyncio
+
+from returns.result import Failure, Success
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.jobs import (
+    Busy,
+    EndedAttempt,
+    EndKind,
+    Inventory,
+    JobRecord,
+    JobSpec,
+    ListedWorker,
+    Owner,
+    OwnerRow,
+    QueuePolicy,
+    Resources,
+    StepSpec,
+    WorkerListing,
+)
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+JOB = "5c0e7a21d94b36f8"
+
+
+class HeldStore:
+    """A store whose commits wait until the test lets them go."""
+
+    def __init__(self):
+        self.commits = []
+
+    async def commit(self, expected, changes):
+        done = asyncio.get_running_loop().create_future()
+        self.commits.append((changes, done))
+        return await done
+
+
+def make_owner(store):
+    row = OwnerRow(token=1, instance="a", incarnation="1", address="10.0.0.1:80")
+    owner = Owner(
+        "pool",
+        row,
+        5,
+        store,
+        None,
+        WorkerListing("servers", lambda row: None),
+        6.0,
+        ManualClock(),
+        lambda owner: None,
+    )
+    worker = ListedWorker(
+        worker="w1",
+        service="pool",
+        address="10.0.0.9:80",
+        domain="a",
+        capacity=Resources(cpu_millis=4_000, memory_mb=8_000),
+        labels=(),
+    )
+    run = owner.shard.list_worker(worker, 0.0)
+    owner.shard.observe(run, Inventory(clock_ms=1, incarnation=1), 0.0, 0.0)
+    owner.roster_ids = frozenset({"w1"})
+    return owner, run
+
+
+def end_first_task(owner, run):
+    """Let the first of a job's two tasks end as done."""
+    policy = QueuePolicy(queue="q", service="pool")
+    spec = JobSpec(payload="", steps=(StepSpec(count=2),))
+    record = JobRecord(job=JOB, spec=spec, policy=policy, accepted_ms=0)
+    job = owner.shard.add_job(record, 1, 0.0, 0)
+    owner.shard.start_task(job.find_task(0, 0, 0), run, 0.1)
+    ended = (EndedAttempt(1, f"{JOB}.0.0.0", 1, EndKind.DONE),)
+    owner.shard.observe(
+        run, Inventory(clock_ms=2, incarnation=1, ended=ended), 0.2, 0.2
+    )
+
+
+async def test_a_second_record_does_not_acknowledge_the_ends_of_the_first():
+    store = HeldStore()
+    owner, run = make_owner(store)
+    end_first_task(owner, run)
+    first = asyncio.create_task(owner._flush())
+    await asyncio.sleep(0)
+    second = asyncio.create_task(owner._flush())
+    await asyncio.sleep(0)
+    assert run.recorded == 0
+    store.commits[0][1].set_result(Failure(Busy()))
+    assert await first is False
+    await asyncio.sleep(0)
+    assert run.recorded == 0
+    store.commits[1][1].set_result(Success(9))
+    assert await second is True
+    assert run.recorded == 1
