Assume the longest lease of a worker until the owner has granted its own

Ruled out: a worker missing from the roster. Change: the first inventory of an incarnation counts as a grant of the longest lease; a handover is reckoned to its end. Test failing before.

--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -43,6 +43,8 @@
 """An owner that a peer has heard of this recently is not taken to be gone."""
 RANK_DELAY_S = 0.1
 """Delay between the attempts of members to take over, by their rank."""
+HANDOVER_S = 1.0
+"""Time for a peer to take a service over; the owner grants leases until then."""
 MEMBER_SILENCE_S = 3.0
 """Time without a ping after which an instance is no longer named to others."""
 
@@ -389,7 +391,8 @@
         view = self.view(message.service)
         if view.version != message.version:
             return Ok(False)
-        return Ok(await self._claim(view, 0.0, self.clock.monotonic()))
+        stopped_s = self.clock.monotonic() + HANDOVER_S
+        return Ok(await self._claim(view, 0.0, stopped_s))
 
     async def hand_over(self):
         """Pass all services to other instances, before this one stops."""
@@ -398,7 +401,7 @@
             await owner.prepare_handover()
             for address in self.members():
                 message = Handover(service, owner.row, owner.version)
-                reply = await self.peers.ask(address, message, 1.0)
+                reply = await self.peers.ask(address, message, HANDOVER_S)
                 if isinstance(reply, Ok) and reply.done:
                     self.log.info(
                         "handed over", extra={"service": service, "to": address}
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -112,7 +112,7 @@
         self.lease_s = min(LEASE_S, lease_s)
         self.on_lost = on_lost
         self.log = logbook.Logger("owner")
-        self.shard = Shard(service, row.token)
+        self.shard = Shard(service, row.token, self.lease_s)
         self.lost = False
         self.handing_over = False
         self.feed_version = version
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -64,13 +64,16 @@
         The service.
     token : int
         The owner's fencing token.
+    lease_s : float
+        Longest lease that any owner grants.
     log : logbook.Logger, optional
         Where decisions are logged.
     """
 
-    def __init__(self, service, token, log=None):
+    def __init__(self, service, token, lease_s, log=None):
         self.service = service
         self.token = token
+        self.lease_ms = int(lease_s * 1000)
         self.log = log or logbook.Logger("shard")
         self.jobs = {}
         self.finished = {}
@@ -194,6 +197,9 @@
         """Take in an inventory that was asked for at ``sent_s``."""
         if inventory.incarnation != worker.incarnation:
             self._note_restart(worker, inventory, now_s)
+        if not worker.claimed:
+            # The owner before may have granted its lease just now.
+            worker.granted_ms = inventory.clock_ms + self.lease_ms
         self.read_clock(worker, inventory.clock_ms, now_s)
         worker.heard_s = now_s
         worker.claimed = True
@@ -225,7 +231,7 @@
         self.lose_all(worker, now_s, "worker restarted")
         worker.strays.clear()
         worker.seen = worker.recorded = 0
-        worker.granted_ms = 0
+        worker.claimed = False
         worker.clock_ms = None
 
     def _take_running(self, worker, running, now_s):
--- a/fuchsiascale/jobs/tests/test_shard.py
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -54,7 +54,7 @@
 
 @fixture
 def shard():
-    made = Shard("pool", 1)
+    made = Shard("pool", 1, 6.0)
     made.loaded = True
     worker = made.list_worker(make_worker(), 0.0)
     made.observe(worker, inventory(), 0.0, 0.1)
@@ -168,7 +168,7 @@
 
 
 def test_the_same_failed_end_counts_once_however_often_it_is_seen():
-    shard = Shard("pool", 2)
+    shard = Shard("pool", 2, 6.0)
     shard.loaded = True
     worker = shard.list_worker(make_worker(), 0.0)
     job = shard.add_job(make_record(), 1, 0.0, 0, ProgressRow(failed={"0.0.0": [1]}))
@@ -179,7 +179,7 @@
 
 
 def test_failures_under_the_owner_before_count():
-    shard = Shard("pool", 2)
+    shard = Shard("pool", 2, 6.0)
     shard.loaded = True
     worker = shard.list_worker(make_worker(), 0.0)
     job = shard.add_job(make_record(), 1, 0.0, 0, ProgressRow(failed={"0.0.0": [1]}))
@@ -188,7 +188,7 @@
 
 
 def test_a_new_owner_adopts_what_runs():
-    shard = Shard("pool", 2)
+    shard = Shard("pool", 2, 6.0)
     shard.loaded = True
     worker = shard.list_worker(make_worker(), 0.0)
     job = shard.add_job(make_record(), 1, 0.0, 0)
@@ -199,8 +199,21 @@
     assert shard.take_orders() == []
 
 
+def test_a_new_owner_assumes_the_longest_lease_until_it_has_granted_its_own():
+    shard = Shard("pool", 2, 6.0)
+    shard.loaded = True
+    worker = shard.list_worker(make_worker(), 0.0)
+    job = shard.add_job(make_record(), 1, 0.0, 0)
+    running = (RunningAttempt(FIRST, 1),)
+    shard.observe(worker, inventory(1_000, running=running), 0.9, 1.0)
+    shard.lapse_silent(1.0 + 6.0)
+    assert not job.find_task(0, 0, 0).waiting
+    shard.lapse_silent(1.0 + 6.0 / 0.98 + 0.3)
+    assert job.find_task(0, 0, 0).waiting
+
+
 def test_attempts_of_a_new_owner_have_numbers_of_their_own():
-    shard = Shard("pool", 3)
+    shard = Shard("pool", 3, 6.0)
     inherited = shard.add_job(make_record(), 2, 0.0, 0)
     fresh = msgspec.structs.replace(make_record(), job="0000000000000000")
     assert inherited.find_task(0, 0, 0).next_number == 2_001
@@ -273,7 +286,7 @@
     shard.note_started(attempt, 1.1)
     shard.observe(worker, inventory(2_000, ended=(end(1, 1, EndKind.DONE),)), 2, 2)
     progress = shard.jobs[JOB].progress()
-    successor = Shard("pool", 2)
+    successor = Shard("pool", 2, 6.0)
     job = successor.add_job(record, 1, 5.0, 0, progress)
     assert [task.done for task in job.occurrences[0][0].tasks] == [True, False, False]
 
