Group submissions, ask peers only once the store is lost, prefer strong owners

Change: submissions that wait share a transaction; an unanswered one is read before it is withdrawn; peers are asked after two failures on end; time-outs follow the store; a new owner has time to load; strong instances claim first; a round skips what found no room before.

--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from fuchsiascale.jobs._groups import GroupedWrites, PendingWrite
 from fuchsiascale.jobs._model import JobRecord, JobState
 from fuchsiascale.jobs._ports import Busy, Change, Changed, Expect, NoAnswer
 from fuchsiascale.jobs._records import (
@@ -82,6 +83,7 @@
         self.clock = clock
         self.offices = offices
         self.log = logbook.Logger("entry")
+        self._writes = GroupedWrites(store)
         self._final = {}
 
     # Submission ----------------------------------------------------------------
@@ -119,21 +121,19 @@
         return NOT_RUN
 
     async def _write_job(self, view, row, job, version):
-        service = view.service
+        place = job_place(ACCEPTED, view.service, job)
         expected = (
-            Expect(owner_place(service), view.version),
-            Expect(job_place(ACCEPTED, service, job), version),
-            Expect(job_place(FINISHED, service, job), 0),
+            Expect(place, version),
+            Expect(job_place(FINISHED, view.service, job), 0),
         )
-        place = job_place(ACCEPTED, service, job)
-        return await self.store.commit(expected, (Change(place, encode_row(row)),))
+        write = PendingWrite(view, expected, Change(place, encode_row(row)))
+        return await self._writes.commit(write)
 
     def _find_job(self, service, job, rows, view):
         """Return what the rows of a submission's conditions say of a job."""
-        found, owner_seen = _Found(), False
+        found = _Found()
         for row in rows:
             if row.place == owner_place(service):
-                owner_seen = True
                 owner = decode_row(row.value, OwnerRow)
                 self.offices.learn(service, owner, row.version)
             elif row.place == job_place(FINISHED, service, job) and row.version:
@@ -144,8 +144,6 @@
                     found = _Found(withdrawn_version=row.version)
                 else:
                     found = _Found(known=True, row=accepted)
-        if not owner_seen and view.version:
-            self.offices.learn(service, None, 0)
         return found
 
     def _accept(self, service, row, how, job):
@@ -156,12 +154,16 @@
 
     async def _settle(self, service, job, row):
         """Find out what became of a write without an answer, or withdraw it."""
-        place = job_place(ACCEPTED, service, job)
+        # A read is not held up by the commits that wait, and is mostly enough.
+        seen = await self.store.read(ACCEPTED, service, job, job + "\0")
+        if isinstance(seen, Success) and seen.unwrap().rows:
+            view = self.offices.view(service)
+            found = self._find_job(service, job, seen.unwrap().rows, view)
+            if found.known:
+                return self._accept(service, found.row, "found stored", job)
         withdrawn = AcceptedRow(token=row.token, write=row.write)
-        reply = await self.store.commit(
-            (Expect(place, 0), Expect(job_place(FINISHED, service, job), 0)),
-            (Change(place, encode_row(withdrawn)),),
-        )
+        view = self.offices.view(service)
+        reply = await self._write_job(view, withdrawn, job, 0)
         if isinstance(reply, Success):
             self.log.info("refused", extra={"job": job, "why": "store: withdrawn"})
             return NOT_RUN
--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -45,6 +45,10 @@
 """Delay between the attempts of members to take over, by their rank."""
 HANDOVER_S = 1.0
 """Time for a peer to take a service over; the owner grants leases until then."""
+SETTLE_S = 1.5
+"""Time that a new owner has to load and answer before it may be suspected."""
+WEAKNESS_DELAY_S = 0.8
+"""Delay of the weakest instance to take over, so that a stronger one goes first."""
 MEMBER_SILENCE_S = 3.0
 """Time without a ping after which an instance is no longer named to others."""
 
@@ -97,6 +101,7 @@
         self._views = {}
         self._heard_s = {}
         self._members = {}
+        self._strengths = {}
         self._told = {}
         self._claiming = set()
         self._tasks = set()
@@ -112,7 +117,7 @@
         """Take in the owner row of a service."""
         if version >= self.view(service).version or version == 0:
             if version > self.view(service).version:
-                self._heard_s[service] = self.clock.monotonic()
+                self._heard_s[service] = self.clock.monotonic() + SETTLE_S
             self._views[service] = OwnerView(service, row, version)
 
     def members(self):
@@ -179,7 +184,7 @@
         if view is None:
             return
         if view.row is None:
-            await self._claim(view, 0.0, None)
+            await self._claim(view, self._weakness_s(), None)
         elif view.row.instance == self.identity.instance:
             await self._claim(view, 0.0, self.clock.monotonic())
         else:
@@ -217,7 +222,11 @@
         view = await self._read_view(service)
         if view is None or view.version != before.version:
             return
-        await self._claim(view, self._rank(view) * RANK_DELAY_S, gone_s)
+        delay_s = self._rank(view) * RANK_DELAY_S + self._weakness_s()
+        await self._claim(view, delay_s, gone_s)
+
+    def _weakness_s(self):
+        return (1 - self.identity.strength) * WEAKNESS_DELAY_S
 
     def _rank(self, view):
         def score(address):
@@ -376,6 +385,7 @@
     def _answer_ping(self, ping):
         now_s = self.clock.monotonic()
         self._members[ping.address] = now_s
+        self._strengths[ping.address] = ping.strength
         return Pong(
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
@@ -394,12 +404,17 @@
         stopped_s = self.clock.monotonic() + HANDOVER_S
         return Ok(await self._claim(view, 0.0, stopped_s))
 
+    def _strongest_first(self):
+        return sorted(
+            self.members(), key=lambda address: -self._strengths.get(address, 0.0)
+        )
+
     async def hand_over(self):
         """Pass all services to other instances, before this one stops."""
         self.stopping = True
         for service, owner in list(self.owners.items()):
             await owner.prepare_handover()
-            for address in self.members():
+            for address in self._strongest_first():
                 message = Handover(service, owner.row, owner.version)
                 reply = await self.peers.ask(address, message, HANDOVER_S)
                 if isinstance(reply, Ok) and reply.done:
--- a/fuchsiascale/jobs/_peermessages.py
+++ b/fuchsiascale/jobs/_peermessages.py
@@ -26,11 +26,15 @@
 
 
 class Ping(msgspec.Struct, frozen=True, tag="ping", kw_only=True):
-    """Sign of life of an instance, to an owner or a seed."""
+    """Sign of life of an instance, to an owner or another instance.
+
+    ``strength``, 0 to 1, says how well the instance could carry a service.
+    """
 
     instance: str
     incarnation: str
     address: str
+    strength: float = 1.0
 
 
 class Pong(msgspec.Struct, frozen=True, tag="pong", kw_only=True):
--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -11,8 +11,9 @@
 
 __all__ = ["RelayedStore", "answer_relay"]
 
-DIRECT_PAUSE_S = 0.5
-"""Time after a failed direct call in which peers are asked first."""
+FAILURES = 2
+"""Direct calls that fail on end before peers are asked instead. One may be due to the
+rate limit, which holds for all instances alike."""
 RELAY_TIMEOUT_S = 1.5
 """Time for a peer's answer; longer than a call of its own to the store."""
 MAX_PEERS = 2
@@ -37,6 +38,9 @@
 class RelayedStore:
     """The store, reached directly or through peers.
 
+    Once direct calls fail, only `follow` goes on trying them: whoever follows a table
+    finds out when the store is back.
+
     Parameters
     ----------
     direct : StorePort
@@ -56,7 +60,7 @@
         self.clock = clock
         self.log = logbook.Logger("store")
         self.reachable = True
-        self._retry_s = 0.0
+        self._failures = 0
         self._away_since_s = None
 
     async def commit(self, expected, changes):
@@ -66,17 +70,15 @@
         allow only one of the two to be applied.
         """
         first = None
-        if self.clock.monotonic() >= self._retry_s:
+        if self.reachable:
             first = self._note(await self.direct.commit(expected, changes))
-            if not _failed(first):
+            if not _failed(first) or self.reachable:
                 return first
         relayed = await self._relay(RelayCommit(expected, changes))
         if relayed.reply is not None:
             if relayed.reply.status == "done":
                 return Success(relayed.reply.version)
             return Failure(Changed(relayed.reply.rows))
-        if first is None and not relayed.unsure:
-            return self._note(await self.direct.commit(expected, changes))
         unsure = first is not None and isinstance(first.failure(), NoAnswer)
         if unsure or relayed.unsure:
             return Failure(NoAnswer("also through peers"))
@@ -84,17 +86,14 @@
 
     async def read(self, table, partition, first="", last=""):
         """Read rows; see `StorePort.read`."""
-        direct = None
-        if self.clock.monotonic() >= self._retry_s:
+        if self.reachable:
             direct = self._note(await self.direct.read(table, partition, first, last))
-            if not _failed(direct):
+            if not _failed(direct) or self.reachable:
                 return direct
-        reply = (await self._relay(RelayRead(table, partition, first, last))).reply
-        if reply is not None:
-            return Success(Changes(reply.rows, reply.version))
-        if direct is None:
-            return self._note(await self.direct.read(table, partition, first, last))
-        return direct
+        relayed = await self._relay(RelayRead(table, partition, first, last))
+        if relayed.reply is not None:
+            return Success(Changes(relayed.reply.rows, relayed.reply.version))
+        return Failure(Busy("also for peers"))
 
     async def follow(self, table, after, wait_ms):
         """Wait for changes; see `StorePort.follow`. Not relayed: callers read."""
@@ -106,17 +105,17 @@
 
     def _note(self, reply):
         """Take in the reply to a direct call."""
-        if _failed(reply):
-            self._retry_s = self.clock.monotonic() + DIRECT_PAUSE_S
-            if self.reachable:
-                self.reachable = False
-                self.log.warning("store lost", extra={"why": reply.failure().detail})
+        if not _failed(reply):
+            self._failures = 0
+            self._away_since_s = None
+            if not self.reachable:
+                self.reachable = True
+                self.log.warning("store regained", extra={"how": "directly"})
             return reply
-        self._retry_s = 0.0
-        self._away_since_s = None
-        if not self.reachable:
-            self.reachable = True
-            self.log.warning("store regained", extra={"how": "directly"})
+        self._failures += 1
+        if self.reachable and self._failures >= FAILURES:
+            self.reachable = False
+            self.log.warning("store lost", extra={"why": reply.failure().detail})
         return reply
 
     async def _relay(self, message):
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -61,11 +61,12 @@
     workers = [worker for worker in workers if not worker.strays]
     _move_fillers(shard, workers, now_s)
     covered = shard.covered()
+    full = set()
     for job in _order_jobs(shard, now_s):
         if job.inherited and not covered:
             continue
         for step in job.ready_steps():
-            _place_step(shard, step, workers, now_s)
+            _place_step(shard, step, workers, full, now_s)
 
 
 def _order_jobs(shard, now_s):
@@ -109,14 +110,19 @@
     return max(ends)
 
 
-def _place_step(shard, step, workers, now_s):
+def _place_step(shard, step, workers, full, now_s):
+    """Start the waiting tasks of a step; ``full`` holds what found no room before."""
     waiting = [task for task in step.tasks if task.waiting]
-    if not waiting:
+    spec = step.spec
+    kind = (spec.need, spec.fills, spec.image, spec.required_label)
+    if not waiting or kind in full:
         return
     started = 0
     for task in waiting:
         worker = _choose_worker(shard, task, workers)
         if worker is None:
+            if not spec.max_per_worker:
+                full.add(kind)
             break
         shard.start_task(task, worker, now_s)
         started += 1
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -35,6 +35,23 @@
 STOP_MARGIN_S = 0.8
 """Kept of the grace period for closing what is open."""
 LISTEN_BACKLOG = 512
+FULL_CORES = 1.0
+"""Processors with which an instance carries a service of 200 workers at ease."""
+FULL_LINK_MBIT_S = 50.0
+"""Bandwidth with which it does."""
+
+
+def rate_strength(cores, link_mbit_s):
+    """Return how well an instance could carry a service, 0 to 1.
+
+    Examples
+    --------
+    >>> rate_strength(2.0, 100.0)
+    1.0
+    >>> rate_strength(0.5, 5.0)
+    0.1
+    """
+    return round(min(1.0, cores / FULL_CORES, link_mbit_s / FULL_LINK_MBIT_S), 3)
 
 
 class NodeApplication:
@@ -81,6 +98,7 @@
             instance=settings.instance,
             incarnation=uuid.uuid4().hex[:12],
             address=f"{host}:{port}",
+            strength=rate_strength(settings.cores, settings.link_mbit_s),
         )
         self.peers = PeerLink(self._open_session())
         direct = userplatform.HttpRowStore(self._open_session(), settings.store_address)
--- a/fuchsiascale/platform/_localsettings.py
+++ b/fuchsiascale/platform/_localsettings.py
@@ -35,6 +35,8 @@
         Longest lease that workers grant.
     stop_grace_s : float
         Time from the signal to stop until the process is killed.
+    cores, link_mbit_s : float
+        Processors of this process and the bandwidth of its link.
     keep_state_s : float
         How long the state of a job has to be told.
     """
@@ -50,6 +52,8 @@
     adviser_address: str = ""
     longest_lease_s: float = 6.0
     stop_grace_s: float = 6.0
+    cores: float = 1.0
+    link_mbit_s: float = 1000.0
     keep_state_s: float = 120.0
     longest_stop_s: float = 1.0
     gang_timeout_s: float = 3.0
@@ -113,6 +117,9 @@
         "adviser_address": reader.get("advice"),
         "longest_lease_s": reader.number("bounds.hold_max_ms", 6000) / 1000,
         "stop_grace_s": reader.number("bounds.grace_s", 6),
+        "cores": reader.number("limits.cpu_share", 1)
+        * reader.number("limits.cpu_cores", 1),
+        "link_mbit_s": reader.number("limits.link_mbps", 1000),
         "keep_state_s": reader.number("bounds.status_s", 120),
         "longest_stop_s": reader.number("bounds.stop_ms", 1000) / 1000,
         "gang_timeout_s": reader.number("bounds.gang_timeout_ms", 3000) / 1000,
--- a/fuchsiascale/platform/_rowstore.py
+++ b/fuchsiascale/platform/_rowstore.py
@@ -22,8 +22,10 @@
 
 __all__ = ["HttpRowStore"]
 
-CALL_TIMEOUT_S = 1.2
-"""Answers take 4 ms, and about 0.4 s where the store is slow."""
+LEAST_TIMEOUT_S = 0.7
+"""Time for an answer while the store is quick: answers take 4 to 25 ms."""
+MOST_TIMEOUT_S = 1.5
+"""Time for an answer while it is slow: up to 1 s of commits may wait in a partition."""
 CONNECT_TIMEOUT_S = 0.4
 FOLLOW_SLACK_S = 0.7
 PAGE_ROWS = 500
@@ -75,7 +77,7 @@
     def __init__(self, session: aiohttp.ClientSession, address: str):
         self._session = session
         self._base = f"http://{address}/fuchsiascale"
-        self.calls = 0
+        self._timeout_s = LEAST_TIMEOUT_S
 
     async def commit(
         self, expected: tuple[Expect, ...], changes: tuple[Change, ...]
@@ -157,9 +159,8 @@
 
     async def _call(self, method, path, body=None, params=None, timeout_s=None):
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s or CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+            total=timeout_s or self._timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
-        self.calls += 1
         headers = {"Content-Type": "application/json"} if body else None
         try:
             async with self._session.request(
@@ -174,7 +175,9 @@
         except aiohttp.ClientConnectorError as error:
             return Failure(Busy(f"not connected: {error}"))
         except (aiohttp.ClientError, TimeoutError) as error:
+            self._timeout_s = min(MOST_TIMEOUT_S, 2 * self._timeout_s)
             return Failure(NoAnswer(repr(error)))
+        self._timeout_s = max(LEAST_TIMEOUT_S, 0.95 * self._timeout_s)
         if response.status in (429, 503):
             return Failure(Busy(f"status {response.status}"))
         if response.status not in (200, 410, 412):
