Split rounds; gangs start whole; hold back workers that fail or stand still

Cause: rounds had grown to three matters in one module; a gang's members were started one by one; a worker that fails everything took task after task, and one on which tasks stand still kept them. Change: order, choice, pacing and rounds apart; a gang starts under one number or not at all; two jobs failing on end, or 2.5 s without progress, hold a worker back. Tests of each.

--- /dev/null
+++ b/fuchsiascale/jobs/_order.py
@@ -0,0 +1,48 @@
+"""The order in which the jobs of a shard are started."""
+
+__all__ = ["objective_s", "order_jobs"]
+
+LATE_FACTOR = 3.0
+"""Multiple of its objective after which a finished job earns nothing."""
+
+
+def order_jobs(shard, now_s):
+    """Return the unfinished jobs, those to start first at the front."""
+    jobs = [job for job in shard.jobs.values() if not job.state.final]
+    return sorted(jobs, key=lambda job: _rank_job(job, now_s, shard.run_times))
+
+
+def _rank_job(job, now_s, run_times):
+    """Return the place of a job in the order in which tasks are started.
+
+    Within a priority, jobs that can still meet their objective go first, the one
+    with the least slack before the others, then those that would only be late.
+    """
+    if job.lasting:
+        return (0, 0, 0, job.accepted_s)
+    due_s = objective_s(job, run_times)
+    age_s = now_s - job.accepted_s
+    left_s = _chain_s(job, run_times, left=True)
+    slack_s = due_s - age_s - left_s
+    if slack_s >= 0:
+        return (0, job.policy.priority, 0, slack_s)
+    worthless = age_s + left_s > LATE_FACTOR * due_s
+    return (int(worthless), job.policy.priority, 1, left_s)
+
+
+def objective_s(job, run_times):
+    """Return the time in which a job should end, by the run times expected."""
+    return job.policy.stretch * _chain_s(job, run_times) + job.policy.target_ms / 1000
+
+
+def _chain_s(job, run_times, left=False):
+    """Return the longest chain of run times of a job, or what is left of it."""
+    runs = next(iter(job.occurrences.values()), None)
+    ends = []
+    for number, step in enumerate(job.spec.steps):
+        run_s = run_times.expect(job.policy.queue, step.estimate_ms / 1000)
+        if left and runs is not None and runs[number].done:
+            run_s = 0.0
+        before = max((ends[each] for each in step.after), default=0.0)
+        ends.append(before + run_s)
+    return max(ends)
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -6,6 +6,8 @@
 import logbook
 from returns.result import Failure, Success
 
+from fuchsiascale.jobs._order import objective_s
+from fuchsiascale.jobs._pacing import observe_tails
 from fuchsiascale.jobs._ports import (
     Absent,
     Change,
@@ -37,7 +39,7 @@
     owner_place,
     roster_place,
 )
-from fuchsiascale.jobs._rounds import objective_s, observe_tails, plan_round
+from fuchsiascale.jobs._rounds import plan_round
 from fuchsiascale.jobs._shard import PaceNow, Shard, StartNow, StopNow
 from fuchsiascale.jobs._watches import TableWatch
 
--- /dev/null
+++ b/fuchsiascale/jobs/_pacing.py
@@ -0,0 +1,160 @@
+"""The speed of fillers beside serving tasks, and their moves to better workers."""
+
+from fuchsiascale.jobs._choice import LIGHT_SLOPE, fill_rate, list_servings
+from fuchsiascale.jobs._runs import FULL_SPEED_PERCENT, AttemptPhase
+
+__all__ = ["move_fillers", "observe_tails", "pace_worker"]
+
+PACE_HEADROOM = 1.3
+"""Headroom of serving tasks that running fillers are slowed down to leave."""
+PACE_PERIOD_S = 0.25
+"""Period in which speeds are set anew."""
+PACE_GRAIN = 10
+"""Speeds are multiples of this percentage, so that few orders are sent."""
+LOOK_PERIOD_S = 0.4
+"""Least time between two figures of a worker that are learnt from."""
+OVER_STOP_S = 2.2
+"""Time over the target after which all fillers of a worker are halted."""
+MOVE_PERIOD_S = 0.2
+"""Period in which fillers that hardly progress are looked for."""
+MOVES_A_ROUND = 4
+"""Fillers moved at once: each changes what is best for the next."""
+MOVE_AFTER_S = 0.6
+"""Time on a worker before a filler is moved away."""
+STUCK_PERCENT = 20
+"""Speed up to which a filler is worth moving."""
+BETTER_RATE = 0.8
+"""Speed that another worker has to offer."""
+NEARLY_DONE_PERCENT = 80
+"""Progress from which a filler that checkpoints stays where it is."""
+BARELY_BEGUN_PERCENT = 20
+"""Progress up to which one that doesn't checkpoint may start anew."""
+
+
+def observe_tails(shard, worker, now_s):
+    """Learn from the figures of an inventory just taken in."""
+    if now_s < worker.next_look_s:
+        return
+    worker.next_look_s = now_s + LOOK_PERIOD_S
+    capacity = max(1, worker.listed.capacity.cpu_millis)
+    fillers = [
+        (attempt.task.step.spec.image, attempt.figure / capacity)
+        for attempt in worker.attempts.values()
+        if attempt.task.step.spec.fills and attempt.figure
+    ]
+    for attempt in worker.attempts.values():
+        spec = attempt.task.step.spec
+        at_work = attempt.percent == FULL_SPEED_PERCENT and attempt.figure
+        if not spec.tail_target_ms or not at_work:
+            continue
+        headroom = spec.tail_target_ms / attempt.figure
+        job = attempt.task.step.job.job
+        shard.harm.note(job, headroom, now_s)
+        if fillers:
+            lost = shard.harm.headroom(job) - headroom
+            shard.harm.learn(spec.image, lost, fillers)
+
+
+def pace_worker(shard, worker, now_s):
+    """Set the speed of the fillers of a worker by the harm that is predicted."""
+    fillers = [
+        attempt
+        for attempt in worker.attempts.values()
+        if attempt.task.step.spec.fills and attempt.phase is AttemptPhase.RUNNING
+    ]
+    if not fillers or now_s < worker.next_pace_s:
+        return
+    worker.next_pace_s = now_s + PACE_PERIOD_S
+    _note_over(worker, now_s)
+    over_s = now_s - worker.over_since_s if worker.over_since_s is not None else 0.0
+    paces = _choose_paces(shard, worker, fillers)
+    if over_s > OVER_STOP_S:
+        paces = dict.fromkeys(fillers, 0.0)
+    for attempt, pace in paces.items():
+        percent = int(pace * FULL_SPEED_PERCENT / PACE_GRAIN) * PACE_GRAIN
+        shard.set_pace(attempt, percent)
+
+
+def _note_over(worker, now_s):
+    """Keep since when a serving task of a worker misses its target."""
+    over = any(
+        attempt.figure > attempt.task.step.spec.tail_target_ms
+        for attempt in worker.attempts.values()
+        if attempt.task.step.spec.tail_target_ms
+    )
+    if not over:
+        worker.over_since_s = None
+    elif worker.over_since_s is None:
+        worker.over_since_s = now_s
+
+
+def _choose_paces(shard, worker, fillers):
+    capacity = max(1, worker.listed.capacity.cpu_millis)
+    paces = dict.fromkeys(fillers, 1.0)
+    shares = {
+        attempt: attempt.task.step.spec.need.cpu_millis / capacity
+        for attempt in fillers
+    }
+    for image, job in list_servings(worker):
+        slopes = {
+            attempt: shard.harm.slope(image, attempt.task.step.spec.image)
+            for attempt in fillers
+        }
+        spare = max(0.0, shard.harm.headroom(job) - PACE_HEADROOM)
+        excess = -spare + sum(
+            slopes[each] * shares[each] * paces[each] for each in fillers
+        )
+        for attempt in sorted(fillers, key=lambda each: -slopes[each]):
+            if excess <= 0:
+                break
+            if slopes[attempt] < LIGHT_SLOPE:
+                break
+            cost = slopes[attempt] * shares[attempt]
+            cut = min(paces[attempt], excess / cost)
+            paces[attempt] -= cut
+            excess -= cut * cost
+    return paces
+
+
+def move_fillers(shard, workers, now_s):
+    """Move fillers that hardly progress to workers where they would."""
+    if now_s < shard.next_move_s:
+        return
+    shard.next_move_s = now_s + MOVE_PERIOD_S
+    moved = 0
+    for worker in shard.workers.values():
+        for attempt in list(worker.attempts.values()):
+            if moved >= MOVES_A_ROUND:
+                return
+            if _is_stuck(attempt, now_s) and _find_better(shard, attempt, workers):
+                shard.log.info(
+                    "moving a slowed task",
+                    extra={
+                        "task": attempt.task.name,
+                        "worker": worker.worker,
+                        "pace": attempt.pace,
+                        "percent": attempt.percent,
+                    },
+                )
+                shard.stop_attempt(attempt, now_s)
+                moved += 1
+
+
+def _is_stuck(attempt, now_s):
+    spec = attempt.task.step.spec
+    if not spec.fills or attempt.phase is not AttemptPhase.RUNNING:
+        return False
+    if attempt.pace_wanted > STUCK_PERCENT or now_s - attempt.since_s < MOVE_AFTER_S:
+        return False
+    latest = NEARLY_DONE_PERCENT if spec.checkpoints else BARELY_BEGUN_PERCENT
+    return attempt.percent < latest
+
+
+def _find_better(shard, attempt, workers):
+    spec = attempt.task.step.spec
+    return any(
+        worker is not attempt.worker
+        and worker.fits(spec)
+        and fill_rate(shard, spec, worker) >= BETTER_RATE
+        for worker in workers
+    )
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -39,6 +39,7 @@
         "pace_wanted",
         "percent",
         "phase",
+        "progress_s",
         "since_s",
         "started_s",
         "stop_answered_s",
@@ -57,6 +58,7 @@
         self.started_s = now_s
         self.checkpoint = task.checkpoint
         self.percent = 0
+        self.progress_s = now_s
         self.figure = 0
         self.pace = FULL_SPEED_PERCENT
         self.pace_wanted = FULL_SPEED_PERCENT
@@ -314,7 +316,8 @@
         self.next_pace_s = 0.0
         self.next_look_s = 0.0
         self.over_since_s = None
-        self.failures = []
+        self.failed_jobs = set()
+        self.holds = 0
         self.cpu_used = 0
         self.memory_used = 0
         self.accelerators_used = 0
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -30,8 +30,13 @@
 """Pause of a worker that refused a start because it is unhealthy."""
 STOP_RETRY_S = 0.6
 """Time after which an unanswered stop is sent again."""
-GONE_AFTER_S = 2.0
-"""Time missing from the list after which a worker counts as leaving the pool."""
+HOLD_JOBS = 2
+"""Jobs whose tasks fail on a worker, with no success between, before it is held back.
+One job may be at fault itself."""
+HOLD_S = 2.0
+"""First pause of a worker on which attempts fail or stand still."""
+MAX_HOLD_S = 16.0
+"""Longest such pause."""
 
 
 class StartNow(msgspec.Struct, frozen=True):
@@ -244,6 +249,8 @@
             attempt.enter(AttemptPhase.RUNNING, now_s)
         if running.checkpoint:
             attempt.checkpoint = running.checkpoint
+        if running.percent > attempt.percent:
+            attempt.progress_s = now_s
         attempt.percent = running.percent
         attempt.figure = running.figure
         stuck = attempt.phase is AttemptPhase.STOPPING and (
@@ -301,6 +308,9 @@
         worker.strays.pop(end.task, None)
         attempt = worker.attempts.get(end.task)
         if attempt is not None and attempt.number == end.attempt:
+            if end.how is EndKind.DONE:
+                worker.failed_jobs.clear()
+                worker.holds = 0
             if end.how is EndKind.DONE and attempt.whole:
                 queue = attempt.task.step.job.policy.queue
                 self.run_times.observe(queue, now_s - attempt.since_s)
@@ -322,6 +332,16 @@
         if end.how is EndKind.DONE and not task.step.spec.lasting:
             self._note_done(job, task, now_s)
 
+    def hold_back(self, worker, now_s):
+        """Start nothing on a worker for a while, each time for longer."""
+        pause_s = min(MAX_HOLD_S, HOLD_S * 2**worker.holds)
+        worker.holds += 1
+        worker.failed_jobs.clear()
+        worker.blocked_until_s = max(worker.blocked_until_s, now_s + pause_s)
+        self.log.warning(
+            "worker held back", extra={"worker": worker.worker, "for_s": pause_s}
+        )
+
     def _note_done(self, job, task, now_s):
         members = task.step.tasks if task.step.spec.gang else [task]
         for member in members:
@@ -335,7 +355,9 @@
             return
         task.failed.add(end.attempt)
         task.avoid = worker.worker
-        worker.failures.append((now_s, job.job))
+        worker.failed_jobs.add(job.job)
+        if len(worker.failed_jobs) >= HOLD_JOBS:
+            self.hold_back(worker, now_s)
         self.log.info(
             "attempt failed",
             extra={
@@ -399,6 +421,17 @@
         self.orders.append(StartNow(attempt))
         return attempt
 
+    def withdraw_start(self, attempt):
+        """Take a start back that has not been sent."""
+        self.orders = [
+            order
+            for order in self.orders
+            if not (isinstance(order, StartNow) and order.attempt is attempt)
+        ]
+        attempt.worker.release(attempt)
+        attempt.task.attempt = None
+        attempt.task.next_number = attempt.number
+
     def stop_attempt(self, attempt, now_s):
         """Decide to stop an attempt; its task waits again once it has ended."""
         if attempt.phase is AttemptPhase.STOPPING:
@@ -439,7 +472,9 @@
 
     def _stop_if_over(self, attempt, now_s):
         job = attempt.task.step.job
-        if job.state.final or attempt.task.done:
+        step = attempt.task.step
+        alone = step.spec.gang and any(task.attempt is None for task in step.tasks)
+        if job.state.final or attempt.task.done or alone:
             self.stop_attempt(attempt, now_s)
 
     def note_start_refused(self, attempt, reason, now_s):
@@ -449,6 +484,8 @@
             worker.release(attempt)
             if attempt.task.attempt is attempt:
                 attempt.task.attempt = None
+        if attempt.task.step.spec.gang:
+            self._stop_gang(attempt.task.step, now_s)
         worker.refusals += 1
         pause_s = NO_ROOM_PAUSE_S
         if reason is RefusedReason.UNHEALTHY:
@@ -465,6 +502,12 @@
             },
         )
 
+    def _stop_gang(self, step, now_s):
+        """Stop the members of a gang that can't work without one that is missing."""
+        for task in step.tasks:
+            if task.attempt is not None:
+                self.stop_attempt(task.attempt, now_s)
+
     def note_stop_answered(self, worker, task, number, now_s):
         """Take in that a worker has carried out a stop."""
         attempt = worker.attempts.get(task)
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -0,0 +1,227 @@
+"""What a round starts, and where."""
+
+from fuchsiascale.jobs import (
+    EndedAttempt,
+    EndKind,
+    Inventory,
+    JobRecord,
+    JobSpec,
+    ListedWorker,
+    QueuePolicy,
+    RefusedReason,
+    Resources,
+    RunningAttempt,
+    Shard,
+    StartNow,
+    StepSpec,
+    StopNow,
+    plan_round,
+)
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def make_shard(workers=2, cpu_millis=4_000, labels=()):
+    shard = Shard("pool", 1, 6.0)
+    shard.loaded = True
+    for number in range(workers):
+        listed = ListedWorker(
+            worker=f"w{number}",
+            service="pool",
+            address=f"10.0.0.{number}:80",
+            domain="a",
+            capacity=Resources(cpu_millis=cpu_millis, memory_mb=8_000),
+            labels=labels[number] if labels else (),
+        )
+        worker = shard.list_worker(listed, 0.0)
+        worker.in_roster = True
+        shard.observe(worker, Inventory(clock_ms=1_000, incarnation=1), 0.0, 0.1)
+    return shard
+
+
+def add(shard, *steps, job=JOB, priority=0, token=1):
+    policy = QueuePolicy(
+        queue="q", service="pool", priority=priority, max_attempts=9, stretch=2.0
+    )
+    record = JobRecord(
+        job=job, spec=JobSpec(payload="", steps=steps), policy=policy, accepted_ms=0
+    )
+    return shard.add_job(record, token, 0.0, 0)
+
+
+def step(count=1, cpu=1_000, **fields):
+    return StepSpec(count=count, need=Resources(cpu_millis=cpu), **fields)
+
+
+def starts(shard):
+    return [
+        order.attempt for order in shard.take_orders() if isinstance(order, StartNow)
+    ]
+
+
+def test_no_worker_is_given_more_than_it_has():
+    shard = make_shard(workers=2)
+    add(shard, step(count=12))
+    plan_round(shard, 1.0)
+    assert len(starts(shard)) == 8
+    assert all(worker.cpu_used == 4_000 for worker in shard.workers.values())
+
+
+def test_a_step_waits_for_those_before_it():
+    shard = make_shard()
+    add(shard, step(), step(after=(0,)))
+    plan_round(shard, 1.0)
+    assert [attempt.task.step.number for attempt in starts(shard)] == [0]
+
+
+def test_the_more_urgent_queue_goes_first():
+    shard = make_shard(workers=1)
+    add(shard, step(count=4), job="0" * 16, priority=2)
+    add(shard, step(count=4), job="1" * 16, priority=0)
+    plan_round(shard, 1.0)
+    assert {attempt.task.step.job.job for attempt in starts(shard)} == {"1" * 16}
+
+
+def test_a_step_is_spread_as_it_asks():
+    shard = make_shard(workers=2)
+    add(shard, step(count=6, max_per_worker=1))
+    plan_round(shard, 1.0)
+    assert sorted(each.worker.worker for each in starts(shard)) == ["w0", "w1"]
+
+
+def test_a_required_label_is_kept():
+    shard = make_shard(workers=2, labels=(("a",), ("b",)))
+    add(shard, step(count=8, required_label="b"))
+    plan_round(shard, 1.0)
+    assert {each.worker.worker for each in starts(shard)} == {"w1"}
+
+
+def test_a_draining_worker_gets_nothing_and_loses_what_can_move():
+    shard = make_shard(workers=1)
+    add(shard, step(lasting=True))
+    plan_round(shard, 1.0)
+    (attempt,) = starts(shard)
+    shard.note_started(attempt, 1.1)
+    worker = attempt.worker
+    worker.listed = ListedWorker(
+        **{
+            name: getattr(worker.listed, name)
+            for name in worker.listed.__struct_fields__
+        }
+        | {"draining": True}
+    )
+    add(shard, step(), job="1" * 16)
+    plan_round(shard, 2.0)
+    assert shard.take_orders() == [StopNow(worker, attempt.task.name, 1)]
+
+
+def test_nothing_inherited_starts_while_a_worker_may_hold_it():
+    shard = make_shard()
+    shard.uncovered["w9"] = 9.0
+    add(shard, step(), token=0)
+    add(shard, step(), job="1" * 16, token=1)
+    plan_round(shard, 1.0)
+    assert [attempt.task.step.job.job for attempt in starts(shard)] == ["1" * 16]
+    shard.lapse_silent(9.1)
+    plan_round(shard, 9.2)
+    assert JOB in {attempt.task.step.job.job for attempt in starts(shard)}
+
+
+def test_a_gang_starts_whole_or_not_at_all():
+    shard = make_shard(workers=2)
+    add(shard, step(count=9, gang=True))
+    plan_round(shard, 1.0)
+    assert starts(shard) == []
+    assert all(worker.cpu_used == 0 for worker in shard.workers.values())
+    add(shard, step(count=8, gang=True), job="1" * 16)
+    plan_round(shard, 1.1)
+    begun = starts(shard)
+    assert len(begun) == 8
+    assert {attempt.number for attempt in begun} == {1}
+
+
+def test_a_gang_that_lacks_a_member_is_stopped_and_starts_again_together():
+    shard = make_shard(workers=2)
+    job = add(shard, step(count=2, gang=True))
+    plan_round(shard, 1.0)
+    first, second = starts(shard)
+    shard.note_start_refused(first, RefusedReason.NO_ROOM, 1.1)
+    shard.note_started(second, 1.2)
+    assert shard.take_orders() == [StopNow(second.worker, second.task.name, 1)]
+    plan_round(shard, 3.0)
+    assert starts(shard) == []
+    ended = (EndedAttempt(1, second.task.name, 1, EndKind.STOPPED),)
+    shard.observe(
+        second.worker, Inventory(clock_ms=4_000, incarnation=1, ended=ended), 4.0, 4.0
+    )
+    plan_round(shard, 4.1)
+    assert {attempt.number for attempt in starts(shard)} == {2}
+    assert not job.state.final
+
+
+def test_one_end_of_a_gang_stands_for_all():
+    shard = make_shard(workers=2)
+    job = add(shard, step(count=2, gang=True))
+    plan_round(shard, 1.0)
+    first, _ = starts(shard)
+    ended = (EndedAttempt(1, first.task.name, 1, EndKind.DONE),)
+    shard.observe(
+        first.worker, Inventory(clock_ms=2_000, incarnation=1, ended=ended), 2.0, 2.0
+    )
+    assert job.complete()
+
+
+def test_a_worker_on_which_two_jobs_fail_is_held_back():
+    shard = make_shard(workers=1)
+    worker = shard.workers["w0"]
+    for number, job in enumerate(("1" * 16, "2" * 16), 1):
+        add(shard, step(), job=job)
+        plan_round(shard, 1.0)
+        (attempt,) = starts(shard)
+        ended = (EndedAttempt(number, attempt.task.name, 1, EndKind.FAILED),)
+        inventory = Inventory(clock_ms=1_000 + number, incarnation=1, ended=ended)
+        assert worker.usable(1.0)
+        shard.observe(worker, inventory, 1.0, 1.0)
+        shard.cancel_job(job, 1.0)
+    assert not worker.usable(2.9)
+    assert worker.usable(3.1)
+
+
+def test_an_attempt_without_progress_is_stopped():
+    shard = make_shard(workers=1)
+    add(shard, step())
+    plan_round(shard, 1.0)
+    (attempt,) = starts(shard)
+    worker = attempt.worker
+    for second in range(2, 5):
+        running = (RunningAttempt(attempt.task.name, 1, "", 10),)
+        shard.observe(
+            worker,
+            Inventory(clock_ms=second * 1_000, incarnation=1, running=running),
+            second,
+            second,
+        )
+        plan_round(shard, second)
+    assert shard.take_orders() == []
+    plan_round(shard, 4.6)
+    assert shard.take_orders() == [StopNow(worker, attempt.task.name, 1)]
+
+
+def test_a_filler_is_paced_down_beside_what_it_harms():
+    shard = make_shard(workers=1, cpu_millis=16_000)
+    worker = shard.workers["w0"]
+    add(shard, step(cpu=4_000, lasting=True, image="web", tail_target_ms=100))
+    add(shard, step(cpu=4_000, fills=True, image="scan"), job="1" * 16, priority=2)
+    plan_round(shard, 1.0)
+    serving, filler = starts(shard)
+    shard.note_started(serving, 1.1)
+    shard.note_started(filler, 1.1)
+    for _ in range(40):
+        shard.harm.note(JOB, 1.5, 1.2)
+        shard.harm.learn("web", 1.0, [("scan", 0.25)])
+    worker.next_pace_s = 0.0
+    plan_round(shard, 1.3)
+    assert filler.pace_wanted < 50
