--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -325,7 +325,8 @@
         for job in self.shard.jobs.values():
             if job.timed and not job.state.final:
                 job.open_due(now_s, wall_ms)
-        plan_round(self.shard, now_s)
+        if self._may_grant():
+            plan_round(self.shard, now_s)
         self._send_orders()
         if self.shard.dirty:
             self._wake_flush.set()
@@ -346,7 +347,11 @@
         shard = self.shard
         job = attempt.task.step.job
         sent_s = self.clock.monotonic()
-        until_ms = self._lease_end(worker, sent_s)
+        until_ms = shard.grant_lease(worker, sent_s)
+        if until_ms is None:
+            # The worker fell silent after the round: nothing has been sent.
+            shard.note_start_refused(attempt, RefusedReason.UNHEALTHY, sent_s)
+            return
         order = StartOrder(
             task=attempt.task.name,
             attempt=attempt.number,
@@ -355,7 +360,6 @@
             token=self.row.token,
             checkpoint=attempt.checkpoint,
         )
-        shard.note_exchange_sent(worker, until_ms)
         reply = await self.calls.start(worker.listed, order)
         now_s = self.clock.monotonic()
         if isinstance(reply, Success):
@@ -435,9 +439,6 @@
     def _may_grant(self):
         return self.clock.monotonic() - self.confirmed_s < ISOLATION_S
 
-    def _lease_end(self, worker, now_s):
-        return self.shard.clock_of(worker, now_s) + int(self.lease_s * 1000)
-
     async def _run_link(self, worker):
         try:
             while True:
@@ -450,12 +451,9 @@
         """Exchange once with a worker; returns whether to go on."""
         shard = self.shard
         sent_s = self.clock.monotonic()
-        until_ms = None
-        first = not worker.claimed or worker.clock_ms is None
-        if not first and self._may_grant():
-            until_ms = self._lease_end(worker, sent_s)
-        shard.note_exchange_sent(worker, until_ms)
-        wait_ms = 0 if first or worker.seen > worker.recorded else EXCHANGE_WAIT_MS
+        until_ms = shard.grant_lease(worker, sent_s) if self._may_grant() else None
+        quick = until_ms is None or worker.seen > worker.recorded
+        wait_ms = 0 if quick else EXCHANGE_WAIT_MS
         reply = await self.calls.exchange(
             worker.listed, self.row.token, worker.recorded, until_ms, wait_ms
         )
@@ -471,6 +469,7 @@
             return True
         error = reply.failure()
         self._check_fence(error)
+        shard.note_silence(worker)
         gone = (
             isinstance(error, Refused)
             and error.reason is RefusedReason.OTHER_INCARNATION
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -299,6 +299,7 @@
         self.worker = listed.worker
         self.incarnation = 0
         self.claimed = False
+        self.silent = False
         self.in_roster = False
         self.present = True
         self.missing_since_s = None
@@ -331,6 +332,7 @@
         """Return whether new attempts may be started here."""
         return (
             self.claimed
+            and not self.silent
             and self.in_roster
             and self.present
             and not self.listed.draining
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -172,11 +172,22 @@
         """Return whether no earlier owner's attempt can be unknown."""
         return not self.uncovered
 
-    def note_exchange_sent(self, worker, lease_until_ms):
-        """Note the lease that a worker may have been granted by now."""
-        if lease_until_ms is not None:
-            worker.granted_ms = max(worker.granted_ms, lease_until_ms)
-            self._reckon_lapse(worker)
+    def grant_lease(self, worker, now_s):
+        """Return the end of the lease to grant, on the worker's clock; None for none.
+
+        Nothing is granted to a worker that did not answer: each grant on its way
+        may be carried out late, so that its lease would never be known to be over.
+        """
+        if worker.silent or not worker.claimed or worker.clock_ms is None:
+            return None
+        until_ms = self.clock_of(worker, now_s) + self.lease_ms
+        worker.granted_ms = max(worker.granted_ms, until_ms)
+        self._reckon_lapse(worker)
+        return until_ms
+
+    def note_silence(self, worker):
+        """Take in that a worker did not answer an exchange."""
+        worker.silent = True
 
     def _reckon_lapse(self, worker):
         if worker.clock_ms is None:
@@ -208,6 +219,7 @@
         self.read_clock(worker, inventory.clock_ms, now_s)
         worker.heard_s = now_s
         worker.claimed = True
+        worker.silent = False
         self.uncovered.pop(worker.worker, None)
         for end in inventory.ended:
             if end.number > worker.seen:
--- a/fuchsiascale/jobs/tests/test_shard.py
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -151,7 +151,7 @@
 def test_an_attempt_lapses_only_after_the_longest_that_its_lease_may_last(shard):
     worker, attempt = start(shard)
     shard.note_started(attempt, 1.1)
-    shard.note_exchange_sent(worker, 7_000)
+    assert shard.grant_lease(worker, 0.1) == 7_000
     # 6 s on the worker's clock, read 0.1 s after the start of this one, 2 % slow
     shard.lapse_silent(0.1 + 6.0 / 0.98)
     assert not attempt.task.waiting
@@ -159,6 +159,20 @@
     assert attempt.task.waiting
 
 
+def test_a_silent_worker_is_granted_nothing_and_so_lapses(shard):
+    worker, attempt = start(shard)
+    shard.note_started(attempt, 1.1)
+    shard.grant_lease(worker, 1.1)
+    shard.note_silence(worker)
+    assert not worker.usable(1.2)
+    for second in range(2, 10):
+        assert shard.grant_lease(worker, second) is None
+        shard.lapse_silent(second)
+    assert attempt.task.waiting
+    shard.observe(worker, inventory(9_000), 9.0, 9.1)
+    assert shard.grant_lease(worker, 9.1) == 15_000
+
+
 def test_a_restarted_worker_runs_nothing_of_before(shard):
     worker, attempt = start(shard)
     shard.note_started(attempt, 1.1)
