--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -62,7 +62,7 @@
     )
     run = owner.shard.list_worker(worker, 0.0)
     owner.shard.observe(run, Inventory(clock_ms=1, incarnation=1), 0.0, 0.0)
-    owner.roster_ids = frozenset({"w1"})
+    owner.recorder.roster_ids = frozenset({"w1"})
     return owner, run
 
 
@@ -83,9 +83,9 @@
     store = HeldStore()
     owner, run = make_owner(store)
     end_first_task(owner, run)
-    first = asyncio.create_task(owner._flush())
+    first = asyncio.create_task(owner.recorder.flush())
     await asyncio.sleep(0)
-    second = asyncio.create_task(owner._flush())
+    second = asyncio.create_task(owner.recorder.flush())
     await asyncio.sleep(0)
     assert run.recorded == 0
     store.commits[0][1].set_result(Failure(Busy()))
