Write logs without blocking, tell metrics, test settings, rows and callers

Cause: a reader that stopped reading would have stopped the process; counters were missing; the adapter's settings, rows and front had no tests. Change: lines wait in a bounded buffer, with a budget a second and message and a count of what is left out; metrics beside the readiness listener; tables of faults.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -264,7 +264,7 @@
                     extra={
                         "job": job,
                         "queue": policy.queue,
-                        "prio": policy.priority,
+                        "priority": policy.priority,
                         "objective_s": objective_s(taken, self.shard.run_times),
                     },
                 )
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -53,15 +53,14 @@
     kind = (spec.need, spec.fills, spec.image, spec.required_label)
     if not waiting or kind in full:
         return
-    started = 0
+    started = []
     for task in waiting:
         worker = choose_worker(shard, task, workers)
         if worker is None:
             if not spec.max_per_worker:
                 full.add(kind)
             break
-        shard.start_task(task, worker, now_s)
-        started += 1
+        started.append(shard.start_task(task, worker, now_s))
     if started:
         _log_started(shard, step, started, len(waiting))
 
@@ -71,8 +70,9 @@
     if not all(task.waiting for task in step.tasks):
         return
     for racks in _list_racks(step.spec, workers):
-        if _start_gang(shard, step, racks, now_s):
-            _log_started(shard, step, len(step.tasks), len(step.tasks))
+        begun = _start_gang(shard, step, racks, now_s)
+        if begun:
+            _log_started(shard, step, begun, len(begun))
             return
 
 
@@ -99,10 +99,10 @@
         task.checkpoint = checkpoint
         begun.append(shard.start_task(task, worker, now_s))
     if len(begun) == len(step.tasks):
-        return True
+        return begun
     for attempt in begun:
         shard.withdraw_start(attempt)
-    return False
+    return []
 
 
 def _log_started(shard, step, started, waiting):
@@ -111,8 +111,9 @@
         extra={
             "job": step.job.job,
             "step": f"{step.occurrence}.{step.number}",
-            "started": started,
+            "started": len(started),
             "of": waiting,
+            "on": [f"{each.task.index}@{each.worker.worker}" for each in started],
         },
     )
 
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -313,7 +313,6 @@
         self.lapse_s = None
         self.heard_s = now_s
         self.blocked_until_s = 0.0
-        self.refusals = 0
         self.next_pace_s = 0.0
         self.next_look_s = 0.0
         self.over_since_s = None
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -4,6 +4,8 @@
 out. The rules that keep a task from running twice are in docs/design/platform.md.
 """
 
+from collections import Counter
+
 import logbook
 import msgspec
 
@@ -88,6 +90,7 @@
         self.orders = []
         self.loaded = False
         self.uncovered = {}
+        self.events = Counter()
         self.harm = PairHarm()
         self.run_times = RunTimes()
         self.next_move_s = 0.0
@@ -318,6 +321,7 @@
         place = split_task(end.task)
         job = self.jobs.get(place[0]) if place else None
         worker.strays.pop(end.task, None)
+        self.events[f"ended: {end.how.value}"] += 1
         attempt = worker.attempts.get(end.task)
         if attempt is not None and attempt.number == end.attempt:
             if end.how is EndKind.DONE:
@@ -389,6 +393,7 @@
             self._lose(attempt, now_s, why)
 
     def _lose(self, attempt, now_s, why):
+        self.events[f"lost: {why}"] += 1
         attempt.worker.release(attempt)
         task = attempt.task
         if task.attempt is attempt:
@@ -467,7 +472,7 @@
         """Take in that a worker has carried out a start."""
         if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
             attempt.enter(AttemptPhase.RUNNING, now_s)
-        attempt.worker.refusals = 0
+        self.events["started"] += 1
         self._mark_running(attempt.task.step.job)
         self._stop_if_over(attempt, now_s)
 
@@ -477,6 +482,7 @@
 
     def note_start_unanswered(self, attempt, now_s):
         """Take in that a start may be carried out, now or later."""
+        self.events["start unanswered"] += 1
         if attempt.phase is AttemptPhase.STARTING:
             attempt.enter(AttemptPhase.IN_DOUBT, now_s)
             attempt.worker.blocked_until_s = now_s + NO_ROOM_PAUSE_S
@@ -498,7 +504,7 @@
                 attempt.task.attempt = None
         if attempt.task.step.spec.gang:
             self._stop_gang(attempt.task.step, now_s)
-        worker.refusals += 1
+        self.events[f"start refused: {reason.value}"] += 1
         pause_s = NO_ROOM_PAUSE_S
         if reason is RefusedReason.UNHEALTHY:
             pause_s = UNHEALTHY_PAUSE_S
@@ -556,6 +562,10 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def count_states(self):
+        """Return how many unfinished jobs are in each state."""
+        return Counter(job.state.value for job in self.jobs.values())
+
     def state_of(self, job_id):
         """Return the state of a job as callers may be told; None if unknown.
 
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -25,6 +25,7 @@
     WorkerListing,
     answer_relay,
 )
+from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.node._peerlink import PeerLink, make_peer_application
 from fuchsiascale.platform import userplatform
 
@@ -35,6 +36,8 @@
 STOP_MARGIN_S = 0.8
 """Kept of the grace period for closing what is open."""
 LISTEN_BACKLOG = 512
+LOG_PERIOD_S = 0.1
+"""Period in which waiting log lines are written."""
 FULL_CORES = 1.0
 """Processors with which an instance carries a service of 200 workers at ease."""
 FULL_LINK_MBIT_S = 50.0
@@ -61,10 +64,13 @@
     ----------
     settings : LocalSettings
         The checked settings.
+    log_buffer : LineBuffer
+        Where log lines wait.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, log_buffer):
         self.settings = settings
+        self.log_buffer = log_buffer
         self.log = logbook.Logger("node")
         self.stop_requested = asyncio.Event()
         self.in_flight = 0
@@ -81,6 +87,7 @@
         self._build()
         await self._listen()
         self._keep(self.operator_watch.run())
+        self._keep(self._write_logs())
         self.log.info(
             "started",
             extra={"incarnation": self.identity.incarnation, "pid": os.getpid()},
@@ -124,6 +131,7 @@
             self.store, userplatform.OPERATOR_TABLE, self._note_operator, self.clock
         )
         self.entry = Entry(self.store, self.offices, self.clock)
+        self.metrics = NodeMetrics(self.offices, self.log_buffer)
         self.front = userplatform.CallerFront(
             self.entry, self.configuration_watch, self.stop_requested.is_set
         )
@@ -172,6 +180,7 @@
         )
         if settings.ready_listen is not None:
             ready = web.Application()
+            ready.router.add_get("/metrics", self._answer_metrics)
             ready.router.add_get("/{path:.*}", self._answer_ready)
             await self._open(ready, settings.ready_listen)
 
@@ -179,10 +188,16 @@
         @web.middleware
         async def count(request, handler):
             self.in_flight += 1
+            began_s = time.monotonic()
+            status = 500
             try:
-                return await handler(request)
+                response = await handler(request)
+                status = response.status
+                return response
             finally:
                 self.in_flight -= 1
+                passed_s = time.monotonic() - began_s
+                self.metrics.note_request(request.method, status, passed_s)
 
         application.middlewares.append(count)
         return application
@@ -196,6 +211,19 @@
         await site.start()
         self._runners.append(runner)
 
+    async def _write_logs(self):
+        left_out = 0
+        while True:
+            self.log_buffer.flush()
+            if self.log_buffer.left_out > left_out:
+                lines = self.log_buffer.left_out - left_out
+                left_out = self.log_buffer.left_out
+                self.log.warning("log lines left out", extra={"lines": lines})
+            await asyncio.sleep(LOG_PERIOD_S)
+
+    async def _answer_metrics(self, request):
+        return web.Response(body=self.metrics.render(), content_type="text/plain")
+
     async def _answer_ready(self, request):
         ready = (
             self.configuration_watch.index is not None
@@ -225,3 +253,4 @@
         for session in self._sessions:
             await session.close()
         self.log.info("stopped", extra={"after_s": time.monotonic() - began_s})
+        self.log_buffer.flush()
--- a/fuchsiascale/node/_main.py
+++ b/fuchsiascale/node/_main.py
@@ -25,10 +25,10 @@
             print(problem, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     settings = found.unwrap()
-    set_up_decision_log(settings.instance)
+    log_buffer = set_up_decision_log(settings.instance)
     gc.set_threshold(GC_THRESHOLD)
-    asyncio.run(_serve(settings))
+    asyncio.run(_serve(settings, log_buffer))
 
 
-async def _serve(settings):
-    await NodeApplication(settings).run()
+async def _serve(settings, log_buffer):
+    await NodeApplication(settings, log_buffer).run()
--- /dev/null
+++ b/fuchsiascale/platform/tests/test_callerfront.py
@@ -0,0 +1,157 @@
+"""What callers send and what they are answered, as tables."""
+
+import msgspec
+from aiohttp.test_utils import TestClient, TestServer
+
+from fuchsiascale.jobs import (
+    Configuration,
+    ConfigurationWatch,
+    JobState,
+    Outcome,
+    Queue,
+    QueuePolicy,
+    Reply,
+    RowKey,
+    StoredRow,
+)
+from fuchsiascale.platform.userplatform import CallerFront
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+JOB = "5c0e7a21d94b36f8"
+PATH = f"/lohu930/{JOB}"
+HOST = {"Host": "nony24.example"}
+STEP = {"count": 4, "cpu": 500, "mem_mb": 256, "estimate_ms": 900}
+
+
+class FakeEntry:
+    """Answers with a set reply and keeps what it was asked."""
+
+    def __init__(self, reply=None):
+        self.reply = reply or Reply(Outcome.DONE, JobState.RUNNING, 12)
+        self.asked = []
+
+    async def submit(self, policy, job, spec):
+        self.asked.append((policy.queue, job, spec))
+        return self.reply
+
+    async def state(self, service, job):
+        return self.reply
+
+    async def cancel(self, service, job):
+        return self.reply
+
+    async def waiting(self, policy):
+        return self.reply
+
+
+class Front:
+    """A front behind a port."""
+
+    def __init__(self, reply=None, configured=True):
+        self.entry = FakeEntry(reply)
+        watch = ConfigurationWatch("config", lambda value: self.configuration())
+        if configured:
+            place = RowKey("op", "", "config")
+            watch.take_rows({"config": StoredRow(place, b"", 1)})
+        front = CallerFront(self.entry, watch, lambda: False)
+        self.client = TestClient(TestServer(front.make_application()))
+
+    def configuration(self):
+        policy = QueuePolicy(queue="q", service="pool")
+        queue = Queue(host="nony24.example", prefix="/lohu930/", policy=policy)
+        return Configuration(version=1, queues=(queue,))
+
+    async def __aenter__(self):
+        await self.client.start_server()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.client.close()
+
+    async def send(self, method, path=PATH, body=None, headers=None):
+        data = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
+        response = await self.client.request(
+            method, path, data=data, headers=headers or HOST
+        )
+        return response, await response.read()
+
+
+# name, reply of the entry, method, status
+OUTCOMES = (
+    ("accepted", Reply(Outcome.DONE), "POST", 200),
+    ("not accepted", Reply(Outcome.NOT_RUN), "POST", 503),
+    ("outcome unknown", Reply(Outcome.UNKNOWN), "POST", 504),
+    ("state", Reply(Outcome.DONE, JobState.COMPLETED), "GET", 200),
+    ("no such job", Reply(Outcome.ABSENT), "GET", 410),
+    ("cancelled", Reply(Outcome.DONE), "DELETE", 200),
+    ("nothing to cancel", Reply(Outcome.ABSENT), "DELETE", 410),
+)
+
+# name, body, what the answer names
+BAD_BODIES = (
+    ("no JSON", b"{", "JSON"),
+    ("no steps", {"spec": "p"}, "steps"),
+    ("an empty graph", {"spec": "p", "steps": []}, "steps"),
+    ("no tasks", {"steps": [{**STEP, "count": 0}]}, "steps[0].count"),
+    ("a negative size", {"steps": [{**STEP, "cpu": -1}]}, "steps[0]"),
+    ("a cycle", {"steps": [{**STEP, "after": [0]}]}, "steps[0].after"),
+    ("an unknown step", {"steps": [{**STEP, "after": [9]}]}, "steps[0].after"),
+    ("a text for a number", {"steps": [{**STEP, "cpu": "much"}]}, "cpu"),
+    ("far too many tasks", {"steps": [{**STEP, "count": 99_999}]}, "steps"),
+    ("repeats at once", {"steps": [STEP], "repeat_count": 2}, "interval_ms"),
+)
+
+
+async def test_each_outcome_has_its_status():
+    for name, reply, method, status in OUTCOMES:
+        async with Front(reply) as front:
+            body = {"spec": "p", "steps": [STEP]} if method == "POST" else None
+            response, _ = await front.send(method, body=body)
+            assert response.status == status, name
+            assert ("Retry-After" in response.headers) == (status == 503), name
+
+
+async def test_a_bad_body_is_refused_with_its_field_and_nothing_is_handed_in():
+    for name, body, named in BAD_BODIES:
+        async with Front() as front:
+            response, content = await front.send("POST", body=body)
+            assert response.status == 400, name
+            assert named in content.decode(), name
+            assert front.entry.asked == [], name
+
+
+async def test_a_job_is_handed_in_as_it_was_sent():
+    step = {**STEP, "after": [0], "checkpoints": True, "image": "a1", "fills": True}
+    async with Front() as front:
+        await front.send("POST", body={"spec": "text", "steps": [STEP, step]})
+        ((queue, job, spec),) = front.entry.asked
+    assert (queue, job, spec.payload) == ("q", JOB, "text")
+    assert spec.steps[1].after == (0,)
+    assert spec.steps[1].need.cpu_millis == 500
+    assert spec.steps[1].checkpoints
+    assert spec.steps[1].fills
+
+
+async def test_an_unknown_queue_is_not_found():
+    async with Front() as front:
+        for path, headers in (
+            ("/elsewhere/" + JOB, HOST),
+            (PATH, {"Host": "other.example"}),
+            ("/lohu930/no-id", HOST),
+        ):
+            response, _ = await front.send("GET", path, headers=headers)
+            assert response.status == 404
+
+
+async def test_without_a_configuration_nothing_is_answered_but_503():
+    async with Front(configured=False) as front:
+        response, _ = await front.send("GET")
+        assert response.status == 503
+
+
+async def test_the_count_of_a_queue_is_told():
+    async with Front() as front:
+        response, content = await front.send("GET", "/lohu930/")
+        assert (response.status, content) == (200, b'{"waiting":12}')
--- /dev/null
+++ b/fuchsiascale/platform/tests/test_localsettings.py
@@ -0,0 +1,57 @@
+"""The platform's settings file, with what may be wrong with it as a table."""
+
+from returns.result import Failure, Success
+
+from fuchsiascale.platform.userplatform import parse_settings, read_local_settings
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+GOOD = """\
+node_name=front-a-1
+zone=a
+region=r
+listen.front=10.0.0.1:80
+listen.ready=10.0.0.1:81
+listen.control=10.0.0.1:82
+seeds=10.0.0.1:82,10.0.0.2:82
+platform.address=10.9.0.1:90
+bounds.hold_max_ms=10000
+limits.cpu_share=0.5
+limits.cpu_cores=2
+something.new=7
+"""
+
+# what is changed, the problem that is told
+FAULTS = (
+    (("zone=a\n", ""), "zone: missing"),
+    (("platform.address=10.9.0.1:90\n", ""), "platform.address: missing"),
+    (("listen.front=10.0.0.1:80", "listen.front=80"), "listen.front: '80' is not"),
+    (("listen.ready=10.0.0.1:81", "listen.ready=x:y"), "listen.ready: 'x:y' is not"),
+    (("hold_max_ms=10000", "hold_max_ms=long"), "bounds.hold_max_ms: 'long' is not"),
+    (("region=r", "region"), "line 3: no '='"),
+)
+
+
+def test_a_sound_file_is_read_and_unknown_keys_are_ignored():
+    settings = parse_settings(GOOD).unwrap()
+    assert settings.peer_listen == ("10.0.0.1", 82)
+    assert settings.longest_lease_s == 10.0
+    assert settings.cores == 1.0
+    assert settings.seeds == ("10.0.0.1:82", "10.0.0.2:82")
+
+
+def test_each_fault_is_told_with_its_key():
+    for (old, new), problem in FAULTS:
+        found = parse_settings(GOOD.replace(old, new))
+        assert isinstance(found, Failure), problem
+        assert any(each.startswith(problem) for each in found.failure()), problem
+
+
+def test_the_listener_for_readiness_may_be_missing():
+    found = parse_settings(GOOD.replace("listen.ready=10.0.0.1:81\n", ""))
+    assert isinstance(found, Success)
+
+
+def test_a_file_that_is_not_there_is_told():
+    assert isinstance(read_local_settings("/nowhere/at/all"), Failure)
--- /dev/null
+++ b/fuchsiascale/platform/tests/test_operatorrows.py
@@ -0,0 +1,94 @@
+"""What the operator and the workers leave in the store."""
+
+import msgspec
+
+from fuchsiascale.jobs import QueueIndex, RowKey, StoredRow
+from fuchsiascale.platform.userplatform import decode_configuration, decode_worker
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+ENTRY = {
+    "service": "pool",
+    "address": "10.0.0.9:80",
+    "zone": "a",
+    "version": "v1",
+    "slot_count": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 5,
+    "sequence": 4,
+    "born": 12,
+}
+
+# name, what is changed; None drops the field
+FOREIGN = (
+    ("no service", {"service": None}),
+    ("no address", {"address": None}),
+    ("no capacity", {"capacity": None}),
+    ("an address without a port", {"address": "10.0.0.9"}),
+    ("a state that is not known", {"state": "resting"}),
+    ("a number in place of a text", {"service": 7}),
+    ("a text in place of a number", {"capacity": {"cpu": "many"}}),
+    ("labels of another type", {"labels": "a"}),
+)
+
+
+def row(value):
+    raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+    return StoredRow(RowKey("servers", "", "i-1"), raw, 3)
+
+
+def test_a_worker_is_read_with_what_it_has():
+    worker = decode_worker(row(ENTRY))
+    assert (worker.worker, worker.service, worker.incarnation) == ("i-1", "pool", 12)
+    assert worker.capacity.cpu_millis == 16_000
+    assert worker.capacity.accelerators == 1
+    assert not worker.draining
+
+
+def test_a_draining_worker_tells_so():
+    entry = {**ENTRY, "state": "draining", "remaining_ms": 2_500}
+    worker = decode_worker(row(entry))
+    assert worker.draining
+    assert worker.remaining_ms == 2_500
+
+
+def test_an_entry_of_another_writer_names_no_worker():
+    for name, changes in FOREIGN:
+        entry = {**ENTRY, **changes}
+        entry = {key: value for key, value in entry.items() if value is not None}
+        assert decode_worker(row(entry)) is None, name
+    assert decode_worker(row(b"\xff\x00")) is None
+
+
+def test_a_configuration_names_its_queues():
+    route = {
+        "name": "r1",
+        "host": "a.example",
+        "prefix": "/x/",
+        "kind": "non_idempotent",
+        "service": "pool",
+        "target_duration_ms": 400,
+        "priority": 2,
+        "max_attempts": 3,
+        "stretch": 1.5,
+    }
+    longer = {**route, "name": "r2", "prefix": "/x/y/", "advice": {"decide_ms": 5}}
+    services = [{"name": "pool", "rejects_overload": True}]
+    config = {"version": 7, "routes": [route, longer], "services": services}
+    configuration = decode_configuration(msgspec.json.encode(config))
+    index = QueueIndex(configuration)
+    assert configuration.version == 7
+    assert index.find("A.example", "/x/1").policy.queue == "r1"
+    assert index.find("a.example", "/x/y/1").policy.queue == "r2"
+    assert index.find("a.example", "/x/y/1").policy.advice
+    assert index.find("a.example", "/x/1").policy.max_attempts == 3
+    assert index.find("b.example", "/x/1") is None
+
+
+def test_an_unreadable_configuration_is_none():
+    assert decode_configuration(b"{") is None
+    assert decode_configuration(b'{"version":"seven"}') is None
