--- a/fuchsiascale/platform/_callerfront.py
+++ b/fuchsiascale/platform/_callerfront.py
@@ -122,7 +122,7 @@
         try:
             spec = _decode_job(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return _reply(400, _Error(str(error)))
+            return _reply(400, _Error(f"body: {error}"))
         problems = find_problems(spec)
         if problems:
             return _reply(400, _Error("; ".join(problems)))
