Take no job for slow by itself where all its tasks are disturbed

Change: a job is taken to have a headroom of 1.1 at least; tasks are compared within their job. Test failing before.

--- a/fuchsiascale/decisions/_pairharm.py
+++ b/fuchsiascale/decisions/_pairharm.py
@@ -22,6 +22,9 @@
 """Keeps observations of little load (squared shares) from moving the slopes."""
 PRIOR_HEADROOM = 1.6
 """Target over tail of a job never seen, without fillers: that of a high load."""
+LEAST_HEADROOM = 1.1
+"""Least headroom that a job is taken to have without fillers: where all its tasks are
+disturbed, none of them shows it."""
 BASE_WINDOW_S = 1.1
 """Age up to which tails tell the undisturbed tail; two of the workers' figures."""
 BASE_QUANTILE = 0.2
@@ -49,8 +52,16 @@
         return self._seen.get((serving, filling), 0)
 
     def headroom(self, job):
-        """Return the present headroom of a job's tasks without fillers."""
-        return self._bases.get(job, PRIOR_HEADROOM)
+        """Return the present headroom of a job's tasks without fillers.
+
+        Examples
+        --------
+        >>> harm = PairHarm()
+        >>> harm.note("job", 0.1, 1.0)
+        >>> harm.headroom("job")
+        1.1
+        """
+        return max(LEAST_HEADROOM, self._bases.get(job, PRIOR_HEADROOM))
 
     def note(self, job, headroom, now_s):
         """Take in the headroom of one task of a job, whatever runs beside it."""
--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -5,6 +5,7 @@
 from fuchsiascale.jobs._model import *  # noqa: F403
 from fuchsiascale.jobs._offices import *  # noqa: F403
 from fuchsiascale.jobs._owner import *  # noqa: F403
+from fuchsiascale.jobs._pacing import *  # noqa: F403
 from fuchsiascale.jobs._peermessages import *  # noqa: F403
 from fuchsiascale.jobs._ports import *  # noqa: F403
 from fuchsiascale.jobs._records import *  # noqa: F403
--- a/fuchsiascale/jobs/_pacing.py
+++ b/fuchsiascale/jobs/_pacing.py
@@ -14,7 +14,7 @@
 LOOK_PERIOD_S = 0.4
 """Least time between two figures of a worker that are learnt from."""
 NEARLY_OVER = 0.8
-"""Tail, as a share of the target, that the other tasks of an image have to reach."""
+"""Tail, as a share of the target, that the other tasks of a job have to reach."""
 OVER_HALT_S = 0.2
 """Time over the target after which the fillers that may be why are halted."""
 OVER_STOP_S = 1.1
@@ -87,18 +87,19 @@
 def _find_over(worker, now_s):
     """Return the serving images that miss their target, and keep since when.
 
-    Fillers disturb all tasks of an image alike: where one alone is slow beside
-    others of its image, the cause is its own.
+    Fillers disturb all tasks of a job alike: where one alone is slow beside others
+    of its job, the cause is its own.
     """
     tails = {}
     for attempt in worker.attempts.values():
         spec = attempt.task.step.spec
         if spec.tail_target_ms:
             tail = attempt.figure / spec.tail_target_ms
-            tails.setdefault(spec.image, []).append(tail)
+            key = (spec.image, attempt.task.step.job.job)
+            tails.setdefault(key, []).append(tail)
     over = {
         image
-        for image, values in tails.items()
+        for (image, _), values in tails.items()
         if max(values) > 1.0 and min(values) > NEARLY_OVER
     }
     if not over:
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -15,6 +15,7 @@
     StartNow,
     StepSpec,
     StopNow,
+    observe_tails,
     plan_round,
 )
 from fuchsiascale.testing import collect_functions
@@ -259,3 +260,11 @@
     assert (known.pace_wanted, unknown.pace_wanted) == (100, 0)
     plan_round(shard, 3.3)
     assert known.pace_wanted == 0
+
+
+def test_a_pair_is_learnt_though_all_tasks_of_the_job_are_disturbed():
+    shard, serving, (filler,) = start_beside_serving("heavy")
+    filler.figure, serving.percent, serving.figure = 8_000, 100, 1_000
+    for look in range(20):
+        observe_tails(shard, serving.worker, 2.0 + look)
+    assert shard.harm.slope("web", "heavy") > 3.0
