--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -245,7 +245,7 @@
         names = {worker.worker for worker in listed}
         for worker_id in self.shard.workers:
             if worker_id not in names:
-                self.shard.miss_worker(worker_id, now_s)
+                self.shard.miss_worker(worker_id)
         self.links.sync()
         self.kick()
 
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -41,7 +41,6 @@
         "phase",
         "progress_s",
         "since_s",
-        "started_s",
         "stop_answered_s",
         "stop_sent_s",
         "task",
@@ -55,7 +54,6 @@
         self.number = number
         self.phase = phase
         self.since_s = now_s
-        self.started_s = now_s
         self.checkpoint = task.checkpoint
         self.percent = 0
         self.progress_s = now_s
@@ -86,7 +84,6 @@
         "name",
         "next_number",
         "step",
-        "waiting_since_s",
     )
 
     def __init__(self, step, index, first_number, now_s):
@@ -100,7 +97,6 @@
         self.done = False
         self.attempt = None
         self.avoid = None
-        self.waiting_since_s = now_s
 
     @property
     def waiting(self):
@@ -116,7 +112,6 @@
         "number",
         "occurrence",
         "per_worker",
-        "ready_s",
         "spec",
         "tasks",
     )
@@ -126,7 +121,6 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
-        self.ready_s = None
         self.per_worker = {}
         self.tasks = [
             Task(self, index, job.first_number, now_s) for index in range(spec.count)
@@ -302,7 +296,6 @@
         self.silent = False
         self.in_roster = False
         self.present = True
-        self.missing_since_s = None
         self.attempts = {}
         self.strays = {}
         self.seen = 0
@@ -311,7 +304,6 @@
         self.clock_at_s = now_s
         self.granted_ms = 0
         self.lapse_s = None
-        self.heard_s = now_s
         self.blocked_until_s = 0.0
         self.next_pace_s = 0.0
         self.next_look_s = 0.0
@@ -372,12 +364,3 @@
             and self.memory_used + need.memory_mb <= capacity.memory_mb
             and self.accelerators_used + need.accelerators <= capacity.accelerators
         )
-
-    def could_hold(self, spec):
-        """Return whether an empty worker of this kind could hold a task."""
-        need, capacity = spec.need, self.listed.capacity
-        return (
-            need.cpu_millis <= capacity.cpu_millis
-            and need.memory_mb <= capacity.memory_mb
-            and need.accelerators <= capacity.accelerators
-        )
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -155,15 +155,13 @@
             known = self.workers[listed.worker] = WorkerRun(listed, now_s)
         known.listed = listed
         known.present = True
-        known.missing_since_s = None
         return known
 
-    def miss_worker(self, worker_id, now_s):
+    def miss_worker(self, worker_id):
         """Note that the list lacks a worker."""
         worker = self.workers.get(worker_id)
-        if worker is not None and worker.present:
+        if worker is not None:
             worker.present = False
-            worker.missing_since_s = now_s
 
     def drop_worker(self, worker_id):
         """Forget a worker that has no attempts left and is not listed."""
@@ -204,7 +202,6 @@
             return
         worker.clock_ms = clock_ms
         worker.clock_at_s = now_s
-        worker.heard_s = now_s
         self._reckon_lapse(worker)
 
     def clock_of(self, worker, now_s):
@@ -220,7 +217,6 @@
             # The owner before may have granted its lease just now.
             worker.granted_ms = inventory.clock_ms + self.lease_ms
         self.read_clock(worker, inventory.clock_ms, now_s)
-        worker.heard_s = now_s
         worker.claimed = True
         worker.silent = False
         self.uncovered.pop(worker.worker, None)
@@ -332,7 +328,6 @@
                 self.run_times.observe(queue, now_s - attempt.since_s)
             worker.release(attempt)
             attempt.task.attempt = None
-            attempt.task.waiting_since_s = now_s
         task = job.find_task(*place[1:]) if job else None
         if task is None or task.done:
             return
@@ -399,7 +394,6 @@
         if task.attempt is attempt:
             task.attempt = None
             task.checkpoint = attempt.checkpoint or task.checkpoint
-            task.waiting_since_s = now_s
         self.log.info(
             "attempt lost",
             extra={
--- a/fuchsiascale/jobs/_watches.py
+++ b/fuchsiascale/jobs/_watches.py
@@ -41,7 +41,6 @@
         self._on_change = on_change
         self._pause_s = pause_s
         self._version = None
-        self.fresh_s = None
         self.log = logbook.Logger("watch")
 
     async def run(self):
@@ -64,7 +63,6 @@
         changes = found.unwrap()
         self.rows = {row.place.key: row for row in changes.rows}
         self._version = changes.version
-        self.fresh_s = self.clock.monotonic()
         self._on_change(self.rows)
         return True
 
@@ -73,7 +71,6 @@
         if isinstance(reply, Success):
             changes = reply.unwrap()
             self._version = max(self._version, changes.version)
-            self.fresh_s = self.clock.monotonic()
             self._take(changes.rows)
             return True
         self.log.info(
--- a/fuchsiascale/platform/_localsettings.py
+++ b/fuchsiascale/platform/_localsettings.py
@@ -25,20 +25,14 @@
         This instance and where it stands.
     caller_listen, ready_listen, peer_listen : tuple of str and int
         Addresses to listen at. Peers use what the platform calls control.
-    seeds : tuple of str
-        Peer addresses of some instances, which may be stale.
     store_address : str
         The transactional store.
-    adviser_address : str
-        The placement adviser; empty where there is none.
     longest_lease_s : float
         Longest lease that workers grant.
     stop_grace_s : float
         Time from the signal to stop until the process is killed.
     cores, link_mbit_s : float
         Processors of this process and the bandwidth of its link.
-    keep_state_s : float
-        How long the state of a job has to be told.
     """
 
     instance: str
@@ -47,17 +41,11 @@
     caller_listen: tuple[str, int]
     ready_listen: tuple[str, int] | None
     peer_listen: tuple[str, int]
-    seeds: tuple[str, ...]
     store_address: str
-    adviser_address: str = ""
     longest_lease_s: float = 6.0
     stop_grace_s: float = 6.0
     cores: float = 1.0
     link_mbit_s: float = 1000.0
-    keep_state_s: float = 120.0
-    longest_stop_s: float = 1.0
-    gang_timeout_s: float = 3.0
-    remote_factor: float = 1.5
 
 
 def read_local_settings(path=None) -> Result[LocalSettings, list[str]]:
@@ -112,18 +100,12 @@
         "caller_listen": reader.address("listen.front"),
         "ready_listen": reader.address("listen.ready", needed=False),
         "peer_listen": reader.address("listen.control"),
-        "seeds": tuple(each for each in reader.get("seeds").split(",") if each),
         "store_address": reader.text("platform.address"),
-        "adviser_address": reader.get("advice"),
         "longest_lease_s": reader.number("bounds.hold_max_ms", 6000) / 1000,
         "stop_grace_s": reader.number("bounds.grace_s", 6),
         "cores": reader.number("limits.cpu_share", 1)
         * reader.number("limits.cpu_cores", 1),
         "link_mbit_s": reader.number("limits.link_mbps", 1000),
-        "keep_state_s": reader.number("bounds.status_s", 120),
-        "longest_stop_s": reader.number("bounds.stop_ms", 1000) / 1000,
-        "gang_timeout_s": reader.number("bounds.gang_timeout_ms", 3000) / 1000,
-        "remote_factor": reader.number("bounds.remote_factor", 1.5),
     }
     return None if reader.problems else LocalSettings(**fields)
 
--- a/fuchsiascale/platform/tests/test_localsettings.py
+++ b/fuchsiascale/platform/tests/test_localsettings.py
@@ -38,7 +38,7 @@
     assert settings.peer_listen == ("10.0.0.1", 82)
     assert settings.longest_lease_s == 10.0
     assert settings.cores == 1.0
-    assert settings.seeds == ("10.0.0.1:82", "10.0.0.2:82")
+    assert settings.store_address == "10.9.0.1:90"
 
 
 def test_each_fault_is_told_with_its_key():
