Let a worker that left be used again once it is listed

Ruled out: its lease, which lapses as it should. Change: the roster is stale as long as one worker is not known to be in it. Test failing before.

--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -119,8 +119,18 @@
         self.recorded.set()
         return True
 
+    def roster_is_stale(self):
+        """Return whether the roster lacks a worker, or names one that has left.
+
+        A worker that has left and is listed again is the same to the row, but may
+        be used only once a record has said so.
+        """
+        workers = self.shard.workers
+        known = all(worker.in_roster for worker in workers.values())
+        return not known or frozenset(workers) != self.roster_ids
+
     def _changed_roster(self):
-        if frozenset(self.shard.workers) == self.roster_ids:
+        if not self.roster_is_stale():
             return None
         return RosterRow(
             workers=tuple(
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -63,6 +63,7 @@
     run = owner.shard.list_worker(worker, 0.0)
     owner.shard.observe(run, Inventory(clock_ms=1, incarnation=1), 0.0, 0.0)
     owner.recorder.roster_ids = frozenset({"w1"})
+    run.in_roster = True
     return owner, run
 
 
@@ -95,3 +96,16 @@
     store.commits[1][1].set_result(Success(9))
     assert await second is True
     assert run.recorded == 1
+
+
+async def test_a_worker_that_left_and_is_listed_again_may_be_used():
+    store = HeldStore()
+    owner, run = make_owner(store)
+    owner.shard.drop_worker("w1")
+    again = owner.shard.list_worker(run.listed, 1.0)
+    recording = asyncio.create_task(owner.recorder.flush())
+    await asyncio.sleep(0)
+    assert store.commits
+    store.commits[0][1].set_result(Success(9))
+    await recording
+    assert again.in_roster
