--- a/fuchsiascale/jobs/_pacing.py
+++ b/fuchsiascale/jobs/_pacing.py
@@ -20,6 +20,9 @@
 OVER_STOP_S = 1.1
 """Time over the target after which all fillers of a worker are halted. Measured tails
 lag by up to 2 s, and the platform allows 4 s over the target."""
+ALONE_STOP_S = 1.4
+"""Time after which they are halted where a single task is over its target: it may be
+so by itself, but has to be under it without them."""
 KNOWN_LOOKS = 5
 """Looks at a pair of images after which its slope is believed."""
 MOVE_PERIOD_S = 0.2
@@ -75,9 +78,10 @@
     paces = _choose_paces(shard, worker, fillers)
     over = _find_over(worker, now_s)
     over_s = now_s - worker.over_since_s if over else 0.0
+    alone_s = _time_alone_over(worker, now_s)
     for attempt in fillers:
         suspect = over_s > OVER_HALT_S and _is_suspect(shard, over, attempt)
-        if suspect or over_s > OVER_STOP_S:
+        if suspect or over_s > OVER_STOP_S or alone_s > ALONE_STOP_S:
             paces[attempt] = 0.0
     for attempt, pace in paces.items():
         percent = int(pace * FULL_SPEED_PERCENT / PACE_GRAIN) * PACE_GRAIN
@@ -109,6 +113,20 @@
     return over
 
 
+def _time_alone_over(worker, now_s):
+    """Return for how long some task has missed its target, whatever the others do."""
+    over = any(
+        attempt.figure > attempt.task.step.spec.tail_target_ms > 0
+        for attempt in worker.attempts.values()
+    )
+    if not over:
+        worker.alone_since_s = None
+        return 0.0
+    if worker.alone_since_s is None:
+        worker.alone_since_s = now_s
+    return now_s - worker.alone_since_s
+
+
 def _is_suspect(shard, over, attempt):
     """Return whether a filler may be why one of these images misses its target."""
     image = attempt.task.step.spec.image
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -308,6 +308,7 @@
         self.next_pace_s = 0.0
         self.next_look_s = 0.0
         self.over_since_s = None
+        self.alone_since_s = None
         self.failed_jobs = set()
         self.holds = 0
         self.cpu_used = 0
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -268,3 +268,22 @@
     for look in range(20):
         observe_tails(shard, serving.worker, 2.0 + look)
     assert shard.harm.slope("web", "heavy") > 3.0
+
+
+def test_fillers_are_halted_where_a_single_task_stays_over_its_target():
+    shard = make_shard(workers=1, cpu_millis=32_000)
+    add(shard, step(count=2, cpu=2_000, lasting=True, image="web", tail_target_ms=100))
+    add(shard, step(fills=True, image="light"), job="1" * 16, priority=2)
+    plan_round(shard, 1.0)
+    slow, quick, filler = starts(shard)
+    for attempt in (slow, quick, filler):
+        shard.note_started(attempt, 1.1)
+    for _ in range(20):
+        shard.harm.note(JOB, 3.0, 1.2)
+        shard.harm.learn("web", 0.0, [("light", 0.1)])
+    slow.figure, quick.figure = 300, 30
+    for now_s in (2.0, 2.5, 3.0):
+        plan_round(shard, now_s)
+        assert filler.pace_wanted == 100
+    plan_round(shard, 3.5)
+    assert filler.pace_wanted == 0
