Let an owner end a cancelled chunk only while it is in office

Cause: an owner that had been replaced without knowing it recorded a cancelled chunk as ended, by its own conclusion that no attempt runs. Ruled out: reading each row again before each start (a read a start); a notice to all instances (notices may be lost). Change: a write that ends tasks without a worker's report is made under a check of the shard's row, which a takeover writes. A conflict that shows another owner makes the shard step down. The tables' transactions carry such checks. Test: the old one wrote the row by hand, as no owner can any more; it now lets a replaced owner write and expects the refusal (fails without the check).

--- a/fuchsiascale/coordination/_chunkrows.py
+++ b/fuchsiascale/coordination/_chunkrows.py
@@ -6,7 +6,12 @@
 from fuchsiascale.coordination._attempts import parse_task_id
 from fuchsiascale.coordination._inventories import reconcile_chunk
 from fuchsiascale.coordination._livechunks import compute_record, drop_recorded
-from fuchsiascale.coordination._records import Assignment, ChunkRecord
+from fuchsiascale.coordination._records import (
+    SHARDS_TABLE,
+    Assignment,
+    ChunkRecord,
+    ShardRecord,
+)
 from fuchsiascale.coordination._shardcommands import (
     ChunkWrite,
     ReadAssignments,
@@ -19,6 +24,7 @@
     note_store_answer,
     require_read,
 )
+from fuchsiascale.coordination._takeover import step_down
 from fuchsiascale.platform import Conflict
 
 __all__ = [
@@ -158,10 +164,14 @@
         record = compute_record(live, state.max_failures(live.record))
         if record == live.record or _may_wait(state, live, record):
             continue
+        concluded = _is_concluded(live)
+        if concluded and state.record is None:
+            continue
         write = ChunkWrite(
             record=record,
             expected_version=live.version,
             assignment_version=live.assignment_version,
+            shard_version=state.version if concluded else None,
         )
         live.written_s = now_s
         live.pending = WriteChunk(write=write)
@@ -169,6 +179,17 @@
     return commands
 
 
+def _is_concluded(live):
+    """Tell whether the owner ends tasks by its own conclusion, without a report.
+
+    That they run nowhere holds only while no other owner is in office.
+    """
+    return live.record.cancelled and any(
+        not task.state.final and task.index not in live.attempts
+        for task in live.record.tasks
+    )
+
+
 def _may_wait(state, live, record):
     """Tell whether more ends may be gathered first, since none is waited for."""
     if state.now_s() - live.written_s >= state.timing.commit_s or not state.placing:
@@ -190,6 +211,8 @@
     note_store_answer(state, result)
     if not isinstance(result, Success):
         meet_failed_write(state, live, result.failure())
+        if _is_replaced(state, result.failure()):
+            step_down(state)
         return
     state.meters.count_changes(live.record, write.record)
     live.record = write.record
@@ -199,6 +222,16 @@
         drop_chunk(state, live)
 
 
+def _is_replaced(state, error):
+    """Tell whether a conflict shows the shard's row under another owner."""
+    return isinstance(error, Conflict) and any(
+        row.table == SHARDS_TABLE
+        and row.version > 0
+        and msgspec.json.decode(row.value, type=ShardRecord).owner != state.instance
+        for row in error.rows
+    )
+
+
 def meet_failed_write(state, live, error):
     """Have a row read again after a write of it failed."""
     now_s = state.now_s()
--- a/fuchsiascale/coordination/_rowwrites.py
+++ b/fuchsiascale/coordination/_rowwrites.py
@@ -10,7 +10,7 @@
     format_assignment_key,
 )
 from fuchsiascale.ids import WriteId
-from fuchsiascale.platform import Delete, Put, Transaction
+from fuchsiascale.platform import Check, Delete, Put, Transaction
 
 __all__ = [
     "build_chunk_transaction",
@@ -52,7 +52,18 @@
         for write in writes
         if write.record.final and write.assignment_version
     )
-    return Transaction(write_id=write_id, puts=puts, deletes=deletes)
+    checks = {
+        write.record.shard: Check(
+            table=SHARDS_TABLE,
+            key=write.record.shard,
+            expected_version=write.shard_version,
+        )
+        for write in writes
+        if write.shard_version is not None
+    }
+    return Transaction(
+        write_id=write_id, puts=puts, deletes=deletes, checks=tuple(checks.values())
+    )
 
 
 def build_shard_transaction(command, write_id):
--- a/fuchsiascale/coordination/_shardcommands.py
+++ b/fuchsiascale/coordination/_shardcommands.py
@@ -65,11 +65,15 @@
         Version of the chunk row that it replaces.
     assignment_version : int
         Version of the assignment row, which goes once the chunk is final.
+    shard_version : int or None
+        Version that the shard's row must have, so that the write fails once the
+        owner has been replaced; None where it may succeed even then.
     """
 
     record: ChunkRecord
     expected_version: int
     assignment_version: int = 0
+    shard_version: int | None = None
 
 
 class WriteChunk(Message):
--- a/fuchsiascale/coordination/tests/test_shards.py
+++ b/fuchsiascale/coordination/tests/test_shards.py
@@ -1,7 +1,7 @@
 """Interleavings that processes can't hit reliably, one by one."""
 
 import msgspec
-from returns.result import Success
+from returns.result import Failure, Success
 
 from fuchsiascale.coordination import (
     ASSIGNMENTS_TABLE,
@@ -311,16 +311,26 @@
 
 
 def test_a_task_that_a_replaced_owner_recorded_as_cancelled_is_not_started(world):
-    owner = world.owners[0]
+    replaced, owner = world.owners
     first = world.submit(tasks=4, run_ms=2_000)
     second = world.submit(tasks=2, run_ms=LONG_MS)
-    world.pass_all(owner)
+    world.pass_all(replaced)
     assert len(world.find_running(first)) == 4
+    owner.owns = True
+    world.pass_all(owner, rounds=8)
+    assert owner.shard.held and owner.shard.find_chunk(second)
     owner.owns = False
-    record_cancelled(world, second)
+    world.cancel(second)
     owner.owns = True
-    world.run(5, owner)
+    for envelope in advance_until_held(world, replaced, WriteChunk):
+        assert envelope.command.write.record.chunk == second
+        world.deliver(envelope)
+        assert isinstance(envelope.result, Failure)
+        world.answer(envelope)
+    assert not replaced.shard.held
+    world.run(15, owner)
     assert not world.find_running(second)
+    assert all(task.state.final for task in world.read(second).tasks)
 
 
 def test_commitments_count_what_the_worker_holds_and_reserves(world):
--- a/fuchsiascale/platform/_messages.py
+++ b/fuchsiascale/platform/_messages.py
@@ -24,6 +24,7 @@
     "NO_TOKEN",
     "AttemptKey",
     "AttemptReport",
+    "Check",
     "ClaimReply",
     "ClaimRequest",
     "Delete",
@@ -131,12 +132,21 @@
     expected_version: int
 
 
+class Check(Message):
+    """A condition on a row that the transaction leaves as it is."""
+
+    table: str
+    key: str
+    expected_version: int
+
+
 class Transaction(Message):
     """Conditional writes that apply together or not at all."""
 
     write_id: WriteId
     puts: tuple[Put, ...] = ()
     deletes: tuple[Delete, ...] = ()
+    checks: tuple[Check, ...] = ()
 
 
 class TransactionReply(Message):
--- a/fuchsiascale/platform/tests/fakes.py
+++ b/fuchsiascale/platform/tests/fakes.py
@@ -104,11 +104,11 @@
 
     def apply(self, transaction):
         """Apply a transaction or none of it, at once and without a fault."""
-        changes = (*transaction.puts, *transaction.deletes)
+        conditions = transaction.puts + transaction.deletes + transaction.checks
         conflicts = tuple(
             row
-            for change in changes
-            if (row := self._describe(change)).version != change.expected_version
+            for condition in conditions
+            if (row := self._describe(condition)).version != condition.expected_version
         )
         if conflicts:
             return TransactionReply(applied=False, conflicts=conflicts)
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -50,11 +50,11 @@
 
     def transact(self, transaction):
         """Apply a transaction if every row stands at its expected version."""
-        changes = transaction.puts + transaction.deletes
+        conditions = transaction.puts + transaction.deletes + transaction.checks
         conflicts = tuple(
-            self._describe(change)
-            for change in changes
-            if self._describe(change).version != change.expected_version
+            self._describe(condition)
+            for condition in conditions
+            if self._describe(condition).version != condition.expected_version
         )
         if conflicts:
             return TransactionReply(applied=False, conflicts=conflicts)
