Learn the harm of pairs by regression between the tasks of a job; widen margins

Cause: fillers stood still beside tasks that they don't harm, and ran beside tasks that they do. Change: slopes are fitted on the differences between the tasks of a job at one time. Fillers go where they take no headroom, are paced in the round after their start, and leave 1.8 (placing) and 1.6 (pacing). Serving images that the same fillers harm are put together.

--- a/fuchsiascale/decisions/_pairharm.py
+++ b/fuchsiascale/decisions/_pairharm.py
@@ -3,11 +3,13 @@
 A serving task is taken for a queue: its tail grows as ``1 / (1 - load - pressure)``,
 so that the inverse of the tail falls linearly with the share of the worker's
 processors that each filling image uses beside it. The slopes, one a pair of images,
-are learnt by normalised least mean squares (B. Widrow and M. Hoff, "Adaptive
-switching circuits", 1960). The serving tasks of a job share their load, so the tail
-of a job without pressure is read off its least disturbed tasks.
+are the least-squares fit of the differences between the tasks of a job, which share
+its load: forward orthogonal deviations (M. Arellano and O. Bover, "Another look at
+the instrumental variable estimation of error-components models", 1995), ridge
+towards a prior, solved by a coordinate step an observation.
 """
 
+import math
 from collections import deque
 
 __all__ = ["PairHarm"]
@@ -16,19 +18,83 @@
 """Slope of a pair never seen together: lets a single filler be tried beside it."""
 MAX_SLOPE = 14.0
 """Largest slope that is believed."""
-STEP = 0.35
-"""Share of the error that one observation corrects."""
-REGULARISER = 0.004
-"""Keeps observations of little load (squared shares) from moving the slopes."""
+RIDGE = 0.005
+"""Weight of the prior, as squared shares: the variance of the noise, 0.08, over that
+of the slopes, 16."""
+KNOWN_ENERGY = 0.01
+"""Squared shares after which a slope counts as known; a filler on a tenth of the
+processors brings this about in one look at a quiet and a disturbed task each."""
+LEAST_SHARE = 1e-3
+"""Differences of shares under this one are taken to be none."""
+FADE_S = 60.0
+"""Time in which observations lose the weight ``1 - 1 / e``."""
+FADE_PERIOD_S = 1.0
+"""Period in which their weights are lowered."""
+WINDOW_S = 0.8
+"""Age of the looks that tell a job's present load; two of the workers' figures."""
+MOST_HEADROOM = 6.0
+"""Headroom at which figures are cut: tails of few milliseconds are rough."""
 PRIOR_HEADROOM = 1.6
 """Target over tail of a job never seen, without fillers: that of a high load."""
 LEAST_HEADROOM = 1.1
 """Least headroom that a job is taken to have without fillers: where all its tasks are
 disturbed, none of them shows it."""
-BASE_WINDOW_S = 1.1
-"""Age up to which tails tell the undisturbed tail; two of the workers' figures."""
-BASE_QUANTILE = 0.2
-"""Headrooms above this quantile are taken to be undisturbed."""
+
+
+class _Fit:
+    """Normal equations of one serving image, and the slopes that solve them."""
+
+    def __init__(self):
+        self.energies = {}
+        self.losses = {}
+        self.slopes = {}
+        self.faded_s = None
+
+    def add(self, shares, lost, weight):
+        """Add an observation, and move the slopes concerned to their best values."""
+        for image, share in shares.items():
+            row = self.energies.setdefault(image, {})
+            for other, other_share in shares.items():
+                row[other] = row.get(other, 0.0) + weight * share * other_share
+            self.losses[image] = self.losses.get(image, 0.0) + weight * share * lost
+            self.slopes.setdefault(image, PRIOR_SLOPE)
+        for image in shares:
+            self._solve(image)
+
+    def _solve(self, image):
+        row = self.energies[image]
+        others = sum(
+            energy * self.slopes[other]
+            for other, energy in row.items()
+            if other != image
+        )
+        left = self.losses[image] + RIDGE * PRIOR_SLOPE - others
+        self.slopes[image] = min(MAX_SLOPE, max(0.0, left / (row[image] + RIDGE)))
+
+    def fade(self, now_s):
+        """Lower the weights of what was observed, by the time that has passed."""
+        if self.faded_s is None:
+            self.faded_s = now_s
+        passed_s = now_s - self.faded_s
+        if passed_s < FADE_PERIOD_S:
+            return
+        self.faded_s = now_s
+        kept = math.exp(-passed_s / FADE_S)
+        for image, row in self.energies.items():
+            self.losses[image] *= kept
+            for other in row:
+                row[other] *= kept
+
+
+class _Look:
+    """Headroom of one serving task, and the shares of the fillers beside it."""
+
+    __slots__ = ("at_s", "headroom", "shares")
+
+    def __init__(self, at_s, headroom, shares):
+        self.at_s = at_s
+        self.headroom = headroom
+        self.shares = shares
 
 
 class PairHarm:
@@ -38,18 +104,24 @@
     """
 
     def __init__(self):
-        self._slopes = {}
-        self._seen = {}
-        self._samples = {}
-        self._bases = {}
+        self._fits = {}
+        self._looks = {}
+        self._images = {}
 
     def slope(self, serving, filling):
         """Return the headroom lost to a worker full of ``filling``."""
-        return self._slopes.get((serving, filling), PRIOR_SLOPE)
+        fit = self._fits.get(serving)
+        return PRIOR_SLOPE if fit is None else fit.slopes.get(filling, PRIOR_SLOPE)
+
+    def known(self, serving, filling):
+        """Return whether enough of a pair was observed to believe its slope."""
+        fit = self._fits.get(serving)
+        row = fit.energies.get(filling) if fit else None
+        return row is not None and row[filling] >= KNOWN_ENERGY
 
-    def seen(self, serving, filling):
-        """Return how often a pair of images was observed."""
-        return self._seen.get((serving, filling), 0)
+    def filling_images(self):
+        """Return the filling images that were seen beside any serving image."""
+        return set().union(*(fit.slopes for fit in self._fits.values()))
 
     def headroom(self, job):
         """Return the present headroom of a job's tasks without fillers.
@@ -57,25 +129,83 @@
         Examples
         --------
         >>> harm = PairHarm()
-        >>> harm.note("job", 0.1, 1.0)
+        >>> harm.note("web", "job", 0.1, {}, 1.0)
         >>> harm.headroom("job")
         1.1
         """
-        return max(LEAST_HEADROOM, self._bases.get(job, PRIOR_HEADROOM))
+        looks = self._looks.get(job)
+        if not looks:
+            return PRIOR_HEADROOM
+        return max(LEAST_HEADROOM, self._undisturbed(job, looks))
+
+    def _undisturbed(self, job, looks):
+        """Return the mean headroom of looks, with the losses to fillers added."""
+        serving = self._images[job]
+        total = sum(
+            look.headroom + self.loss(serving, look.shares.items()) for look in looks
+        )
+        return total / len(looks)
+
+    def note(self, serving, job, headroom, shares, now_s):
+        """Take in the headroom of one task of a job.
 
-    def note(self, job, headroom, now_s):
-        """Take in the headroom of one task of a job, whatever runs beside it."""
-        samples = self._samples.setdefault(job, deque())
-        samples.append((now_s, headroom))
-        while samples[0][0] < now_s - BASE_WINDOW_S:
-            samples.popleft()
-        ordered = sorted((value for _, value in samples), reverse=True)
-        self._bases[job] = ordered[int(len(ordered) * BASE_QUANTILE)]
+        Parameters
+        ----------
+        serving : str
+            Image of the task.
+        job : str
+            Its job, whose tasks share their load.
+        headroom : float
+            Target over tail.
+        shares : dict
+            By filling image, the share of the worker's processors in use.
+        now_s : float
+            Monotonic time in seconds.
+
+        Examples
+        --------
+        A task that is disturbed beside one that is not tells the slope.
+
+        >>> harm = PairHarm()
+        >>> for look in range(20):
+        ...     harm.note("web", "job", 2.0, {"scan": 0.1}, float(look))
+        ...     harm.note("web", "job", 3.0, {}, float(look))
+        >>> 9.0 < harm.slope("web", "scan") < 11.0
+        True
+        """
+        headroom = min(MOST_HEADROOM, headroom)
+        fit = self._fits.setdefault(serving, _Fit())
+        self._images[job] = serving
+        looks = self._looks.setdefault(job, deque())
+        while looks and looks[0].at_s < now_s - WINDOW_S:
+            looks.popleft()
+        if looks:
+            self._compare(fit, looks, headroom, shares)
+        looks.append(_Look(now_s, headroom, shares))
+        if shares and self._undisturbed(job, looks) < LEAST_HEADROOM:
+            fit.add(shares, LEAST_HEADROOM - headroom, 1.0)
+        fit.fade(now_s)
+
+    def _compare(self, fit, looks, headroom, shares):
+        """Learn from the difference to the other looks at the job."""
+        count = len(looks)
+        mean = sum(look.headroom for look in looks) / count
+        differences = dict(shares)
+        for look in looks:
+            for image, share in look.shares.items():
+                differences[image] = differences.get(image, 0.0) - share / count
+        differences = {
+            image: share
+            for image, share in differences.items()
+            if abs(share) >= LEAST_SHARE
+        }
+        if differences:
+            fit.add(differences, mean - headroom, count / (count + 1))
 
     def forget(self, job):
         """Drop what is known of a job that has ended."""
-        self._samples.pop(job, None)
-        self._bases.pop(job, None)
+        self._looks.pop(job, None)
+        self._images.pop(job, None)
 
     def loss(self, serving, fillers):
         """Return the headroom lost to fillers.
@@ -93,33 +223,3 @@
         1.5
         """
         return sum(self.slope(serving, image) * share for image, share in fillers)
-
-    def learn(self, serving, lost, fillers):
-        """Correct the slopes by the headroom that one serving task has lost.
-
-        Parameters
-        ----------
-        serving : str
-            Image of the serving task.
-        lost : float
-            Headroom of its job without fillers, less its own.
-        fillers : iterable of tuple
-            Image of each filler, and the share of the processors that it uses.
-
-        Examples
-        --------
-        >>> harm = PairHarm()
-        >>> for _ in range(60):
-        ...     harm.learn("web", 1.0, [("scan", 0.1)])
-        >>> 9.0 < harm.slope("web", "scan") < 11.0
-        True
-        """
-        shares = {}
-        for image, share in fillers:
-            shares[image] = shares.get(image, 0.0) + share
-        error = lost - self.loss(serving, shares.items())
-        energy = sum(share * share for share in shares.values()) + REGULARISER
-        for image, share in shares.items():
-            slope = self.slope(serving, image) + STEP * error * share / energy
-            self._slopes[serving, image] = min(MAX_SLOPE, max(0.0, slope))
-            self._seen[serving, image] = self.seen(serving, image) + 1
--- a/fuchsiascale/jobs/_choice.py
+++ b/fuchsiascale/jobs/_choice.py
@@ -4,14 +4,21 @@
 
 __all__ = ["choose_worker", "fill_rate", "list_servings", "wanted_fillers"]
 
-PLACE_HEADROOM = 1.4
+PLACE_HEADROOM = 1.8
 """Headroom of serving tasks that a new filler has to leave: load rises meanwhile."""
 LIGHT_SLOPE = 1.6
 """Slope up to which a filler is taken to be harmless; harmful ones have 4 to 12."""
-LEAST_RATE = 0.25
+LEAST_RATE = 0.5
 """Speed under which a filler rather waits for a better worker."""
+HARM_COST = 0.5
+"""Cost of each unit of headroom that a filler takes, against its speed (0 to 1)."""
 NEW_IMAGE_COST = 2.0
-"""Cost of a further serving image on a worker, against that of a fragment (0 to 1)."""
+"""Cost of a serving image that keeps all fillers off a worker, against that of a
+fragment (0 to 1)."""
+OTHER_IMAGE_COST = 0.2
+"""Cost of a further serving image that keeps no further fillers off."""
+UNKNOWN_HARM = 0.5
+"""Probability that a pair of images does harm, as long as it is not known."""
 REMOTE_COST = 10.0
 """Cost of a rack without the task's data."""
 LASTING_USE = 0.5
@@ -55,17 +62,20 @@
     penalty = REMOTE_COST if remote else 0.0
     if spec.fills:
         rate = fill_rate(shard, spec, worker)
-        return None if rate < LEAST_RATE else penalty - rate
+        if rate < LEAST_RATE:
+            return None
+        harm = HARM_COST * predict_loss(shard, spec, worker)
+        return penalty + harm - rate
     left = (capacity - worker.cpu_used - spec.need.cpu_millis) / capacity
     if spec.tail_target_ms:
-        return penalty + _mixing_cost(spec, worker) + left
+        return penalty + _mixing_cost(shard.harm, spec, worker) + left
     return penalty + left
 
 
-def _mixing_cost(spec, worker):
+def _mixing_cost(harm, spec, worker):
     """Return the cost of adding a serving image to those of a worker.
 
-    Few serving images a worker leave more fillers that harm none of them.
+    Images that the same fillers harm belong together: the others do no harm there.
     """
     images = {
         attempt.task.step.spec.image
@@ -74,9 +84,31 @@
     }
     if not images:
         return NEW_IMAGE_COST / 2
-    return (
-        0.0 if images == {spec.image} else NEW_IMAGE_COST * len(images - {spec.image})
-    )
+    if images == {spec.image}:
+        return 0.0
+    fillers = harm.filling_images()
+    if not fillers:
+        return NEW_IMAGE_COST * len(images - {spec.image})
+    with_it = _count_barred(harm, images | {spec.image}, fillers)
+    barred = (with_it - _count_barred(harm, images, fillers)) / len(fillers)
+    return OTHER_IMAGE_COST + NEW_IMAGE_COST * barred
+
+
+def _count_barred(harm, servings, fillers):
+    """Return how many filling images are expected to harm one of the serving ones."""
+    barred = 0.0
+    for filler in fillers:
+        harmless = 1.0
+        for serving in servings:
+            harmless *= 1.0 - _harm_probability(harm, serving, filler)
+        barred += 1.0 - harmless
+    return barred
+
+
+def _harm_probability(harm, serving, filler):
+    if not harm.known(serving, filler):
+        return UNKNOWN_HARM
+    return float(harm.slope(serving, filler) >= LIGHT_SLOPE)
 
 
 def fill_rate(shard, spec, worker):
@@ -96,6 +128,13 @@
     return room * allowed
 
 
+def predict_loss(shard, spec, worker):
+    """Return the most headroom that a filler at full speed would take from a task."""
+    share = spec.need.cpu_millis / max(1, worker.listed.capacity.cpu_millis)
+    slopes = [shard.harm.slope(image, spec.image) for image, _ in list_servings(worker)]
+    return share * max(slopes, default=0.0)
+
+
 def list_servings(worker):
     """Return image and job of the serving tasks of a worker, each once."""
     return {
--- a/fuchsiascale/jobs/_links.py
+++ b/fuchsiascale/jobs/_links.py
@@ -105,6 +105,8 @@
         now_s = self.clock.monotonic()
         if isinstance(reply, Success):
             shard.note_started(attempt, now_s)
+            if attempt.task.step.spec.fills:
+                self._on_news()
             return
         error = reply.failure()
         if isinstance(error, NoAnswer):
--- a/fuchsiascale/jobs/_pacing.py
+++ b/fuchsiascale/jobs/_pacing.py
@@ -5,7 +5,7 @@
 
 __all__ = ["move_fillers", "observe_tails", "pace_worker"]
 
-PACE_HEADROOM = 1.3
+PACE_HEADROOM = 1.6
 """Headroom of serving tasks that running fillers are slowed down to leave."""
 PACE_PERIOD_S = 0.25
 """Period in which speeds are set anew."""
@@ -23,8 +23,6 @@
 ALONE_STOP_S = 1.4
 """Time after which they are halted where a single task is over its target: it may be
 so by itself, but has to be under it without them."""
-KNOWN_LOOKS = 5
-"""Looks at a pair of images after which its slope is believed."""
 MOVE_PERIOD_S = 0.2
 """Period in which fillers that hardly progress are looked for."""
 MOVES_A_ROUND = 4
@@ -47,11 +45,12 @@
         return
     worker.next_look_s = now_s + LOOK_PERIOD_S
     capacity = max(1, worker.listed.capacity.cpu_millis)
-    fillers = [
-        (attempt.task.step.spec.image, attempt.figure / capacity)
-        for attempt in worker.attempts.values()
-        if attempt.task.step.spec.fills and attempt.figure
-    ]
+    shares = {}
+    for attempt in worker.attempts.values():
+        spec = attempt.task.step.spec
+        if spec.fills and attempt.figure:
+            share = attempt.figure / capacity
+            shares[spec.image] = shares.get(spec.image, 0.0) + share
     for attempt in worker.attempts.values():
         spec = attempt.task.step.spec
         at_work = attempt.percent == FULL_SPEED_PERCENT and attempt.figure
@@ -59,10 +58,7 @@
             continue
         headroom = spec.tail_target_ms / attempt.figure
         job = attempt.task.step.job.job
-        shard.harm.note(job, headroom, now_s)
-        if fillers:
-            lost = shard.harm.headroom(job) - headroom
-            shard.harm.learn(spec.image, lost, fillers)
+        shard.harm.note(spec.image, job, headroom, shares, now_s)
 
 
 def pace_worker(shard, worker, now_s):
@@ -132,7 +128,7 @@
     image = attempt.task.step.spec.image
     return any(
         shard.harm.slope(serving, image) >= LIGHT_SLOPE
-        or shard.harm.seen(serving, image) < KNOWN_LOOKS
+        or not shard.harm.known(serving, image)
         for serving in over
     )
 
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -467,6 +467,8 @@
         if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
             attempt.enter(AttemptPhase.RUNNING, now_s)
         self.events["started"] += 1
+        # A filler starts at full speed: its speed is set in the next round.
+        attempt.worker.next_pace_s = min(attempt.worker.next_pace_s, now_s)
         self._mark_running(attempt.task.step.job)
         self._stop_if_over(attempt, now_s)
 
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -211,23 +211,66 @@
     assert shard.take_orders() == [StopNow(worker, attempt.task.name, 1)]
 
 
+def learn_pair(shard, image, lost, share, headroom):
+    """Show tasks of the serving job with and without a filling image beside them."""
+    for _ in range(20):
+        shard.harm.note("web", JOB, headroom - lost, {image: share}, 1.2)
+        shard.harm.note("web", JOB, headroom, {}, 1.2)
+
+
 def test_a_filler_is_paced_down_beside_what_it_harms():
     shard = make_shard(workers=1, cpu_millis=16_000)
     worker = shard.workers["w0"]
     add(shard, step(cpu=4_000, lasting=True, image="web", tail_target_ms=100))
     add(shard, step(cpu=4_000, fills=True, image="scan"), job="1" * 16, priority=2)
+    shard.harm.note("web", JOB, 3.0, {}, 0.9)
     plan_round(shard, 1.0)
     serving, filler = starts(shard)
     shard.note_started(serving, 1.1)
     shard.note_started(filler, 1.1)
-    for _ in range(40):
-        shard.harm.note(JOB, 1.5, 1.2)
-        shard.harm.learn("web", 1.0, [("scan", 0.25)])
+    learn_pair(shard, "scan", lost=1.0, share=0.25, headroom=1.5)
     worker.next_pace_s = 0.0
     plan_round(shard, 1.3)
     assert filler.pace_wanted < 50
 
 
+def test_a_filler_is_paced_in_the_round_after_its_start():
+    shard, serving, _ = start_beside_serving("heavy")
+    learn_pair(shard, "heavy", lost=1.0, share=0.1, headroom=2.5)
+    plan_round(shard, 1.3)
+    add(shard, step(cpu=8_000, fills=True, image="heavy"), job="9" * 16, priority=2)
+    attempt = shard.start_task(
+        shard.jobs["9" * 16].ready_steps()[0].tasks[0], serving.worker, 1.31
+    )
+    shard.note_started(attempt, 1.32)
+    plan_round(shard, 1.33)
+    assert attempt.pace_wanted < 100
+
+
+def test_a_serving_image_joins_those_that_the_same_fillers_harm():
+    shard = make_shard(workers=2, cpu_millis=8_000)
+    for number, image in enumerate(("alike", "other")):
+        add(
+            shard,
+            step(cpu=4_000, lasting=True, image=image, tail_target_ms=100),
+            job=f"{number}" * 16,
+        )
+    plan_round(shard, 1.0)
+    places = {each.task.step.spec.image: each.worker for each in starts(shard)}
+    for image, lost in (("alike", 1.0), ("other", 0.0), ("new", 1.0)):
+        for _ in range(20):
+            shard.harm.note(image, image, 3.0 - lost, {"scan": 0.1}, 1.2)
+            shard.harm.note(image, image, 3.0, {}, 1.2)
+    add(
+        shard,
+        step(cpu=4_000, lasting=True, image="new", tail_target_ms=100),
+        job="9" * 16,
+    )
+    plan_round(shard, 1.3)
+    (attempt,) = starts(shard)
+    assert attempt.worker is places["alike"]
+
+
 def start_beside_serving(*images):
     """Start a serving task on one worker, and fillers of these images beside it."""
     shard = make_shard(workers=1, cpu_millis=32_000)
@@ -235,6 +278,7 @@
     plan_round(shard, 1.0)
     (serving,) = starts(shard)
     shard.note_started(serving, 1.1)
+    shard.harm.note("web", JOB, 3.0, {}, 1.1)
     fillers = []
     for number, image in enumerate(images):
         add(shard, step(fills=True, image=image), job=f"{number}" * 16, priority=2)
@@ -247,9 +291,7 @@
 
 def test_a_tail_over_its_target_halts_what_may_be_why_at_once_and_all_soon():
     shard, serving, (known,) = start_beside_serving("light")
-    for _ in range(20):
-        shard.harm.note(JOB, 3.0, 1.2)
-        shard.harm.learn("web", 0.0, [("light", 0.1)])
+    learn_pair(shard, "light", lost=0.0, share=0.1, headroom=3.0)
     add(shard, step(fills=True, image="new"), job="9" * 16, priority=2)
     plan_round(shard, 1.4)
     (unknown,) = starts(shard)
@@ -274,13 +316,12 @@
     shard = make_shard(workers=1, cpu_millis=32_000)
     add(shard, step(count=2, cpu=2_000, lasting=True, image="web", tail_target_ms=100))
     add(shard, step(fills=True, image="light"), job="1" * 16, priority=2)
+    shard.harm.note("web", JOB, 3.0, {}, 0.9)
     plan_round(shard, 1.0)
     slow, quick, filler = starts(shard)
     for attempt in (slow, quick, filler):
         shard.note_started(attempt, 1.1)
-    for _ in range(20):
-        shard.harm.note(JOB, 3.0, 1.2)
-        shard.harm.learn("web", 0.0, [("light", 0.1)])
+    learn_pair(shard, "light", lost=0.0, share=0.1, headroom=3.0)
     slow.figure, quick.figure = 300, 30
     for now_s in (2.0, 2.5, 3.0):
         plan_round(shard, now_s)
