Start jobs that can meet their objective before those that last

Change: the rank of a lasting job comes after jobs of the first priority with slack left, before those that can only be late.

--- a/fuchsiascale/jobs/_order.py
+++ b/fuchsiascale/jobs/_order.py
@@ -15,11 +15,13 @@
 def _rank_job(job, now_s, run_times):
     """Return the place of a job in the order in which tasks are started.
 
-    Within a priority, jobs that can still meet their objective go first, the one
-    with the least slack before the others, then those that would only be late.
+    Jobs of the first priority that can still meet their objective go first, then
+    those that last: a core-second of the former is worth about four of the latter.
+    Within a priority, the job with the least slack goes before the others, those
+    that would only be late after them.
     """
     if job.lasting:
-        return (0, 0, 0, job.accepted_s)
+        return (0, 0, 1, job.accepted_s)
     due_s = objective_s(job, run_times)
     age_s = now_s - job.accepted_s
     left_s = _chain_s(job, run_times, left=True)
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -86,6 +86,22 @@
     assert {attempt.task.step.job.job for attempt in starts(shard)} == {"1" * 16}
 
 
+def test_a_job_that_can_meet_its_objective_goes_before_one_that_lasts():
+    shard = make_shard(workers=1)
+    add(shard, step(count=4, lasting=True), job="0" * 16)
+    add(shard, step(count=4, estimate_ms=1_000), job="1" * 16)
+    plan_round(shard, 0.5)
+    assert {attempt.task.step.job.job for attempt in starts(shard)} == {"1" * 16}
+
+
+def test_a_job_that_is_late_already_goes_after_one_that_lasts():
+    shard = make_shard(workers=1)
+    add(shard, step(count=4, lasting=True), job="0" * 16)
+    add(shard, step(count=4, estimate_ms=1_000), job="1" * 16)
+    plan_round(shard, 1.5)
+    assert {attempt.task.step.job.job for attempt in starts(shard)} == {"0" * 16}
+
+
 def test_a_step_is_spread_as_it_asks():
     shard = make_shard(workers=2)
     add(shard, step(count=6, max_per_worker=1))
