Rank workers once a step, and pause in proportion to rounds

Each waiting task asked each worker anew what its fillers harm, and rounds followed each other every 10 ms whatever they took. Change: the workers of a step are ranked in a heap; what fillers find at a worker is kept for a round; a step of fillers is left at once where no worker offers enough; the headroom of a job is computed once a look; the pause before a round is three times what the last one took.

--- a/fuchsiascale/decisions/_pairharm.py
+++ b/fuchsiascale/decisions/_pairharm.py
@@ -107,6 +107,7 @@
         self._fits = {}
         self._looks = {}
         self._images = {}
+        self._bases = {}
 
     def slope(self, serving, filling):
         """Return the headroom lost to a worker full of ``filling``."""
@@ -133,10 +134,11 @@
         >>> harm.headroom("job")
         1.1
         """
-        looks = self._looks.get(job)
-        if not looks:
-            return PRIOR_HEADROOM
-        return max(LEAST_HEADROOM, self._undisturbed(job, looks))
+        if job not in self._bases:
+            looks = self._looks.get(job)
+            base = self._undisturbed(job, looks) if looks else PRIOR_HEADROOM
+            self._bases[job] = max(LEAST_HEADROOM, base)
+        return self._bases[job]
 
     def _undisturbed(self, job, looks):
         """Return the mean headroom of looks, with the losses to fillers added."""
@@ -182,6 +184,7 @@
         if looks:
             self._compare(fit, looks, headroom, shares)
         looks.append(_Look(now_s, headroom, shares))
+        self._bases.pop(job, None)
         if shares and self._undisturbed(job, looks) < LEAST_HEADROOM:
             fit.add(shares, LEAST_HEADROOM - headroom, 1.0)
         fit.fade(now_s)
@@ -206,6 +209,7 @@
         """Drop what is known of a job that has ended."""
         self._looks.pop(job, None)
         self._images.pop(job, None)
+        self._bases.pop(job, None)
 
     def loss(self, serving, fillers):
         """Return the headroom lost to fillers.
--- a/fuchsiascale/jobs/_choice.py
+++ b/fuchsiascale/jobs/_choice.py
@@ -1,8 +1,20 @@
 """The choice of a worker for a task."""
 
+import heapq
+
+import msgspec
+
 from fuchsiascale.jobs._runs import FULL_SPEED_PERCENT
 
-__all__ = ["choose_worker", "fill_rate", "list_servings", "wanted_fillers"]
+__all__ = [
+    "LIGHT_SLOPE",
+    "Candidates",
+    "FillOffer",
+    "FillOffers",
+    "list_servings",
+    "offer_fill",
+    "wanted_fillers",
+]
 
 PLACE_HEADROOM = 1.8
 """Headroom of serving tasks that a new filler has to leave: load rises meanwhile."""
@@ -27,20 +39,110 @@
 """Cost of the worker on which a task's last attempt failed."""
 
 
-def choose_worker(shard, task, workers):
-    """Return the best worker for a task; None where none should run it now."""
-    best, best_cost = None, None
-    for worker in workers:
-        if not _may_run(task.step, worker):
-            continue
-        cost = _cost(shard, task, worker)
-        if cost is None:
-            continue
-        if task.avoid == worker.worker:
-            cost += AVOID_COST
-        if best is None or cost < best_cost:
-            best, best_cost = worker, cost
-    return best
+class FillOffer(msgspec.Struct, frozen=True):
+    """What a filler would find at a worker.
+
+    ``millis`` is the processor time, in thousandths of a core, that is left and harms
+    no serving task; ``slope`` the steepest of its pairs with the serving images.
+    """
+
+    millis: float
+    slope: float
+
+    def rate(self, spec):
+        """Return the speed, 0 to 1, that a task would have."""
+        return min(1.0, self.millis / max(1, spec.need.cpu_millis))
+
+
+class FillOffers:
+    """What fillers of each image would find at each worker, kept for one round.
+
+    Parameters
+    ----------
+    shard : Shard
+        Workers and what is known of the harm that images do.
+    workers : iterable of WorkerRun
+        Workers that take new attempts.
+    """
+
+    def __init__(self, shard, workers):
+        self._shard = shard
+        self._workers = workers
+        self._offers = {}
+        self._most = {}
+
+    def find(self, image, worker):
+        """Return the `FillOffer` of a worker."""
+        offers = self._offers.setdefault(worker.worker, {})
+        if image not in offers:
+            offers[image] = offer_fill(self._shard, image, worker)
+        return offers[image]
+
+    def most_millis(self, image):
+        """Return the most that any worker offered when it was last asked."""
+        if image not in self._most:
+            self._most[image] = max(
+                (self.find(image, worker).millis for worker in self._workers),
+                default=0.0,
+            )
+        return self._most[image]
+
+    def forget(self, worker):
+        """Drop the offers of a worker that has been given an attempt."""
+        self._offers.pop(worker.worker, None)
+
+
+class Candidates:
+    """The workers that may run tasks of a step, the best first.
+
+    Parameters
+    ----------
+    shard : Shard
+        Workers and what is known of the harm that images do.
+    step : StepRun
+        The step.
+    workers : iterable of WorkerRun
+        Workers that take new attempts.
+    offers : FillOffers
+        What fillers would find there.
+    """
+
+    def __init__(self, shard, step, workers, offers):
+        self._shard = shard
+        self._step = step
+        self._offers = offers
+        self._heap = []
+        need_millis = max(1, step.spec.need.cpu_millis)
+        if step.spec.fills:
+            most_millis = offers.most_millis(step.spec.image)
+            if most_millis < LEAST_RATE * need_millis:
+                return
+        for number, worker in enumerate(workers):
+            cost = self._rate(worker)
+            if cost is not None:
+                self._heap.append((cost, number, worker))
+        heapq.heapify(self._heap)
+
+    def _rate(self, worker):
+        if not _may_run(self._step, worker):
+            return None
+        return _cost(self._shard, self._step.spec, worker, self._offers)
+
+    def start(self, task, now_s):
+        """Start a task on the best worker; returns the attempt, or None."""
+        heap = self._heap
+        if not heap:
+            return None
+        entry = heapq.heappop(heap)
+        if heap and entry[2].worker == task.avoid:
+            entry = heapq.heapreplace(heap, entry)
+        _, number, worker = entry
+        attempt = self._shard.start_task(task, worker, now_s)
+        self._offers.forget(worker)
+        cost = self._rate(worker)
+        if cost is not None:
+            heapq.heappush(heap, (cost, number, worker))
+        return attempt
 
 
 def _may_run(step, worker):
@@ -54,18 +156,18 @@
     return not limit or step.per_worker.get(worker.worker, 0) < limit
 
 
-def _cost(shard, task, worker):
+def _cost(shard, spec, worker, offers):
     """Return how bad a worker is for a task; None where it must not run there."""
-    spec = task.step.spec
     capacity = max(1, worker.listed.capacity.cpu_millis)
     remote = spec.data_rack and spec.data_rack not in worker.listed.labels
     penalty = REMOTE_COST if remote else 0.0
     if spec.fills:
-        rate = fill_rate(shard, spec, worker)
+        offer = offers.find(spec.image, worker)
+        rate = offer.rate(spec)
         if rate < LEAST_RATE:
             return None
-        harm = HARM_COST * predict_loss(shard, spec, worker)
-        return penalty + harm - rate
+        lost = offer.slope * spec.need.cpu_millis / capacity
+        return penalty + HARM_COST * lost - rate
     left = (capacity - worker.cpu_used - spec.need.cpu_millis) / capacity
     if spec.tail_target_ms:
         return penalty + _mixing_cost(shard.harm, spec, worker) + left
@@ -111,28 +213,21 @@
     return float(harm.slope(serving, filler) >= LIGHT_SLOPE)
 
 
-def fill_rate(shard, spec, worker):
-    """Return the speed, 0 to 1, that a filler is expected to have on a worker."""
-    need = max(1, spec.need.cpu_millis)
-    room = min(1.0, max(0.0, _leftover(worker) / need))
-    share = need / max(1, worker.listed.capacity.cpu_millis)
-    allowed = 1.0
+def offer_fill(shard, image, worker):
+    """Return what a further filler of an image would find at a worker."""
+    capacity = worker.listed.capacity.cpu_millis
+    millis = max(0.0, _leftover(worker))
+    steepest = 0.0
     fillers = wanted_fillers(worker)
-    for image, job in list_servings(worker):
-        slope = shard.harm.slope(image, spec.image)
+    for serving, job in list_servings(worker):
+        slope = shard.harm.slope(serving, image)
+        steepest = max(steepest, slope)
         if slope < LIGHT_SLOPE:
             continue
         spare = shard.harm.headroom(job) - PLACE_HEADROOM
-        spare = max(0.0, spare - shard.harm.loss(image, fillers))
-        allowed = min(allowed, spare / (slope * share))
-    return room * allowed
-
-
-def predict_loss(shard, spec, worker):
-    """Return the most headroom that a filler at full speed would take from a task."""
-    share = spec.need.cpu_millis / max(1, worker.listed.capacity.cpu_millis)
-    slopes = [shard.harm.slope(image, spec.image) for image, _ in list_servings(worker)]
-    return share * max(slopes, default=0.0)
+        spare = max(0.0, spare - shard.harm.loss(serving, fillers))
+        millis = min(millis, spare / slope * capacity)
+    return FillOffer(millis, steepest)
 
 
 def list_servings(worker):
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -32,6 +32,9 @@
 """Length of a worker's lease; cut to the platform's longest where that is less."""
 ROUND_DELAY_S = 0.01
 """Time in which events are gathered before a round of placement."""
+PAUSE_FACTOR = 3.0
+"""Least pause before a round, as a multiple of the time that the last one took: rounds
+leave most of the processor to exchanges and orders."""
 TICK_S = 0.1
 """Period of rounds that nothing else brings about."""
 FEED_PAUSE_S = 0.4
@@ -44,6 +47,11 @@
 """Least time between two polls of the list of workers."""
 ISOLATION_S = 10.0
 """Time without a word of the store after which an owner grants no more leases."""
+LEASE_DRIFT = 1.03
+"""Longest time that a lease lasts here, as a multiple of its length: workers' clocks
+are up to 2% slow."""
+LEASE_MARGIN_S = 0.3
+"""Added to that time for the way of the last grant."""
 KEEP_FINISHED_S = 150.0
 """How long final states are kept; the platform asks for 120 s."""
 
@@ -91,6 +99,7 @@
         self.shard = Shard(service, row.token, self.lease_s)
         self.lost = False
         self.handing_over = False
+        self._predecessor_gone_s = None
         self.feed_version = version
         self.confirmed_s = self.clock.monotonic()
         self.recorder = Recorder(
@@ -113,7 +122,8 @@
 
     async def start(self, predecessor_gone_s=None):
         """Load what is stored, then claim the workers and begin to place tasks."""
-        if not await self._load(predecessor_gone_s):
+        self._predecessor_gone_s = predecessor_gone_s
+        if not await self._load():
             return
         self.shard.loaded = True
         self._keep(self._table.run())
@@ -167,19 +177,19 @@
     def _confirm(self):
         self.confirmed_s = self.clock.monotonic()
 
-    async def _load(self, predecessor_gone_s):
+    async def _load(self):
         places = (ACCEPTED, PROGRESS, POOLS)
         while not self.lost:
             found = await asyncio.gather(
                 *(self.store.read(table, self.service) for table in places)
             )
             if all(isinstance(each, Success) for each in found):
-                self._restore(*(each.unwrap() for each in found), predecessor_gone_s)
+                self._restore(*(each.unwrap() for each in found))
                 return not self.lost
             await asyncio.sleep(STORE_PAUSE_S)
         return False
 
-    def _restore(self, accepted, progress, pools, predecessor_gone_s):
+    def _restore(self, accepted, progress, pools):
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         self.feed_version = accepted.version
         recorded = {
@@ -191,7 +201,7 @@
             if row.place == ledger_place(self.service):
                 self.recorder.ledger_version = row.version
             if row.place == roster_place(self.service):
-                self._restore_roster(row, predecessor_gone_s, now_s)
+                self._restore_roster(row, now_s)
         self.log.info(
             "loaded",
             extra={
@@ -202,15 +212,30 @@
             },
         )
 
-    def _restore_roster(self, row, predecessor_gone_s, now_s):
+    def _restore_roster(self, row, now_s):
         roster = decode_row(row.value, RosterRow)
         if roster is None:
             return
-        gone_s = predecessor_gone_s or now_s + ISOLATION_S
-        until_s = gone_s + self.lease_s * 1.03 + 0.3
+        gone_s = self._predecessor_gone_s or now_s + ISOLATION_S
         for entry in roster.workers:
             worker = self.shard.list_worker(entry.worker, now_s)
-            self.shard.uncovered[worker.worker] = until_s
+            self.shard.uncovered[worker.worker] = self._last_lease_s(gone_s)
+
+    def _last_lease_s(self, gone_s):
+        """Return when all leases of a predecessor are over that was gone by a time."""
+        return gone_s + self.lease_s * LEASE_DRIFT + LEASE_MARGIN_S
+
+    def note_predecessor_gone(self, now_s):
+        """Take in that the owner before grants no leases any more."""
+        self._predecessor_gone_s = self._predecessor_gone_s or now_s
+        until_s = self._last_lease_s(now_s)
+        for worker, before_s in self.shard.uncovered.items():
+            self.shard.uncovered[worker] = min(before_s, until_s)
+
+    @property
+    def covered(self):
+        """Whether all is loaded, and no earlier owner's attempt can be unknown."""
+        return self._ready.is_set() and self.shard.covered()
 
     def _take_row(self, row, now_s, wall_ms, progress=None):
         """Take in a row of the table of accepted jobs."""
@@ -292,13 +317,16 @@
     # Rounds ------------------------------------------------------------------
 
     async def _run_rounds(self):
+        took_s = 0.0
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK_S):
                     await self._wake_round.wait()
-            await asyncio.sleep(ROUND_DELAY_S)
+            await asyncio.sleep(max(ROUND_DELAY_S, PAUSE_FACTOR * took_s))
             self._wake_round.clear()
+            began_s = self.clock.monotonic()
             self._play_round()
+            took_s = self.clock.monotonic() - began_s
 
     def _play_round(self):
         if self.handing_over:
--- a/fuchsiascale/jobs/_pacing.py
+++ b/fuchsiascale/jobs/_pacing.py
@@ -1,6 +1,6 @@
 """The speed of fillers beside serving tasks, and their moves to better workers."""
 
-from fuchsiascale.jobs._choice import LIGHT_SLOPE, fill_rate, list_servings
+from fuchsiascale.jobs._choice import LIGHT_SLOPE, list_servings, offer_fill
 from fuchsiascale.jobs._runs import FULL_SPEED_PERCENT, AttemptPhase
 
 __all__ = ["move_fillers", "observe_tails", "pace_worker"]
@@ -200,6 +200,6 @@
     return any(
         worker is not attempt.worker
         and worker.fits(spec)
-        and fill_rate(shard, spec, worker) >= BETTER_RATE
+        and offer_fill(shard, spec.image, worker).rate(spec) >= BETTER_RATE
         for worker in workers
     )
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -1,6 +1,6 @@
 """One round over a shard: what to start, to slow down, to move and to stop."""
 
-from fuchsiascale.jobs._choice import choose_worker
+from fuchsiascale.jobs._choice import Candidates, FillOffers
 from fuchsiascale.jobs._order import order_jobs
 from fuchsiascale.jobs._pacing import move_fillers, pace_worker
 from fuchsiascale.jobs._runs import AttemptPhase
@@ -35,42 +35,44 @@
     ]
     move_fillers(shard, workers, now_s)
     covered = shard.covered()
+    offers = FillOffers(shard, workers)
     full = set()
     for job in order_jobs(shard, now_s):
         if job.inherited and not covered:
             continue
         for step in job.ready_steps():
             if step.spec.gang:
-                _place_gang(shard, step, workers, now_s)
+                _place_gang(shard, step, workers, offers, now_s)
             else:
-                _place_step(shard, step, workers, full, now_s)
+                _place_step(shard, step, workers, offers, full, now_s)
 
 
-def _place_step(shard, step, workers, full, now_s):
+def _place_step(shard, step, workers, offers, full, now_s):
     """Start the waiting tasks of a step; ``full`` holds what found no room before."""
     waiting = [task for task in step.tasks if task.waiting]
     spec = step.spec
     kind = (spec.need, spec.fills, spec.image, spec.required_label)
     if not waiting or kind in full:
         return
+    candidates = Candidates(shard, step, workers, offers)
     started = []
     for task in waiting:
-        worker = choose_worker(shard, task, workers)
-        if worker is None:
+        attempt = candidates.start(task, now_s)
+        if attempt is None:
             if not spec.max_per_worker:
                 full.add(kind)
             break
-        started.append(shard.start_task(task, worker, now_s))
+        started.append(attempt)
     if started:
         _log_started(shard, step, started, len(waiting))
 
 
-def _place_gang(shard, step, workers, now_s):
+def _place_gang(shard, step, workers, offers, now_s):
     """Start all tasks of a gang under one attempt number, or none of them."""
     if not all(task.waiting for task in step.tasks):
         return
     for racks in _list_racks(step.spec, workers):
-        begun = _start_gang(shard, step, racks, now_s)
+        begun = _start_gang(shard, step, racks, offers, now_s)
         if begun:
             _log_started(shard, step, begun, len(begun))
             return
@@ -87,21 +89,23 @@
     return [*sorted(by_label.values(), key=len), workers]
 
 
-def _start_gang(shard, step, workers, now_s):
+def _start_gang(shard, step, workers, offers, now_s):
     number = max(task.next_number for task in step.tasks)
     checkpoint = next((task.checkpoint for task in step.tasks if task.checkpoint), "")
+    candidates = Candidates(shard, step, workers, offers)
     begun = []
     for task in step.tasks:
-        worker = choose_worker(shard, task, workers)
-        if worker is None:
-            break
         task.next_number = number
         task.checkpoint = checkpoint
-        begun.append(shard.start_task(task, worker, now_s))
+        attempt = candidates.start(task, now_s)
+        if attempt is None:
+            break
+        begun.append(attempt)
     if len(begun) == len(step.tasks):
         return begun
     for attempt in begun:
         shard.withdraw_start(attempt)
+        offers.forget(attempt.worker)
     return []
 
 
