Leave workers that hold nothing out of the roster; learn that a predecessor is gone

Ruled out: taking a refused connection as a worker's end (a cut may refuse too); a shorter isolation (running work would lapse in an outage of the store). Change: a worker that drains or is not listed leaves the roster once nothing runs on it. A new owner goes on asking its predecessor's address until that has restarted or owns the service no more, and reckons the last lease from there. Tests: three, which failed before.

--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -308,8 +308,23 @@
         )
         self.owners[service] = owner
         self._keep(owner.start(gone_s))
+        if view.row is not None and gone_s is None:
+            self._keep(self._watch_predecessor(owner, view.row))
         return True
 
+    async def _watch_predecessor(self, owner, row):
+        """Tell an owner once its predecessor has restarted or stepped down."""
+        while not owner.lost and not owner.covered:
+            reply = await self.peers.ask(row.address, self.identity, PING_TIMEOUT_S)
+            restarted = isinstance(reply, Pong) and (
+                reply.incarnation != row.incarnation
+                or reply.owned.get(owner.service) != row.token
+            )
+            if restarted:
+                owner.note_predecessor_gone(self.clock.monotonic())
+                return
+            await asyncio.sleep(PING_PERIOD_S)
+
     def _note_lost(self, owner):
         if self.owners.get(owner.service) is owner:
             del self.owners[owner.service]
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -120,23 +120,25 @@
         return True
 
     def roster_is_stale(self):
-        """Return whether the roster lacks a worker, or names one that has left.
+        """Return whether the roster lacks a worker, or names one that has retired.
 
         A worker that has left and is listed again is the same to the row, but may
         be used only once a record has said so.
         """
-        workers = self.shard.workers
-        known = all(worker.in_roster for worker in workers.values())
-        return not known or frozenset(workers) != self.roster_ids
+        workers = self.shard.list_roster()
+        known = all(worker.in_roster for worker in workers)
+        ids = frozenset(worker.worker for worker in workers)
+        return not known or ids != self.roster_ids
 
     def _changed_roster(self):
         if not self.roster_is_stale():
             return None
+        workers = self.shard.list_roster()
+        for worker in self.shard.workers.values():
+            # One that is left out may be used again only after another record.
+            worker.in_roster = worker.in_roster and not worker.retired
         return RosterRow(
-            workers=tuple(
-                RosterEntry(worker=worker.listed)
-                for worker in self.shard.workers.values()
-            )
+            workers=tuple(RosterEntry(worker=worker.listed) for worker in workers)
         )
 
     async def _record(self, jobs, roster):
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -320,6 +320,16 @@
         """Whether the worker is about to leave."""
         return self.listed.draining
 
+    @property
+    def retired(self):
+        """Whether nothing runs on the worker, and nothing will be started there."""
+        return (
+            self.claimed
+            and (self.draining or not self.present)
+            and not self.attempts
+            and not self.strays
+        )
+
     def usable(self, now_s):
         """Return whether new attempts may be started here."""
         return (
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -163,6 +163,10 @@
         if worker is not None:
             worker.present = False
 
+    def list_roster(self):
+        """Return the workers that may run something, now or by a later start."""
+        return [worker for worker in self.workers.values() if not worker.retired]
+
     def drop_worker(self, worker_id):
         """Forget a worker that has no attempts left and is not listed."""
         worker = self.workers.pop(worker_id, None)
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from returns.result import Failure, Success
 
 from fuchsiascale.clock import ManualClock
@@ -109,3 +110,39 @@
     store.commits[0][1].set_result(Success(9))
     await recording
     assert again.in_roster
+
+
+async def write_roster(owner, store):
+    """Record what has changed, and return the workers of the roster then."""
+    before = len(store.commits)
+    recording = asyncio.create_task(owner.recorder.flush())
+    await asyncio.sleep(0)
+    if len(store.commits) > before:
+        store.commits[-1][1].set_result(Success(9 + before))
+    await recording
+    return owner.recorder.roster_ids
+
+
+async def test_a_worker_that_drains_leaves_the_roster_once_nothing_runs_on_it():
+    store = HeldStore()
+    owner, run = make_owner(store)
+    end_first_task(owner, run)
+    second = owner.shard.jobs[JOB].find_task(0, 0, 1)
+    attempt = owner.shard.start_task(second, run, 0.3)
+    drains = msgspec.structs.replace(run.listed, draining=True)
+    owner.shard.list_worker(drains, 0.4)
+    assert await write_roster(owner, store) == {"w1"}
+    run.release(attempt)
+    assert await write_roster(owner, store) == frozenset()
+    assert not run.in_roster
+    owner.shard.list_worker(msgspec.structs.replace(drains, draining=False), 0.5)
+    assert not run.usable(0.5)
+    assert await write_roster(owner, store) == {"w1"}
+    assert run.usable(0.6)
+
+
+async def test_a_predecessor_known_to_be_gone_shortens_the_wait_for_its_workers():
+    owner, _ = make_owner(HeldStore())
+    owner.shard.uncovered["w2"] = 16.5
+    owner.note_predecessor_gone(2.0)
+    assert 8.0 < owner.shard.uncovered["w2"] < 9.0
--- a/fuchsiascale/node/tests/test_takeover.py
+++ b/fuchsiascale/node/tests/test_takeover.py
@@ -79,6 +79,25 @@
         assert deployment.count_starts_of(TASK) == 1
 
 
+async def test_a_predecessor_that_restarts_is_known_to_be_gone():
+    async with Deployment(instances=3) as deployment:
+        await until(deployment.find_owner, "an owner")
+        first = deployment.find_owner()
+        await submit(first)
+        await until(lambda: TASK in deployment.running(), "a start")
+        for worker in deployment.workers:
+            worker.silent = True
+        await deployment.kill(first)
+        await until(deployment.find_owner, "another owner")
+        shard = deployment.find_owner().owner.shard
+        until_s = min(shard.uncovered.values())
+        await deployment.start_instance(int(first.address[7]))
+        await until(
+            lambda: not shard.covered() and min(shard.uncovered.values()) < until_s,
+            "a shorter wait",
+        )
+
+
 async def test_an_owner_that_was_replaced_starts_and_records_nothing():
     async with Deployment(instances=2) as deployment:
         await until(deployment.find_owner, "an owner")
