Answer submissions, states and cancels within 1.6 s whatever the store does

Change: after 1.6 s a submission that is still queued is withdrawn and refused; one that was sent is answered with an unknown outcome, as are states and cancels, so that the caller asks another instance. Tests: three.

--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -1,5 +1,6 @@
 """What callers ask for: hand in, state, cancel, count of what waits."""
 
+import asyncio
 import uuid
 from enum import Enum
 
@@ -26,6 +27,9 @@
 
 __all__ = ["Entry", "Outcome", "Reply"]
 
+PATIENCE_S = 1.6
+"""Time after which a request is answered whatever the store does: callers wait for
+3 s, and can ask elsewhere in what is left. Two slow commits take 1.4 s."""
 SUBMIT_TRIES = 4
 """Commits of one submission, for conditions that changed meanwhile."""
 
@@ -90,6 +94,19 @@
 
     async def submit(self, policy, job, spec):
         """Accept a job, or say that it was not accepted and never runs."""
+        waiting = []
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                return await self._submit(policy, job, spec, waiting)
+        except TimeoutError:
+            if waiting and self._writes.withdraw(waiting[-1]):
+                self.log.info("refused", extra={"job": job, "why": "store: slow"})
+                return NOT_RUN
+            self.log.warning("outcome unknown", extra={"job": job, "why": "store slow"})
+            return UNKNOWN
+
+    async def _submit(self, policy, job, spec, waiting):
+        """Accept or refuse a job; ``waiting`` takes the writes as they are made."""
         service = policy.service
         if self.store.away():
             self.log.info("refused", extra={"job": job, "why": "store away"})
@@ -102,7 +119,9 @@
         for _ in range(SUBMIT_TRIES):
             view = self.offices.view(service)
             row = AcceptedRow(token=view.token, write=mark, record=record)
-            reply = await self._write_job(view, row, job, version)
+            write = _write_job(view, row, job, version)
+            waiting.append(write)
+            reply = await self._writes.commit(write)
             if isinstance(reply, Success):
                 return self._accept(service, row, "stored", job)
             error = reply.failure()
@@ -120,15 +139,6 @@
         self.log.info("refused", extra={"job": job, "why": "conditions changed"})
         return NOT_RUN
 
-    async def _write_job(self, view, row, job, version):
-        place = job_place(ACCEPTED, view.service, job)
-        expected = (
-            Expect(place, version),
-            Expect(job_place(FINISHED, view.service, job), 0),
-        )
-        write = PendingWrite(view, expected, Change(place, encode_row(row)))
-        return await self._writes.commit(write)
-
     def _find_job(self, service, job, rows, view):
         """Return what the rows of a submission's conditions say of a job."""
         found = _Found()
@@ -163,7 +173,7 @@
                 return self._accept(service, found.row, "found stored", job)
         withdrawn = AcceptedRow(token=row.token, write=row.write)
         view = self.offices.view(service)
-        reply = await self._write_job(view, withdrawn, job, 0)
+        reply = await self._writes.commit(_write_job(view, withdrawn, job, 0))
         if isinstance(reply, Success):
             self.log.info("refused", extra={"job": job, "why": "store: withdrawn"})
             return NOT_RUN
@@ -182,6 +192,9 @@
 
     async def state(self, service, job):
         """Return the state of a job."""
+        return await _answer_in_time(self._state(service, job))
+
+    async def _state(self, service, job):
         if job in self._final:
             return Reply(Outcome.DONE, self._final[job])
         told = await self.offices.ask_state(service, job)
@@ -216,7 +229,10 @@
 
     async def cancel(self, service, job):
         """Cancel a job; a job that has ended stays as it is."""
-        told = await self.state(service, job)
+        return await _answer_in_time(self._cancel(service, job))
+
+    async def _cancel(self, service, job):
+        told = await self._state(service, job)
         if told.outcome is not Outcome.DONE:
             return told
         if told.state.final:
@@ -241,3 +257,22 @@
         if counts is None:
             return NOT_RUN
         return Reply(Outcome.DONE, count=counts.get(policy.queue, 0))
+
+
+async def _answer_in_time(answer):
+    """Return an answer that may take long, or that the outcome is unknown."""
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            return await answer
+    except TimeoutError:
+        return UNKNOWN
+
+
+def _write_job(view, row, job, version):
+    """Return the write of a job's row, in place of the given version of it."""
+    place = job_place(ACCEPTED, view.service, job)
+    expected = (
+        Expect(place, version),
+        Expect(job_place(FINISHED, view.service, job), 0),
+    )
+    return PendingWrite(view, expected, Change(place, encode_row(row)))
--- a/fuchsiascale/jobs/_groups.py
+++ b/fuchsiascale/jobs/_groups.py
@@ -41,6 +41,14 @@
         self._queue = []
         self._task = None
 
+    def withdraw(self, write):
+        """Take back a submission that has not been sent; returns whether it was."""
+        for entry in self._queue:
+            if entry[0] is write:
+                self._queue.remove(entry)
+                return True
+        return False
+
     async def commit(self, write):
         """Write one submission; returns what the store says of it."""
         done = asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_entry.py
@@ -0,0 +1,84 @@
+"""What callers are told while the store does not answer."""
+
+import asyncio
+from unittest import mock
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.jobs import (
+    Entry,
+    JobSpec,
+    Outcome,
+    OwnerView,
+    QueuePolicy,
+    Resources,
+    StepSpec,
+)
+from fuchsiascale.jobs import _entry as entry_module
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+POLICY = QueuePolicy(queue="q", service="pool")
+SPEC = JobSpec(payload="", steps=(StepSpec(count=1, need=Resources(cpu_millis=100)),))
+JOBS = ("1" * 16, "2" * 16)
+
+
+class SilentStore:
+    """A store that takes calls and never answers."""
+
+    def __init__(self):
+        self.keys = []
+
+    def away(self):
+        return False
+
+    async def commit(self, expected, changes):
+        self.keys += [change.place.key for change in changes]
+        await asyncio.Event().wait()
+
+    async def read(self, table, partition, first="", last=""):
+        await asyncio.Event().wait()
+
+
+class NoOffices:
+    """An instance that knows of no owner."""
+
+    def view(self, service):
+        return OwnerView(service)
+
+    async def ask_state(self, service, job):
+        return None
+
+
+def make_entry(store):
+    return Entry(store, NoOffices(), ManualClock())
+
+
+async def test_a_submission_is_answered_though_the_store_is_silent():
+    store = SilentStore()
+    with mock.patch.object(entry_module, "PATIENCE_S", 0.05):
+        entry = make_entry(store)
+        replies = await asyncio.gather(
+            *(entry.submit(POLICY, job, SPEC) for job in JOBS[:1])
+        )
+    assert [reply.outcome for reply in replies] == [Outcome.UNKNOWN]
+
+
+async def test_a_submission_that_was_never_sent_is_refused_and_stays_unsent():
+    store = SilentStore()
+    with mock.patch.object(entry_module, "PATIENCE_S", 0.05):
+        entry = make_entry(store)
+        first = asyncio.create_task(entry.submit(POLICY, JOBS[0], SPEC))
+        await asyncio.sleep(0.01)
+        second = asyncio.create_task(entry.submit(POLICY, JOBS[1], SPEC))
+        replies = await asyncio.gather(first, second)
+    assert [reply.outcome for reply in replies] == [Outcome.UNKNOWN, Outcome.NOT_RUN]
+    assert store.keys == [JOBS[0]]
+
+
+async def test_states_and_cancels_are_answered_though_the_store_is_silent():
+    with mock.patch.object(entry_module, "PATIENCE_S", 0.05):
+        entry = make_entry(SilentStore())
+        told = await entry.state("pool", JOBS[0])
+        cancelled = await entry.cancel("pool", JOBS[0])
+    assert (told.outcome, cancelled.outcome) == (Outcome.UNKNOWN, Outcome.UNKNOWN)
