Keep what an owner has learnt for the next one

Change: the known slopes and the run times of queues are written to the row 'learnt' of the service every 3 s at most, if they changed, and adopted as priors on loading. Test: the next owner knows a pair that the first has learnt; failed before.

--- a/fuchsiascale/decisions/_pairharm.py
+++ b/fuchsiascale/decisions/_pairharm.py
@@ -44,7 +44,8 @@
 class _Fit:
     """Normal equations of one serving image, and the slopes that solve them."""
 
-    def __init__(self):
+    def __init__(self, priors):
+        self.priors = priors
         self.energies = {}
         self.losses = {}
         self.slopes = {}
@@ -57,10 +58,14 @@
             for other, other_share in shares.items():
                 row[other] = row.get(other, 0.0) + weight * share * other_share
             self.losses[image] = self.losses.get(image, 0.0) + weight * share * lost
-            self.slopes.setdefault(image, PRIOR_SLOPE)
+            self.slopes.setdefault(image, self.prior(image))
         for image in shares:
             self._solve(image)
 
+    def prior(self, image):
+        """Return the slope to expect before anything was observed."""
+        return self.priors.get(image, PRIOR_SLOPE)
+
     def _solve(self, image):
         row = self.energies[image]
         others = sum(
@@ -68,7 +73,7 @@
             for other, energy in row.items()
             if other != image
         )
-        left = self.losses[image] + RIDGE * PRIOR_SLOPE - others
+        left = self.losses[image] + RIDGE * self.prior(image) - others
         self.slopes[image] = min(MAX_SLOPE, max(0.0, left / (row[image] + RIDGE)))
 
     def fade(self, now_s):
@@ -112,17 +117,48 @@
     def slope(self, serving, filling):
         """Return the headroom lost to a worker full of ``filling``."""
         fit = self._fits.get(serving)
-        return PRIOR_SLOPE if fit is None else fit.slopes.get(filling, PRIOR_SLOPE)
+        if fit is None:
+            return PRIOR_SLOPE
+        return fit.slopes.get(filling, fit.prior(filling))
 
     def known(self, serving, filling):
         """Return whether enough of a pair was observed to believe its slope."""
         fit = self._fits.get(serving)
-        row = fit.energies.get(filling) if fit else None
-        return row is not None and row[filling] >= KNOWN_ENERGY
+        if fit is None:
+            return False
+        row = fit.energies.get(filling)
+        observed = row is not None and row[filling] >= KNOWN_ENERGY
+        return observed or filling in fit.priors
 
     def filling_images(self):
         """Return the filling images that were seen beside any serving image."""
-        return set().union(*(fit.slopes for fit in self._fits.values()))
+        return set().union(
+            *(fit.slopes.keys() | fit.priors.keys() for fit in self._fits.values())
+        )
+
+    def export(self):
+        """Return the known slopes: by serving image, those of filling images."""
+        return {
+            serving: {
+                filling: round(self.slope(serving, filling), 2)
+                for filling in fit.slopes.keys() | fit.priors.keys()
+                if self.known(serving, filling)
+            }
+            for serving, fit in self._fits.items()
+        }
+
+    def adopt(self, slopes):
+        """Expect the slopes that an earlier owner has exported.
+
+        Examples
+        --------
+        >>> harm = PairHarm()
+        >>> harm.adopt({"web": {"scan": 8.0}})
+        >>> harm.slope("web", "scan"), harm.known("web", "scan")
+        (8.0, True)
+        """
+        for serving, known in slopes.items():
+            self._fits[serving] = _Fit(dict(known))
 
     def headroom(self, job):
         """Return the present headroom of a job's tasks without fillers.
@@ -176,7 +212,7 @@
         True
         """
         headroom = min(MOST_HEADROOM, headroom)
-        fit = self._fits.setdefault(serving, _Fit())
+        fit = self._fits.setdefault(serving, _Fit({}))
         self._images[job] = serving
         looks = self._looks.setdefault(job, deque())
         while looks and looks[0].at_s < now_s - WINDOW_S:
--- a/fuchsiascale/decisions/_runtimes.py
+++ b/fuchsiascale/decisions/_runtimes.py
@@ -30,6 +30,27 @@
         mean = self._means.get(queue, value)
         self._means[queue] = mean + max(STEP, 1 / count) * (value - mean)
 
+    def export(self):
+        """Return the mean logarithm and the count of each queue."""
+        return {
+            queue: (round(mean, 3), self._counts[queue])
+            for queue, mean in self._means.items()
+        }
+
+    def adopt(self, learnt):
+        """Take over what an earlier owner has exported.
+
+        Examples
+        --------
+        >>> times = RunTimes()
+        >>> times.adopt({"scan": (0.0, 20)})
+        >>> times.export()
+        {'scan': (0.0, 20)}
+        """
+        for queue, (mean, count) in learnt.items():
+            self._means[queue] = mean
+            self._counts[queue] = count
+
     def expect(self, queue, declared_s):
         """Return the run time to expect of a task, in seconds.
 
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -16,9 +16,11 @@
     POOLS,
     PROGRESS,
     AcceptedRow,
+    LearntRow,
     ProgressRow,
     RosterRow,
     decode_row,
+    learnt_place,
     ledger_place,
     roster_place,
 )
@@ -202,6 +204,8 @@
                 self.recorder.ledger_version = row.version
             if row.place == roster_place(self.service):
                 self._restore_roster(row, now_s)
+            if row.place == learnt_place(self.service):
+                self._restore_learnt(row)
         self.log.info(
             "loaded",
             extra={
@@ -221,6 +225,12 @@
             worker = self.shard.list_worker(entry.worker, now_s)
             self.shard.uncovered[worker.worker] = self._last_lease_s(gone_s)
 
+    def _restore_learnt(self, row):
+        learnt = decode_row(row.value, LearntRow)
+        if learnt is not None:
+            self.shard.harm.adopt(learnt.slopes)
+            self.shard.run_times.adopt(learnt.run_times)
+
     def _last_lease_s(self, gone_s):
         """Return when all leases of a predecessor are over that was gone by a time."""
         return gone_s + self.lease_s * LEASE_DRIFT + LEASE_MARGIN_S
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -3,6 +3,7 @@
 import asyncio
 import uuid
 
+import logbook
 from returns.result import Success
 
 from fuchsiascale.jobs._ports import Change, Changed, Expect, NoAnswer
@@ -12,6 +13,7 @@
     POOLS,
     PROGRESS,
     FinishedRow,
+    LearntRow,
     LedgerRow,
     RosterEntry,
     RosterRow,
@@ -19,6 +21,7 @@
     decode_row,
     encode_row,
     job_place,
+    learnt_place,
     ledger_place,
     owner_place,
     roster_place,
@@ -30,6 +33,8 @@
 """Time in which ends are gathered before they are recorded."""
 STORE_PAUSE_S = 0.15
 """Pause after a store call that failed."""
+LEARNT_PERIOD_S = 3.0
+"""Least time between two writes of what was learnt."""
 MAX_ROWS = 90
 """Changes in one transaction; the platform takes 100 entries."""
 
@@ -68,6 +73,9 @@
         self._on_lost = on_lost
         self._on_confirmed = on_confirmed
         self._flushing = asyncio.Lock()
+        self._learnt = b""
+        self._learnt_due_s = 0.0
+        self.log = logbook.Logger("recorder")
 
     async def forget(self, jobs):
         """Remove final states that need not be told any more."""
@@ -91,6 +99,29 @@
             await asyncio.sleep(FLUSH_DELAY_S)
             while not await self.flush():  # noqa: ASYNC110
                 await asyncio.sleep(STORE_PAUSE_S)
+            await self.keep_learnt()
+
+    async def keep_learnt(self):
+        """Write what was learnt now and then, so that the next owner starts from it."""
+        now_s = self.clock.monotonic()
+        if now_s < self._learnt_due_s:
+            return
+        learnt = encode_row(
+            LearntRow(
+                slopes=self.shard.harm.export(),
+                run_times=self.shard.run_times.export(),
+            )
+        )
+        if learnt == self._learnt:
+            return
+        self._learnt_due_s = now_s + LEARNT_PERIOD_S
+        owner = Expect(owner_place(self.service), self.owner_version)
+        change = Change(learnt_place(self.service), learnt)
+        reply = await self.store.commit((owner,), (change,))
+        if isinstance(reply, Success):
+            self._learnt = learnt
+        else:
+            self.log.info("what was learnt is not kept", extra={"why": repr(reply)})
 
     async def flush(self):
         """Record all that has changed; returns whether nothing is left to do."""
--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -15,6 +15,7 @@
     "PROGRESS",
     "AcceptedRow",
     "FinishedRow",
+    "LearntRow",
     "LedgerRow",
     "OwnerRow",
     "ProgressRow",
@@ -24,6 +25,7 @@
     "decode_row",
     "encode_row",
     "job_place",
+    "learnt_place",
     "ledger_place",
     "owner_place",
     "roster_place",
@@ -82,6 +84,21 @@
         return frozenset(entry.worker.worker for entry in self.workers)
 
 
+class LearntRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What an owner has learnt, for the next one.
+
+    Parameters
+    ----------
+    slopes : dict
+        See `PairHarm.export`.
+    run_times : dict
+        See `RunTimes.export`.
+    """
+
+    slopes: dict[str, dict[str, float]] = {}
+    run_times: dict[str, tuple[float, int]] = {}
+
+
 class ProgressRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """What has ended of a job.
 
@@ -124,6 +141,11 @@
     return RowKey(POOLS, service, "roster")
 
 
+def learnt_place(service: ServiceId) -> RowKey:
+    """Return the place of what a service's owner has learnt."""
+    return RowKey(POOLS, service, "learnt")
+
+
 def cancel_place(service: ServiceId, job: JobId) -> RowKey:
     """Return the place of a job's cancellation, which the feed of jobs shows."""
     return RowKey(ACCEPTED, service, job + CANCEL_SUFFIX)
