Ignore a reload that comes while the process starts

Cause: SIGHUP ends a process that has no handler yet, and the daemon installs one after its imports, some 0.3 s into its life. Change: the signal is ignored before anything else is imported. Test: one, which failed before.

--- a/fuchsiascale/node/__main__.py
+++ b/fuchsiascale/node/__main__.py
@@ -1,6 +1,11 @@
 """Runs the daemon: ``python -m fuchsiascale.node``."""
 
-from fuchsiascale.node._main import main
+import signal
+
+# Until the daemon takes the signal, a reload must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from fuchsiascale.node._main import main  # noqa: E402
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/fuchsiascale/node/tests/test_start.py
@@ -0,0 +1,18 @@
+"""What a process withstands while it starts."""
+
+import importlib
+import signal
+
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+
+def test_a_reload_before_the_daemon_listens_does_not_end_the_process():
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        importlib.import_module("fuchsiascale.node.__main__")
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, before)
