--- a/fuchsiascale/node/tests/test_start.py
+++ b/fuchsiascale/node/tests/test_start.py
@@ -11,8 +11,9 @@
 def test_a_reload_before_the_daemon_listens_does_not_end_the_process():
     before = signal.getsignal(signal.SIGHUP)
     try:
+        module = importlib.import_module("fuchsiascale.node.__main__")
         signal.signal(signal.SIGHUP, signal.SIG_DFL)
-        importlib.import_module("fuchsiascale.node.__main__")
+        importlib.reload(module)
         assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
     finally:
         signal.signal(signal.SIGHUP, before)
