Part the shard into inventories, clocks of workers, and the rest

What an owner concludes from an inventory is a module of plain functions now, the reckoning of leases another; behaviour is unchanged.

--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -11,30 +11,23 @@
 
 from fuchsiascale.decisions import PairHarm, RunTimes
 from fuchsiascale.ids import TaskId
-from fuchsiascale.jobs._model import JobState, split_task
-from fuchsiascale.jobs._ports import EndKind, RefusedReason
+from fuchsiascale.jobs._inventories import take_inventory
+from fuchsiascale.jobs._model import JobState
+from fuchsiascale.jobs._ports import RefusedReason
 from fuchsiascale.jobs._runs import (
     Attempt,
     AttemptPhase,
     JobRun,
     WorkerRun,
 )
+from fuchsiascale.jobs._workerclocks import clock_of, reckon_lapse
 
 __all__ = ["PaceNow", "Shard", "StartNow", "StopNow"]
 
-CLOCK_DRIFT = 0.02
-"""Most by which a worker's clock is slow; from the platform's pages."""
-LAPSE_MARGIN_S = 0.25
-"""Added to the end of a lease before its attempts count as over."""
 NO_ROOM_PAUSE_S = 0.4
 """Pause of a worker that refused a start for want of room."""
 UNHEALTHY_PAUSE_S = 1.5
 """Pause of a worker that refused a start because it is unhealthy."""
-STOP_RETRY_S = 0.6
-"""Time after which an unanswered stop is sent again."""
-HOLD_JOBS = 2
-"""Jobs whose tasks fail on a worker, with no success between, before it is held back.
-One job may be at fault itself."""
 HOLD_S = 2.0
 """First pause of a worker on which attempts fail or stand still."""
 MAX_HOLD_S = 16.0
@@ -121,9 +114,10 @@
         if job.state.final:
             return
         job.cancelled = True
-        self._finish(job, JobState.CANCELLED, now_s)
+        self.finish_job(job, JobState.CANCELLED, now_s)
 
-    def _finish(self, job, state, now_s):
+    def finish_job(self, job, state, now_s):
+        """Give a job its final state, and stop its attempts."""
         job.state = state
         self.dirty[job.job] = job
         for attempt in job.attempts():
@@ -185,167 +179,18 @@
         """
         if worker.silent or not worker.claimed or worker.clock_ms is None:
             return None
-        until_ms = self.clock_of(worker, now_s) + self.lease_ms
+        until_ms = clock_of(worker, now_s) + self.lease_ms
         worker.granted_ms = max(worker.granted_ms, until_ms)
-        self._reckon_lapse(worker)
+        reckon_lapse(worker)
         return until_ms
 
-    def note_silence(self, worker):
-        """Take in that a worker did not answer an exchange."""
-        worker.silent = True
-
-    def _reckon_lapse(self, worker):
-        if worker.clock_ms is None:
-            return
-        left_s = max(0, worker.granted_ms - worker.clock_ms) / 1000
-        worker.lapse_s = worker.clock_at_s + left_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
-
-    def read_clock(self, worker, clock_ms, now_s):
-        """Note a reading of a worker's clock; older readings change nothing."""
-        if worker.clock_ms is not None and clock_ms <= worker.clock_ms:
-            return
-        worker.clock_ms = clock_ms
-        worker.clock_at_s = now_s
-        self._reckon_lapse(worker)
-
-    def clock_of(self, worker, now_s):
-        """Return the least that a worker's clock may show now."""
-        passed_s = (now_s - worker.clock_at_s) * (1 - CLOCK_DRIFT)
-        return worker.clock_ms + int(passed_s * 1000)
-
     def observe(self, worker, inventory, sent_s, now_s):
         """Take in an inventory that was asked for at ``sent_s``."""
-        if inventory.incarnation != worker.incarnation:
-            self._note_restart(worker, inventory, now_s)
-        if not worker.claimed:
-            # The owner before may have granted its lease just now.
-            worker.granted_ms = inventory.clock_ms + self.lease_ms
-        self.read_clock(worker, inventory.clock_ms, now_s)
-        worker.claimed = True
-        worker.silent = False
-        self.uncovered.pop(worker.worker, None)
-        for end in inventory.ended:
-            if end.number > worker.seen:
-                worker.seen = end.number
-                self._take_end(worker, end, now_s)
-        shown = {}
-        for running in inventory.running:
-            shown[running.task] = running.attempt
-            self._take_running(worker, running, now_s)
-        for attempt in list(worker.attempts.values()):
-            if shown.get(attempt.task.name) != attempt.number:
-                self._take_absence(attempt, sent_s, now_s)
-        for name, number in list(worker.strays.items()):
-            if shown.get(name) == number:
-                self.orders.append(StopNow(worker, name, number))
-            else:
-                del worker.strays[name]
-
-    def _note_restart(self, worker, inventory, now_s):
-        if worker.incarnation:
-            self.log.warning(
-                "worker restarted",
-                extra={"worker": worker.worker, "lost": len(worker.attempts)},
-            )
-        worker.incarnation = inventory.incarnation
-        self.lose_all(worker, now_s, "worker restarted")
-        worker.strays.clear()
-        worker.seen = worker.recorded = 0
-        worker.claimed = False
-        worker.clock_ms = None
-
-    def _take_running(self, worker, running, now_s):
-        attempt = worker.attempts.get(running.task)
-        if attempt is None or attempt.number != running.attempt:
-            attempt = self._adopt(worker, running, now_s)
-            if attempt is None:
-                return
-        if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
-            attempt.enter(AttemptPhase.RUNNING, now_s)
-        if running.checkpoint:
-            attempt.checkpoint = running.checkpoint
-        if running.percent > attempt.percent:
-            attempt.progress_s = now_s
-        attempt.percent = running.percent
-        attempt.figure = running.figure
-        stuck = attempt.phase is AttemptPhase.STOPPING and (
-            attempt.stop_sent_s is None or now_s - attempt.stop_sent_s > STOP_RETRY_S
-        )
-        if stuck:
-            self._order_stop(attempt, now_s)
-
-    def _adopt(self, worker, running, now_s):
-        """Take over an attempt that an earlier owner has started, or stop it."""
-        place = split_task(running.task)
-        job = self.jobs.get(place[0]) if place else None
-        task = job.find_task(*place[1:]) if job else None
-        fits = task is not None and task.waiting and not job.state.final
-        if not fits or running.attempt < task.latest:
-            if self.loaded and worker.strays.get(running.task) != running.attempt:
-                self.log.warning(
-                    "stopping an unknown attempt",
-                    extra={
-                        "task": running.task,
-                        "attempt": running.attempt,
-                        "worker": worker.worker,
-                    },
-                )
-                worker.strays[running.task] = running.attempt
-            return None
-        attempt = Attempt(task, worker, running.attempt, AttemptPhase.RUNNING, now_s)
-        task.attempt = attempt
-        task.latest = running.attempt
-        task.next_number = max(task.next_number, running.attempt + 1)
-        worker.occupy(attempt)
-        self._mark_running(job)
-        return attempt
+        take_inventory(self, worker, inventory, sent_s, now_s)
 
-    def _take_absence(self, attempt, sent_s, now_s):
-        """Decide on an attempt that an inventory does not show."""
-        if sent_s <= attempt.since_s:
-            return
-        if attempt.phase is AttemptPhase.STARTING:
-            return
-        if attempt.stop_answered_s is not None:
-            if sent_s > attempt.stop_answered_s:
-                self._lose(attempt, now_s, "not there after its stop")
-            return
-        retry = (
-            attempt.stop_sent_s is None or now_s - attempt.stop_sent_s > STOP_RETRY_S
-        )
-        if retry:
-            # A start that is still under way must not come true after this look.
-            self._order_stop(attempt, now_s)
-
-    def _take_end(self, worker, end, now_s):
-        place = split_task(end.task)
-        job = self.jobs.get(place[0]) if place else None
-        worker.strays.pop(end.task, None)
-        self.events[f"ended: {end.how.value}"] += 1
-        attempt = worker.attempts.get(end.task)
-        if attempt is not None and attempt.number == end.attempt:
-            if end.how is EndKind.DONE:
-                worker.failed_jobs.clear()
-                worker.holds = 0
-            if end.how is EndKind.DONE and attempt.whole:
-                queue = attempt.task.step.job.policy.queue
-                self.run_times.observe(queue, now_s - attempt.since_s)
-            worker.release(attempt)
-            attempt.task.attempt = None
-        task = job.find_task(*place[1:]) if job else None
-        if task is None or task.done:
-            return
-        self.dirty[job.job] = job
-        if end.how is EndKind.FAILED:
-            self._count_failure(worker, job, task, end, now_s)
-        if task.attempt is not None or end.attempt < task.latest:
-            return
-        task.latest = end.attempt
-        task.next_number = max(task.next_number, end.attempt + 1)
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
-        if end.how is EndKind.DONE and not task.step.spec.lasting:
-            self._note_done(job, task, now_s)
+    def note_silence(self, worker):
+        """Take in that a worker did not answer an exchange."""
+        worker.silent = True
 
     def hold_back(self, worker, now_s):
         """Start nothing on a worker for a while, each time for longer."""
@@ -357,41 +202,13 @@
             "worker held back", extra={"worker": worker.worker, "for_s": pause_s}
         )
 
-    def _note_done(self, job, task, now_s):
-        members = task.step.tasks if task.step.spec.gang else [task]
-        for member in members:
-            member.done = True
-        if job.complete() and not job.state.final:
-            self._finish(job, JobState.COMPLETED, now_s)
-
-    def _count_failure(self, worker, job, task, end, now_s):
-        """Count a failed attempt, once however often its end is seen."""
-        if end.attempt in task.failed:
-            return
-        task.failed.add(end.attempt)
-        task.avoid = worker.worker
-        worker.failed_jobs.add(job.job)
-        if len(worker.failed_jobs) >= HOLD_JOBS:
-            self.hold_back(worker, now_s)
-        self.log.info(
-            "attempt failed",
-            extra={
-                "task": task.name,
-                "attempt": end.attempt,
-                "worker": worker.worker,
-                "failures": len(task.failed),
-            },
-        )
-        spent = len(task.failed) >= job.policy.max_attempts
-        if spent and not task.step.spec.lasting and not job.state.final:
-            self._finish(job, JobState.FAILED, now_s)
-
     def lose_all(self, worker, now_s, why):
         """Count all attempts on a worker as over without an end."""
         for attempt in list(worker.attempts.values()):
-            self._lose(attempt, now_s, why)
+            self.lose_attempt(attempt, now_s, why)
 
-    def _lose(self, attempt, now_s, why):
+    def lose_attempt(self, attempt, now_s, why):
+        """Count an attempt as over without an end."""
         self.events[f"lost: {why}"] += 1
         attempt.worker.release(attempt)
         task = attempt.task
@@ -454,9 +271,14 @@
         if attempt.phase is AttemptPhase.STARTING:
             return
         attempt.enter(AttemptPhase.STOPPING, now_s)
-        self._order_stop(attempt, now_s)
+        self.order_stop(attempt, now_s)
+
+    def stop_stray(self, worker, task, number):
+        """Stop an attempt that is none of the shard's."""
+        self.orders.append(StopNow(worker, task, number))
 
-    def _order_stop(self, attempt, now_s):
+    def order_stop(self, attempt, now_s):
+        """Send a stop, again if need be."""
         attempt.stop_sent_s = now_s
         self.orders.append(StopNow(attempt.worker, attempt.task.name, attempt.number))
 
@@ -473,10 +295,11 @@
         self.events["started"] += 1
         # A filler starts at full speed: its speed is set in the next round.
         attempt.worker.next_pace_s = min(attempt.worker.next_pace_s, now_s)
-        self._mark_running(attempt.task.step.job)
+        self.mark_running(attempt.task.step.job)
         self._stop_if_over(attempt, now_s)
 
-    def _mark_running(self, job):
+    def mark_running(self, job):
+        """Note that something of a job has started."""
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
 
