--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -429,6 +429,7 @@
         self.stopping = True
         for service, owner in list(self.owners.items()):
             await owner.prepare_handover()
+            owner.grant_until(self.clock.monotonic() + HANDOVER_S)
             for address in self._strongest_first():
                 message = Handover(service, owner.row, owner.version)
                 reply = await self.peers.ask(address, message, HANDOVER_S)
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -102,6 +102,7 @@
         self.lost = False
         self.handing_over = False
         self._predecessor_gone_s = None
+        self._grants_until_s = None
         self.feed_version = version
         self.confirmed_s = self.clock.monotonic()
         self.recorder = Recorder(
@@ -174,7 +175,14 @@
 
     def may_grant(self):
         """Return whether the store was heard of lately enough to grant leases."""
-        return self.clock.monotonic() - self.confirmed_s < ISOLATION_S
+        now_s = self.clock.monotonic()
+        if self._grants_until_s is not None and now_s >= self._grants_until_s:
+            return False
+        return now_s - self.confirmed_s < ISOLATION_S
+
+    def grant_until(self, end_s):
+        """Grant no leases from a time on: a successor counts on it."""
+        self._grants_until_s = end_s
 
     def _confirm(self):
         self.confirmed_s = self.clock.monotonic()
