Move serving tasks that keep waiting fillers off their worker

Ruled out: emptying workers (lasting tasks declare 90 to 95 in 100 of what there is); more tasks at once, more often (no better). Change: a task alone of its image on a worker moves to where that image is at home, in place of a task that is at home on the first one where there is no room, if that opens 3 cores or more to fillers that wait or are slowed down.

--- a/fuchsiascale/jobs/_choice.py
+++ b/fuchsiascale/jobs/_choice.py
@@ -11,6 +11,7 @@
     "Candidates",
     "FillOffer",
     "FillOffers",
+    "leftover_millis",
     "list_servings",
     "offer_fill",
     "wanted_fillers",
@@ -128,14 +129,26 @@
             return None
         return _cost(self._shard, self._step.spec, worker, self._offers)
 
+    def _take_wanted(self, task):
+        """Remove and return the entry of the worker that a task was moved to."""
+        wanted, task.wanted = task.wanted, None
+        for entry in self._heap if wanted else ():
+            if entry[2].worker == wanted:
+                self._heap.remove(entry)
+                heapq.heapify(self._heap)
+                return entry
+        return None
+
     def start(self, task, now_s):
         """Start a task on the best worker; returns the attempt, or None."""
         heap = self._heap
         if not heap:
             return None
-        entry = heapq.heappop(heap)
-        if heap and entry[2].worker == task.avoid:
-            entry = heapq.heapreplace(heap, entry)
+        entry = self._take_wanted(task)
+        if entry is None:
+            entry = heapq.heappop(heap)
+            if heap and entry[2].worker == task.avoid:
+                entry = heapq.heapreplace(heap, entry)
         _, number, worker = entry
         attempt = self._shard.start_task(task, worker, now_s)
         self._offers.forget(worker)
@@ -216,7 +229,7 @@
 def offer_fill(shard, image, worker):
     """Return what a further filler of an image would find at a worker."""
     capacity = worker.listed.capacity.cpu_millis
-    millis = max(0.0, _leftover(worker))
+    millis = max(0.0, leftover_millis(worker))
     steepest = 0.0
     fillers = wanted_fillers(worker)
     for serving, job in list_servings(worker):
@@ -239,7 +252,7 @@
     }
 
 
-def _leftover(worker):
+def leftover_millis(worker):
     """Return the processor time that is expected to be free for fillers."""
     used = 0
     for attempt in worker.attempts.values():
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -84,6 +84,7 @@
         "name",
         "next_number",
         "step",
+        "wanted",
     )
 
     def __init__(self, step, index, first_number, now_s):
@@ -97,6 +98,7 @@
         self.done = False
         self.attempt = None
         self.avoid = None
+        self.wanted = None
 
     @property
     def waiting(self):
--- /dev/null
+++ b/fuchsiascale/jobs/_swaps.py
@@ -0,0 +1,171 @@
+"""Moves of serving tasks that open workers to fillers which wait."""
+
+from fuchsiascale.jobs._choice import LIGHT_SLOPE, leftover_millis
+from fuchsiascale.jobs._runs import FULL_SPEED_PERCENT, AttemptPhase
+
+__all__ = ["swap_strays"]
+
+SWAP_PERIOD_S = 0.5
+"""Period in which moves are looked for."""
+LEAST_STAY_S = 5.0
+"""Time at work before a serving task may be moved: each start costs it 0.5 to 1 s."""
+LEAST_GAIN_MILLIS = 3_000
+"""Processor time for fillers that a move has to open, in thousandths of a core."""
+
+
+def swap_strays(shard, workers, now_s):
+    """Move a serving task whose image keeps waiting fillers off its worker.
+
+    It goes where its image is at home, or changes places with a task of an image
+    that is at home here.
+
+    Parameters
+    ----------
+    shard : Shard
+        Workers and jobs; orders are added to it.
+    workers : list of WorkerRun
+        Workers that take new attempts.
+    now_s : float
+        Monotonic time in seconds.
+    """
+    if now_s < shard.next_swap_s:
+        return
+    shard.next_swap_s = now_s + SWAP_PERIOD_S
+    demand = _sum_demand(shard)
+    if sum(demand.values()) < LEAST_GAIN_MILLIS:
+        return
+    homes = {worker.worker: _group_servings(worker) for worker in workers}
+    best_gain, best = LEAST_GAIN_MILLIS, None
+    for worker in workers:
+        images = homes[worker.worker]
+        for image, attempts in images.items():
+            if len(images) < 2 or len(attempts) != 1:
+                continue
+            stray = attempts[0]
+            rest = images.keys() - {image}
+            before = _open_millis(shard, worker, images.keys(), demand)
+            gain = _open_millis(shard, worker, rest, demand) - before
+            if gain <= best_gain or not _is_movable(stray, now_s):
+                continue
+            partner = _find_place(stray, rest, workers, homes, now_s)
+            if partner is not None:
+                best_gain, best = gain, (stray, *partner)
+    if best is not None:
+        _move(shard, *best, best_gain, now_s)
+
+
+def _sum_demand(shard):
+    """Return by filling image the processor time that fillers lack."""
+    demand = {}
+    for job in shard.jobs.values():
+        if job.state.final:
+            continue
+        for step in job.ready_steps():
+            spec = step.spec
+            if not spec.fills:
+                continue
+            lacking = 0.0
+            for task in step.tasks:
+                if task.waiting:
+                    lacking += 1.0
+                elif task.attempt is not None:
+                    lacking += 1.0 - task.attempt.pace_wanted / FULL_SPEED_PERCENT
+            lacking_millis = lacking * spec.need.cpu_millis
+            demand[spec.image] = demand.get(spec.image, 0.0) + lacking_millis
+    return demand
+
+
+def _group_servings(worker):
+    """Return the serving attempts of a worker by their image."""
+    groups = {}
+    for attempt in worker.attempts.values():
+        spec = attempt.task.step.spec
+        if spec.tail_target_ms:
+            groups.setdefault(spec.image, []).append(attempt)
+    return groups
+
+
+def _open_millis(shard, worker, images, demand):
+    """Return the processor time that lacking fillers could use beside images."""
+    wanted = sum(
+        millis
+        for filler, millis in demand.items()
+        if all(
+            shard.harm.known(image, filler)
+            and shard.harm.slope(image, filler) < LIGHT_SLOPE
+            for image in images
+        )
+    )
+    return min(wanted, max(0.0, leftover_millis(worker)))
+
+
+def _is_movable(attempt, now_s):
+    spec = attempt.task.step.spec
+    return (
+        attempt.phase is AttemptPhase.RUNNING
+        and spec.lasting
+        and not spec.gang
+        and not spec.may_miss
+        and now_s - attempt.since_s > LEAST_STAY_S
+    )
+
+
+def _find_place(stray, rest, workers, homes, now_s):
+    """Return a worker for a stray, and the attempt to swap it with, if any."""
+    image = stray.task.step.spec.image
+    for worker in workers:
+        images = homes[worker.worker]
+        if worker is stray.worker or image not in images:
+            continue
+        if not _may_join(stray, worker):
+            continue
+        if worker.fits(stray.task.step.spec):
+            return worker, None
+        for other in (each for home in rest for each in images.get(home, ())):
+            if (
+                _is_movable(other, now_s)
+                and _may_join(other, stray.worker)
+                and _fits_instead(stray, other)
+                and _fits_instead(other, stray)
+            ):
+                return worker, other
+    return None
+
+
+def _may_join(attempt, worker):
+    step = attempt.task.step
+    label, limit = step.spec.required_label, step.spec.max_per_worker
+    if label and label not in worker.listed.labels:
+        return False
+    return not limit or step.per_worker.get(worker.worker, 0) < limit
+
+
+def _fits_instead(attempt, other):
+    """Return whether an attempt fits on another's worker in its place."""
+    need, freed = attempt.task.step.spec.need, other.task.step.spec.need
+    worker = other.worker
+    capacity = worker.listed.capacity
+    return (
+        worker.cpu_used - freed.cpu_millis + need.cpu_millis <= capacity.cpu_millis
+        and worker.memory_used - freed.memory_mb + need.memory_mb <= capacity.memory_mb
+        and worker.accelerators_used - freed.accelerators + need.accelerators
+        <= capacity.accelerators
+    )
+
+
+def _move(shard, stray, worker, other, gain, now_s):
+    shard.log.info(
+        "moving a serving task",
+        extra={
+            "task": stray.task.name,
+            "worker": stray.worker.worker,
+            "to": worker.worker,
+            "instead_of": other.task.name if other else "",
+            "opens_millis": round(gain),
+        },
+    )
+    stray.task.wanted = worker.worker
+    shard.stop_attempt(stray, now_s)
+    if other is not None:
+        other.task.wanted = stray.worker.worker
+        shard.stop_attempt(other, now_s)
