While the store is slow, write less of what makes others wait

Each instance wrote for itself, time-outs of 0.7 s sent the same commit again through peers, and callers' retries wrote jobs that were stored already, so that the partition refused nearly all for 5 s. Change: submissions go through the owner's transactions while the store is slow; a late commit is waited for if a read shows that the store is slow, and counts as unanswered at once if the read fails or is quick; a job that the owner knows is not written again. Ruled out: longer time-outs alone (lost answers would hold callers).

--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -10,6 +10,7 @@
 
 from fuchsiascale.jobs._groups import GroupedWrites, PendingWrite
 from fuchsiascale.jobs._model import JobRecord, JobState
+from fuchsiascale.jobs._offices import OwnerView
 from fuchsiascale.jobs._ports import Busy, Change, Changed, Expect, NoAnswer
 from fuchsiascale.jobs._records import (
     ACCEPTED,
@@ -24,6 +25,7 @@
     job_place,
     owner_place,
 )
+from fuchsiascale.jobs._relay import describe_commit
 
 __all__ = ["Entry", "Outcome", "Reply"]
 
@@ -87,7 +89,7 @@
         self.clock = clock
         self.offices = offices
         self.log = logbook.Logger("entry")
-        self._writes = GroupedWrites(store)
+        self._writes = GroupedWrites(store, clock)
         self._final = {}
 
     # Submission ----------------------------------------------------------------
@@ -111,6 +113,9 @@
         if self.store.away():
             self.log.info("refused", extra={"job": job, "why": "store away"})
             return NOT_RUN
+        if self._writes.slow() and await self.offices.ask_state(service, job):
+            # The owner knows only jobs that are stored; a write would hold up others.
+            return self._accept(service, None, "known to the owner", job)
         record = JobRecord(
             job=job, spec=spec, policy=policy, accepted_ms=self.clock.wall_ms()
         )
@@ -121,7 +126,7 @@
             row = AcceptedRow(token=view.token, write=mark, record=record)
             write = _write_job(view, row, job, version)
             waiting.append(write)
-            reply = await self._writes.commit(write)
+            reply = await self._commit(write)
             if isinstance(reply, Success):
                 return self._accept(service, row, "stored", job)
             error = reply.failure()
@@ -139,6 +144,24 @@
         self.log.info("refused", extra={"job": job, "why": "conditions changed"})
         return NOT_RUN
 
+    async def _commit(self, write):
+        """Commit a submission; while the store is slow, together with the owner's.
+
+        A partition carries out one transaction after the other: the fewer writers
+        there are, the less each waits.
+        """
+        if self._writes.slow():
+            reply = await self.offices.write_through_owner(write)
+            if reply is not None:
+                return reply
+        return await self._writes.commit(write)
+
+    async def commit_for_peer(self, message):
+        """Return what became of a submission that a peer has passed on."""
+        view = OwnerView(message.service, message.row, message.version)
+        write = PendingWrite(view, message.expected, message.change)
+        return describe_commit(await self._writes.commit(write))
+
     def _find_job(self, service, job, rows, view):
         """Return what the rows of a submission's conditions say of a job."""
         found = _Found()
--- a/fuchsiascale/jobs/_groups.py
+++ b/fuchsiascale/jobs/_groups.py
@@ -12,6 +12,10 @@
 
 MAX_WRITES = 24
 """Submissions in a transaction; each has three of the 100 entries allowed."""
+SLOW_S = 0.15
+"""Time of a transaction from which the store counts as slow; it mostly takes 10 ms."""
+SLOW_PERIOD_S = 3.0
+"""Time for which it counts as slow after that."""
 MAX_BYTES = 500_000
 """Bytes of a transaction's values; 1 MB is allowed, in base64."""
 
@@ -34,13 +38,25 @@
     ----------
     store : StorePort
         The store.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, store):
+    def __init__(self, store, clock):
         self._store = store
+        self._clock = clock
+        self._slow_until_s = None
+        self._began_s = None
         self._queue = []
         self._task = None
 
+    def slow(self):
+        """Return whether transactions have lately taken long."""
+        now_s = self._clock.monotonic()
+        if self._began_s is not None and now_s - self._began_s > SLOW_S:
+            return True
+        return self._slow_until_s is not None and now_s < self._slow_until_s
+
     def withdraw(self, write):
         """Take back a submission that has not been sent; returns whether it was."""
         for entry in self._queue:
@@ -97,7 +113,14 @@
         owner = Expect(owner_place(view.service), view.version)
         expected = [condition for write in writes for condition in write.expected]
         changes = tuple(write.change for write in writes)
-        return await self._store.commit((owner, *expected), changes)
+        began_s = self._began_s = self._clock.monotonic()
+        try:
+            return await self._store.commit((owner, *expected), changes)
+        finally:
+            self._began_s = None
+            now_s = self._clock.monotonic()
+            if now_s - began_s > SLOW_S:
+                self._slow_until_s = now_s + SLOW_PERIOD_S
 
 
 def _answer(done, reply):
--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -16,6 +16,7 @@
     Ok,
     Ping,
     Pong,
+    RelayWrite,
     StateQuery,
     StateReply,
     WaitingQuery,
@@ -30,6 +31,7 @@
     encode_row,
     owner_place,
 )
+from fuchsiascale.jobs._relay import read_commit
 
 __all__ = ["Offices", "OwnerView"]
 
@@ -37,6 +39,8 @@
 """Period of pings to the owner of a service."""
 PING_TIMEOUT_S = 0.5
 """Time for the answer to a ping or a question."""
+WRITE_TIMEOUT_S = 1.3
+"""Time for the owner to commit a submission for another instance: two slow commits."""
 SUSPECT_S = 1.1
 """Time without an answer of the owner after which it is taken to be gone."""
 PEER_HEARD_S = 0.7
@@ -366,6 +370,17 @@
         reply = await self._ask_owner(service, WaitingQuery(service))
         return reply.counts if isinstance(reply, WaitingReply) else None
 
+    async def write_through_owner(self, write):
+        """Have the owner commit a submission; None where this instance has to."""
+        view = write.view
+        if view.row is None or view.row.address == self.identity.address:
+            return None
+        message = RelayWrite(
+            view.service, view.row, view.version, write.expected, write.change
+        )
+        relayed = await self.peers.ask(view.row.address, message, WRITE_TIMEOUT_S)
+        return read_commit(relayed)
+
     async def _ask_owner(self, service, message):
         row = self.view(service).row
         if row is None or row.address == self.identity.address:
--- a/fuchsiascale/jobs/_peermessages.py
+++ b/fuchsiascale/jobs/_peermessages.py
@@ -17,6 +17,7 @@
     "Pong",
     "RelayCommit",
     "RelayRead",
+    "RelayWrite",
     "Relayed",
     "StateQuery",
     "StateReply",
@@ -105,6 +106,19 @@
     changes: tuple[Change, ...]
 
 
+class RelayWrite(msgspec.Struct, frozen=True, tag="write"):
+    """Asks the owner of a service to commit a submission together with its own.
+
+    ``row`` and ``version`` are the owner row that the submission is made under.
+    """
+
+    service: str
+    row: OwnerRow
+    version: int
+    expected: tuple[Expect, ...]
+    change: Change
+
+
 class RelayRead(msgspec.Struct, frozen=True, tag="read"):
     """Asks a peer to read from the store."""
 
@@ -140,5 +154,6 @@
     | Handover
     | RelayCommit
     | RelayRead
+    | RelayWrite
 )
 PeerReply = Pong | StateReply | WaitingReply | Relayed | Ok
--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -1,5 +1,6 @@
 """A store that peers are asked to reach where this instance can't."""
 
+import asyncio
 import random
 
 import logbook
@@ -9,7 +10,7 @@
 from fuchsiascale.jobs._peermessages import RelayCommit, Relayed, RelayRead
 from fuchsiascale.jobs._ports import Busy, Changed, Changes, NoAnswer
 
-__all__ = ["RelayedStore", "answer_relay"]
+__all__ = ["RelayedStore", "answer_relay", "describe_commit", "read_commit"]
 
 FAILURES = 2
 """Direct calls that fail on end before peers are asked instead. One may be due to the
@@ -18,6 +19,15 @@
 """Time for a peer's answer; longer than a call of its own to the store."""
 PROBE_PERIOD_S = 0.4
 """Least time between two reads that try the store again where no peer reaches it."""
+PROBE_AFTER_S = 0.5
+"""Time without an answer to a commit after which a read tells more: reads don't wait
+for the commits of a partition."""
+SLOW_READ_S = 0.1
+"""Time of a read from which the store counts as slow; it mostly takes 5 ms."""
+SLOW_COMMIT_S = 2.0
+"""Time to wait on for a commit while the store is slow."""
+LOST_COMMIT_S = 0.2
+"""The same while it is quick: then the answer is lost."""
 MAX_PEERS = 2
 """Peers asked for one call."""
 
@@ -74,7 +84,7 @@
         """
         first = None
         if self.reachable:
-            first = self._note(await self.direct.commit(expected, changes))
+            first = self._note(await self._commit_directly(expected, changes))
             if not _failed(first) or self.reachable:
                 return first
         relayed = await self._relay(RelayCommit(expected, changes))
@@ -87,6 +97,32 @@
             return Failure(NoAnswer("also through peers"))
         return Failure(Busy("also for peers"))
 
+    async def _commit_directly(self, expected, changes):
+        """Commit, and find out soon whether the store is silent, slow or neither.
+
+        Sent again, a commit that only waits its turn would make the others wait too.
+        """
+        commit = asyncio.ensure_future(self.direct.commit(expected, changes))
+        try:
+            if not await _ends_in(commit, PROBE_AFTER_S):
+                patience_s = await self._probe(expected[0].place)
+                if not await _ends_in(commit, patience_s):
+                    return Failure(NoAnswer("no answer to a commit"))
+            return await commit
+        finally:
+            commit.cancel()
+
+    async def _probe(self, place):
+        """Return how much longer to wait for a commit, by how a read is answered."""
+        began_s = self.clock.monotonic()
+        found = await self.direct.read(
+            place.table, place.partition, place.key, place.key + "\0"
+        )
+        if _failed(found):
+            return 0.0
+        slow = self.clock.monotonic() - began_s > SLOW_READ_S
+        return SLOW_COMMIT_S if slow else LOST_COMMIT_S
+
     async def read(self, table, partition, first="", last=""):
         """Read rows; see `StorePort.read`."""
         if self.reachable:
@@ -142,6 +178,12 @@
         return _Relay(None, unsure)
 
 
+async def _ends_in(task, patience_s):
+    """Return whether a task ends within some time."""
+    await asyncio.wait({task}, timeout=patience_s)
+    return task.done()
+
+
 def _failed(reply):
     return isinstance(reply, Failure) and isinstance(reply.failure(), Busy | NoAnswer)
 
@@ -149,16 +191,36 @@
 async def answer_relay(store, message):
     """Return what the store says to a peer's call; the call is not passed on."""
     if isinstance(message, RelayCommit):
-        reply = await store.commit(message.expected, message.changes)
-        if isinstance(reply, Success):
-            return Relayed("done", reply.unwrap())
-    else:
-        reply = await store.read(
-            message.table, message.partition, message.first, message.last
-        )
-        if isinstance(reply, Success):
-            return Relayed("done", reply.unwrap().version, reply.unwrap().rows)
-    error = reply.failure()
+        return describe_commit(await store.commit(message.expected, message.changes))
+    reply = await store.read(
+        message.table, message.partition, message.first, message.last
+    )
+    if isinstance(reply, Success):
+        return Relayed("done", reply.unwrap().version, reply.unwrap().rows)
+    return _describe_error(reply.failure())
+
+
+def describe_commit(reply):
+    """Return the message that tells a peer what became of a commit."""
+    if isinstance(reply, Success):
+        return Relayed("done", reply.unwrap())
+    return _describe_error(reply.failure())
+
+
+def read_commit(relayed):
+    """Return what became of a commit by a peer's message; None where it had none."""
+    if not isinstance(relayed, Relayed):
+        return Failure(NoAnswer("the peer did not answer"))
+    if relayed.status == "done":
+        return Success(relayed.version)
+    if relayed.status == "changed":
+        return Failure(Changed(relayed.rows))
+    if relayed.status == "busy":
+        return Failure(Busy("for the peer"))
+    return Failure(NoAnswer("for the peer"))
+
+
+def _describe_error(error):
     if isinstance(error, Changed):
         return Relayed("changed", 0, error.rows)
     return Relayed("busy" if isinstance(error, Busy) else "no answer")
--- a/fuchsiascale/jobs/tests/test_entry.py
+++ b/fuchsiascale/jobs/tests/test_entry.py
@@ -7,6 +7,7 @@
 from fuchsiascale.jobs import (
     Entry,
     JobSpec,
+    JobState,
     Outcome,
     OwnerView,
     QueuePolicy,
@@ -82,3 +83,19 @@
         told = await entry.state("pool", JOBS[0])
         cancelled = await entry.cancel("pool", JOBS[0])
     assert (told.outcome, cancelled.outcome) == (Outcome.UNKNOWN, Outcome.UNKNOWN)
+
+
+class KnowingOffices(NoOffices):
+    """An instance whose owner knows every job."""
+
+    async def ask_state(self, service, job):
+        return JobState.QUEUED
+
+
+async def test_a_job_that_the_owner_knows_is_not_written_again_to_a_slow_store():
+    store = SilentStore()
+    entry = Entry(store, KnowingOffices(), ManualClock())
+    with mock.patch.object(entry._writes, "slow", lambda: True):
+        reply = await entry.submit(POLICY, JOBS[0], SPEC)
+    assert reply.outcome is Outcome.DONE
+    assert store.keys == []
--- a/fuchsiascale/jobs/tests/test_relay.py
+++ b/fuchsiascale/jobs/tests/test_relay.py
@@ -1,5 +1,8 @@
 """What a store reached through peers says of a commit."""
 
+import asyncio
+from unittest import mock
+
 from returns.result import Failure, Success
 
 from fuchsiascale.clock import ManualClock
@@ -7,12 +10,14 @@
     Busy,
     Change,
     Changed,
+    Changes,
     Expect,
     NoAnswer,
     Relayed,
     RelayedStore,
     RowKey,
 )
+from fuchsiascale.jobs import _relay as relay
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -125,3 +130,48 @@
     reply = await store.read("op", "")
     assert kind_of(reply) is Success
     assert store.reachable
+
+
+class LateStore(FakeStore):
+    """A store that answers commits late and reads after a set time, or not at all."""
+
+    def __init__(self, clock, read_s, readable=True):
+        super().__init__(DONE)
+        self.clock = clock
+        self.read_s = read_s
+        self.readable = readable
+        self.release = asyncio.Event()
+
+    async def commit(self, expected, changes):
+        self.commits += 1
+        await self.release.wait()
+        return self.answer
+
+    async def read(self, table, partition, first="", last=""):
+        self.clock.advance(self.read_s)
+        if not self.readable:
+            return LOST
+        asyncio.get_running_loop().call_later(0.05, self.release.set)
+        return Success(Changes((), 7))
+
+
+LATE_CASES = (
+    # name, time of a read, whether it is answered, what a commit answered later gives
+    ("slow", 0.4, True, Success),
+    ("the answer is lost", 0.004, True, NoAnswer),
+    ("silent", 0.7, False, NoAnswer),
+)
+
+
+async def test_a_commit_is_waited_for_only_while_the_store_is_slow():
+    for name, read_s, readable, told in LATE_CASES:
+        clock = ManualClock()
+        store = LateStore(clock, read_s, readable)
+        relayed = RelayedStore(store, FakePeers(), list, clock)
+        with (
+            mock.patch.object(relay, "PROBE_AFTER_S", 0.01),
+            mock.patch.object(relay, "LOST_COMMIT_S", 0.01),
+        ):
+            reply = await relayed.commit(*ARGUMENTS)
+        kind = Success if isinstance(reply, Success) else type(reply.failure())
+        assert (name, kind, store.commits) == (name, told, 1)
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -21,6 +21,7 @@
     RelayCommit,
     RelayedStore,
     RelayRead,
+    RelayWrite,
     TableWatch,
     WorkerListing,
     answer_relay,
@@ -175,6 +176,8 @@
     async def _answer_peer(self, message):
         if isinstance(message, RelayCommit | RelayRead):
             return await answer_relay(self.direct, message)
+        if isinstance(message, RelayWrite):
+            return await self.entry.commit_for_peer(message)
         if self.stop_requested.is_set() and not self.offices.owners:
             return Ok(False)
         return await self.offices.answer(message)
--- a/fuchsiascale/node/tests/_deployment.py
+++ b/fuchsiascale/node/tests/_deployment.py
@@ -15,6 +15,7 @@
     RelayCommit,
     RelayedStore,
     RelayRead,
+    RelayWrite,
     Resources,
     StepSpec,
     WorkerListing,
@@ -63,6 +64,8 @@
             return None
         if isinstance(message, RelayCommit | RelayRead):
             return await answer_relay(instance.direct, message)
+        if isinstance(message, RelayWrite):
+            return await instance.entry.commit_for_peer(message)
         return await instance.offices.answer(message)
 
 
--- a/fuchsiascale/node/tests/test_takeover.py
+++ b/fuchsiascale/node/tests/test_takeover.py
@@ -1,6 +1,7 @@
 """Jobs through the loss of owners, of answers and of the store."""
 
 import asyncio
+from unittest import mock
 
 from fuchsiascale.jobs import JobState, Outcome
 from fuchsiascale.node.tests._deployment import (
@@ -142,6 +143,21 @@
         assert deployment.count_starts_of(TASK) == 1
 
 
+async def test_submissions_go_through_the_owner_while_the_store_is_slow():
+    async with Deployment() as deployment:
+        await until(deployment.find_owner, "an owner")
+        owner = deployment.find_owner()
+        entry = deployment.others(owner)[0]
+        await until(lambda: entry.offices.view(SERVICE).row, "the owner known")
+        commit = mock.AsyncMock(side_effect=AssertionError("a commit of its own"))
+        with (
+            mock.patch.object(entry.entry._writes, "slow", lambda: True),
+            mock.patch.object(entry.entry._writes, "commit", commit),
+        ):
+            await submit(entry)
+        await until(lambda: TASK in deployment.running(), "a start")
+
+
 async def test_a_submission_without_an_answer_is_accepted_if_it_is_stored():
     async with Deployment() as deployment:
         await until(deployment.find_owner, "an owner")
--- a/fuchsiascale/platform/_rowstore.py
+++ b/fuchsiascale/platform/_rowstore.py
@@ -25,7 +25,10 @@
 LEAST_TIMEOUT_S = 0.7
 """Time for an answer while the store is quick: answers take 4 to 25 ms."""
 MOST_TIMEOUT_S = 1.5
-"""Time for an answer while it is slow: up to 1 s of commits may wait in a partition."""
+"""Time for an answer while it is slow."""
+COMMIT_TIMEOUT_S = 2.5
+"""Time for the answer to a commit: up to 1 s of them may wait in a partition, each
+of which takes 0.3 s while the store is slow. Callers give up earlier if it is not."""
 CONNECT_TIMEOUT_S = 0.4
 FOLLOW_SLACK_S = 0.7
 PAGE_ROWS = 500
@@ -109,7 +112,9 @@
                 _Row(*_fields(each.place)) for each in changes if each.value is None
             ],
         )
-        answered = await self._call("POST", "/rows-tx", msgspec.json.encode(body))
+        answered = await self._call(
+            "POST", "/rows-tx", msgspec.json.encode(body), timeout_s=COMMIT_TIMEOUT_S
+        )
         if isinstance(answered, Failure):
             return answered
         status, answer = answered.unwrap()
