Name the moves of serving tasks regrouping; use the one check of fit and of labels

'Stray' was taken for attempts that no job knows, and the room for a task in place of another stood twice.

--- a/fuchsiascale/jobs/_choice.py
+++ b/fuchsiascale/jobs/_choice.py
@@ -14,6 +14,7 @@
     "leftover_millis",
     "list_servings",
     "offer_fill",
+    "suits",
     "wanted_fillers",
 ]
 
@@ -160,9 +161,12 @@
 
 def _may_run(step, worker):
     """Return whether a worker has room and label for one more task of a step."""
+    return worker.fits(step.spec) and suits(step, worker)
+
+
+def suits(step, worker):
+    """Return whether a worker may run one more task of a step, if it had room."""
     spec = step.spec
-    if not worker.fits(spec):
-        return False
     if spec.required_label and spec.required_label not in worker.listed.labels:
         return False
     limit = spec.max_per_worker
--- a/fuchsiascale/jobs/_swaps.py
+++ b/fuchsiascale/jobs/_regrouping.py
@@ -1,11 +1,11 @@
 """Moves of serving tasks that open workers to fillers which wait."""
 
-from fuchsiascale.jobs._choice import LIGHT_SLOPE, leftover_millis
+from fuchsiascale.jobs._choice import LIGHT_SLOPE, leftover_millis, suits
 from fuchsiascale.jobs._runs import FULL_SPEED_PERCENT, AttemptPhase
 
-__all__ = ["swap_strays"]
+__all__ = ["regroup_servings"]
 
-SWAP_PERIOD_S = 0.5
+REGROUP_PERIOD_S = 0.5
 """Period in which moves are looked for."""
 LEAST_STAY_S = 5.0
 """Time at work before a serving task may be moved: each start costs it 0.5 to 1 s."""
@@ -13,7 +13,7 @@
 """Processor time for fillers that a move has to open, in thousandths of a core."""
 
 
-def swap_strays(shard, workers, now_s):
+def regroup_servings(shard, workers, now_s):
     """Move a serving task whose image keeps waiting fillers off its worker.
 
     It goes where its image is at home, or changes places with a task of an image
@@ -28,9 +28,9 @@
     now_s : float
         Monotonic time in seconds.
     """
-    if now_s < shard.next_swap_s:
+    if now_s < shard.next_regroup_s:
         return
-    shard.next_swap_s = now_s + SWAP_PERIOD_S
+    shard.next_regroup_s = now_s + REGROUP_PERIOD_S
     demand = _sum_demand(shard)
     if sum(demand.values()) < LEAST_GAIN_MILLIS:
         return
@@ -41,15 +41,15 @@
         for image, attempts in images.items():
             if len(images) < 2 or len(attempts) != 1:
                 continue
-            stray = attempts[0]
+            lone = attempts[0]
             rest = images.keys() - {image}
             before = _open_millis(shard, worker, images.keys(), demand)
             gain = _open_millis(shard, worker, rest, demand) - before
-            if gain <= best_gain or not _is_movable(stray, now_s):
+            if gain <= best_gain or not _is_movable(lone, now_s):
                 continue
-            partner = _find_place(stray, rest, workers, homes, now_s)
+            partner = _find_place(lone, rest, workers, homes, now_s)
             if partner is not None:
-                best_gain, best = gain, (stray, *partner)
+                best_gain, best = gain, (lone, *partner)
     if best is not None:
         _move(shard, *best, best_gain, now_s)
 
@@ -110,62 +110,41 @@
     )
 
 
-def _find_place(stray, rest, workers, homes, now_s):
-    """Return a worker for a stray, and the attempt to swap it with, if any."""
-    image = stray.task.step.spec.image
+def _find_place(lone, rest, workers, homes, now_s):
+    """Return a worker for a lone task, and the attempt to swap it with, if any."""
+    image = lone.task.step.spec.image
     for worker in workers:
         images = homes[worker.worker]
-        if worker is stray.worker or image not in images:
+        if worker is lone.worker or image not in images:
             continue
-        if not _may_join(stray, worker):
+        if not suits(lone.task.step, worker):
             continue
-        if worker.fits(stray.task.step.spec):
+        if worker.fits(lone.task.step.spec):
             return worker, None
         for other in (each for home in rest for each in images.get(home, ())):
             if (
                 _is_movable(other, now_s)
-                and _may_join(other, stray.worker)
-                and _fits_instead(stray, other)
-                and _fits_instead(other, stray)
+                and suits(other.task.step, lone.worker)
+                and worker.fits(lone.task.step.spec, other)
+                and lone.worker.fits(other.task.step.spec, lone)
             ):
                 return worker, other
     return None
 
 
-def _may_join(attempt, worker):
-    step = attempt.task.step
-    label, limit = step.spec.required_label, step.spec.max_per_worker
-    if label and label not in worker.listed.labels:
-        return False
-    return not limit or step.per_worker.get(worker.worker, 0) < limit
-
-
-def _fits_instead(attempt, other):
-    """Return whether an attempt fits on another's worker in its place."""
-    need, freed = attempt.task.step.spec.need, other.task.step.spec.need
-    worker = other.worker
-    capacity = worker.listed.capacity
-    return (
-        worker.cpu_used - freed.cpu_millis + need.cpu_millis <= capacity.cpu_millis
-        and worker.memory_used - freed.memory_mb + need.memory_mb <= capacity.memory_mb
-        and worker.accelerators_used - freed.accelerators + need.accelerators
-        <= capacity.accelerators
-    )
-
-
-def _move(shard, stray, worker, other, gain, now_s):
+def _move(shard, lone, worker, other, gain, now_s):
     shard.log.info(
         "moving a serving task",
         extra={
-            "task": stray.task.name,
-            "worker": stray.worker.worker,
+            "task": lone.task.name,
+            "worker": lone.worker.worker,
             "to": worker.worker,
             "instead_of": other.task.name if other else "",
             "opens_millis": round(gain),
         },
     )
-    stray.task.wanted = worker.worker
-    shard.stop_attempt(stray, now_s)
+    lone.task.wanted = worker.worker
+    shard.stop_attempt(lone, now_s)
     if other is not None:
-        other.task.wanted = stray.worker.worker
+        other.task.wanted = lone.worker.worker
         shard.stop_attempt(other, now_s)
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -3,8 +3,8 @@
 from fuchsiascale.jobs._choice import Candidates, FillOffers
 from fuchsiascale.jobs._order import order_jobs
 from fuchsiascale.jobs._pacing import move_fillers, pace_worker
+from fuchsiascale.jobs._regrouping import regroup_servings
 from fuchsiascale.jobs._runs import AttemptPhase
-from fuchsiascale.jobs._swaps import swap_strays
 
 __all__ = ["plan_round"]
 
@@ -35,7 +35,7 @@
         if worker.usable(now_s) and not worker.strays
     ]
     move_fillers(shard, workers, now_s)
-    swap_strays(shard, workers, now_s)
+    regroup_servings(shard, workers, now_s)
     covered = shard.covered()
     offers = FillOffers(shard, workers)
     full = set()
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from fuchsiascale.jobs._model import JobState, name_task
+from fuchsiascale.jobs._model import JobState, Resources, name_task
 from fuchsiascale.jobs._records import ProgressRow
 
 __all__ = [
@@ -17,6 +17,7 @@
 ATTEMPTS_PER_TENURE = 1_000
 """Attempt numbers set aside for each owner, so that no two owners use one twice."""
 FULL_SPEED_PERCENT = 100
+NO_RESOURCES = Resources()
 
 
 class AttemptPhase(Enum):
@@ -368,12 +369,25 @@
         else:
             step.per_worker.pop(self.worker, None)
 
-    def fits(self, spec):
-        """Return whether a task of a step fits beside what is there."""
+    def fits(self, spec, instead_of=None):
+        """Return whether a task of a step fits beside what is there.
+
+        Parameters
+        ----------
+        spec : StepSpec
+            The step.
+        instead_of : Attempt, optional
+            An attempt on this worker that would make room.
+        """
         need, capacity = spec.need, self.listed.capacity
-        cpu = 0 if spec.fills else need.cpu_millis
+        freed = instead_of.task.step.spec if instead_of else None
+        freed_need = freed.need if freed else NO_RESOURCES
+        freed_cpu = 0 if freed is None or freed.fills else freed.need.cpu_millis
+        cpu = (0 if spec.fills else need.cpu_millis) - freed_cpu
+        memory_mb = need.memory_mb - freed_need.memory_mb
+        accelerators = need.accelerators - freed_need.accelerators
         return (
             self.cpu_used + cpu <= capacity.cpu_millis
-            and self.memory_used + need.memory_mb <= capacity.memory_mb
-            and self.accelerators_used + need.accelerators <= capacity.accelerators
+            and self.memory_used + memory_mb <= capacity.memory_mb
+            and self.accelerators_used + accelerators <= capacity.accelerators
         )
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -87,7 +87,7 @@
         self.harm = PairHarm()
         self.run_times = RunTimes()
         self.next_move_s = 0.0
-        self.next_swap_s = 0.0
+        self.next_regroup_s = 0.0
 
     # Jobs ------------------------------------------------------------------
 
--- a/fuchsiascale/jobs/tests/test_swaps.py
+++ b/fuchsiascale/jobs/tests/test_regrouping.py
@@ -77,7 +77,7 @@
     shard.observe(order.worker, inventory, now_s, now_s)
 
 
-def test_two_strays_change_places(shard):
+def test_two_lone_tasks_change_places(shard):
     serve(shard, QUIET, "quiet", ["w0", "w0", "w1"])
     serve(shard, TOUCHY, "touchy", ["w1", "w1", "w0"])
     first, second = wait_for_room(shard, 10.0)
@@ -112,7 +112,7 @@
     assert wait_for_room(shard, 10.0) == []
 
 
-def test_no_worker_is_given_a_stray_beyond_what_its_step_allows(shard):
+def test_no_worker_is_given_a_task_beyond_what_its_step_allows(shard):
     serve(shard, QUIET, "quiet", ["w0", "w0", "w1"])
     serve(shard, TOUCHY, "touchy", ["w1", "w1", "w0"], max_per_worker=2)
     assert wait_for_room(shard, 10.0) == []
