Accept what waits at a listener before closing it at a planned stop

Closing a listening socket resets what waits there (an answer after 0.2 ms), and a connection that the event loop has just accepted when the server closes is dropped in its set-up and hangs until the clean-up 1 s later (answers after 1.03 and 1.07 s). Ruled out: the answers on open connections (each is the last of its connection); the drain of requests (all had been answered). Change: at a stop a packet filter keeps new connections from being established, what is established is accepted for 0.1 s, then the listeners close. Callers whose packet is dropped try again and are refused.

--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -80,6 +80,7 @@
         self.registry = make_registry()
         self.failed = False
         self.listeners = []
+        self.sockets = []
         self._keepers = []
 
     def connect(self):
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -18,11 +18,14 @@
 from fuchsiascale.daemon._lifecycle import Phase, StartError, on_start, on_stop
 from fuchsiascale.daemon._metrics import make_metrics_routes
 from fuchsiascale.daemon._routes import CALLER_ROUTES, OPERATOR_ROUTES, PEER_ROUTES
+from fuchsiascale.daemon._sockets import drop_new_connections, open_listener
 
 __all__ = ["build_status", "drop_server_headers"]
 
 MAX_PEER_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
+ACCEPT_S = 0.1
+"""Time to accept connections that are established when a stop begins."""
 LINGER_S = 1.0
 
 
@@ -55,8 +58,9 @@
         application.listeners.append(runner)
         try:
             context = build_server_context(listen.tls)
-            site = web.TCPSite(runner, listen.host, listen.port, ssl_context=context)
-            await site.start()
+            listener = open_listener(listen.host, listen.port)
+            application.sockets.append(listener)
+            await web.SockSite(runner, listener, ssl_context=context).start()
         except OSError as error:
             detail = f"the {name} listener at {listen.address} can't be opened: {error}"
             raise StartError(detail) from error
@@ -73,6 +77,9 @@
     leaves the caller without an answer.
     """
     await application.stop_keepers()
+    for listener in application.sockets:
+        drop_new_connections(listener)
+    await asyncio.sleep(ACCEPT_S)
     sites = [site for runner in application.listeners for site in runner.sites]
     for site in sites:
         await site.stop()
