Start a filler that harms everywhere once its job has had nothing running for 2 s

Ruled out: jobs that the owner doesn't know (each printed its offers every 3 s). Change: such a job gets one task on the worker that it harms least; its speed is set by what the serving tasks bear. Test: one, which failed before.

--- a/fuchsiascale/jobs/_choice.py
+++ b/fuchsiascale/jobs/_choice.py
@@ -12,6 +12,7 @@
     "FillOffer",
     "FillOffers",
     "leftover_millis",
+    "find_least_harmed",
     "list_servings",
     "offer_fill",
     "suits",
@@ -159,6 +160,20 @@
         return attempt
 
 
+def find_least_harmed(step, workers, offers):
+    """Return the worker whose serving tasks a filler harms least; None without room."""
+    image = step.spec.image
+    fitting = [worker for worker in workers if _may_run(step, worker)]
+    return min(
+        fitting,
+        key=lambda worker: (
+            offers.find(image, worker).slope,
+            -offers.find(image, worker).millis,
+        ),
+        default=None,
+    )
+
+
 def _may_run(step, worker):
     """Return whether a worker has room and label for one more task of a step."""
     return worker.fits(step.spec) and suits(step, worker)
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -1,6 +1,6 @@
 """One round over a shard: what to start, to slow down, to move and to stop."""
 
-from fuchsiascale.jobs._choice import Candidates, FillOffers
+from fuchsiascale.jobs._choice import Candidates, FillOffers, find_least_harmed
 from fuchsiascale.jobs._order import order_jobs
 from fuchsiascale.jobs._pacing import move_fillers, pace_worker
 from fuchsiascale.jobs._regrouping import regroup_servings
@@ -11,6 +11,9 @@
 STILL_S = 2.5
 """Time without progress after which an attempt is started elsewhere. The slowest
 tasks, of 5 s on a worker 6.5 times slower, make a percent in 0.4 s."""
+STARVED_S = 2.0
+"""Time without a running task after which a job of fillers gets one whatever it harms:
+its speed is set by what the serving tasks bear. The platform allows 3 s."""
 STILL_PACE_PERCENT = 50
 """Speed from which an attempt has to make progress."""
 
@@ -54,19 +57,31 @@
     waiting = [task for task in step.tasks if task.waiting]
     spec = step.spec
     kind = (spec.need, spec.fills, spec.image, spec.required_label)
-    if not waiting or kind in full:
+    if not waiting:
         return
-    candidates = Candidates(shard, step, workers, offers)
+    started = []
+    if kind not in full:
+        started = _start_tasks(Candidates(shard, step, workers, offers), waiting, now_s)
+        if len(started) < len(waiting) and not spec.max_per_worker:
+            full.add(kind)
+    if spec.fills and not started and step.job.find_idle_s(now_s) > STARVED_S:
+        worker = find_least_harmed(step, workers, offers)
+        if worker is not None:
+            started = [shard.start_task(waiting[0], worker, now_s)]
+            offers.forget(worker)
+    if started:
+        _log_started(shard, step, started, len(waiting))
+
+
+def _start_tasks(candidates, waiting, now_s):
+    """Start tasks while there is room for them; returns their attempts."""
     started = []
     for task in waiting:
         attempt = candidates.start(task, now_s)
         if attempt is None:
-            if not spec.max_per_worker:
-                full.add(kind)
             break
         started.append(attempt)
-    if started:
-        _log_started(shard, step, started, len(waiting))
+    return started
 
 
 def _place_gang(shard, step, workers, offers, now_s):
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -163,6 +163,7 @@
         self.accepted_s = now_s - max(0, wall_ms - record.accepted_ms) / 1000
         self.state = JobState.QUEUED
         self.cancelled = False
+        self.idle_since_s = None
         self.occurrences = {}
         self.finished_occurrences = set()
 
@@ -242,6 +243,15 @@
             if task.attempt is not None
         ]
 
+    def find_idle_s(self, now_s):
+        """Return for how long no task has had an attempt, since it was asked first."""
+        if self.attempts():
+            self.idle_since_s = None
+            return 0.0
+        if self.idle_since_s is None:
+            self.idle_since_s = now_s
+        return now_s - self.idle_since_s
+
     def restore(self, progress):
         """Take over what an earlier owner has recorded."""
         for name, bits in progress.done.items():
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -263,6 +263,30 @@
     assert attempt.pace_wanted < 100
 
 
+def test_a_filler_that_harms_everywhere_does_not_wait_for_ever():
+    shard, serving, _ = start_beside_serving("heavy")
+    learn_pair(shard, "heavy", lost=1.4, share=0.1, headroom=1.7)
+    for attempt in list(serving.worker.attempts.values()):
+        if attempt.task.step.spec.fills:
+            serving.worker.release(attempt)
+    add(shard, step(count=5, fills=True, image="heavy"), job="9" * 16, priority=2)
+    begun = []
+    for now_s in (2.0, 3.0, 3.9, 4.1, 4.2):
+        plan_round(shard, now_s)
+        begun += [
+            (now_s, attempt.task.index)
+            for attempt in starts(shard)
+            if attempt.task.step.job.job == "9" * 16
+        ]
+    assert begun == [(4.1, 0)]
+    (attempt,) = (
+        each for each in serving.worker.attempts.values() if each.task.step.spec.fills
+    )
+    shard.note_started(attempt, 4.3)
+    plan_round(shard, 4.6)
+    assert attempt.pace_wanted < 50
+
+
 def test_a_serving_image_joins_those_that_the_same_fillers_harm():
     shard = make_shard(workers=2, cpu_millis=8_000)
     for number, image in enumerate(("alike", "other")):
