--- a/fuchsiascale/jobs/_choice.py
+++ b/fuchsiascale/jobs/_choice.py
@@ -161,17 +161,18 @@
 
 
 def find_least_harmed(step, workers, offers):
-    """Return the worker whose serving tasks a filler harms least; None without room."""
+    """Return the worker that offers a filler most; None where none has room.
+
+    Where none offers anything, fillers are spread, so that each can work a little.
+    """
     image = step.spec.image
+
+    def rank(worker):
+        offer = offers.find(image, worker)
+        return -offer.millis, len(wanted_fillers(worker)), offer.slope
+
     fitting = [worker for worker in workers if _may_run(step, worker)]
-    return min(
-        fitting,
-        key=lambda worker: (
-            offers.find(image, worker).slope,
-            -offers.find(image, worker).millis,
-        ),
-        default=None,
-    )
+    return min(fitting, key=rank, default=None)
 
 
 def _may_run(step, worker):
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -11,9 +11,10 @@
 STILL_S = 2.5
 """Time without progress after which an attempt is started elsewhere. The slowest
 tasks, of 5 s on a worker 6.5 times slower, make a percent in 0.4 s."""
-STARVED_S = 2.0
+STARVED_S = 0.8
 """Time without a running task after which a job of fillers gets one whatever it harms:
-its speed is set by what the serving tasks bear. The platform allows 3 s."""
+its speed is set by what the serving tasks bear. The platform allows 3 s, in which the
+end of the last task is seen and the next one starts."""
 STILL_PACE_PERCENT = 50
 """Speed from which an attempt has to make progress."""
 
