--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -324,6 +324,7 @@
         self.alone_since_s = None
         self.failed_jobs = set()
         self.holds = 0
+        self.held_until_s = 0.0
         self.cpu_used = 0
         self.memory_used = 0
         self.accelerators_used = 0
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -194,11 +194,17 @@
         worker.silent = True
 
     def hold_back(self, worker, now_s):
-        """Start nothing on a worker for a while, each time for longer."""
+        """Start nothing on a worker for a while, each time for longer.
+
+        What fails or stands still there meanwhile is due to the same trouble.
+        """
+        if now_s < worker.held_until_s:
+            return
         pause_s = min(MAX_HOLD_S, HOLD_S * 2**worker.holds)
         worker.holds += 1
         worker.failed_jobs.clear()
-        worker.blocked_until_s = max(worker.blocked_until_s, now_s + pause_s)
+        worker.held_until_s = now_s + pause_s
+        worker.blocked_until_s = max(worker.blocked_until_s, worker.held_until_s)
         self.log.warning(
             "worker held back", extra={"worker": worker.worker, "for_s": pause_s}
         )
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -234,6 +234,19 @@
         shard.harm.note("web", JOB, headroom, {}, 1.2)
 
 
+def test_attempts_that_stand_still_together_hold_their_worker_back_once():
+    shard = make_shard(workers=1)
+    add(shard, step(count=4))
+    plan_round(shard, 1.0)
+    for attempt in starts(shard):
+        shard.note_started(attempt, 1.0)
+    plan_round(shard, 3.6)
+    worker = shard.workers["w0"]
+    assert len(shard.take_orders()) == 4
+    assert worker.holds == 1
+    assert worker.blocked_until_s < 6.0
+
+
 def test_a_filler_is_paced_down_beside_what_it_harms():
     shard = make_shard(workers=1, cpu_millis=16_000)
     worker = shard.workers["w0"]
