Tell bytes, durations and age of what is read from the store

The logs named a poll that failed, but neither how long it took nor how much of the answer had come, so a transfer that is cut off midway could not be told from a store that says nothing. Failed polls now carry both and the age of the rows that stand meanwhile; metrics count calls, bytes received (whole or not) and durations, and show version and age of the configuration. No logic is changed.

--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -29,6 +29,7 @@
     "RowKey",
     "RunningAttempt",
     "StartOrder",
+    "StoreCall",
     "StoredRow",
     "StoreError",
     "StorePort",
@@ -101,6 +102,19 @@
 StoreError = Busy | NoAnswer
 
 
+class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
+    """One call to the store, for metrics.
+
+    ``outcome`` is ``done``, ``busy`` or ``no answer``; ``received_bytes`` counts what
+    came of the answer, whole or not.
+    """
+
+    name: str
+    outcome: str
+    seconds: float
+    received_bytes: int
+
+
 class StorePort(Protocol):
     """The platform's transactional store of rows."""
 
--- a/fuchsiascale/jobs/_watches.py
+++ b/fuchsiascale/jobs/_watches.py
@@ -45,8 +45,14 @@
         self._pause_s = pause_s
         self._version = None
         self._read_next = True
+        self._current_s = None
         self.log = logbook.Logger("watch")
 
+    def age_s(self):
+        """Return for how long the rows may have been out of date; None: never read."""
+        known = self._current_s is not None
+        return self.clock.monotonic() - self._current_s if known else None
+
     async def run(self):
         """Follow the table until cancelled."""
         while True:
@@ -61,9 +67,12 @@
             await asyncio.sleep(max(0.0, self._pause_s - passed_s))
 
     async def _read_all(self):
+        began_s = self.clock.monotonic()
         found = await self.store.read(self.table, "")
         if isinstance(found, Failure):
+            self._note_failure("table not read", began_s, found.failure())
             return False
+        self._current_s = began_s
         changes = found.unwrap()
         rows = {row.place.key: row for row in changes.rows}
         self._read_next = self._version is not None and rows != self.rows
@@ -74,19 +83,30 @@
         return True
 
     async def _follow(self):
+        began_s = self.clock.monotonic()
         reply = await self.store.follow(self.table, self._version, FOLLOW_WAIT_MS)
         if isinstance(reply, Success):
+            self._current_s = began_s
             changes = reply.unwrap()
             self._version = max(self._version, changes.version)
             places = [row.place for row in changes.rows]
             self._read_next = len(set(places)) < len(places)
             self._take(changes.rows)
             return True
+        self._note_failure("table read again", began_s, reply.failure())
+        return await self._read_all()
+
+    def _note_failure(self, message, began_s, error):
+        """Log a poll that failed, with the age of what is known instead."""
         self.log.info(
-            "table read again",
-            extra={"table": self.table, "why": repr(reply.failure())[:80]},
+            message,
+            extra={
+                "table": self.table,
+                "why": repr(error)[:120],
+                "took_s": round(self.clock.monotonic() - began_s, 3),
+                "age_s": self.age_s(),
+            },
         )
-        return await self._read_all()
 
     def _take(self, rows):
         rows = [row for row in rows if not row.place.partition]
@@ -137,5 +157,10 @@
         self.index = QueueIndex(found)
         self.log.info(
             "configuration in force",
-            extra={"version": found.version, "queues": len(found.queues)},
+            extra={
+                "version": found.version,
+                "queues": len(found.queues),
+                "bytes": len(row.value),
+                "row_version": row.version,
+            },
         )
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -113,7 +113,11 @@
             strength=rate_strength(settings.cores, settings.link_mbit_s),
         )
         self.peers = PeerLink(self._open_session())
-        direct = userplatform.HttpRowStore(self._open_session(), settings.store_address)
+        direct = userplatform.HttpRowStore(
+            self._open_session(),
+            settings.store_address,
+            lambda call: self.metrics.note_store_call(call),
+        )
         self.direct = direct
         self.clock = BootClock()
         self.store = RelayedStore(
@@ -140,7 +144,9 @@
             OPERATOR_PAUSE_S,
         )
         self.entry = Entry(self.store, self.offices, self.clock)
-        self.metrics = NodeMetrics(self.offices, self.log_buffer)
+        self.metrics = NodeMetrics(
+            self.offices, self.log_buffer, self._describe_configuration
+        )
         self.front = userplatform.CallerFront(
             self.entry, self.configuration_watch, self.stop_requested.is_set
         )
@@ -155,6 +161,11 @@
         self._sessions.append(session)
         return session
 
+    def _describe_configuration(self):
+        configuration = self.configuration_watch.configuration
+        version = configuration.version if configuration else None
+        return version, self.operator_watch.age_s()
+
     def _note_operator(self, rows):
         self.configuration_watch.take_rows(rows)
         configuration = self.configuration_watch.configuration
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -7,11 +7,12 @@
 __all__ = ["NodeMetrics"]
 
 PREFIX = "fuchsiascale"
+STORE_PREFIX = f"{PREFIX}_store"
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
 class NodeMetrics:
-    """Counters of requests, and the figures of the services owned here.
+    """Counters of requests and store calls, and the figures of services owned here.
 
     Parameters
     ----------
@@ -19,10 +20,14 @@
         Where the owners are.
     log_buffer : LineBuffer
         Where log lines wait.
+    configuration : callable
+        Returns the version of the configuration in force and its age in seconds,
+        each None before the first.
     """
 
-    def __init__(self, offices, log_buffer):
+    def __init__(self, offices, log_buffer, configuration):
         self._offices = offices
+        self._configuration = configuration
         self._log_buffer = log_buffer
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
@@ -39,15 +44,53 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._store_calls = Counter(
+            f"{STORE_PREFIX}_calls_total",
+            "Calls to the store, by call and outcome.",
+            ("call", "outcome"),
+            registry=self.registry,
+        )
+        self._store_bytes = Counter(
+            f"{STORE_PREFIX}_received_bytes_total",
+            "Bytes of the store's answers, whole or cut off.",
+            ("call", "outcome"),
+            registry=self.registry,
+        )
+        self._store_latency = Histogram(
+            f"{STORE_PREFIX}_call_duration_seconds",
+            "Time of a call to the store, waits of the feed included.",
+            ("call",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.registry.register(self)
 
+    def note_store_call(self, call):
+        """Count one call to the store."""
+        self._store_calls.labels(call.name, call.outcome).inc()
+        self._store_bytes.labels(call.name, call.outcome).inc(call.received_bytes)
+        self._store_latency.labels(call.name).observe(call.seconds)
+
     def note_request(self, method, status, seconds):
         """Count one request."""
         self._requests.labels(method, str(status)).inc()
         self._latency.labels(method).observe(seconds)
 
     def collect(self):
-        """Yield the figures of the services owned here."""
+        """Yield the figures of the configuration and of the services owned here."""
+        version, age_s = self._configuration()
+        in_force = GaugeMetricFamily(
+            f"{PREFIX}_configuration_version", "Version of the configuration in force."
+        )
+        age = GaugeMetricFamily(
+            f"{PREFIX}_configuration_age_seconds",
+            "Time since the configuration was last known to be the newest.",
+        )
+        if version is not None:
+            in_force.add_metric([], version)
+        if age_s is not None:
+            age.add_metric([], age_s)
+        yield from (in_force, age)
         left_out = CounterMetricFamily(
             f"{PREFIX}_log_lines_left_out", "Log lines that were not written."
         )
--- a/fuchsiascale/platform/_rowstore.py
+++ b/fuchsiascale/platform/_rowstore.py
@@ -2,6 +2,8 @@
 
 import base64
 import binascii
+import time
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -16,6 +18,7 @@
     Lost,
     NoAnswer,
     RowKey,
+    StoreCall,
     StoredRow,
     StoreError,
 )
@@ -75,11 +78,19 @@
         Where calls are made.
     address : str
         ``host:port`` of the store.
+    note_call : callable, optional
+        Called with a `StoreCall` after each call.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str):
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        note_call: Callable[[StoreCall], None] | None = None,
+    ):
         self._session = session
         self._base = f"http://{address}/fuchsiascale"
+        self._note_call = note_call or (lambda call: None)
         self._timeout_s = LEAST_TIMEOUT_S
 
     async def commit(
@@ -163,6 +174,20 @@
         return Success(Changes(_decode_rows(answer.rows), answer.version_id))
 
     async def _call(self, method, path, body=None, params=None, timeout_s=None):
+        began_s, content = time.monotonic(), bytearray()
+        reply = await self._exchange(method, path, body, params, timeout_s, content)
+        self._note_call(
+            StoreCall(
+                name=path.removeprefix("/rows-"),
+                outcome=_name_outcome(reply),
+                seconds=time.monotonic() - began_s,
+                received_bytes=len(content),
+            )
+        )
+        return reply
+
+    async def _exchange(self, method, path, body, params, timeout_s, content):
+        """Make a call; ``content`` takes what is received of the answer."""
         timeout = aiohttp.ClientTimeout(
             total=timeout_s or self._timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -176,25 +201,35 @@
                 timeout=timeout,
                 headers=headers,
             ) as response:
-                content = await response.read()
+                async for chunk in response.content.iter_any():
+                    content += chunk
         except aiohttp.ClientConnectorError as error:
             return Failure(Busy(f"not connected: {error}"))
         except (aiohttp.ClientError, TimeoutError) as error:
             self._timeout_s = min(MOST_TIMEOUT_S, 2 * self._timeout_s)
-            return Failure(NoAnswer(repr(error)))
+            return Failure(NoAnswer(f"{error!r} after {len(content)} bytes"))
         self._timeout_s = max(LEAST_TIMEOUT_S, 0.95 * self._timeout_s)
-        if response.status in (429, 503):
-            return Failure(Busy(f"status {response.status}"))
-        if response.status not in (200, 410, 412):
-            detail = content[:200].decode(errors="replace")
-            return Failure(Busy(f"status {response.status}: {detail}"))
-        try:
-            answer = (
-                msgspec.json.decode(content, type=_Answer) if content else _Answer()
-            )
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Failure(NoAnswer(f"unreadable answer: {error}"))
-        return Success((response.status, answer))
+        return _read_answer(response.status, bytes(content))
+
+
+def _read_answer(status, content):
+    """Return the status and the decoded body of a whole answer."""
+    if status in (429, 503):
+        return Failure(Busy(f"status {status}"))
+    if status not in (200, 410, 412):
+        detail = content[:200].decode(errors="replace")
+        return Failure(Busy(f"status {status}: {detail}"))
+    try:
+        answer = msgspec.json.decode(content, type=_Answer) if content else _Answer()
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(NoAnswer(f"unreadable answer: {error}"))
+    return Success((status, answer))
+
+
+def _name_outcome(reply):
+    if isinstance(reply, Success):
+        return "done"
+    return "busy" if isinstance(reply.failure(), Busy) else "no answer"
 
 
 def _fields(place):
--- a/fuchsiascale/platform/tests/test_rowstore.py
+++ b/fuchsiascale/platform/tests/test_rowstore.py
@@ -36,11 +36,12 @@
 
     async def __aenter__(self):
         self.standin = RowStoreStandin()
-        self.server = TestServer(self.standin.make_application())
+        self.server = TestServer(self.standin.make_application(), shutdown_timeout=0.1)
         await self.server.start_server()
         self.session = aiohttp.ClientSession()
         address = f"{self.server.host}:{self.server.port}"
-        self.store = HttpRowStore(self.session, address)
+        self.calls = []
+        self.store = HttpRowStore(self.session, address, self.calls.append)
         return self
 
     async def __aexit__(self, *exc_info):
@@ -142,3 +143,15 @@
         served.standin.rows["op", "", "config"]["value"] = "%%%"
         found = (await served.store.read("op", "")).unwrap()
         assert found.rows[0].value == b""
+
+
+async def test_a_call_without_a_whole_answer_is_told_with_the_bytes_received():
+    async with Served() as served:
+        served.standin.put("op", "", "config", b"x" * 3000)
+        served.standin.faults.pieces = 2
+        served.standin.faults.pieces_sent = 1
+        reply = await served.store.read("op", "")
+    assert kind_of(reply) is NoAnswer
+    (call,) = served.calls
+    assert (call.name, call.outcome) == ("get", "no answer")
+    assert 0 < call.received_bytes < 4000
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -28,6 +28,10 @@
         Writes that are not answered, and carried out by `apply_delayed`.
     silent : bool
         Whether no call is answered or carried out.
+    pieces : int
+        Pieces in which an answer is sent, one each `piece_pause_s`; 0: at once.
+    pieces_sent : int
+        Pieces after which the rest of an answer is held back; 0: none is.
     """
 
     def __init__(self):
@@ -35,6 +39,9 @@
         self.lose_answers = 0
         self.delay_writes = 0
         self.silent = False
+        self.pieces = 0
+        self.piece_pause_s = 0.1
+        self.pieces_sent = 0
 
 
 class RowStoreStandin:
@@ -98,10 +105,26 @@
             if faults.lose_answers and request.method == "POST":
                 faults.lose_answers -= 1
                 request.transport.abort()
+            if faults.pieces:
+                return await self._send_slowly(request, answer)
             return answer
 
         return handle
 
+    async def _send_slowly(self, request, answer):
+        """Send an answer in pieces, as over a narrow link."""
+        faults, body = self.faults, answer.body
+        size = -(-len(body) // faults.pieces)
+        response = web.StreamResponse(status=answer.status)
+        response.content_length = len(body)
+        await response.prepare(request)
+        for number in range(faults.pieces):
+            if faults.pieces_sent and number >= faults.pieces_sent:
+                await asyncio.sleep(3600)
+            await response.write(body[number * size : (number + 1) * size])
+            await asyncio.sleep(faults.piece_pause_s)
+        return response
+
     async def _commit(self, request):
         body = await request.json()
         if self.faults.delay_writes:
