--- a/fuchsiascale/platform/tests/test_rowstore.py
+++ b/fuchsiascale/platform/tests/test_rowstore.py
@@ -155,3 +155,18 @@
     (call,) = served.calls
     assert (call.name, call.outcome) == ("get", "no answer")
     assert 0 < call.received_bytes < 4000
+
+
+async def test_an_answer_that_arrives_slowly_is_not_cut_off():
+    for call in ("read", "follow"):
+        async with Served() as served:
+            served.standin.put("op", "", "config", b"x" * 3000)
+            # The whole takes 1.2 s, longer than the store may be silent.
+            served.standin.faults.pieces = 12
+            if call == "read":
+                reply = await served.store.read("op", "")
+            else:
+                reply = await served.store.follow("op", 0, 0)
+        assert (call, kind_of(reply)) == (call, Success)
+        (row,) = reply.unwrap().rows
+        assert row.value == b"x" * 3000
