Give a store call up on silence, not on the length of its answer

Callers saw 404 for routes that had been added (CONFIG). Ruled out: faults of the store (none was in force), processor (weak instances near the store were in time). Reads and polls now end when no byte has come for that long, and after 6 s in any case; commits keep their limit, since their answers are small.

--- a/fuchsiascale/platform/_rowstore.py
+++ b/fuchsiascale/platform/_rowstore.py
@@ -25,15 +25,20 @@
 
 __all__ = ["HttpRowStore"]
 
-LEAST_TIMEOUT_S = 0.7
-"""Time for an answer while the store is quick: answers take 4 to 25 ms."""
-MOST_TIMEOUT_S = 1.5
-"""Time for an answer while it is slow."""
+LEAST_SILENCE_S = 0.7
+"""Time without a byte of an answer, while the store is quick, after which a call is
+given up: answers take 4 to 25 ms."""
+MOST_SILENCE_S = 1.5
+"""The same while it is slow."""
+TRANSFER_TIMEOUT_S = 6.0
+"""Time for a whole answer: 1 MB, the most that one holds, over a link of 5 Mbit/s that
+is shared with three others."""
 COMMIT_TIMEOUT_S = 2.5
 """Time for the answer to a commit: up to 1 s of them may wait in a partition, each
 of which takes 0.3 s while the store is slow. Callers give up earlier if it is not."""
 CONNECT_TIMEOUT_S = 0.4
 FOLLOW_SLACK_S = 0.7
+"""Time without a byte of a feed's answer, beyond the wait that was asked for."""
 PAGE_ROWS = 500
 
 
@@ -91,7 +96,7 @@
         self._session = session
         self._base = f"http://{address}/fuchsiascale"
         self._note_call = note_call or (lambda call: None)
-        self._timeout_s = LEAST_TIMEOUT_S
+        self._silence_s = LEAST_SILENCE_S
 
     async def commit(
         self, expected: tuple[Expect, ...], changes: tuple[Change, ...]
@@ -124,7 +129,11 @@
             ],
         )
         answered = await self._call(
-            "POST", "/rows-tx", msgspec.json.encode(body), timeout_s=COMMIT_TIMEOUT_S
+            "POST",
+            "/rows-tx",
+            msgspec.json.encode(body),
+            silence_s=COMMIT_TIMEOUT_S,
+            total_s=COMMIT_TIMEOUT_S,
         )
         if isinstance(answered, Failure):
             return answered
@@ -164,7 +173,7 @@
             "GET",
             "/rows-feed",
             params=params,
-            timeout_s=wait_ms / 1000 + FOLLOW_SLACK_S,
+            silence_s=wait_ms / 1000 + FOLLOW_SLACK_S,
         )
         if isinstance(answered, Failure):
             return answered
@@ -173,9 +182,22 @@
             return Failure(Lost())
         return Success(Changes(_decode_rows(answer.rows), answer.version_id))
 
-    async def _call(self, method, path, body=None, params=None, timeout_s=None):
+    async def _call(
+        self,
+        method,
+        path,
+        body=None,
+        params=None,
+        silence_s=None,
+        total_s=TRANSFER_TIMEOUT_S,
+    ):
         began_s, content = time.monotonic(), bytearray()
-        reply = await self._exchange(method, path, body, params, timeout_s, content)
+        timeout = aiohttp.ClientTimeout(
+            total=total_s,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=silence_s or self._silence_s,
+        )
+        reply = await self._exchange(method, path, body, params, timeout, content)
         self._note_call(
             StoreCall(
                 name=path.removeprefix("/rows-"),
@@ -186,11 +208,8 @@
         )
         return reply
 
-    async def _exchange(self, method, path, body, params, timeout_s, content):
+    async def _exchange(self, method, path, body, params, timeout, content):
         """Make a call; ``content`` takes what is received of the answer."""
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s or self._timeout_s, sock_connect=CONNECT_TIMEOUT_S
-        )
         headers = {"Content-Type": "application/json"} if body else None
         try:
             async with self._session.request(
@@ -206,9 +225,9 @@
         except aiohttp.ClientConnectorError as error:
             return Failure(Busy(f"not connected: {error}"))
         except (aiohttp.ClientError, TimeoutError) as error:
-            self._timeout_s = min(MOST_TIMEOUT_S, 2 * self._timeout_s)
+            self._silence_s = min(MOST_SILENCE_S, 2 * self._silence_s)
             return Failure(NoAnswer(f"{error!r} after {len(content)} bytes"))
-        self._timeout_s = max(LEAST_TIMEOUT_S, 0.95 * self._timeout_s)
+        self._silence_s = max(LEAST_SILENCE_S, 0.95 * self._silence_s)
         return _read_answer(response.status, bytes(content))
 
 
