Let owners follow the configuration, and tell the others what changed

Cause: every instance followed the store, which sends a version whole. 16 copies of 429 to 740 KB share one link between regions, with all orders to workers; each change in a series fills it for seconds.

Owners of services follow the store. Pongs tell version, position and age; the others fetch the change from the owner in compressed form. Processes ask their seeds at the start. A read of nothing a second keeps telling whether the store answers.

--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -1,6 +1,8 @@
 """Jobs as graphs of tasks, from hand-in to the record of their end."""
 
 from fuchsiascale.jobs._configuration import *  # noqa: F403
+from fuchsiascale.jobs._configurationfeed import *  # noqa: F403
+from fuchsiascale.jobs._configurationwatch import *  # noqa: F403
 from fuchsiascale.jobs._entry import *  # noqa: F403
 from fuchsiascale.jobs._model import *  # noqa: F403
 from fuchsiascale.jobs._offices import *  # noqa: F403
--- a/fuchsiascale/jobs/_offices.py
+++ b/fuchsiascale/jobs/_offices.py
@@ -106,7 +106,9 @@
         self._heard_s = {}
         self._members = {}
         self._strengths = {}
+        self._regions = {}
         self._told = {}
+        self._near = ()
         self._claiming = set()
         self._tasks = set()
         self._watches = {}
@@ -139,6 +141,10 @@
         }
         return sorted((own | told) - {self.identity.address})
 
+    def near_members(self):
+        """Return the peers alive in this region, as an owner last told them."""
+        return [address for address in self.members() if address in self._near]
+
     def watch(self, services):
         """Watch the owners of these services."""
         for service in services:
@@ -211,6 +217,7 @@
             for address in reply.members:
                 self._told[address] = now_s
             self._told[view.row.address] = now_s
+            self._near = reply.near
             if reply.owned.get(service, 0) >= view.token:
                 self._heard_s[service] = now_s
                 return
@@ -416,6 +423,9 @@
         now_s = self.clock.monotonic()
         self._members[ping.address] = now_s
         self._strengths[ping.address] = ping.strength
+        self._regions[ping.address] = ping.region
+        self._regions[self.identity.address] = self.identity.region
+        members = tuple(self.members())
         return Pong(
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
@@ -423,7 +433,12 @@
             heard_ago_s={
                 name: now_s - heard_s for name, heard_s in self._heard_s.items()
             },
-            members=tuple(self.members()),
+            members=members,
+            near=tuple(
+                address
+                for address in (self.identity.address, *members)
+                if self._regions.get(address) == ping.region
+            ),
         )
 
     async def _take_handover(self, message):
--- a/fuchsiascale/jobs/_peermessages.py
+++ b/fuchsiascale/jobs/_peermessages.py
@@ -8,6 +8,9 @@
 
 __all__ = [
     "CancelNotice",
+    "ConfigurationMark",
+    "ConfigurationQuery",
+    "ConfigurationReply",
     "Handover",
     "JobNotice",
     "Ok",
@@ -29,20 +32,42 @@
 class Ping(msgspec.Struct, frozen=True, tag="ping", kw_only=True):
     """Sign of life of an instance, to an owner or another instance.
 
-    ``strength``, 0 to 1, says how well the instance could carry a service.
+    ``strength``, 0 to 1, says how well the instance could carry a service. Instances of
+    one region share the link to the others.
     """
 
     instance: str
     incarnation: str
     address: str
     strength: float = 1.0
+    region: str = ""
+
+
+class ConfigurationMark(msgspec.Struct, frozen=True, kw_only=True):
+    """Which configuration an instance has, and how sure it is that it is the newest.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    position : int
+        Version of the store up to which changes of the table have been seen.
+    age_s : float
+        Time since it was known to be the newest.
+    """
+
+    version: int
+    position: int
+    age_s: float
 
 
 class Pong(msgspec.Struct, frozen=True, tag="pong", kw_only=True):
     """Answer to a ping.
 
     ``owned`` holds the tokens of the services owned, ``heard_ago_s`` how long ago
-    the owner of each other service answered this instance.
+    the owner of each other service answered this instance. ``near`` are the members
+    in the region of the instance that sent the ping. ``configuration`` is None before
+    the first.
     """
 
     instance: str
@@ -50,6 +75,24 @@
     owned: dict[str, int] = {}
     heard_ago_s: dict[str, float] = {}
     members: tuple[str, ...] = ()
+    near: tuple[str, ...] = ()
+    configuration: ConfigurationMark | None = None
+
+
+class ConfigurationQuery(msgspec.Struct, frozen=True, tag="configuration"):
+    """Asks for the configuration; ``known`` is the version at hand, 0 for none."""
+
+    known: int
+
+
+class ConfigurationReply(msgspec.Struct, frozen=True, tag="configuration_reply"):
+    """The peer's configuration; None before its first.
+
+    ``packed`` is the change that leads to it, as `pack_change` makes it.
+    """
+
+    mark: ConfigurationMark | None = None
+    packed: bytes = b""
 
 
 class JobNotice(msgspec.Struct, frozen=True, tag="job"):
@@ -147,6 +190,7 @@
 
 PeerMessage = (
     Ping
+    | ConfigurationQuery
     | JobNotice
     | CancelNotice
     | StateQuery
@@ -156,4 +200,4 @@
     | RelayRead
     | RelayWrite
 )
-PeerReply = Pong | StateReply | WaitingReply | Relayed | Ok
+PeerReply = Pong | ConfigurationReply | StateReply | WaitingReply | Relayed | Ok
--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -30,6 +30,10 @@
 """The same while it is quick: then the answer is lost."""
 MAX_PEERS = 2
 """Peers asked for one call."""
+CHECK_PERIOD_S = 1.0
+"""Time without a direct call after which the store is called to see that it answers."""
+NO_KEY = "~"
+"""No row has this key."""
 
 
 class _Relay(msgspec.Struct, frozen=True):
@@ -50,8 +54,8 @@
 class RelayedStore:
     """The store, reached directly or through peers.
 
-    Once direct calls fail, `follow` goes on trying them, and a read now and then: a
-    process that starts while the store is away follows nothing yet.
+    Once direct calls fail, `follow` and `run_checks` go on trying them, and a read now
+    and then: a process that starts while the store is away follows nothing yet.
 
     Parameters
     ----------
@@ -74,6 +78,7 @@
         self.reachable = True
         self._failures = 0
         self._probe_s = 0.0
+        self._noted_s = 0.0
         self._away_since_s = None
 
     async def commit(self, expected, changes):
@@ -141,12 +146,22 @@
         """Wait for changes; see `StorePort.follow`. Not relayed: callers read."""
         return self._note(await self.direct.follow(table, after, wait_ms))
 
+    async def run_checks(self, table):
+        """Find out by reads of nothing whether the store answers, until cancelled."""
+        while True:
+            quiet_s = self.clock.monotonic() - self._noted_s
+            if quiet_s < CHECK_PERIOD_S:
+                await asyncio.sleep(CHECK_PERIOD_S - quiet_s)
+                continue
+            self._note(await self.direct.read(table, "", NO_KEY, NO_KEY + "\0"))
+
     def away(self):
         """Return whether neither this instance nor a peer has reached the store."""
         return self._away_since_s is not None
 
     def _note(self, reply):
         """Take in the reply to a direct call."""
+        self._noted_s = self.clock.monotonic()
         if not _failed(reply):
             self._failures = 0
             self._away_since_s = None
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -9,15 +9,19 @@
 
 import aiohttp
 import logbook
+import msgspec
 from aiohttp import web
 
 from fuchsiascale.clock import BootClock
 from fuchsiascale.jobs import (
+    ConfigurationFeed,
+    ConfigurationQuery,
     ConfigurationWatch,
     Entry,
     Offices,
     Ok,
     Ping,
+    Pong,
     RelayCommit,
     RelayedStore,
     RelayRead,
@@ -36,10 +40,11 @@
 """Time for the balancer to see that the instance is not ready: two looks, 1 s apart."""
 STOP_MARGIN_S = 0.8
 """Kept of the grace period for closing what is open."""
-OPERATOR_PAUSE_S = 0.8
-"""Least time between two polls of the operator's rows. In a series of changes each
-poll brings the whole configuration (90 KB with 270 queues) over the link between
-regions; with two polls in flight it is in force within the 2.5 s allowed."""
+OPERATOR_PAUSE_S = 0.2
+"""Least time between two polls of the operator's rows, each of which brings the whole
+configuration while it changes (430 KB with 1,650 queues)."""
+OPERATOR_WAIT_MS = 400
+"""How long the store holds such a poll open: the age of what an owner tells peers."""
 LISTEN_BACKLOG = 512
 LOG_PERIOD_S = 0.1
 """Period in which waiting log lines are written."""
@@ -91,7 +96,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         self._build()
         await self._listen()
-        self._keep(self.operator_watch.run())
+        self._keep(self.configuration_feed.run())
+        self._keep(self.store.run_checks(userplatform.OPERATOR_TABLE))
         self._keep(self._write_logs())
         self.log.info(
             "started",
@@ -111,15 +117,16 @@
             incarnation=uuid.uuid4().hex[:12],
             address=f"{host}:{port}",
             strength=rate_strength(settings.cores, settings.link_mbit_s),
+            region=settings.region,
         )
-        self.peers = PeerLink(self._open_session())
+        self.clock = BootClock()
+        self.peers = PeerLink(self._open_session(), self._note_reply, self.clock)
         direct = userplatform.HttpRowStore(
             self._open_session(),
             settings.store_address,
             lambda call: self.metrics.note_store_call(call),
         )
         self.direct = direct
-        self.clock = BootClock()
         self.store = RelayedStore(
             direct, self.peers, lambda: self.offices.members(), self.clock
         )
@@ -136,12 +143,21 @@
         self.configuration_watch = ConfigurationWatch(
             userplatform.CONFIGURATION_KEY, userplatform.decode_configuration
         )
-        self.operator_watch = TableWatch(
-            self.store,
-            userplatform.OPERATOR_TABLE,
-            self._note_operator,
+        self.configuration_feed = ConfigurationFeed(
+            TableWatch(
+                self.store,
+                userplatform.OPERATOR_TABLE,
+                self._note_operator,
+                self.clock,
+                OPERATOR_PAUSE_S,
+                OPERATOR_WAIT_MS,
+            ),
+            self.configuration_watch,
+            self.peers,
+            self.offices,
+            settings.seeds,
             self.clock,
-            OPERATOR_PAUSE_S,
+            self._watch_services,
         )
         self.entry = Entry(self.store, self.offices, self.clock)
         self.metrics = NodeMetrics(
@@ -162,16 +178,22 @@
         return session
 
     def _describe_configuration(self):
-        configuration = self.configuration_watch.configuration
-        version = configuration.version if configuration else None
-        return version, self.operator_watch.age_s()
+        version = self.configuration_watch.version or None
+        return version, self.configuration_feed.age_s()
 
     def _note_operator(self, rows):
         self.configuration_watch.take_rows(rows)
+        self._watch_services()
+
+    def _watch_services(self):
         configuration = self.configuration_watch.configuration
         if configuration is not None:
             self.offices.watch(configuration.services)
 
+    def _note_reply(self, reply, address, asked_s):
+        if isinstance(reply, Pong):
+            self.configuration_feed.note_mark(address, reply.configuration, asked_s)
+
     def _keep(self, coroutine):
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._note_end)
@@ -189,9 +211,15 @@
             return await answer_relay(self.direct, message)
         if isinstance(message, RelayWrite):
             return await self.entry.commit_for_peer(message)
+        if isinstance(message, ConfigurationQuery):
+            return self.configuration_feed.answer(message)
         if self.stop_requested.is_set() and not self.offices.owners:
             return Ok(False)
-        return await self.offices.answer(message)
+        reply = await self.offices.answer(message)
+        if isinstance(reply, Pong):
+            mark = self.configuration_feed.mark()
+            return msgspec.structs.replace(reply, configuration=mark)
+        return reply
 
     async def _listen(self):
         settings = self.settings
@@ -267,6 +295,7 @@
             await asyncio.sleep(0.05)
         for task in self._tasks:
             task.cancel()
+        self.configuration_feed.cancel()
         await self.offices.stop()
         for runner in self._runners:
             with contextlib.suppress(TimeoutError):
--- a/fuchsiascale/node/_peerlink.py
+++ b/fuchsiascale/node/_peerlink.py
@@ -5,12 +5,22 @@
 import msgspec
 from aiohttp import web
 
-from fuchsiascale.jobs import PeerMessage, PeerReply
+from fuchsiascale.clock import BootClock
+from fuchsiascale.jobs import (
+    ConfigurationQuery,
+    PeerMessage,
+    PeerReply,
+    RelayRead,
+)
 
 __all__ = ["PeerLink", "make_peer_application"]
 
 PATH = "/peer/v2"
 CONNECT_TIMEOUT_S = 0.4
+LONG_ANSWERS = (ConfigurationQuery, RelayRead)
+"""Messages whose answers may take long to transfer."""
+TRANSFER_TIMEOUT_S = 4.0
+"""Time for such an answer once it has begun: 1 MB over 5 Mbit/s takes 1.6 s."""
 
 
 class PeerLink:
@@ -20,10 +30,16 @@
     ----------
     session : aiohttp.ClientSession
         Where calls are made.
+    note_reply : callable, optional
+        Called with each reply, the peer's address and the time when it was asked.
+    clock : Clock, optional
+        Source of that time.
     """
 
-    def __init__(self, session):
+    def __init__(self, session, note_reply=None, clock=None):
         self._session = session
+        self._note_reply = note_reply or (lambda reply, address, asked_s: None)
+        self._clock = clock or BootClock()
         self._decoder = msgspec.json.Decoder(PeerReply)
         self.log = logbook.Logger("peers")
 
@@ -37,9 +53,15 @@
         message : PeerMessage
             What to ask or to tell.
         timeout_s : float
-            Time for the reply in seconds.
+            Time for the reply in seconds; for a long one, time without a byte of it.
         """
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        asked_s = self._clock.monotonic()
+        reply = await self._ask(address, message, _limit_time(message, timeout_s))
+        if reply is not None:
+            self._note_reply(reply, address, asked_s)
+        return reply
+
+    async def _ask(self, address, message, timeout):
         try:
             async with self._session.post(
                 f"http://{address}{PATH}",
@@ -62,6 +84,15 @@
         )
 
 
+def _limit_time(message, timeout_s):
+    transfer_s = TRANSFER_TIMEOUT_S if isinstance(message, LONG_ANSWERS) else 0.0
+    return aiohttp.ClientTimeout(
+        total=timeout_s + transfer_s,
+        sock_connect=CONNECT_TIMEOUT_S,
+        sock_read=timeout_s,
+    )
+
+
 def make_peer_application(answer):
     """Return the aiohttp application that answers peers.
 
--- a/fuchsiascale/platform/_localsettings.py
+++ b/fuchsiascale/platform/_localsettings.py
@@ -27,6 +27,8 @@
         Addresses to listen at. Peers use what the platform calls control.
     store_address : str
         The transactional store.
+    seeds : tuple of str
+        Peers to ask at the start; some may be gone.
     longest_lease_s : float
         Longest lease that workers grant.
     stop_grace_s : float
@@ -42,6 +44,7 @@
     ready_listen: tuple[str, int] | None
     peer_listen: tuple[str, int]
     store_address: str
+    seeds: tuple[str, ...] = ()
     longest_lease_s: float = 6.0
     stop_grace_s: float = 6.0
     cores: float = 1.0
@@ -101,6 +104,7 @@
         "ready_listen": reader.address("listen.ready", needed=False),
         "peer_listen": reader.address("listen.control"),
         "store_address": reader.text("platform.address"),
+        "seeds": tuple(filter(None, reader.get("seeds").split(","))),
         "longest_lease_s": reader.number("bounds.hold_max_ms", 6000) / 1000,
         "stop_grace_s": reader.number("bounds.grace_s", 6),
         "cores": reader.number("limits.cpu_share", 1)
--- a/fuchsiascale/testing.py
+++ b/fuchsiascale/testing.py
@@ -11,10 +11,11 @@
 import contextlib
 import functools
 import inspect
+import selectors
 import sys
 import unittest
 
-__all__ = ["collect_functions", "fixture"]
+__all__ = ["LoopClock", "collect_functions", "fixture", "run_in_virtual_time"]
 
 _FIXTURES = {}
 _MANAGERS = {}
@@ -28,6 +29,64 @@
     return function
 
 
+class _SkippingSelector(selectors.DefaultSelector):
+    """A selector that moves the time of its loop on instead of waiting."""
+
+    loop = None
+
+    def select(self, timeout=None):
+        """Return what is ready at once; a wait without an end is a deadlock."""
+        ready = super().select(0)
+        if not ready:
+            if timeout is None:
+                raise RuntimeError("nothing left that could wake the loop")
+            self.loop.skip(timeout)
+        return ready
+
+
+class _VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose waits take no time."""
+
+    def __init__(self):
+        self._now_s = 0.0
+        selector = _SkippingSelector()
+        super().__init__(selector)
+        selector.loop = self
+
+    def time(self):
+        return self._now_s
+
+    def skip(self, seconds):
+        self._now_s += seconds
+
+
+class LoopClock:
+    """The time of the running event loop."""
+
+    def monotonic(self):
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall_ms(self):
+        """Return the loop's time in milliseconds."""
+        return int(self.monotonic() * 1000)
+
+
+def run_in_virtual_time(coroutine):
+    """Run a coroutine on a loop whose timers are due as soon as nothing else is.
+
+    Examples
+    --------
+    >>> async def wait():
+    ...     await asyncio.sleep(3600)
+    ...     return LoopClock().monotonic()
+    >>> run_in_virtual_time(wait())
+    3600.0
+    """
+    with asyncio.Runner(loop_factory=_VirtualTimeLoop) as runner:
+        return runner.run(coroutine)
+
+
 def collect_functions(module_name):
     """Return a ``load_tests`` hook that collects a module's test functions.
 
