Give reads of the table service up on silence, not on their length

The same cause as in the store of the users' platform, found by looking for limits of whole answers: a page of 500 rows of the table service, and the instance list, had to arrive within one timeout however narrow the link. Reads now end when no byte has come for that long, and after 6 s more in any case; writes keep their limit.

--- a/fuchsiascale/platform/_calls.py
+++ b/fuchsiascale/platform/_calls.py
@@ -16,6 +16,7 @@
     "RawAnswer",
     "SendOnce",
     "SentTwice",
+    "TRANSFER_TIMEOUT_S",
     "call",
     "decode",
     "limit_time",
@@ -26,6 +27,9 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_CONNECT_S = 1.0
 CONNECT_SHARE = 0.8
+TRANSFER_TIMEOUT_S = 6.0
+"""Time for a long answer that goes on arriving: 1 MB, a page of 500 rows, over a link
+of 5 Mbit/s that is shared with three others."""
 
 T = TypeVar("T")
 
@@ -72,13 +76,15 @@
         return await handler(request)
 
 
-def limit_time(timeout_s: float) -> aiohttp.ClientTimeout:
+def limit_time(timeout_s: float, transfer_s: float = 0.0) -> aiohttp.ClientTimeout:
     """Return the time limits of a call.
 
     Parameters
     ----------
     timeout_s : float
-        Bound of the whole call, in seconds.
+        Time without a byte of the answer, in seconds.
+    transfer_s : float, optional
+        Time for the rest of an answer that goes on arriving, in seconds.
 
     Returns
     -------
@@ -87,7 +93,9 @@
         is told from one that has received the request.
     """
     connect_s = min(MAX_CONNECT_S, CONNECT_SHARE * timeout_s)
-    return aiohttp.ClientTimeout(total=timeout_s, connect=connect_s)
+    return aiohttp.ClientTimeout(
+        total=timeout_s + transfer_s, connect=connect_s, sock_read=timeout_s
+    )
 
 
 async def read_whole(answer: aiohttp.ClientResponse) -> bytes:
@@ -128,6 +136,7 @@
     message: Message | None = None,
     params: dict[str, str] | None = None,
     known_tag: str = "",
+    transfer_s: float = 0.0,
 ) -> Result[RawAnswer, Unavailable | Uncertain]:
     """Make one call and receive its whole answer.
 
@@ -138,13 +147,15 @@
     method, url : str
         Method and address of the call.
     timeout_s : float
-        Bound of the whole call, in seconds.
+        Time without a byte of the answer, in seconds.
     message : Message, optional
         Sent as the JSON body.
     params : dict of str to str, optional
         Query of the URL.
     known_tag : str, optional
         Entity tag of the answer that the caller has; status 304 where it stands.
+    transfer_s : float, optional
+        Time for the rest of an answer that goes on arriving, in seconds.
 
     Returns
     -------
@@ -162,7 +173,7 @@
             yarl.URL(url, encoded=True).update_query(params or {}),
             data=body,
             headers=headers,
-            timeout=limit_time(timeout_s),
+            timeout=limit_time(timeout_s, transfer_s),
             allow_redirects=False,
             middlewares=(SendOnce(),),
         ) as answer:
--- a/fuchsiascale/platform/_rowstore.py
+++ b/fuchsiascale/platform/_rowstore.py
@@ -22,6 +22,7 @@
     StoredRow,
     StoreError,
 )
+from fuchsiascale.platform._calls import TRANSFER_TIMEOUT_S
 
 __all__ = ["HttpRowStore"]
 
@@ -30,9 +31,6 @@
 given up: answers take 4 to 25 ms."""
 MOST_SILENCE_S = 1.5
 """The same while it is slow."""
-TRANSFER_TIMEOUT_S = 6.0
-"""Time for a whole answer: 1 MB, the most that one holds, over a link of 5 Mbit/s that
-is shared with three others."""
 COMMIT_TIMEOUT_S = 2.5
 """Time for the answer to a commit: up to 1 s of them may wait in a partition, each
 of which takes 0.3 s while the store is slow. Callers give up earlier if it is not."""
--- a/fuchsiascale/platform/_services.py
+++ b/fuchsiascale/platform/_services.py
@@ -3,7 +3,7 @@
 import aiohttp
 from returns.result import Result
 
-from fuchsiascale.platform._calls import RawAnswer, call
+from fuchsiascale.platform._calls import TRANSFER_TIMEOUT_S, RawAnswer, call
 from fuchsiascale.platform._errors import Unavailable, Uncertain
 from fuchsiascale.platform._messages import Message
 
@@ -20,7 +20,7 @@
     base_url : str
         Address of the service, such as ``http://127.0.0.1:7000``.
     timeout_s : float
-        Bound of each call, in seconds.
+        Bound of each call, in seconds; for a read, time without a byte of the answer.
     """
 
     def __init__(self, session: aiohttp.ClientSession, base_url: str, timeout_s: float):
@@ -45,4 +45,5 @@
             message=message,
             params=params,
             known_tag=known_tag,
+            transfer_s=TRANSFER_TIMEOUT_S if method == "GET" else 0.0,
         )
