Withdraw a submission in the place of the row that it expects

A caller was told 503 (not run) and the job ran. Cause: a write without an answer is blocked by a row that withdraws the job. A repeat expects that row by its version; withdrawing the repeat looked for an absent row, found the one of the first withdrawal, and took it for proof, while the repeat's late write could still replace it.

The withdrawal now replaces the very version that the write expects. The refusal on another's withdrawal had no log line; it has one.

--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -136,7 +136,7 @@
                 )
                 return NOT_RUN
             if isinstance(error, NoAnswer):
-                return await self._settle(service, job, row)
+                return await self._settle(service, job, row, version)
             found = self._find_job(service, job, error.rows, view)
             if found.known:
                 return self._accept(service, found.row, "stored before", job)
@@ -185,8 +185,12 @@
             self.offices.tell_job(service, row)
         return DONE
 
-    async def _settle(self, service, job, row):
-        """Find out what became of a write without an answer, or withdraw it."""
+    async def _settle(self, service, job, row, version):
+        """Find out what became of a write without an answer, or withdraw it.
+
+        The write expects ``version`` of the job's row. It is blocked for good once
+        that row has another one.
+        """
         # A read is not held up by the commits that wait, and is mostly enough.
         seen = await self.store.read(ACCEPTED, service, job, job + "\0")
         if isinstance(seen, Success) and seen.unwrap().rows:
@@ -196,21 +200,26 @@
                 return self._accept(service, found.row, "found stored", job)
         withdrawn = AcceptedRow(token=row.token, write=row.write)
         view = self.offices.view(service)
-        reply = await self._writes.commit(_write_job(view, withdrawn, job, 0))
+        reply = await self._writes.commit(_write_job(view, withdrawn, job, version))
         if isinstance(reply, Success):
-            self.log.info("refused", extra={"job": job, "why": "store: withdrawn"})
-            return NOT_RUN
+            return self._refuse_withdrawn(job, "this hand-in")
         error = reply.failure()
         if isinstance(error, Changed):
             view = self.offices.view(service)
             found = self._find_job(service, job, error.rows, view)
             if found.known:
                 return self._accept(service, found.row, "found stored", job)
-            if found.withdrawn_version:
-                return NOT_RUN
+            if found.withdrawn_version not in (0, version):
+                return self._refuse_withdrawn(job, "another hand-in")
         self.log.warning("outcome unknown", extra={"job": job, "why": repr(error)})
         return UNKNOWN
 
+    def _refuse_withdrawn(self, job, whose):
+        self.log.info(
+            "refused", extra={"job": job, "why": "store: withdrawn", "by": whose}
+        )
+        return NOT_RUN
+
     # State ---------------------------------------------------------------------
 
     async def state(self, service, job):
