Answer a cancel whose first write had no answer as unknown, not as not run

Now 504; a cancel that is not done writes a line. The test tries all 25 fates of two writes and failed before with answer lost, refused.

--- a/fuchsiascale/jobs/_entry.py
+++ b/fuchsiascale/jobs/_entry.py
@@ -275,13 +275,19 @@
         )
         change = Change(cancel_place(service, job), b"{}")
         reply = await self.store.commit(expected, (change,))
-        if isinstance(reply, Failure) and isinstance(reply.failure(), NoAnswer):
+        unsure = _is_unanswered(reply)
+        if unsure:
             reply = await self.store.commit(expected, (change,))
         if isinstance(reply, Success) or isinstance(reply.failure(), Changed):
             self.log.info("cancelled", extra={"job": job})
             self.offices.tell_cancel(service, job)
             return DONE
-        return UNKNOWN if isinstance(reply.failure(), NoAnswer) else NOT_RUN
+        unsure = unsure or _is_unanswered(reply)
+        self.log.info(
+            "cancel not done",
+            extra={"job": job, "why": repr(reply.failure()), "unsure": unsure},
+        )
+        return UNKNOWN if unsure else NOT_RUN
 
     async def waiting(self, policy):
         """Return how many jobs of a queue wait for their first start."""
@@ -291,6 +297,10 @@
         return Reply(Outcome.DONE, count=counts.get(policy.queue, 0))
 
 
+def _is_unanswered(reply):
+    return isinstance(reply, Failure) and isinstance(reply.failure(), NoAnswer)
+
+
 async def _answer_in_time(answer):
     """Return an answer that may take long, or that the outcome is unknown."""
     try:
--- a/fuchsiascale/jobs/tests/test_refusals.py
+++ b/fuchsiascale/jobs/tests/test_refusals.py
@@ -29,6 +29,7 @@
     ACCEPTED,
     AcceptedRow,
     OwnerRow,
+    cancel_place,
     decode_row,
     encode_row,
     job_place,
@@ -148,6 +149,9 @@
     def tell_job(self, service, row):
         pass
 
+    def tell_cancel(self, service, job):
+        pass
+
     async def ask_state(self, service, job):
         return None
 
@@ -178,6 +182,25 @@
     return outcomes, rows.stored()
 
 
+async def cancel(fates):
+    """Cancel a stored job; return the outcome and whether it is cancelled after all."""
+    rows = Rows([])
+    store = RelayedStore(rows, Peers(rows), list, ManualClock())
+    entry = Entry(store, FakeOffices(rows), ManualClock())
+    await entry.submit(POLICY, JOB, SPEC)
+    rows.fates = list(fates)
+    reply = await entry.cancel(SERVICE, JOB)
+    rows.apply_late()
+    return reply.outcome, cancel_place(SERVICE, JOB) in rows.rows
+
+
+def test_a_cancel_says_that_it_was_not_done_only_if_it_never_will_be():
+    for fates in itertools.product(Fate, repeat=2):
+        outcome, cancelled = run_in_virtual_time(cancel(fates))
+        assert not (outcome is Outcome.NOT_RUN and cancelled), fates
+        assert cancelled or outcome is not Outcome.DONE, fates
+
+
 FATES = st.lists(st.sampled_from([Fate.ANSWERED] * 3 + list(Fate)), max_size=10)
 """Most writes are answered, so that a hand-in gets far enough to go wrong."""
 
