Take a store's unknown server error for no answer, not for a refusal

Only 4xx, 429, 503 and 507 say that nothing was done. The rows of the contract test for 500 and 502 failed before.

--- a/fuchsiascale/platform/_rowstore.py
+++ b/fuchsiascale/platform/_rowstore.py
@@ -38,6 +38,8 @@
 FOLLOW_SLACK_S = 0.7
 """Time without a byte of a feed's answer, beyond the wait that was asked for."""
 PAGE_ROWS = 500
+REFUSALS = (429, 503, 507)
+"""Statuses that say that nothing was done, beside those of a bad request."""
 
 
 class _Row(msgspec.Struct, omit_defaults=True):
@@ -231,11 +233,11 @@
 
 def _read_answer(status, content):
     """Return the status and the decoded body of a whole answer."""
-    if status in (429, 503):
-        return Failure(Busy(f"status {status}"))
     if status not in (200, 410, 412):
-        detail = content[:200].decode(errors="replace")
-        return Failure(Busy(f"status {status}: {detail}"))
+        text = content[:200].decode(errors="replace")
+        detail = f"status {status}: {text}" if text else f"status {status}"
+        refused = status in REFUSALS or 400 <= status < 500
+        return Failure(Busy(detail) if refused else NoAnswer(detail))
     try:
         answer = msgspec.json.decode(content, type=_Answer) if content else _Answer()
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/fuchsiascale/platform/tests/test_rowstore.py
+++ b/fuchsiascale/platform/tests/test_rowstore.py
@@ -26,6 +26,10 @@
     ("none", {}, Success, 1),
     ("answers 503", {"refuse": 503}, Busy, 0),
     ("answers 429", {"refuse": 429}, Busy, 0),
+    ("answers 403", {"refuse": 403}, Busy, 0),
+    ("answers 507", {"refuse": 507}, Busy, 0),
+    ("answers 500", {"refuse": 500}, NoAnswer, 0),
+    ("answers 502", {"refuse": 502}, NoAnswer, 0),
     ("answer lost", {"lose_answers": 1}, NoAnswer, 1),
     ("carried out later", {"delay_writes": 1}, NoAnswer, 0),
 )
