Notice an outage of the store by checks alone, as fast as the polls did

A check that fails is repeated after 0.4 s, and peers are asked once a second. In the test an outage was not known after 2 s before.

--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -32,6 +32,8 @@
 """Peers asked for one call."""
 CHECK_PERIOD_S = 1.0
 """Time without a direct call after which the store is called to see that it answers."""
+LEAST_PAUSE_S = 0.01
+"""Time below which a pause is left out; timers are no finer."""
 NO_KEY = "~"
 """No row has this key."""
 
@@ -79,6 +81,7 @@
         self._failures = 0
         self._probe_s = 0.0
         self._noted_s = 0.0
+        self._relayed_s = 0.0
         self._away_since_s = None
 
     async def commit(self, expected, changes):
@@ -147,13 +150,23 @@
         return self._note(await self.direct.follow(table, after, wait_ms))
 
     async def run_checks(self, table):
-        """Find out by reads of nothing whether the store answers, until cancelled."""
+        """Find out by reads of nothing whether the store answers, until cancelled.
+
+        Where it doesn't, peers are asked too, so that requests can be refused at once.
+        """
         while True:
-            quiet_s = self.clock.monotonic() - self._noted_s
-            if quiet_s < CHECK_PERIOD_S:
-                await asyncio.sleep(CHECK_PERIOD_S - quiet_s)
+            failing = self._failures > 0 or not self.reachable
+            period_s = PROBE_PERIOD_S if failing else CHECK_PERIOD_S
+            rest_s = period_s - (self.clock.monotonic() - self._noted_s)
+            if rest_s > LEAST_PAUSE_S:
+                await asyncio.sleep(rest_s)
                 continue
             self._note(await self.direct.read(table, "", NO_KEY, NO_KEY + "\0"))
+            if not self.reachable and self._peers_are_due():
+                await self._relay(RelayRead(table, "", NO_KEY, NO_KEY + "\0"))
+
+    def _peers_are_due(self):
+        return self.clock.monotonic() - self._relayed_s >= CHECK_PERIOD_S
 
     def away(self):
         """Return whether neither this instance nor a peer has reached the store."""
@@ -177,6 +190,7 @@
 
     async def _relay(self, message):
         """Ask peers in turn until one has an answer of the store."""
+        self._relayed_s = self.clock.monotonic()
         members = self.members()
         random.shuffle(members)
         unsure = False
--- a/fuchsiascale/jobs/tests/test_relay.py
+++ b/fuchsiascale/jobs/tests/test_relay.py
@@ -18,7 +18,7 @@
     RowKey,
 )
 from fuchsiascale.jobs import _relay as relay
-from fuchsiascale.testing import collect_functions
+from fuchsiascale.testing import LoopClock, collect_functions, run_in_virtual_time
 
 load_tests = collect_functions(__name__)
 
@@ -175,3 +175,40 @@
             reply = await relayed.commit(*ARGUMENTS)
         kind = Success if isinstance(reply, Success) else type(reply.failure())
         assert (name, kind, store.commits) == (name, told, 1)
+
+
+OUTAGE_KNOWN_S = 2.0
+"""Time after which requests are refused at once; clients wait for 3 s."""
+
+
+def test_an_outage_is_known_before_a_request_meets_it():
+    async def play():
+        direct = FakeStore(Success(Changes((), 7)))
+        peers = FakePeers(*[PEER_BUSY] * 20)
+        store = RelayedStore(direct, peers, lambda: ["b", "c"], LoopClock())
+        checks = asyncio.create_task(store.run_checks("op"))
+        await asyncio.sleep(10.0)
+        assert store.reachable
+        direct.answer = BUSY
+        await asyncio.sleep(OUTAGE_KNOWN_S)
+        assert store.away()
+        direct.answer = Success(Changes((), 8))
+        await asyncio.sleep(1.0)
+        assert store.reachable
+        assert not store.away()
+        checks.cancel()
+
+    run_in_virtual_time(play())
+
+
+def test_a_store_that_only_peers_reach_does_not_count_as_away():
+    async def play():
+        peers = FakePeers(*[PEER_DONE] * 20)
+        store = RelayedStore(FakeStore(BUSY), peers, lambda: ["b", "c"], LoopClock())
+        checks = asyncio.create_task(store.run_checks("op"))
+        await asyncio.sleep(5.0)
+        assert not store.reachable
+        assert not store.away()
+        checks.cancel()
+
+    run_in_virtual_time(play())
