Read the operator's rows without peers: they tell changes, not whole versions

An owner that the store turns away fell back on a peer's read of the whole configuration (740 KB with 2,800 queues) before it asked peers for what changed.

--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -10,7 +10,13 @@
 from fuchsiascale.jobs._peermessages import RelayCommit, Relayed, RelayRead
 from fuchsiascale.jobs._ports import Busy, Changed, Changes, NoAnswer
 
-__all__ = ["RelayedStore", "answer_relay", "describe_commit", "read_commit"]
+__all__ = [
+    "DirectReads",
+    "RelayedStore",
+    "answer_relay",
+    "describe_commit",
+    "read_commit",
+]
 
 FAILURES = 2
 """Direct calls that fail on end before peers are asked instead. One may be due to the
@@ -134,7 +140,7 @@
     async def read(self, table, partition, first="", last=""):
         """Read rows; see `StorePort.read`."""
         if self.reachable:
-            direct = self._note(await self.direct.read(table, partition, first, last))
+            direct = await self.read_directly(table, partition, first, last)
             if not _failed(direct) or self.reachable:
                 return direct
         relayed = await self._relay(RelayRead(table, partition, first, last))
@@ -143,6 +149,10 @@
         if self.clock.monotonic() < self._probe_s:
             return Failure(Busy("also for peers"))
         self._probe_s = self.clock.monotonic() + PROBE_PERIOD_S
+        return await self.read_directly(table, partition, first, last)
+
+    async def read_directly(self, table, partition, first="", last=""):
+        """Read rows, without peers."""
         return self._note(await self.direct.read(table, partition, first, last))
 
     async def follow(self, table, after, wait_ms):
@@ -161,7 +171,7 @@
             if rest_s > LEAST_PAUSE_S:
                 await asyncio.sleep(rest_s)
                 continue
-            self._note(await self.direct.read(table, "", NO_KEY, NO_KEY + "\0"))
+            await self.read_directly(table, "", NO_KEY, NO_KEY + "\0")
             if not self.reachable and self._peers_are_due():
                 await self._relay(RelayRead(table, "", NO_KEY, NO_KEY + "\0"))
 
@@ -207,6 +217,20 @@
         return _Relay(None, unsure)
 
 
+class DirectReads:
+    """The reads of a relayed store, without peers, for rows that peers tell otherwise.
+
+    Parameters
+    ----------
+    store : RelayedStore
+        The store, which learns from these calls whether it is reached.
+    """
+
+    def __init__(self, store):
+        self.read = store.read_directly
+        self.follow = store.follow
+
+
 async def _ends_in(task, patience_s):
     """Return whether a task ends within some time."""
     await asyncio.wait({task}, timeout=patience_s)
--- a/fuchsiascale/jobs/tests/test_relay.py
+++ b/fuchsiascale/jobs/tests/test_relay.py
@@ -11,6 +11,7 @@
     Change,
     Changed,
     Changes,
+    DirectReads,
     Expect,
     NoAnswer,
     Relayed,
@@ -177,6 +178,17 @@
         assert (name, kind, store.commits) == (name, told, 1)
 
 
+async def test_a_direct_read_asks_no_peers_and_tells_whether_the_store_is_reached():
+    store = RelayedStore(FakeStore(BUSY), FakePeers(), lambda: ["b"], ManualClock())
+    reads = DirectReads(store)
+    for _ in range(2):
+        assert kind_of(await reads.read("op", "")) is Busy
+    assert not store.reachable
+    store.direct.answer = Success(Changes((), 7))
+    assert kind_of(await reads.follow("op", 1, 0)) is Success
+    assert store.reachable
+
+
 OUTAGE_KNOWN_S = 2.0
 """Time after which requests are refused at once; clients wait for 3 s."""
 
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -17,6 +17,7 @@
     ConfigurationFeed,
     ConfigurationQuery,
     ConfigurationWatch,
+    DirectReads,
     Entry,
     Offices,
     Ok,
@@ -145,7 +146,7 @@
         )
         self.configuration_feed = ConfigurationFeed(
             TableWatch(
-                self.store,
+                DirectReads(self.store),
                 userplatform.OPERATOR_TABLE,
                 self._note_operator,
                 self.clock,
