Reserve a worker for a lasting task that has waited for a second

Cause: it asks for 3 to 5 cores, and each round gave the room that small urgent tasks left to the next ones, so no worker ever had that much at once. Ruled out: a change of owner (there was none), workers held back.

The worker that lacks least for such a task is now kept free of others, a tenth of the workers at most. The test of a stream of small tasks failed before (not started within the users' 6 s).

--- /dev/null
+++ b/fuchsiascale/jobs/_reservations.py
@@ -0,0 +1,93 @@
+"""Workers kept free for lasting tasks that wait."""
+
+from fuchsiascale.jobs._choice import Candidates, suits
+
+__all__ = ["reserve_workers"]
+
+PATIENCE_S = 1.0
+"""Time after which a waiting task gets a worker to itself. The platform allows 3 s, and
+tasks that last ask for a third of a worker, which small tasks rarely leave free."""
+MOST_RESERVED = 0.1
+"""Share of the workers that are reserved at most."""
+
+
+def reserve_workers(shard, workers, offers, now_s):
+    """Start lasting tasks that have waited for long, or reserve a worker for each.
+
+    Nothing else is started on a reserved worker, so that what ends there makes room.
+
+    Parameters
+    ----------
+    shard : Shard
+        Workers and jobs; orders are added to it.
+    workers : list of WorkerRun
+        Workers that take new attempts.
+    offers : FillOffers
+        What fillers would find there.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of WorkerRun
+        The workers that are not reserved.
+    """
+    covered = shard.covered()
+    free = list(workers)
+    left = int(MOST_RESERVED * len(workers)) or 1
+    for step in _list_lasting_steps(shard, covered):
+        for task in step.tasks:
+            if not task.waiting:
+                task.waiting_since_s = None
+                continue
+            if task.waiting_since_s is None:
+                task.waiting_since_s = now_s
+            if now_s - task.waiting_since_s <= PATIENCE_S or not left:
+                continue
+            if Candidates(shard, step, free, offers).start(task, now_s) is None:
+                left -= _reserve(step, free)
+    return free
+
+
+def _list_lasting_steps(shard, covered):
+    """Return the steps whose lasting tasks may be started, the oldest job's first."""
+    jobs = [
+        job
+        for job in shard.jobs.values()
+        if job.lasting and not job.state.final and (covered or not job.inherited)
+    ]
+    return [
+        step
+        for job in sorted(jobs, key=lambda job: job.accepted_s)
+        for step in job.ready_steps()
+        if step.spec.lasting and not step.spec.gang
+    ]
+
+
+def _reserve(step, free):
+    """Take the worker that lacks least for a step out of those that are free."""
+    fitting = [worker for worker in free if _could_fit(step, worker)]
+    if not fitting:
+        return False
+    free.remove(min(fitting, key=lambda worker: _shortage(step.spec.need, worker)))
+    return True
+
+
+def _could_fit(step, worker):
+    need, capacity = step.spec.need, worker.listed.capacity
+    return (
+        suits(step, worker)
+        and need.cpu_millis <= capacity.cpu_millis
+        and need.memory_mb <= capacity.memory_mb
+        and need.accelerators <= capacity.accelerators
+    )
+
+
+def _shortage(need, worker):
+    """Return what a worker lacks for a task, as a share of its capacity."""
+    capacity = worker.listed.capacity
+    cpu = worker.cpu_used + need.cpu_millis - capacity.cpu_millis
+    memory = worker.memory_used + need.memory_mb - capacity.memory_mb
+    return max(0, cpu) / max(1, capacity.cpu_millis) + max(0, memory) / max(
+        1, capacity.memory_mb
+    )
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -4,6 +4,7 @@
 from fuchsiascale.jobs._order import order_jobs
 from fuchsiascale.jobs._pacing import move_fillers, pace_worker
 from fuchsiascale.jobs._regrouping import regroup_servings
+from fuchsiascale.jobs._reservations import reserve_workers
 from fuchsiascale.jobs._runs import AttemptPhase
 
 __all__ = ["plan_round"]
@@ -42,6 +43,7 @@
     regroup_servings(shard, workers, now_s)
     covered = shard.covered()
     offers = FillOffers(shard, workers)
+    workers = reserve_workers(shard, workers, offers, now_s)
     full = set()
     for job in order_jobs(shard, now_s):
         if job.inherited and not covered:
--- a/fuchsiascale/jobs/_runs.py
+++ b/fuchsiascale/jobs/_runs.py
@@ -85,6 +85,7 @@
         "name",
         "next_number",
         "step",
+        "waiting_since_s",
         "wanted",
     )
 
@@ -99,6 +100,7 @@
         self.done = False
         self.attempt = None
         self.avoid = None
+        self.waiting_since_s = None
         self.wanted = None
 
     @property
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -381,3 +381,54 @@
         assert filler.pace_wanted == 100
     plan_round(shard, 3.5)
     assert filler.pace_wanted == 0
+
+
+LASTING_WAIT_S = 6.0
+"""The users' bound for a task that is to last to run again."""
+
+
+def end_attempt(shard, worker, attempt, number, now_s):
+    """Let a worker tell that an attempt has ended as done; the others go on."""
+    running = tuple(
+        RunningAttempt(task=each.task.name, attempt=each.number, percent=number)
+        for each in worker.attempts.values()
+        if each is not attempt
+    )
+    ended = EndedAttempt(number, attempt.task.name, attempt.number, EndKind.DONE)
+    inventory = Inventory(
+        clock_ms=1_000 + int(now_s * 1000),
+        incarnation=1,
+        running=running,
+        ended=(ended,),
+    )
+    shard.observe(worker, inventory, now_s - 0.01, now_s)
+
+
+def test_a_lasting_task_does_not_wait_for_ever_beside_a_stream_of_small_ones():
+    shard = make_shard(workers=2)
+    for number in range(8):
+        add(shard, step(estimate_ms=60_000), job=f"{number:016}")
+    plan_round(shard, 0.2)
+    add(shard, step(cpu=3_000, lasting=True), job="f" * 16)
+    began_s, now_s, number = 0.3, 0.3, 100
+    while now_s - began_s < LASTING_WAIT_S:
+        plan_round(shard, now_s)
+        if any(each.task.step.spec.lasting for each in starts(shard)):
+            return
+        worker = list(shard.workers.values())[number % 2]
+        small = next(iter(worker.attempts.values()), None)
+        if small is not None:
+            end_attempt(shard, worker, small, number, now_s)
+        number += 1
+        add(shard, step(estimate_ms=60_000), job=f"{number:016}")
+        now_s += 0.2
+    raise AssertionError("the lasting task was not started")
+
+
+def test_a_worker_is_reserved_only_for_a_task_that_could_fit_there():
+    shard = make_shard(workers=1)
+    add(shard, step(cpu=9_000, lasting=True), job="f" * 16)
+    plan_round(shard, 0.2)
+    add(shard, step(estimate_ms=60_000), job="0" * 16)
+    plan_round(shard, 5.0)
+    assert [attempt.task.step.job.job for attempt in starts(shard)] == ["0" * 16]
