--- a/fuchsiascale/jobs/_reservations.py
+++ b/fuchsiascale/jobs/_reservations.py
@@ -7,8 +7,9 @@
 PATIENCE_S = 1.0
 """Time after which a waiting task gets a worker to itself. The platform allows 3 s, and
 tasks that last ask for a third of a worker, which small tasks rarely leave free."""
-MOST_RESERVED = 0.1
-"""Share of the workers that are reserved at most."""
+MOST_RESERVED = 0.02
+"""Share of the workers that are reserved at most, but one of them always: what is kept
+free is missing to urgent work."""
 
 
 def reserve_workers(shard, workers, offers, now_s):
@@ -34,7 +35,7 @@
     """
     covered = shard.covered()
     free = list(workers)
-    left = int(MOST_RESERVED * len(workers)) or 1
+    left = max(1, int(MOST_RESERVED * len(workers)))
     for step in _list_lasting_steps(shard, covered):
         for task in step.tasks:
             if not task.waiting:
