Reserve workers only for lasting tasks that ran before, or whose job has nothing running

What the users notice is a watch that stopped: only a task that has run, after 4 s, or a job with nothing running, after 1 s, gets a worker to itself.

--- a/fuchsiascale/jobs/_reservations.py
+++ b/fuchsiascale/jobs/_reservations.py
@@ -4,9 +4,11 @@
 
 __all__ = ["reserve_workers"]
 
-PATIENCE_S = 1.0
-"""Time after which a waiting task gets a worker to itself. The platform allows 3 s, and
-tasks that last ask for a third of a worker, which small tasks rarely leave free."""
+RESTART_PATIENCE_S = 4.0
+"""Time after which a task that has run before gets a worker to itself. Most run again
+within 1.5 s; the platform allows 9 s after the end of the last run."""
+IDLE_PATIENCE_S = 1.0
+"""The same for the first task of a job of which nothing runs, which may take 3 s."""
 MOST_RESERVED = 0.02
 """Share of the workers that are reserved at most, but one of them always: what is kept
 free is missing to urgent work."""
@@ -33,23 +35,34 @@
     list of WorkerRun
         The workers that are not reserved.
     """
-    covered = shard.covered()
     free = list(workers)
     left = max(1, int(MOST_RESERVED * len(workers)))
-    for step in _list_lasting_steps(shard, covered):
-        for task in step.tasks:
-            if not task.waiting:
-                task.waiting_since_s = None
-                continue
-            if task.waiting_since_s is None:
-                task.waiting_since_s = now_s
-            if now_s - task.waiting_since_s <= PATIENCE_S or not left:
-                continue
+    for step in _list_lasting_steps(shard, shard.covered()):
+        for task in _list_overdue(step, now_s):
+            if not left:
+                return free
             if Candidates(shard, step, free, offers).start(task, now_s) is None:
                 left -= _reserve(step, free)
     return free
 
 
+def _list_overdue(step, now_s):
+    """Return the tasks of a step that have waited for too long."""
+    for task in step.tasks:
+        if not task.waiting:
+            task.waiting_since_s = None
+        elif task.waiting_since_s is None:
+            task.waiting_since_s = now_s
+    waiting = [task for task in step.tasks if task.waiting]
+    if waiting and step.job.find_idle_s(now_s) > IDLE_PATIENCE_S:
+        return waiting[:1]
+    return [
+        task
+        for task in waiting
+        if task.latest and now_s - task.waiting_since_s > RESTART_PATIENCE_S
+    ]
+
+
 def _list_lasting_steps(shard, covered):
     """Return the steps whose lasting tasks may be started, the oldest job's first."""
     jobs = [
