Bound every row of an owner, and report rows that the store rejects

Callers of the large site saw no urgent job completed: with 446 workers the row of leased workers passed the store's limit of 65,536 bytes, and it was part of the transaction that records ends, so no end was recorded and the rejection was retried without a log line.

Change: the leased workers are divided into rows of 16 KB (the first keeps its key, so rows of the build before are read), a change to one worker rewrites its row only, transactions are cut at 90 rows and 500 KB, estimates at the row's limit (platform.row_bytes). A call that the store rejects for its form is an error of its own (Rejected): logged with table, key, size and limit, counted, not taken for an outage of the store (two of them used to switch to relaying through peers), and no longer holds up other ends or other submissions of a group. A new owner counts restored workers as recorded, which they are, and writes them no second time. The test of a response with 403 now requires Rejected, a kind of Busy.

Ruled out: compressing the row, which only moves the limit.

--- a/fuchsiascale/jobs/_group_commit.py
+++ b/fuchsiascale/jobs/_group_commit.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Success
 
-from fuchsiascale.jobs._ports import Busy, Change, Conflict, Expect
+from fuchsiascale.jobs._ports import Busy, Change, Conflict, Expect, Rejected
 from fuchsiascale.jobs._records import owner_row_key
 
 __all__ = ["GroupCommitter", "PendingWrite"]
@@ -98,12 +98,12 @@
 
     async def _write_group(self, group):
         reply = await self._commit([write for write, _ in group])
-        changed = not isinstance(reply, Success) and isinstance(
-            reply.failure(), Conflict
+        is_individual = not isinstance(reply, Success) and isinstance(
+            reply.failure(), Conflict | Rejected
         )
-        if changed and len(group) > 1:
-            # A condition of some submission failed: commit each on its own, so that
-            # the failure is reported only for that one.
+        if is_individual and len(group) > 1:
+            # Some submission's condition failed, or its row was rejected: commit each
+            # on its own, so that the failure is reported only for that one.
             for write, future in group:
                 _resolve(future, await self._commit([write]))
             return
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import logbook
+import msgspec
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._job_order import compute_objective_s
@@ -20,7 +21,7 @@
     ProgressRow,
     decode_row,
     estimates_row_key,
-    leased_workers_row_key,
+    is_leased_workers_row,
     ledger_row_key,
 )
 from fuchsiascale.jobs._rounds import plan_round
@@ -28,7 +29,7 @@
 from fuchsiascale.jobs._table_watch import TableWatch
 from fuchsiascale.jobs._worker_links import WorkerLinks
 
-__all__ = ["Owner"]
+__all__ = ["Owner", "OwnerLimits"]
 
 LEASE_S = 6.0
 """Length of a worker's lease; the platform's longest lease where that is shorter."""
@@ -58,6 +59,21 @@
 """How long final states are kept; the platform requires 120 s."""
 
 
+class OwnerLimits(msgspec.Struct, frozen=True):
+    """Limits of the platform that owners keep to.
+
+    Parameters
+    ----------
+    longest_lease_s : float
+        Longest lease of a worker, in seconds.
+    max_row_bytes : int
+        Largest value that the store accepts for a row, in bytes.
+    """
+
+    longest_lease_s: float = 6.0
+    max_row_bytes: int = 65_536
+
+
 class Owner:
     """Owner of one service, as run by this instance.
 
@@ -75,8 +91,8 @@
         Client for calls to workers.
     listing : WorkerListing
         Table of the platform's worker list and its decoder.
-    lease_s : float
-        Longest lease that the platform allows, in seconds.
+    limits : OwnerLimits
+        Limits of the platform.
     clock : Clock
         Source of time.
     on_lost : callable
@@ -84,7 +100,7 @@
     """
 
     def __init__(
-        self, service, row, version, store, workers, listing, lease_s, clock, on_lost
+        self, service, row, version, store, workers, listing, limits, clock, on_lost
     ):
         self.service = service
         self.row = row
@@ -99,7 +115,7 @@
             clock,
             LISTING_POLL_INTERVAL_S,
         )
-        self.lease_s = min(LEASE_S, lease_s)
+        self.lease_s = min(LEASE_S, limits.longest_lease_s)
         self.on_lost = on_lost
         self.log = logbook.Logger("owner")
         self.shard = Shard(service, row.token, self.lease_s)
@@ -110,7 +126,13 @@
         self.feed_version = version
         self._confirmed_s = self.clock.monotonic()
         self.recorder = Recorder(
-            self.shard, version, store, clock, self.relinquish, self._confirm_ownership
+            self.shard,
+            version,
+            store,
+            limits.max_row_bytes,
+            clock,
+            self.relinquish,
+            self._confirm_ownership,
         )
         self.links = WorkerLinks(
             self.shard,
@@ -221,7 +243,7 @@
         for row in pools.rows:
             if row.place == ledger_row_key(self.service):
                 self.recorder.ledger_version = row.version
-            if row.place == leased_workers_row_key(self.service):
+            if is_leased_workers_row(row.place):
                 self._restore_leased_workers(row, now_s)
             if row.place == estimates_row_key(self.service):
                 self._restore_estimates(row)
@@ -238,10 +260,12 @@
     def _restore_leased_workers(self, row, now_s):
         leased_workers = decode_row(row.value, LeasedWorkersRow)
         if leased_workers is None:
+            self.log.error("malformed row", extra={"row": row.place.key})
             return
         stopped_s = self._predecessor_stopped_s or now_s + STORE_SILENCE_LIMIT_S
-        for entry in leased_workers.workers:
+        for entry in self.recorder.leased_workers.restore(row.place, leased_workers):
             worker = self.shard.update_worker(entry.worker, now_s)
+            worker.in_leased_workers = True
             self.shard.unconfirmed_workers[worker.worker] = self._compute_lease_end(
                 stopped_s
             )
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -86,19 +86,19 @@
         Client for calls to other instances.
     listing : WorkerListing
         Table of the platform's worker list and its decoder.
-    lease_s : float
-        Longest lease that the platform allows, in seconds.
+    limits : OwnerLimits
+        Limits of the platform.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, identity, store, workers, peers, listing, lease_s, clock):
+    def __init__(self, identity, store, workers, peers, listing, limits, clock):
         self.identity = identity
         self.store = store
         self.workers = workers
         self.peers = peers
         self.listing = listing
-        self.lease_s = lease_s
+        self.limits = limits
         self.clock = clock
         self.log = logbook.Logger("offices")
         self.owners = {}
@@ -319,7 +319,7 @@
             self.store,
             self.workers,
             self.listing,
-            self.lease_s,
+            self.limits,
             self.clock,
             self._handle_owner_lost,
         )
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -175,12 +175,14 @@
 class RelayReply(msgspec.Struct, frozen=True, tag="relayed"):
     """The store's answer to a relayed call.
 
-    ``status`` is ``done``, ``changed``, ``busy`` or ``no answer``.
+    ``status`` is ``done``, ``changed``, ``rejected``, ``busy`` or ``no answer``;
+    ``detail`` is why a call was rejected.
     """
 
     status: str
     version: int = 0
     rows: tuple[StoredRow, ...] = ()
+    detail: str = ""
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, tag="ok"):
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -25,6 +25,7 @@
     "NoAnswer",
     "Refused",
     "RefusedReason",
+    "Rejected",
     "RowKey",
     "RunningAttempt",
     "StartRequest",
@@ -86,6 +87,10 @@
     detail: str = ""
 
 
+class Rejected(Busy, frozen=True):
+    """The store rejected the form of the call; repeating it can't succeed."""
+
+
 class NoAnswer(msgspec.Struct, frozen=True):
     """No complete answer arrived; the call may have taken effect, or still may."""
 
@@ -108,8 +113,9 @@
 class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
     """One call to the store, for metrics.
 
-    ``outcome`` is ``done``, ``busy`` or ``no answer``; ``received_bytes`` counts the
-    bytes of the answer that arrived, even if it was incomplete.
+    ``outcome`` is ``done``, ``busy``, ``rejected`` or ``no answer``;
+    ``received_bytes`` counts the bytes of the answer that arrived, even if it was
+    incomplete.
     """
 
     name: str
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import uuid
+from enum import Enum
 
 import logbook
-from returns.result import Success
+from returns.result import Failure, Success
 
-from fuchsiascale.jobs._ports import Change, Conflict, Expect, NoAnswer
+from fuchsiascale.jobs._leased_workers import LeasedWorkersRows
+from fuchsiascale.jobs._ports import Change, Conflict, Expect, NoAnswer, Rejected
+from fuchsiascale.jobs._record_batches import (
+    RecordItem,
+    batch_items,
+    limit_estimates,
+)
 from fuchsiascale.jobs._records import (
     ACCEPTED,
     FINISHED,
@@ -14,8 +21,6 @@
     PROGRESS,
     EstimatesRow,
     FinishedRow,
-    LeasedWorkersEntry,
-    LeasedWorkersRow,
     LedgerRow,
     cancel_row_key,
     decode_row,
@@ -37,6 +42,16 @@
 """Least time between two writes of the estimates."""
 MAX_ROWS = 90
 """Largest number of changes in one transaction; the platform accepts 100 entries."""
+MAX_BATCH_BYTES = 500_000
+"""Bytes of the values in a transaction; the store allows 1 MB, encoded in base64."""
+
+
+class _Outcome(Enum):
+    """Outcome of a record; one that was rejected can't succeed by repeating it."""
+
+    WRITTEN = "written"
+    NOT_WRITTEN = "not written"
+    REJECTED = "rejected"
 
 
 class Recorder:
@@ -53,13 +68,17 @@
         Version of the owner row; any other version means that ownership was lost.
     store : StorePort
         The store.
+    max_row_bytes : int
+        Largest value that the store accepts for a row, in bytes.
     clock : Clock
         Source of time.
     on_lost, on_confirmed : callable
         Called when the store shows that ownership was lost, and when it confirms it.
     """
 
-    def __init__(self, shard, owner_version, store, clock, on_lost, on_confirmed):
+    def __init__(
+        self, shard, owner_version, store, max_row_bytes, clock, on_lost, on_confirmed
+    ):
         self.service = shard.service
         self.token = shard.token
         self.shard = shard
@@ -67,7 +86,9 @@
         self.store = store
         self.clock = clock
         self.ledger_version = 0
-        self.leased_worker_ids = frozenset()
+        self.leased_workers = LeasedWorkersRows(shard.service, max_row_bytes)
+        self.rejected_rows = 0
+        self._max_row_bytes = max_row_bytes
         self.flush_requested = asyncio.Event()
         self.ends_recorded = asyncio.Event()
         self._on_lost = on_lost
@@ -85,7 +106,12 @@
                 for job in jobs[first : first + MAX_ROWS]
             )
             owner = Expect(owner_row_key(self.service), self.owner_version)
-            await self.store.commit((owner,), changes)
+            reply = await self.store.commit((owner,), changes)
+            if isinstance(reply, Failure):
+                self.log.info(
+                    "final states not deleted",
+                    extra={"rows": len(changes), "why": repr(reply.failure())},
+                )
 
     async def run(self):
         """Record changes until cancelled."""
@@ -106,12 +132,11 @@
         now_s = self.clock.monotonic()
         if now_s < self._estimates_due_s:
             return
-        estimates = encode_row(
-            EstimatesRow(
-                slopes=self.shard.interference.export(),
-                run_times=self.shard.run_times.export(),
-            )
+        row = EstimatesRow(
+            slopes=self.shard.interference.export(),
+            run_times=self.shard.run_times.export(),
         )
+        estimates = encode_row(limit_estimates(row, self._max_row_bytes))
         if estimates == self._saved_estimates:
             return
         self._estimates_due_s = now_s + ESTIMATES_PERIOD_S
@@ -133,109 +158,149 @@
         shard = self.shard
         snapshot = shard.snapshot_ends()
         dirty, shard.dirty = shard.dirty, {}
-        leased_workers = self._build_leased_workers_row()
-        if not dirty and leased_workers is None:
-            shard.note_recorded(snapshot)
-            self.ends_recorded.set()
-            return True
-        jobs = list(dirty.values())
-        while jobs or leased_workers is not None:
-            chunk, jobs = jobs[: MAX_ROWS // 4], jobs[MAX_ROWS // 4 :]
-            if not await self._record(chunk, leased_workers):
-                for job in chunk + jobs:
-                    shard.dirty.setdefault(job.job, job)
+        items = [self._make_job_item(job) for job in dirty.values()]
+        items += self._make_leased_worker_items()
+        batches = batch_items(items, MAX_ROWS, MAX_BATCH_BYTES)
+        while batches:
+            outcome = await self._record(batches[0])
+            if outcome is _Outcome.REJECTED and len(batches[0]) > 1:
+                # One row that the store rejects must not hold up the others.
+                batches[:1] = [[item] for item in batches[0]]
+                continue
+            if outcome is _Outcome.NOT_WRITTEN:
+                self._restore_dirty(batches)
                 return False
-            leased_workers = None
+            if outcome is _Outcome.REJECTED:
+                self._report_rejected(batches[0][0])
+            del batches[0]
         shard.note_recorded(snapshot)
         self.ends_recorded.set()
         return True
 
+    def _restore_dirty(self, batches):
+        """Keep the jobs of batches that were not written for the next record."""
+        for item in (item for batch in batches for item in batch):
+            if item.job is not None:
+                self.shard.dirty.setdefault(item.job.job, item.job)
+
+    def _report_rejected(self, item):
+        self.rejected_rows += len(item.changes)
+        for change in item.changes:
+            self.log.error(
+                "row rejected by the store",
+                extra={
+                    "table": change.place.table,
+                    "key": change.place.key,
+                    "bytes": len(change.value or b""),
+                    "limit": self._max_row_bytes,
+                },
+            )
+
     def is_leased_workers_row_stale(self):
-        """Return whether the row lacks a worker, or lists one that has retired.
+        """Return whether the rows lack a worker, or list one that has retired.
 
-        A worker that has left and is listed again may not change the row, but may be
+        A worker that has left and is listed again may not change the rows, but may be
         used only after another record.
         """
-        workers = self.shard.list_leased_workers()
+        workers = [each for each in self.shard.list_leased_workers() if each.storable]
         known = all(worker.in_leased_workers for worker in workers)
         ids = frozenset(worker.worker for worker in workers)
-        return not known or ids != self.leased_worker_ids
+        return not known or ids != self.leased_workers.worker_ids
 
-    def _build_leased_workers_row(self):
+    def _make_leased_worker_items(self):
         if not self.is_leased_workers_row_stale():
-            return None
-        workers = self.shard.list_leased_workers()
+            return []
+        workers = [each for each in self.shard.list_leased_workers() if each.storable]
         for worker in self.shard.workers.values():
             # A worker that is left out may be used again only after another record.
             worker.in_leased_workers = worker.in_leased_workers and not worker.retired
-        return LeasedWorkersRow(
-            workers=tuple(
-                LeasedWorkersEntry(worker=worker.listed) for worker in workers
+        updates, too_large = self.leased_workers.plan_updates(workers)
+        for worker in too_large:
+            worker.storable = False
+            self.log.error(
+                "worker not used: its entry exceeds the size of a row",
+                extra={"worker": worker.worker, "limit": self._max_row_bytes},
             )
-        )
+        return [
+            RecordItem(
+                changes=(self._make_leased_workers_change(update),), leased=update
+            )
+            for update in updates
+        ]
 
-    async def _record(self, jobs, leased_workers):
-        """Write the state of jobs, and the leased workers unless None, in one commit.
+    def _make_leased_workers_change(self, update):
+        row_key = leased_workers_row_key(self.service, update.number)
+        return Change(row_key, update.encode())
 
-        Returns whether the commit is known to be written.
-        """
+    def _make_job_item(self, job):
+        """Return the changes that record the present state of a job."""
+        service = self.service
+        if not job.state.final:
+            row_key = job_row_key(PROGRESS, service, job.job)
+            change = Change(row_key, encode_row(job.export_progress()))
+            return RecordItem(changes=(change,), job=job)
+        final = FinishedRow(state=job.state, at_ms=self.clock.wall_ms())
+        changes = [
+            Change(job_row_key(FINISHED, service, job.job), encode_row(final)),
+            Change(job_row_key(ACCEPTED, service, job.job), None),
+            Change(job_row_key(PROGRESS, service, job.job), None),
+        ]
+        if job.cancelled:
+            changes.append(Change(cancel_row_key(service, job.job), None))
+        return RecordItem(changes=tuple(changes), job=job, final_state=job.state)
+
+    async def _record(self, items):
+        """Write items in one commit; returns the outcome."""
         service = self.service
-        now_s, now_ms = self.clock.monotonic(), self.clock.wall_ms()
         ledger_row = LedgerRow(token=self.token, write=uuid.uuid4().hex[:12])
         changes = [Change(ledger_row_key(service), encode_row(ledger_row))]
-        expected = [
+        changes += [change for item in items for change in item.changes]
+        expected = (
             Expect(owner_row_key(service), self.owner_version),
             Expect(ledger_row_key(service), self.ledger_version),
-        ]
-        finished = []
-        for job in jobs:
-            if job.state.final:
-                finished.append((job, job.state))
-                final = FinishedRow(state=job.state, at_ms=now_ms)
-                changes += [
-                    Change(job_row_key(FINISHED, service, job.job), encode_row(final)),
-                    Change(job_row_key(ACCEPTED, service, job.job), None),
-                    Change(job_row_key(PROGRESS, service, job.job), None),
-                ]
-                if job.cancelled:
-                    changes.append(Change(cancel_row_key(service, job.job), None))
-            else:
-                row_key = job_row_key(PROGRESS, service, job.job)
-                changes.append(Change(row_key, encode_row(job.export_progress())))
-        if leased_workers is not None:
-            changes.append(
-                Change(leased_workers_row_key(service), encode_row(leased_workers))
-            )
-        done = await self._commit(ledger_row, tuple(expected), tuple(changes))
-        if not done:
-            return False
-        for job, state in finished:
-            self.shard.note_finished(job.job, state, now_s)
-        if leased_workers is not None:
-            self.leased_worker_ids = leased_workers.ids()
-            for worker_id in self.leased_worker_ids:
+        )
+        outcome = await self._commit(ledger_row, expected, tuple(changes))
+        if outcome is _Outcome.WRITTEN:
+            now_s = self.clock.monotonic()
+            for item in items:
+                self._note_written(item, now_s)
+        return outcome
+
+    def _note_written(self, item, now_s):
+        if item.final_state is not None:
+            self.shard.note_finished(item.job.job, item.final_state, now_s)
+        if item.leased is not None:
+            self.leased_workers.note_written(item.leased)
+            for worker_id in item.leased.entries:
                 worker = self.shard.workers.get(worker_id)
                 if worker is not None:
                     worker.in_leased_workers = True
-        return True
 
     async def _commit(self, ledger_row, expected, changes):
-        """Commit as the owner; returns whether the commit is known to be written."""
+        """Commit as the owner; returns the outcome."""
         reply = await self.store.commit(expected, changes)
         if isinstance(reply, Success):
             self._on_confirmed()
             self.ledger_version = reply.unwrap()
-            return True
+            return _Outcome.WRITTEN
         error = reply.failure()
+        if isinstance(error, Rejected):
+            self.log.error(
+                "record rejected by the store",
+                extra={"why": error.detail, "rows": len(changes)},
+            )
+            return _Outcome.REJECTED
+        rows = ()
         if isinstance(error, Conflict):
-            return self._resolve_commit(ledger_row, error.rows)
-        if isinstance(error, NoAnswer):
+            rows = error.rows
+        elif isinstance(error, NoAnswer):
             found = await self.store.read(POOLS, self.service, "ledger", "ledger~")
-            if isinstance(found, Success) and found.unwrap().rows:
-                return self._resolve_commit(ledger_row, found.unwrap().rows)
-        return False
+            rows = found.unwrap().rows if isinstance(found, Success) else ()
+        if self._was_written(ledger_row, rows):
+            return _Outcome.WRITTEN
+        return _Outcome.NOT_WRITTEN
 
-    def _resolve_commit(self, ledger_row, rows):
+    def _was_written(self, ledger_row, rows):
         """Return whether a commit was written, judged by the rows of its conditions."""
         for row in rows:
             if (
--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from fuchsiascale.ids import InstanceId, JobId, ServiceId, WorkerId
+from fuchsiascale.ids import InstanceId, JobId, ServiceId
 from fuchsiascale.jobs._model import JobRecord, JobState
 from fuchsiascale.jobs._ports import ListedWorker, RowKey
 
@@ -28,6 +28,7 @@
     "estimates_row_key",
     "ledger_row_key",
     "owner_row_key",
+    "is_leased_workers_row",
     "leased_workers_row_key",
 ]
 
@@ -76,14 +77,10 @@
 
 
 class LeasedWorkersRow(msgspec.Struct, frozen=True, kw_only=True):
-    """All workers on which an owner may have started attempts."""
+    """Some of the workers on which an owner may have started attempts."""
 
     workers: tuple[LeasedWorkersEntry, ...]
 
-    def ids(self) -> frozenset[WorkerId]:
-        """Return the workers' ids."""
-        return frozenset(entry.worker.worker for entry in self.workers)
-
 
 class EstimatesRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """An owner's estimates, which the next owner starts from.
@@ -137,9 +134,15 @@
     return RowKey(POOLS, service, "ledger")
 
 
-def leased_workers_row_key(service: ServiceId) -> RowKey:
-    """Return the key of a service's row of leased workers."""
-    return RowKey(POOLS, service, "roster")
+def leased_workers_row_key(service: ServiceId, number: int = 0) -> RowKey:
+    """Return the key of one of a service's rows of leased workers."""
+    return RowKey(POOLS, service, f"roster-{number}" if number else "roster")
+
+
+def is_leased_workers_row(row_key: RowKey) -> bool:
+    """Return whether a key is that of a row of leased workers."""
+    first = leased_workers_row_key(row_key.partition)
+    return row_key.table == POOLS and row_key.key.startswith(first.key)
 
 
 def estimates_row_key(service: ServiceId) -> RowKey:
--- a/fuchsiascale/jobs/_relay.py
+++ b/fuchsiascale/jobs/_relay.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._peer_messages import RelayCommit, RelayRead, RelayReply
-from fuchsiascale.jobs._ports import Busy, Conflict, NoAnswer, VersionedRows
+from fuchsiascale.jobs._ports import Busy, Conflict, NoAnswer, Rejected, VersionedRows
 
 __all__ = [
     "DirectReads",
@@ -40,6 +40,8 @@
 """Time without a direct call after which a check reads from the store."""
 MIN_SLEEP_S = 0.01
 """Shorter sleeps are skipped, as timers are no finer."""
+ANSWERED = ("done", "changed", "rejected")
+"""States of a relayed call that the store has answered."""
 UNUSED_KEY = "~"
 """A key that no row has."""
 
@@ -104,9 +106,7 @@
                 return first
         result = await self._relay(RelayCommit(expected, changes))
         if result.reply is not None:
-            if result.reply.status == "done":
-                return Success(result.reply.version)
-            return Failure(Conflict(result.reply.rows))
+            return decode_commit_result(result.reply)
         uncertain = first is not None and isinstance(first.failure(), NoAnswer)
         if uncertain or result.uncertain:
             return Failure(NoAnswer("no answer directly or through peers"))
@@ -146,6 +146,8 @@
             if not _is_store_error(direct) or self.reachable:
                 return direct
         result = await self._relay(RelayRead(table, partition, first, last))
+        if result.reply is not None and result.reply.status == "rejected":
+            return Failure(Rejected(result.reply.detail))
         if result.reply is not None:
             return Success(VersionedRows(result.reply.rows, result.reply.version))
         if self.clock.monotonic() < self._next_probe_s:
@@ -215,7 +217,7 @@
         uncertain = False
         for address in members[:MAX_PEERS]:
             found = await self.peers.ask(address, message, RELAY_TIMEOUT_S)
-            if isinstance(found, RelayReply) and found.status in ("done", "changed"):
+            if isinstance(found, RelayReply) and found.status in ANSWERED:
                 self._unavailable_since_s = None
                 return _RelayResult(found)
             # A peer that doesn't answer may have forwarded the call.
@@ -251,7 +253,9 @@
 
 
 def _is_store_error(reply):
-    return isinstance(reply, Failure) and isinstance(reply.failure(), Busy | NoAnswer)
+    """Return whether a call failed for a reason that a repeat may not have."""
+    error = reply.failure() if isinstance(reply, Failure) else None
+    return isinstance(error, Busy | NoAnswer) and not isinstance(error, Rejected)
 
 
 async def answer_relay(store, message):
@@ -283,6 +287,8 @@
         return Success(reply.version)
     if reply.status == "changed":
         return Failure(Conflict(reply.rows))
+    if reply.status == "rejected":
+        return Failure(Rejected(reply.detail))
     if reply.status == "busy":
         return Failure(Busy("refused to the peer"))
     return Failure(NoAnswer("the store did not answer the peer"))
@@ -291,4 +297,6 @@
 def _encode_error(error):
     if isinstance(error, Conflict):
         return RelayReply("changed", 0, error.rows)
+    if isinstance(error, Rejected):
+        return RelayReply("rejected", detail=error.detail)
     return RelayReply("busy" if isinstance(error, Busy) else "no answer")
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -338,7 +338,9 @@
     silent : bool
         Whether the last exchange returned no inventory.
     in_leased_workers : bool
-        Whether the stored row of leased workers lists the worker.
+        Whether a stored row of leased workers lists the worker.
+    storable : bool
+        Whether the worker's entry fits in a row; otherwise it can't be used.
     orphans : dict
         Numbers of attempts to stop that the shard doesn't track, by task id.
     last_seen_end, last_recorded_end : int
@@ -361,6 +363,7 @@
         self.claimed = False
         self.silent = False
         self.in_leased_workers = False
+        self.storable = True
         self.is_listed = True
         self.attempts = {}
         self.orphans = {}
--- a/fuchsiascale/jobs/tests/test_group_commit.py
+++ b/fuchsiascale/jobs/tests/test_group_commit.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Success
 
 from fuchsiascale.clock import ManualClock
-from fuchsiascale.jobs import Change, Conflict, Expect, OwnerView, RowKey
+from fuchsiascale.jobs import Change, Conflict, Expect, OwnerView, Rejected, RowKey
 from fuchsiascale.jobs._group_commit import (
     MAX_GROUP_WRITES,
     GroupCommitter,
@@ -21,8 +21,9 @@
 class FakeStore:
     """Accepts writes, but none that holds one of the given keys."""
 
-    def __init__(self, stored_keys=()):
+    def __init__(self, stored_keys=(), rejected_keys=()):
         self.stored_keys = set(stored_keys)
+        self.rejected_keys = set(rejected_keys)
         self.groups = []
 
     async def commit(self, expected, changes):
@@ -31,6 +32,8 @@
         self.groups.append(keys)
         if self.stored_keys & set(keys):
             return Failure(Conflict())
+        if self.rejected_keys & set(keys):
+            return Failure(Rejected())
         return Success(len(self.groups))
 
 
@@ -57,6 +60,14 @@
     assert [isinstance(reply, Success) for reply in replies] == [True, False, True]
 
 
+async def test_a_submission_that_is_rejected_does_not_fail_the_others_of_its_group():
+    committer = GroupCommitter(FakeStore(rejected_keys="b"), ManualClock())
+    replies = await asyncio.gather(
+        *(committer.commit(make_write(key)) for key in "abc")
+    )
+    assert [isinstance(reply, Success) for reply in replies] == [True, False, True]
+
+
 async def test_submissions_under_different_owners_are_written_separately():
     store = FakeStore()
     committer = GroupCommitter(store, ManualClock())
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -13,13 +13,17 @@
     Inventory,
     JobRecord,
     JobSpec,
+    LeasedWorkersEntry,
+    LeasedWorkersRow,
     ListedWorker,
     Owner,
+    OwnerLimits,
     OwnerRow,
     QueuePolicy,
     Resources,
     StepSpec,
     WorkerListing,
+    leased_workers_row_key,
 )
 from fuchsiascale.testing import collect_functions
 
@@ -49,7 +53,7 @@
         store,
         None,
         WorkerListing("servers", lambda row: None),
-        6.0,
+        OwnerLimits(),
         ManualClock(),
         lambda owner: None,
     )
@@ -63,7 +67,8 @@
     )
     run = owner.shard.update_worker(worker, 0.0)
     owner.shard.observe(run, Inventory(clock_ms=1, incarnation=1), 0.0, 0.0)
-    owner.recorder.leased_worker_ids = frozenset({"w1"})
+    row = LeasedWorkersRow(workers=(LeasedWorkersEntry(worker=worker),))
+    owner.recorder.leased_workers.restore(leased_workers_row_key("pool"), row)
     run.in_leased_workers = True
     return owner, run
 
@@ -120,7 +125,7 @@
     if len(store.commits) > before:
         store.commits[-1][1].set_result(Success(9 + before))
     await recording
-    return owner.recorder.leased_worker_ids
+    return owner.recorder.leased_workers.worker_ids
 
 
 async def test_a_draining_worker_is_removed_from_the_record_once_nothing_runs_on_it():
--- a/fuchsiascale/jobs/tests/test_relay.py
+++ b/fuchsiascale/jobs/tests/test_relay.py
@@ -13,6 +13,7 @@
     DirectReads,
     Expect,
     NoAnswer,
+    Rejected,
     RelayedStore,
     RelayReply,
     RowKey,
@@ -27,6 +28,7 @@
 ARGUMENTS = ((Expect(ROW_KEY, 0),), (Change(ROW_KEY, b"x"),))
 
 BUSY, NO_ANSWER, DONE = Failure(Busy()), Failure(NoAnswer()), Success(7)
+REJECTED, PEER_REJECTED = Failure(Rejected()), RelayReply("rejected")
 PEER_BUSY, PEER_NO_ANSWER = RelayReply("busy"), RelayReply("no answer")
 PEER_DONE, PEER_CONFLICT, SILENT = RelayReply("done", 8), RelayReply("changed"), None
 
@@ -34,6 +36,8 @@
 CASES = (
     ("reachable", DONE, (), Success),
     ("refused here, committed by a peer", BUSY, (PEER_DONE,), Success),
+    ("rejected for its form", REJECTED, (), Rejected),
+    ("refused here, rejected for its form to a peer", BUSY, (PEER_REJECTED,), Rejected),
     ("refused everywhere", BUSY, (PEER_BUSY, PEER_BUSY), Busy),
     ("no answer here, refused to peers", NO_ANSWER, (PEER_BUSY, PEER_BUSY), NoAnswer),
     ("refused here, no answer to a peer", BUSY, (PEER_NO_ANSWER, PEER_BUSY), NoAnswer),
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -20,6 +20,7 @@
     ConfigurationWatch,
     DirectReads,
     JobRequestHandler,
+    OwnerLimits,
     OwnershipManager,
     Ping,
     Pong,
@@ -143,7 +144,7 @@
             workers,
             self.peers,
             WorkerListing(user_platform.WORKERS_TABLE, user_platform.decode_worker),
-            settings.longest_lease_s,
+            OwnerLimits(settings.longest_lease_s, settings.max_row_bytes),
             self.clock,
         )
         self.configuration_watch = ConfigurationWatch(
--- a/fuchsiascale/node/tests/_deployment.py
+++ b/fuchsiascale/node/tests/_deployment.py
@@ -9,6 +9,7 @@
 from fuchsiascale.jobs import (
     JobRequestHandler,
     JobSpec,
+    OwnerLimits,
     OwnershipManager,
     Ping,
     QueuePolicy,
@@ -92,7 +93,7 @@
             HttpTaskWorkers(deployment.session),
             peers,
             WorkerListing("servers", decode_worker),
-            6.0,
+            OwnerLimits(),
             clock,
         )
         self.request_handler = JobRequestHandler(self.store, self.ownership, clock)
--- a/fuchsiascale/platform/_row_store.py
+++ b/fuchsiascale/platform/_row_store.py
@@ -16,6 +16,7 @@
     Expect,
     HistoryTruncated,
     NoAnswer,
+    Rejected,
     RowKey,
     StoreCall,
     StoredRow,
@@ -39,7 +40,7 @@
 """Read timeout of a feed beyond the requested wait."""
 ROWS_PER_PAGE = 500
 REFUSED_STATUSES = (429, 503, 507)
-"""Statuses of calls that had no effect, in addition to all of 400 to 499."""
+"""Statuses of calls that had no effect and may be repeated."""
 
 
 class _Row(msgspec.Struct, omit_defaults=True):
@@ -240,8 +241,10 @@
     if status not in (200, 410, 412):
         text = content[:200].decode(errors="replace")
         detail = f"status {status}: {text}" if text else f"status {status}"
-        refused = status in REFUSED_STATUSES or 400 <= status < 500
-        return Failure(Busy(detail) if refused else NoAnswer(detail))
+        if status in REFUSED_STATUSES:
+            return Failure(Busy(detail))
+        is_rejected = 400 <= status < 500
+        return Failure(Rejected(detail) if is_rejected else NoAnswer(detail))
     try:
         response = (
             msgspec.json.decode(content, type=_Response) if content else _Response()
@@ -254,7 +257,10 @@
 def _classify_outcome(reply):
     if isinstance(reply, Success):
         return "done"
-    return "busy" if isinstance(reply.failure(), Busy) else "no answer"
+    error = reply.failure()
+    if isinstance(error, Rejected):
+        return "rejected"
+    return "busy" if isinstance(error, Busy) else "no answer"
 
 
 def _split_row_key(row_key):
--- a/fuchsiascale/platform/tests/test_row_store.py
+++ b/fuchsiascale/platform/tests/test_row_store.py
@@ -11,6 +11,7 @@
     Expect,
     HistoryTruncated,
     NoAnswer,
+    Rejected,
     RowKey,
 )
 from fuchsiascale.platform.user_platform import HttpRowStore
@@ -26,7 +27,8 @@
     ("none", {}, Success, 1),
     ("responds with 503", {"refuse": 503}, Busy, 0),
     ("responds with 429", {"refuse": 429}, Busy, 0),
-    ("responds with 403", {"refuse": 403}, Busy, 0),
+    ("responds with 400", {"refuse": 400}, Rejected, 0),
+    ("responds with 403", {"refuse": 403}, Rejected, 0),
     ("responds with 507", {"refuse": 507}, Busy, 0),
     ("responds with 500", {"refuse": 500}, NoAnswer, 0),
     ("responds with 502", {"refuse": 502}, NoAnswer, 0),
