Relay an owner's calls to many workers through peers of their failure domains

Callers of the large site saw urgent jobs late: one process makes all calls to 446 workers (two exchanges a second each at rest, one call a start), at its processor limit, while 96 instances idle. By profile, client and server of HTTP take two thirds of its time.

Weighed: shards with an owner each (docs/design/platform.md lists it as left), one planner with several executors, fewer exchanges. Calls of one pass of the loop share a message over a WebSocket; peers are chosen in the worker's domain by strength, with weighted rendezvous; a peer that stops finishes its calls and gets no others; one that is silent is reset, so that what it has not read is lost; one that resumes after a pause drops what waited. Workers that did not answer a peer are called directly for 2 s. Deployments with few workers for the owner's strength call them directly as before.

With it: the members that an owner reports carry domain and strength and are sent only after a change; stronger instances come first in a takeover; strength reaches 1 at two cores.

--- /dev/null
+++ b/fuchsiascale/jobs/_members.py
@@ -0,0 +1,123 @@
+"""Live instances, as learnt from their pings and from the answers of owners."""
+
+import msgspec
+import xxhash
+
+from fuchsiascale.ids import FailureDomainId
+from fuchsiascale.jobs._relay_selection import RelayCandidate
+
+__all__ = ["Member", "Members"]
+
+MEMBER_TIMEOUT_S = 3.0
+"""Time without a sign of life after which an instance is no longer a member."""
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """An instance: its location, and how suitable it is as the owner of a service.
+
+    ``strength`` is between 0 and 1. Instances of one region share the link to others.
+    """
+
+    address: str
+    domain: FailureDomainId = FailureDomainId("")
+    region: str = ""
+    strength: float = 1.0
+
+
+class Members:
+    """The members that an instance knows of, without itself.
+
+    Parameters
+    ----------
+    own : Member
+        This instance.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, own, clock):
+        self.own = own
+        self.clock = clock
+        self._members = {}
+        self._seen_s = {}
+        self._reported = ()
+        self._reported_digest = ""
+
+    def observe(self, member):
+        """Note a sign of life of an instance."""
+        self._members[member.address] = member
+        self._seen_s[member.address] = self.clock.monotonic()
+
+    def apply_report(self, owner_address, members, digest):
+        """Apply the members that an owner reports; None if they have not changed."""
+        if members is not None:
+            self._reported, self._reported_digest = members, digest
+        now_s = self.clock.monotonic()
+        for member in self._reported:
+            self._members[member.address] = member
+            self._seen_s[member.address] = now_s
+        self._seen_s[owner_address] = now_s
+
+    @property
+    def reported_digest(self):
+        """Return the digest of the members last reported by an owner."""
+        return self._reported_digest
+
+    def report(self, known_digest):
+        """Return all members, or None if the peer knows them, and their digest."""
+        members = tuple(self._list_live(own=True))
+        digest = xxhash.xxh64_hexdigest(msgspec.json.encode(members))
+        return (None if digest == known_digest else members), digest
+
+    def _list_live(self, own=False):
+        now_s = self.clock.monotonic()
+        live = [
+            self._members.get(address) or Member(address)
+            for address, seen_s in self._seen_s.items()
+            if now_s - seen_s < MEMBER_TIMEOUT_S and address != self.own.address
+        ]
+        if own:
+            live.append(self.own)
+        return sorted(live, key=lambda member: member.address)
+
+    def addresses(self):
+        """Return the addresses of the live members."""
+        return [member.address for member in self._list_live()]
+
+    def near_addresses(self):
+        """Return the addresses of the live members of this region."""
+        return [
+            member.address
+            for member in self._list_live()
+            if member.region == self.own.region
+        ]
+
+    def strongest_first(self):
+        """Return the addresses of the live members, the strongest first."""
+        live = sorted(self._list_live(), key=lambda member: -member.strength)
+        return [member.address for member in live]
+
+    def relay_candidates(self):
+        """Return the members that may relay calls to workers."""
+        return [
+            RelayCandidate(member.address, member.domain, member.strength)
+            for member in self._list_live()
+        ]
+
+    def rank(self, key, excluded):
+        """Return the number of members that come before this one as the next owner.
+
+        Stronger instances come first. Equally strong ones are in an order that depends
+        on ``key``, and that all instances agree on.
+        """
+
+        def order(member):
+            digest = xxhash.xxh64_intdigest(f"{member.address}|{key}".encode())
+            return -member.strength, digest
+
+        own = order(self.own)
+        return sum(
+            order(member) < own
+            for member in self._list_live()
+            if member.address != excluded
+        )
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -40,6 +40,8 @@
 leaves most of the processor to exchanges with workers and commands."""
 MAX_ROUND_INTERVAL_S = 0.1
 """Longest time between rounds when no event requests one."""
+RELAY_ASSIGNMENT_PERIOD_S = 0.5
+"""Period in which workers are assigned to the peers that relay calls to them."""
 FEED_POLL_INTERVAL_S = 0.4
 """Minimum time between two polls of the job feed."""
 FEED_WAIT_MS = 800
@@ -87,7 +89,7 @@
         Store version of that row.
     store : StorePort
         The store.
-    workers : WorkerPort
+    workers : RelayedWorkers
         Client for calls to workers.
     listing : WorkerListing
         Table of the platform's worker list and its decoder.
@@ -143,6 +145,8 @@
             self.relinquish,
             self.request_round,
         )
+        self.workers = workers
+        self._relays_due_s = 0.0
         self._round_requested = asyncio.Event()
         self._tasks = set()
         self._loaded = asyncio.Event()
@@ -162,6 +166,7 @@
         if not await self._load():
             return
         self.shard.loaded = True
+        self._assign_relays()
         self._spawn(self._table.run())
         self._spawn(self._run_rounds())
         self._spawn(self.recorder.run())
@@ -177,6 +182,7 @@
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
+        self.workers.close()
         return tasks + self.links.cancel()
 
     def _spawn(self, coroutine):
@@ -383,10 +389,21 @@
             self._run_round()
             duration_s = self.clock.monotonic() - started_s
 
+    def _assign_relays(self):
+        self._relays_due_s = self.clock.monotonic() + RELAY_ASSIGNMENT_PERIOD_S
+        self.workers.assign(
+            {
+                worker.worker: worker.listed.domain
+                for worker in self.shard.workers.values()
+            }
+        )
+
     def _run_round(self):
         if self.handing_over:
             return
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
+        if now_s >= self._relays_due_s:
+            self._assign_relays()
         self.shard.expire_leases(now_s)
         for job in self.shard.jobs.values():
             if job.timed and not job.state.final:
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -5,9 +5,9 @@
 
 import logbook
 import msgspec
-import xxhash
 from returns.result import Failure
 
+from fuchsiascale.jobs._members import Member, Members
 from fuchsiascale.jobs._owner import Owner
 from fuchsiascale.jobs._peer_messages import (
     Acknowledgement,
@@ -32,6 +32,7 @@
     owner_row_key,
 )
 from fuchsiascale.jobs._relay import decode_commit_result
+from fuchsiascale.jobs._relayed_workers import RelayedWorkers
 
 __all__ = ["OwnerView", "OwnershipManager"]
 
@@ -52,10 +53,11 @@
 """Time for a peer to take a service over; the old owner grants leases until then."""
 STARTUP_GRACE_S = 1.5
 """Time for a new owner to load and reply before it may be suspected."""
+MAX_RANK_DELAY_S = 0.8
+"""Longest delay of a claim, for an instance that many members come before."""
 MAX_STRENGTH_DELAY_S = 0.8
-"""Delay of a claim by an instance of strength 0, so that stronger ones claim first."""
-MEMBER_TIMEOUT_S = 3.0
-"""Time without a ping after which an instance is no longer listed as a member."""
+"""Delay of the first claim of a service by an instance of strength 0, so that stronger
+ones claim first. Members don't know each other before the first owner."""
 
 
 class OwnerView(msgspec.Struct, frozen=True):
@@ -90,9 +92,22 @@
         Limits of the platform.
     clock : Clock
         Source of time.
+    connect_relay : callable, optional
+        Opens a connection to a peer that relays calls to workers; see `RelayChannel`.
+        Without it, all workers are called directly.
     """
 
-    def __init__(self, identity, store, workers, peers, listing, limits, clock):
+    def __init__(
+        self,
+        identity,
+        store,
+        workers,
+        peers,
+        listing,
+        limits,
+        clock,
+        connect_relay=None,
+    ):
         self.identity = identity
         self.store = store
         self.workers = workers
@@ -101,15 +116,17 @@
         self.limits = limits
         self.clock = clock
         self.log = logbook.Logger("offices")
+        self._connect_relay = connect_relay
         self.owners = {}
         self.stopping = False
         self._views = {}
         self._last_reply_s = {}
-        self._last_ping_s = {}
-        self._strengths = {}
-        self._regions = {}
-        self._reported_s = {}
-        self._near = ()
+        self.known_members = Members(
+            Member(
+                identity.address, identity.domain, identity.region, identity.strength
+            ),
+            clock,
+        )
         self._claiming = set()
         self._tasks = set()
         self._watches = {}
@@ -129,22 +146,11 @@
 
     def members(self):
         """Return the addresses of the other instances that are alive."""
-        now_s = self.clock.monotonic()
-        pinged = {
-            address
-            for address, ping_s in self._last_ping_s.items()
-            if now_s - ping_s < MEMBER_TIMEOUT_S
-        }
-        reported = {
-            address
-            for address, reported_s in self._reported_s.items()
-            if now_s - reported_s < MEMBER_TIMEOUT_S
-        }
-        return sorted((pinged | reported) - {self.identity.address})
+        return self.known_members.addresses()
 
     def near_members(self):
-        """Return the live peers of this region, as last reported by an owner."""
-        return [address for address in self.members() if address in self._near]
+        """Return the addresses of the live members of this region."""
+        return self.known_members.near_addresses()
 
     def watch(self, services):
         """Watch the owners of services, and claim those that have none."""
@@ -212,13 +218,12 @@
 
     async def _check_owner(self, view):
         service = view.service
-        reply = await self.peers.ask(view.row.address, self.identity, PING_TIMEOUT_S)
+        reply = await self._ping(view.row.address, PING_TIMEOUT_S)
         now_s = self.clock.monotonic()
         if isinstance(reply, Pong):
-            for address in reply.members:
-                self._reported_s[address] = now_s
-            self._reported_s[view.row.address] = now_s
-            self._near = reply.near
+            self.known_members.apply_report(
+                view.row.address, reply.members, reply.members_digest
+            )
             if reply.owned.get(service, 0) >= view.token:
                 self._last_reply_s[service] = now_s
                 return
@@ -229,35 +234,31 @@
         if silent_s > SUSPECT_AFTER_S and not await self._replied_to_peer(service):
             await self._refresh_and_claim(service, None)
 
+    async def _ping(self, address, timeout_s):
+        ping = msgspec.structs.replace(
+            self.identity, known_members=self.known_members.reported_digest
+        )
+        return await self.peers.ask(address, ping, timeout_s)
+
     async def _refresh_and_claim(self, service, stopped_s):
         before = self.view(service)
         view = await self._read_view(service)
         if view is None or view.version != before.version:
             return
-        delay_s = self._rank(view) * RANK_DELAY_S + self._strength_delay_s()
+        excluded = view.row.address if view.row else ""
+        rank = self.known_members.rank(f"{service}|{view.token}", excluded)
+        delay_s = min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S)
         await self._claim(view, delay_s, stopped_s)
 
     def _strength_delay_s(self):
         return (1 - self.identity.strength) * MAX_STRENGTH_DELAY_S
 
-    def _rank(self, view):
-        def score(address):
-            key = f"{address}|{view.service}|{view.token}"
-            return xxhash.xxh64_intdigest(key.encode())
-
-        own = score(self.identity.address)
-        others = set(self.members()) - {view.row.address if view.row else ""}
-        return sum(1 for address in others if score(address) < own)
-
     async def _replied_to_peer(self, service):
         owner = self.view(service).row
         others = [each for each in self.members() if each != owner.address]
         asked = random.sample(others, min(2, len(others)))
         replies = await asyncio.gather(
-            *(
-                self.peers.ask(address, self.identity, PING_TIMEOUT_S / 2)
-                for address in asked
-            )
+            *(self._ping(address, PING_TIMEOUT_S / 2) for address in asked)
         )
         return any(
             isinstance(reply, Pong)
@@ -317,7 +318,7 @@
             row,
             version,
             self.store,
-            self.workers,
+            self._make_relayed_workers(),
             self.listing,
             self.limits,
             self.clock,
@@ -329,10 +330,18 @@
             self._spawn(self._watch_predecessor(owner, view.row))
         return True
 
+    def _make_relayed_workers(self):
+        return RelayedWorkers(
+            self.workers,
+            self._connect_relay,
+            self.known_members,
+            self.clock,
+        )
+
     async def _watch_predecessor(self, owner, row):
         """Notify an owner once its predecessor has restarted or relinquished."""
         while not owner.lost and not owner.is_takeover_complete:
-            reply = await self.peers.ask(row.address, self.identity, PING_TIMEOUT_S)
+            reply = await self._ping(row.address, PING_TIMEOUT_S)
             restarted = isinstance(reply, Pong) and (
                 reply.incarnation != row.incarnation
                 or reply.owned.get(owner.service) != row.token
@@ -427,11 +436,10 @@
 
     def _answer_ping(self, ping):
         now_s = self.clock.monotonic()
-        self._last_ping_s[ping.address] = now_s
-        self._strengths[ping.address] = ping.strength
-        self._regions[ping.address] = ping.region
-        self._regions[self.identity.address] = self.identity.region
-        members = tuple(self.members())
+        self.known_members.observe(
+            Member(ping.address, ping.domain, ping.region, ping.strength)
+        )
+        members, digest = self.known_members.report(ping.known_members)
         return Pong(
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
@@ -441,11 +449,7 @@
                 for name, last_reply_s in self._last_reply_s.items()
             },
             members=members,
-            near=tuple(
-                address
-                for address in (self.identity.address, *members)
-                if self._regions.get(address) == ping.region
-            ),
+            members_digest=digest,
         )
 
     async def _accept_handover(self, message):
@@ -456,18 +460,13 @@
         stopped_s = self.clock.monotonic() + HANDOVER_TIMEOUT_S
         return Acknowledgement(await self._claim(view, 0.0, stopped_s))
 
-    def _list_strongest_first(self):
-        return sorted(
-            self.members(), key=lambda address: -self._strengths.get(address, 0.0)
-        )
-
     async def hand_over(self):
         """Hand all services over to other instances before this one stops."""
         self.stopping = True
         for service, owner in list(self.owners.items()):
             await owner.prepare_handover()
             owner.stop_granting_at(self.clock.monotonic() + HANDOVER_TIMEOUT_S)
-            for address in self._list_strongest_first():
+            for address in self.known_members.strongest_first():
                 message = Handover(service, owner.row, owner.version)
                 reply = await self.peers.ask(address, message, HANDOVER_TIMEOUT_S)
                 if isinstance(reply, Acknowledgement) and reply.done:
--- a/fuchsiascale/jobs/_pacing.py
+++ b/fuchsiascale/jobs/_pacing.py
@@ -71,12 +71,14 @@
 
 def throttle_fillers(shard, worker, now_s):
     """Set the speed of a worker's fillers by their predicted interference."""
+    if not worker.fillers or now_s < worker.next_pace_s:
+        return
     fillers = [
         attempt
         for attempt in worker.attempts.values()
         if attempt.task.step.spec.fills and attempt.phase is AttemptPhase.RUNNING
     ]
-    if not fillers or now_s < worker.next_pace_s:
+    if not fillers:
         return
     worker.next_pace_s = now_s + PACE_PERIOD_S
     paces = _choose_target_paces(shard, worker, fillers)
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from fuchsiascale.ids import FailureDomainId
+from fuchsiascale.jobs._members import Member
 from fuchsiascale.jobs._model import JobState
 from fuchsiascale.jobs._ports import Change, Expect, StoredRow
 from fuchsiascale.jobs._records import AcceptedRow, OwnerRow
@@ -32,8 +34,8 @@
 class Ping(msgspec.Struct, frozen=True, tag="ping", kw_only=True):
     """Heartbeat of an instance to an owner or another instance.
 
-    ``strength`` (0 to 1) rates how suitable the instance is as the owner of a service.
-    Instances of one region share the link to the other regions.
+    See `Member` for the location and strength. ``known_members`` is the digest of the
+    members that the instance knows already.
     """
 
     instance: str
@@ -41,6 +43,8 @@
     address: str
     strength: float = 1.0
     region: str = ""
+    domain: FailureDomainId = FailureDomainId("")
+    known_members: str = ""
 
 
 class ConfigurationFreshness(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,16 +70,17 @@
 
     ``owned`` holds the fencing tokens of the services that this instance owns.
     ``heard_ago_s`` is the time since the owner of each other service last answered this
-    instance. ``near`` are the members in the region of the instance that sent the ping.
-    ``configuration`` is None before the first version.
+    instance. ``members`` are all live instances; None if the instance that sent the
+    ping knows them already, by their digest. ``configuration`` is None before the first
+    version.
     """
 
     instance: str
     incarnation: str
     owned: dict[str, int] = {}
     heard_ago_s: dict[str, float] = {}
-    members: tuple[str, ...] = ()
-    near: tuple[str, ...] = ()
+    members: tuple[Member, ...] | None = None
+    members_digest: str = ""
     configuration: ConfigurationFreshness | None = None
 
 
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -34,6 +34,7 @@
     "StorePort",
     "StoredRow",
     "VersionedRows",
+    "WorkerAddress",
     "WorkerListing",
     "WorkerPort",
     "WorkerReply",
@@ -91,7 +92,7 @@
     """The store rejected the form of the call; repeating it can't succeed."""
 
 
-class NoAnswer(msgspec.Struct, frozen=True):
+class NoAnswer(msgspec.Struct, frozen=True, tag="no answer"):
     """No complete answer arrived; the call may have taken effect, or still may."""
 
     detail: str = ""
@@ -178,7 +179,7 @@
     ALONE = "alone"
 
 
-class RunningAttempt(msgspec.Struct, frozen=True):
+class RunningAttempt(msgspec.Struct, frozen=True, array_like=True):
     """An attempt that a worker runs.
 
     ``figure`` is the tail response time of a serving task in milliseconds, and the
@@ -192,7 +193,7 @@
     figure: int = 0
 
 
-class EndedAttempt(msgspec.Struct, frozen=True):
+class EndedAttempt(msgspec.Struct, frozen=True, array_like=True):
     """An attempt that has ended; ``number`` orders the ends of an incarnation."""
 
     number: int
@@ -202,7 +203,7 @@
     checkpoint: str = ""
 
 
-class Inventory(msgspec.Struct, frozen=True, kw_only=True):
+class Inventory(msgspec.Struct, frozen=True, kw_only=True, tag="inventory"):
     """A worker's answer to an exchange: its attempts, clock and incarnation."""
 
     clock_ms: int
@@ -224,27 +225,34 @@
     OTHER_INCARNATION = "other_incarnation"
 
 
-class Refused(msgspec.Struct, frozen=True):
+class Refused(msgspec.Struct, frozen=True, tag="refused"):
     """A worker's refusal, with the time on its clock if it reported that."""
 
     reason: RefusedReason
     clock_ms: int | None = None
 
 
-class Executed(msgspec.Struct, frozen=True):
+class Executed(msgspec.Struct, frozen=True, tag="executed"):
     """A worker has executed a command."""
 
     clock_ms: int
 
 
-class Absent(msgspec.Struct, frozen=True):
+class Absent(msgspec.Struct, frozen=True, tag="absent"):
     """Nothing listens at the worker's address; the connection was refused."""
 
 
 WorkerReply = Result[Executed, Refused | NoAnswer | Absent]
 
 
-class StartRequest(msgspec.Struct, frozen=True, kw_only=True):
+class WorkerAddress(msgspec.Struct, frozen=True):
+    """Id and address of a worker, which is all that a call to it needs."""
+
+    worker: WorkerId
+    address: str
+
+
+class StartRequest(msgspec.Struct, frozen=True, kw_only=True, tag="start"):
     """Request to start one attempt."""
 
     task: TaskId
@@ -261,7 +269,7 @@
 
     async def exchange(
         self,
-        worker: ListedWorker,
+        worker: ListedWorker | WorkerAddress,
         token: int,
         acknowledged: int,
         lease_until_ms: int | None,
@@ -269,15 +277,26 @@
     ) -> Result[Inventory, Refused | NoAnswer | Absent]:
         """Renew the lease, acknowledge recorded ends, and return the inventory."""
 
-    async def start(self, worker: ListedWorker, request: StartRequest) -> WorkerReply:
+    async def start(
+        self, worker: ListedWorker | WorkerAddress, request: StartRequest
+    ) -> WorkerReply:
         """Start an attempt."""
 
     async def stop(
-        self, worker: ListedWorker, task: TaskId, attempt: int, token: int
+        self,
+        worker: ListedWorker | WorkerAddress,
+        task: TaskId,
+        attempt: int,
+        token: int,
     ) -> WorkerReply:
         """Stop an attempt; a later start of the same attempt has no effect."""
 
     async def pace(
-        self, worker: ListedWorker, task: TaskId, attempt: int, percent: int, token: int
+        self,
+        worker: ListedWorker | WorkerAddress,
+        task: TaskId,
+        attempt: int,
+        percent: int,
+        token: int,
     ) -> WorkerReply:
         """Throttle an attempt to a percentage of its full speed."""
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -23,6 +23,8 @@
 """Time without a running task after which a job of fillers is started on any worker,
 whatever the interference: throttling then protects the serving tasks. The platform
 allows 3 s, which include observing the end of the last task and starting the next."""
+STALL_CHECK_PERIOD_S = 0.2
+"""Period in which the attempts of a worker are checked for progress."""
 STALL_MIN_PACE_PERCENT = 50
 """Target speed below which an attempt is not checked for progress."""
 
@@ -172,6 +174,9 @@
 
 def _stop_stalled(shard, worker, now_s):
     """Stop attempts that make no progress, and suspend their worker."""
+    if now_s < worker.next_stall_check_s:
+        return
+    worker.next_stall_check_s = now_s + STALL_CHECK_PERIOD_S
     for attempt in list(worker.attempts.values()):
         spec = attempt.task.step.spec
         if spec.lasting or spec.gang or attempt.phase is not AttemptPhase.RUNNING:
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -351,6 +351,11 @@
         Latest end of a lease that was granted, on the worker's clock.
     lease_expiry_s : float or None
         Monotonic time after which all granted leases have expired.
+    fillers : int
+        Number of attempts of fillers.
+    serving_tasks, filler_shares, leftover_millis : object or None
+        Values that `_worker_selection` derives from the attempts and their target
+        speeds; None after a change.
     blocked_until_s, suspended_until_s : float
         Monotonic times before which nothing is started, for any reason and because
         attempts failed or stalled.
@@ -374,7 +379,12 @@
         self.granted_until_ms = 0
         self.lease_expiry_s = None
         self.blocked_until_s = 0.0
+        self.fillers = 0
+        self.serving_tasks = None
+        self.filler_shares = None
+        self.leftover_millis = None
         self.next_pace_s = 0.0
+        self.next_stall_check_s = 0.0
         self.next_observation_s = 0.0
         self.over_target_since_s = None
         self.task_over_target_since_s = None
@@ -423,8 +433,25 @@
             del self.attempts[attempt.task.name]
             self._add(attempt, -1)
 
+    def update_listing(self, listed):
+        """Set the worker's entry in the platform's list, which has it at present."""
+        if listed.capacity != self.listed.capacity:
+            self._forget_derived()
+        self.listed = listed
+        self.is_listed = True
+
+    def _forget_derived(self):
+        self.serving_tasks = self.filler_shares = self.leftover_millis = None
+
+    def set_target_pace(self, attempt, percent):
+        """Set the target speed of an attempt."""
+        attempt.target_pace = percent
+        self.filler_shares = None
+
     def _add(self, attempt, sign):
         step = attempt.task.step
+        self.fillers += sign * step.spec.fills
+        self._forget_derived()
         need = step.spec.need
         if not step.spec.fills:
             self.cpu_used += sign * need.cpu_millis
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -153,8 +153,7 @@
         worker = self.workers.get(listed.worker)
         if worker is None:
             worker = self.workers[listed.worker] = WorkerRun(listed, now_s)
-        worker.listed = listed
-        worker.is_listed = True
+        worker.update_listing(listed)
         return worker
 
     def note_worker_unlisted(self, worker_id):
@@ -309,7 +308,7 @@
     def set_pace(self, attempt, percent):
         """Set the target speed of an attempt, in percent."""
         if attempt.target_pace != percent:
-            attempt.target_pace = percent
+            attempt.worker.set_target_pace(attempt, percent)
             self.commands.append(PaceCommand(attempt, percent))
 
     def note_started(self, attempt, now_s):
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -156,7 +156,7 @@
             self.shard.note_paced(attempt, command.percent)
             return
         self._check_fence(reply.failure())
-        attempt.target_pace = attempt.pace
+        attempt.worker.set_target_pace(attempt, attempt.pace)
 
     def sync(self):
         """Start the missing links, one per worker; record the leased workers if due."""
--- a/fuchsiascale/jobs/_worker_selection.py
+++ b/fuchsiascale/jobs/_worker_selection.py
@@ -274,34 +274,40 @@
 
 def list_serving_tasks(worker):
     """Return the distinct pairs of image and job of a worker's serving tasks."""
-    return {
-        (attempt.task.step.spec.image, attempt.task.step.job.job)
-        for attempt in worker.attempts.values()
-        if attempt.task.step.spec.tail_target_ms
-    }
+    if worker.serving_tasks is None:
+        worker.serving_tasks = {
+            (attempt.task.step.spec.image, attempt.task.step.job.job)
+            for attempt in worker.attempts.values()
+            if attempt.task.step.spec.tail_target_ms
+        }
+    return worker.serving_tasks
 
 
 def estimate_leftover_millis(worker):
     """Return the processor time that is expected to be free for fillers."""
-    used = 0
-    for attempt in worker.attempts.values():
-        spec = attempt.task.step.spec
-        share = LONG_RUNNING_USE if spec.lasting else 1.0
-        used += spec.need.cpu_millis * share
-    return worker.listed.capacity.cpu_millis - used
+    if worker.leftover_millis is None:
+        used = 0
+        for attempt in worker.attempts.values():
+            spec = attempt.task.step.spec
+            share = LONG_RUNNING_USE if spec.lasting else 1.0
+            used += spec.need.cpu_millis * share
+        worker.leftover_millis = worker.listed.capacity.cpu_millis - used
+    return worker.leftover_millis
 
 
 def list_filler_shares(worker):
     """Return each filler's image and its share of the worker at its target speed."""
-    capacity = max(1, worker.listed.capacity.cpu_millis)
-    return [
-        (
-            attempt.task.step.spec.image,
-            attempt.task.step.spec.need.cpu_millis
-            / capacity
-            * attempt.target_pace
-            / FULL_SPEED_PERCENT,
-        )
-        for attempt in worker.attempts.values()
-        if attempt.task.step.spec.fills
-    ]
+    if worker.filler_shares is None:
+        capacity = max(1, worker.listed.capacity.cpu_millis)
+        worker.filler_shares = [
+            (
+                attempt.task.step.spec.image,
+                attempt.task.step.spec.need.cpu_millis
+                / capacity
+                * attempt.target_pace
+                / FULL_SPEED_PERCENT,
+            )
+            for attempt in worker.attempts.values()
+            if attempt.task.step.spec.fills
+        ]
+    return worker.filler_shares
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -20,6 +20,7 @@
     OwnerLimits,
     OwnerRow,
     QueuePolicy,
+    RelayedWorkers,
     Resources,
     StepSpec,
     WorkerListing,
@@ -44,6 +45,11 @@
         return await done
 
 
+def make_workers():
+    """Return workers that are never called."""
+    return RelayedWorkers(None, None, None, ManualClock())
+
+
 def make_owner(store):
     row = OwnerRow(token=1, instance="a", incarnation="1", address="10.0.0.1:80")
     owner = Owner(
@@ -51,7 +57,7 @@
         row,
         5,
         store,
-        None,
+        make_workers(),
         WorkerListing("servers", lambda row: None),
         OwnerLimits(),
         ManualClock(),
--- a/fuchsiascale/jobs/tests/test_row_bounds.py
+++ b/fuchsiascale/jobs/tests/test_row_bounds.py
@@ -23,6 +23,7 @@
     OwnerRow,
     QueuePolicy,
     Rejected,
+    RelayedWorkers,
     Resources,
     RowKey,
     StepSpec,
@@ -100,8 +101,17 @@
     row = OwnerRow(token=1, instance="a", incarnation="1", address="10.0.0.1:80")
     listing = WorkerListing("servers", lambda row: None)
     limits = OwnerLimits(10.0, MAX_ROW_BYTES)
+    workers = RelayedWorkers(None, None, None, ManualClock())
     return Owner(
-        "pool", row, 5, store, None, listing, limits, ManualClock(), lambda owner: None
+        "pool",
+        row,
+        5,
+        store,
+        workers,
+        listing,
+        limits,
+        ManualClock(),
+        lambda owner: None,
     )
 
 
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -30,10 +30,16 @@
     RelayWrite,
     TableWatch,
     WorkerListing,
+    WorkerRelay,
     answer_relay,
 )
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.node._peer_http import PeerClient, make_peer_application
+from fuchsiascale.node._relay_websocket import (
+    RELAY_PATH,
+    RelayConnector,
+    make_relay_handler,
+)
 from fuchsiascale.platform import user_platform
 
 __all__ = ["NodeApplication"]
@@ -52,8 +58,8 @@
 LISTEN_BACKLOG = 512
 LOG_PERIOD_S = 0.1
 """Period of writing buffered log lines."""
-FULL_CORES = 1.0
-"""Processors with which an instance easily handles a service of 200 workers."""
+FULL_CORES = 2.0
+"""Processors with which an instance easily handles a service of 450 workers."""
 FULL_LINK_MBIT_S = 50.0
 """Link bandwidth with which an instance easily handles such a service."""
 
@@ -67,6 +73,8 @@
     1.0
     >>> compute_strength(0.5, 5.0)
     0.1
+    >>> compute_strength(0.5, 100.0)
+    0.25
     """
     return round(
         min(1.0, cores / FULL_CORES, link_mbit_s / FULL_LINK_MBIT_S),
@@ -106,6 +114,7 @@
         self._spawn(self.configuration_feed.run())
         self._spawn(self.store.run_checks(user_platform.OPERATOR_TABLE))
         self._spawn(self._write_logs())
+        self._spawn(self.worker_relay.run())
         self.log.info(
             "started",
             extra={"incarnation": self.identity.incarnation, "pid": os.getpid()},
@@ -125,6 +134,7 @@
             address=f"{host}:{port}",
             strength=compute_strength(settings.cores, settings.link_mbit_s),
             region=settings.region,
+            domain=settings.failure_domain,
         )
         self.clock = BootClock()
         self.peers = PeerClient(self._open_session(), self._handle_reply, self.clock)
@@ -138,6 +148,8 @@
             direct, self.peers, lambda: self.ownership.members(), self.clock
         )
         workers = user_platform.HttpTaskWorkers(self._open_session())
+        self.worker_relay = WorkerRelay(workers, self.clock)
+        self.relay_connector = RelayConnector()
         self.ownership = OwnershipManager(
             self.identity,
             self.store,
@@ -146,6 +158,7 @@
             WorkerListing(user_platform.WORKERS_TABLE, user_platform.decode_worker),
             OwnerLimits(settings.longest_lease_s, settings.max_row_bytes),
             self.clock,
+            self.relay_connector.connect,
         )
         self.configuration_watch = ConfigurationWatch(
             user_platform.CONFIGURATION_KEY, user_platform.decode_configuration
@@ -232,9 +245,11 @@
 
     async def _start_servers(self):
         settings = self.settings
-        await self._start_server(
-            make_peer_application(self._answer_peer), settings.peer_listen
+        peer_application = make_peer_application(self._answer_peer)
+        peer_application.router.add_get(
+            RELAY_PATH, make_relay_handler(self.worker_relay)
         )
+        await self._start_server(peer_application, settings.peer_listen)
         await self._start_server(
             self._count_requests(self.front.make_application()),
             settings.caller_listen,
@@ -296,6 +311,7 @@
         started_s = time.monotonic()
         deadline_s = started_s + self.settings.stop_grace_s - CLOSE_MARGIN_S
         self.log.info("stopping", extra={"in_flight": self.in_flight})
+        self.worker_relay.stop()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LEAVE_ROTATION_S):
                 await self.ownership.hand_over()
@@ -312,6 +328,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(0.5):
                     await runner.cleanup()
+        await self.relay_connector.close()
         for session in self._sessions:
             await session.close()
         self.log.info("stopped", extra={"after_s": time.monotonic() - started_s})
