--- a/measurements/_request_costs.py
+++ b/measurements/_request_costs.py
@@ -13,6 +13,7 @@
 from fuchsiascale.coordination import (
     ClaimRecord,
     CreditRequest,
+    CreditTerms,
     CreditWish,
     HeldClaim,
     SlotLedger,
@@ -63,7 +64,7 @@
     """Return the bytes of a request for credits and its reply."""
     ledger = SlotLedger(ManualClock(1_000.0))
     request = make_credit_request(1, runners)
-    reply = ledger.lend(request, make_held_claims(runners), make_slots(runners), 8)
+    reply = ledger.lend(request, make_held_claims(runners), make_terms(runners), 8)
     sizes = [len(msgspec.json.encode(message)) for message in (request, reply)]
     return sum(sizes) + 2 * HTTP_BYTES
 
@@ -76,9 +77,10 @@
     return {f"norte-porto-r{each}": held_claim for each in range(runners)}
 
 
-def make_slots(runners):
-    """Return the slots of a number of runners."""
-    return {f"norte-porto-r{each}": 8 for each in range(runners)}
+def make_terms(runners):
+    """Return the terms on which the slots of a number of runners are lent."""
+    terms = CreditTerms(slots=8, drain_s=2.5)
+    return {f"norte-porto-r{each}": terms for each in range(runners)}
 
 
 @register_cost(
@@ -88,11 +90,11 @@
     """Return the owner's processor time per credit request, with eight instances."""
     clock = ManualClock(1_000.0)
     ledger, held_claims = SlotLedger(clock), make_held_claims(runners)
-    slots, numbers = make_slots(runners), iter(range(10**9))
+    terms, numbers = make_terms(runners), iter(range(10**9))
 
     def request_credits():
         clock.advance(0.5)
-        ledger.lend(make_credit_request(next(numbers), runners), held_claims, slots, 8)
+        ledger.lend(make_credit_request(next(numbers), runners), held_claims, terms, 8)
 
     return measure_cpu_us(request_credits)
 
