Look only at what can have changed in a scheduling round

Load pattern: more waiting jobs than room, each of another size. Change: needs without room are remembered (in the round; for fillers for 0.1 s), so that no worker is sought for a larger one; leftover capacities are kept for 0.2 s while a worker's attempts don't change; ready steps, objectives and what is derived from a worker's attempts are kept until they change; stalls are checked every 0.2 s; a round may follow after as long as it took.

--- a/fuchsiascale/jobs/_consolidation.py
+++ b/fuchsiascale/jobs/_consolidation.py
@@ -139,8 +139,8 @@
             if (
                 _is_movable(other, now_s)
                 and is_suitable(other.task.step, candidate.worker)
-                and worker.fits(candidate.task.step.spec, other)
-                and candidate.worker.fits(other.task.step.spec, candidate)
+                and worker.fits_instead_of(candidate.task.step.spec, other)
+                and candidate.worker.fits_instead_of(other.task.step.spec, candidate)
             ):
                 return worker, other
     return None
--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -198,6 +198,6 @@
     """Mark a task, or its whole gang, as done; complete the job after the last one."""
     members = task.step.tasks if task.step.spec.gang else [task]
     for member in members:
-        member.done = True
+        member.mark_done()
     if job.is_complete() and not job.state.final:
         shard.finish_job(job, JobState.COMPLETED, now_s)
--- a/fuchsiascale/jobs/_job_order.py
+++ b/fuchsiascale/jobs/_job_order.py
@@ -2,6 +2,8 @@
 
 __all__ = ["compute_objective_s", "order_jobs"]
 
+ESTIMATE_MAX_AGE_S = 0.5
+"""Time after which a job's estimates follow the run times observed since."""
 LATE_FACTOR = 3.0
 """Multiple of its objective after which a finished job is worth nothing."""
 
@@ -22,9 +24,8 @@
     """
     if job.lasting:
         return (0, 0, 1, job.accepted_s)
-    due_s = compute_objective_s(job, run_times)
+    due_s, left_s = _estimate(job, now_s, run_times)
     age_s = now_s - job.accepted_s
-    left_s = _critical_path_s(job, run_times, left=True)
     slack_s = due_s - age_s - left_s
     if slack_s >= 0:
         return (0, job.policy.priority, 0, slack_s)
@@ -32,6 +33,18 @@
     return (int(worthless), job.policy.priority, 1, left_s)
 
 
+def _estimate(job, now_s, run_times):
+    """Return a job's objective and the rest of its critical path, in seconds.
+
+    Both are kept until a step ends, and for `ESTIMATE_MAX_AGE_S` at most.
+    """
+    if job.estimate is None or now_s >= job.estimate[0]:
+        due_s = compute_objective_s(job, run_times)
+        left_s = _critical_path_s(job, run_times, left=True)
+        job.estimate = (now_s + ESTIMATE_MAX_AGE_S, due_s, left_s)
+    return job.estimate[1:]
+
+
 def compute_objective_s(job, run_times):
     """Return the time in which a job should finish, by the expected run times."""
     return (
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -35,9 +35,9 @@
 """Length of a worker's lease; the platform's longest lease where that is shorter."""
 BATCH_DELAY_S = 0.01
 """Time in which events are batched before a placement round."""
-ROUND_PAUSE_FACTOR = 3.0
+ROUND_PAUSE_FACTOR = 1.0
 """Minimum pause before a round, as a multiple of the duration of the previous one. It
-leaves most of the processor to exchanges with workers and commands."""
+leaves half of the processor to exchanges with workers and commands."""
 MAX_ROUND_INTERVAL_S = 0.1
 """Longest time between rounds when no event requests one."""
 RELAY_ASSIGNMENT_PERIOD_S = 0.5
@@ -146,6 +146,8 @@
             self.request_round,
         )
         self.workers = workers
+        self.round_count = 0
+        self.round_seconds = 0.0
         self._relays_due_s = 0.0
         self._round_requested = asyncio.Event()
         self._tasks = set()
@@ -388,6 +390,8 @@
             started_s = self.clock.monotonic()
             self._run_round()
             duration_s = self.clock.monotonic() - started_s
+            self.round_count += 1
+            self.round_seconds += duration_s
 
     def _assign_relays(self):
         self._relays_due_s = self.clock.monotonic() + RELAY_ASSIGNMENT_PERIOD_S
--- a/fuchsiascale/jobs/_pacing.py
+++ b/fuchsiascale/jobs/_pacing.py
@@ -6,7 +6,6 @@
 from fuchsiascale.jobs._run_state import FULL_SPEED_PERCENT, AttemptPhase
 from fuchsiascale.jobs._worker_selection import (
     HARMLESS_SLOPE,
-    compute_leftover,
     list_serving_tasks,
 )
 
@@ -175,7 +174,7 @@
     return paces
 
 
-def move_fillers(shard, workers, now_s):
+def move_fillers(shard, workers, leftovers, now_s):
     """Stop fillers that are throttled heavily, to restart them on better workers."""
     if now_s < shard.next_move_s:
         return
@@ -186,7 +185,7 @@
             if moved >= MAX_MOVES_PER_ROUND:
                 return
             if _is_slowed(attempt, now_s) and _has_better_worker(
-                shard, attempt, workers
+                attempt, workers, leftovers
             ):
                 shard.log.info(
                     "moving a throttled task",
@@ -214,12 +213,11 @@
     return attempt.percent < latest
 
 
-def _has_better_worker(shard, attempt, workers):
+def _has_better_worker(attempt, workers, leftovers):
     spec = attempt.task.step.spec
     return any(
         worker is not attempt.worker
         and worker.fits(spec)
-        and compute_leftover(shard, spec.image, worker).rate(spec)
-        >= MIN_DESTINATION_RATE
+        and leftovers.find(spec.image, worker).rate(spec) >= MIN_DESTINATION_RATE
         for worker in workers
     )
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -23,6 +23,11 @@
 """Time without a running task after which a job of fillers is started on any worker,
 whatever the interference: throttling then protects the serving tasks. The platform
 allows 3 s, which include observing the end of the last task and starting the next."""
+STARVATION_CHECK_PERIOD_S = 0.2
+"""Period in which a job of fillers that has no room is checked for running tasks."""
+FULL_PERIOD_S = 0.1
+"""Time for which no worker is sought for fillers like one that had no room. For other
+tasks it is the present round."""
 STALL_CHECK_PERIOD_S = 0.2
 """Period in which the attempts of a worker are checked for progress."""
 STALL_MIN_PACE_PERCENT = 50
@@ -48,12 +53,11 @@
         for worker in shard.workers.values()
         if worker.is_usable(now_s) and not worker.orphans
     ]
-    move_fillers(shard, workers, now_s)
+    leftovers = LeftoverCapacities(shard, workers, now_s)
+    move_fillers(shard, workers, leftovers, now_s)
     consolidate_serving_tasks(shard, workers, now_s)
     all_workers_confirmed = shard.all_workers_confirmed()
-    leftovers = LeftoverCapacities(shard, workers)
     workers = reserve_workers(shard, workers, leftovers, now_s)
-    full_kinds = set()
     for job in order_jobs(shard, now_s):
         if job.inherited and not all_workers_confirmed:
             continue
@@ -61,26 +65,26 @@
             if step.spec.gang:
                 _place_gang(shard, step, workers, leftovers, now_s)
             else:
-                _place_step(shard, step, workers, leftovers, full_kinds, now_s)
+                _place_step(shard, step, workers, leftovers, now_s)
 
 
-def _place_step(shard, step, workers, leftovers, full_kinds, now_s):
-    """Start the waiting tasks of a step.
-
-    ``full_kinds`` collects the kinds of task that no worker has room for in this round.
-    """
-    waiting = [task for task in step.tasks if task.waiting]
+def _place_step(shard, step, workers, leftovers, now_s):
+    """Start the waiting tasks of a step."""
     spec = step.spec
-    kind = (spec.need, spec.fills, spec.image, spec.required_label)
+    is_full = shard.full_kinds.includes(spec, now_s)
+    if is_full and not _is_starvation_check_due(step, now_s):
+        return
+    waiting = [task for task in step.tasks if task.waiting]
     if not waiting:
         return
     started = []
-    if kind not in full_kinds:
+    if not is_full:
         started = _start_tasks(
             Candidates(shard, step, workers, leftovers), waiting, now_s
         )
         if len(started) < len(waiting) and not spec.max_per_worker:
-            full_kinds.add(kind)
+            until_s = now_s + FULL_PERIOD_S if spec.fills else now_s
+            shard.full_kinds.mark(spec, until_s)
     if (
         spec.fills
         and not started
@@ -89,11 +93,18 @@
         worker = find_most_leftover(step, workers, leftovers)
         if worker is not None:
             started = [shard.start_task(waiting[0], worker, now_s)]
-            leftovers.forget(worker)
     if started:
         _log_started(shard, step, started, len(waiting))
 
 
+def _is_starvation_check_due(step, now_s):
+    """Return whether to look if a step of fillers without room makes any progress."""
+    if not step.spec.fills or now_s < step.next_starvation_check_s:
+        return False
+    step.next_starvation_check_s = now_s + STARVATION_CHECK_PERIOD_S
+    return True
+
+
 def _start_tasks(candidates, waiting, now_s):
     """Start tasks while there is room for them, and return their attempts."""
     started = []
@@ -144,7 +155,6 @@
         return started
     for attempt in started:
         shard.withdraw_start(attempt)
-        leftovers.forget(attempt.worker)
     return []
 
 
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from fuchsiascale.jobs._model import JobState, Resources, name_task
+from fuchsiascale.jobs._model import JobState, name_task
 from fuchsiascale.jobs._records import ProgressRow
 
 __all__ = [
@@ -17,7 +17,6 @@
 ATTEMPT_NUMBERS_PER_OWNER = 1_000
 """Number of attempt numbers reserved for each owner, so that owners never share one."""
 FULL_SPEED_PERCENT = 100
-NO_RESOURCES = Resources()
 
 
 class AttemptPhase(Enum):
@@ -137,15 +136,31 @@
         """Whether the task may be started."""
         return not self.done and self.attempt is None
 
+    def mark_done(self):
+        """Mark the task as done."""
+        if not self.done:
+            self.done = True
+            self.step.note_done()
+
 
 class StepRun:
-    """One step of one occurrence of a job."""
+    """One step of one occurrence of a job.
+
+    Attributes
+    ----------
+    remaining : int
+        Number of tasks that are not done.
+    next_starvation_check_s : float
+        Monotonic time of the next check whether the job makes no progress.
+    """
 
     __slots__ = (
         "attempts_per_worker",
         "job",
+        "next_starvation_check_s",
         "number",
         "occurrence",
+        "remaining",
         "spec",
         "tasks",
     )
@@ -156,6 +171,8 @@
         self.number = number
         self.spec = spec
         self.attempts_per_worker = {}
+        self.remaining = spec.count
+        self.next_starvation_check_s = 0.0
         self.tasks = [
             Task(self, index, job.first_number, now_s) for index in range(spec.count)
         ]
@@ -163,7 +180,13 @@
     @property
     def done(self):
         """Whether all tasks are done."""
-        return all(task.done for task in self.tasks)
+        return not self.remaining
+
+    def note_done(self):
+        """Count a task that has just been done."""
+        self.remaining -= 1
+        if not self.remaining:
+            self.job.forget_derived()
 
 
 class JobRun:
@@ -197,6 +220,8 @@
         self.idle_since_s = None
         self.occurrences = {}
         self.finished_occurrences = set()
+        self.estimate = None
+        self._ready_steps = None
 
     @property
     def timed(self):
@@ -226,6 +251,7 @@
 
     def open_occurrence(self, occurrence, now_s):
         """Create the steps of one occurrence."""
+        self.forget_derived()
         self.occurrences[occurrence] = [
             StepRun(self, occurrence, number, spec, now_s)
             for number, spec in enumerate(self.spec.steps)
@@ -242,8 +268,18 @@
         tasks = steps[step].tasks
         return tasks[index] if 0 <= index < len(tasks) else None
 
+    def forget_derived(self):
+        """Drop what was derived from the steps, after one of them has changed."""
+        self.estimate = None
+        self._ready_steps = None
+
     def find_ready_steps(self):
         """Return the unfinished steps whose predecessors are done."""
+        if self._ready_steps is None:
+            self._ready_steps = self._collect_ready_steps()
+        return self._ready_steps
+
+    def _collect_ready_steps(self):
         ready = []
         for occurrence, steps in self.occurrences.items():
             if occurrence in self.finished_occurrences:
@@ -291,7 +327,7 @@
             for index in range(done.bit_length()):
                 task = self.find_task(occurrence, step, index)
                 if task is not None and done >> index & 1:
-                    task.done = True
+                    task.mark_done()
         for name, failures in progress.failed.items():
             task = self.find_task(*(int(part) for part in name.split(".")))
             if task is not None:
@@ -356,6 +392,8 @@
     serving_tasks, filler_shares, leftover_millis : object or None
         Values that `_worker_selection` derives from the attempts and their target
         speeds; None after a change.
+    leftovers : dict
+        Leftover capacity by image, and when it has to be computed anew.
     blocked_until_s, suspended_until_s : float
         Monotonic times before which nothing is started, for any reason and because
         attempts failed or stalled.
@@ -383,6 +421,7 @@
         self.serving_tasks = None
         self.filler_shares = None
         self.leftover_millis = None
+        self.leftovers = {}
         self.next_pace_s = 0.0
         self.next_stall_check_s = 0.0
         self.next_observation_s = 0.0
@@ -442,11 +481,13 @@
 
     def _forget_derived(self):
         self.serving_tasks = self.filler_shares = self.leftover_millis = None
+        self.leftovers.clear()
 
     def set_target_pace(self, attempt, percent):
         """Set the target speed of an attempt."""
         attempt.target_pace = percent
         self.filler_shares = None
+        self.leftovers.clear()
 
     def _add(self, attempt, sign):
         step = attempt.task.step
@@ -463,25 +504,25 @@
         else:
             step.attempts_per_worker.pop(self.worker, None)
 
-    def fits(self, spec, instead_of=None):
-        """Return whether a task of a step fits beside the present attempts.
+    def fits(self, spec):
+        """Return whether a task of a step fits beside the present attempts."""
+        need, capacity = spec.need, self.listed.capacity
+        return (
+            (spec.fills or self.cpu_used + need.cpu_millis <= capacity.cpu_millis)
+            and self.memory_used + need.memory_mb <= capacity.memory_mb
+            and self.accelerators_used + need.accelerators <= capacity.accelerators
+        )
 
-        Parameters
-        ----------
-        spec : StepSpec
-            The step.
-        instead_of : Attempt, optional
-            An attempt on this worker whose resources would be freed.
-        """
+    def fits_instead_of(self, spec, attempt):
+        """Return whether a task of a step fits once an attempt here has stopped."""
         need, capacity = spec.need, self.listed.capacity
-        freed = instead_of.task.step.spec if instead_of else None
-        freed_need = freed.need if freed else NO_RESOURCES
-        freed_cpu = 0 if freed is None or freed.fills else freed.need.cpu_millis
-        cpu = (0 if spec.fills else need.cpu_millis) - freed_cpu
-        memory_mb = need.memory_mb - freed_need.memory_mb
-        accelerators = need.accelerators - freed_need.accelerators
+        freed = attempt.task.step.spec
+        cpu = 0 if spec.fills else need.cpu_millis
+        freed_cpu = 0 if freed.fills else freed.need.cpu_millis
+        memory_mb = need.memory_mb - freed.need.memory_mb
+        accelerators = need.accelerators - freed.need.accelerators
         return (
-            self.cpu_used + cpu <= capacity.cpu_millis
+            self.cpu_used + cpu - freed_cpu <= capacity.cpu_millis
             and self.memory_used + memory_mb <= capacity.memory_mb
             and self.accelerators_used + accelerators <= capacity.accelerators
         )
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -12,6 +12,7 @@
 
 from fuchsiascale.decisions import PairInterference, RunTimes
 from fuchsiascale.ids import TaskId
+from fuchsiascale.jobs._full_kinds import FullKinds
 from fuchsiascale.jobs._inventories import apply_inventory
 from fuchsiascale.jobs._model import JobState
 from fuchsiascale.jobs._ports import RefusedReason
@@ -88,6 +89,7 @@
         self.events = Counter()
         self.interference = PairInterference()
         self.run_times = RunTimes()
+        self.full_kinds = FullKinds()
         self.next_move_s = 0.0
         self.next_consolidation_s = 0.0
 
--- a/fuchsiascale/jobs/_worker_selection.py
+++ b/fuchsiascale/jobs/_worker_selection.py
@@ -43,8 +43,9 @@
 """Cost of a worker outside the rack of the task's data."""
 LONG_RUNNING_USE = 0.5
 """Share of the requested processor time that long-running tasks are expected to use."""
-AVOIDED_WORKER_COST = 100.0
-"""Cost of the worker on which a task's last attempt failed."""
+LEFTOVER_MAX_AGE_S = 0.2
+"""Time for which a leftover capacity is used; the load figures behind it are half a
+second old."""
 
 
 class LeftoverCapacity(msgspec.Struct, frozen=True):
@@ -64,7 +65,9 @@
 
 
 class LeftoverCapacities:
-    """Cache, for one round, of the leftover capacity by worker and filler image.
+    """Leftover capacity by worker and filler image, as of a scheduling round.
+
+    Values are kept for `LEFTOVER_MAX_AGE_S` unless a worker's attempts change.
 
     Parameters
     ----------
@@ -72,20 +75,24 @@
         Workers and the interference between images.
     workers : iterable of WorkerRun
         Workers that accept new attempts.
+    now_s : float
+        Monotonic time in seconds.
     """
 
-    def __init__(self, shard, workers):
+    def __init__(self, shard, workers, now_s):
         self._shard = shard
         self._workers = workers
-        self._leftovers = {}
+        self._now_s = now_s
         self._max_millis = {}
 
     def find(self, image, worker):
         """Return the `LeftoverCapacity` of a worker."""
-        leftovers = self._leftovers.setdefault(worker.worker, {})
-        if image not in leftovers:
-            leftovers[image] = compute_leftover(self._shard, image, worker)
-        return leftovers[image]
+        cached = worker.leftovers.get(image)
+        if cached is not None and self._now_s < cached[1]:
+            return cached[0]
+        leftover = compute_leftover(self._shard, image, worker)
+        worker.leftovers[image] = (leftover, self._now_s + LEFTOVER_MAX_AGE_S)
+        return leftover
 
     def max_millis(self, image):
         """Return the most processor time that any worker had left, when first asked."""
@@ -96,10 +103,6 @@
             )
         return self._max_millis[image]
 
-    def forget(self, worker):
-        """Drop the entries of a worker whose attempts have changed."""
-        self._leftovers.pop(worker.worker, None)
-
 
 class Candidates:
     """Workers that can run tasks of a step, best first.
@@ -159,7 +162,6 @@
                 entry = heapq.heapreplace(heap, entry)
         _, number, worker = entry
         attempt = self._shard.start_task(task, worker, now_s)
-        self._leftovers.forget(worker)
         cost = self._find_cost(worker)
         if cost is not None:
             heapq.heappush(heap, (cost, number, worker))
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -1,7 +1,11 @@
 """Prometheus metrics of the daemon on the users' platform."""
 
 from prometheus_client import CollectorRegistry, Counter, Histogram, ProcessCollector
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
 from prometheus_client.exposition import generate_latest
 
 __all__ = ["NodeMetrics"]
@@ -110,8 +114,26 @@
             "Starts and ends of attempts.",
             labels=["service", "event"],
         )
+        relays = GaugeMetricFamily(
+            f"{PREFIX}_relay_peers",
+            "Peers that relay calls to workers.",
+            labels=["service"],
+        )
+        rejected = CounterMetricFamily(
+            f"{PREFIX}_rows_rejected",
+            "Rows that the store rejected for their form or size.",
+            labels=["service"],
+        )
+        rounds = SummaryMetricFamily(
+            f"{PREFIX}_round_duration_seconds",
+            "Duration of the scheduling rounds.",
+            labels=["service"],
+        )
         for service, owner in self._ownership.owners.items():
             shard = owner.shard
+            relays.add_metric([service], owner.workers.count_channels())
+            rejected.add_metric([service], owner.recorder.rejected_rows)
+            rounds.add_metric([service], owner.round_count, owner.round_seconds)
             tokens.add_metric([service], shard.token)
             for state, count in shard.count_states().items():
                 jobs.add_metric([service, state], count)
@@ -119,7 +141,7 @@
                 events.add_metric([service, event], count)
             quiet = sum(worker.silent for worker in shard.workers.values())
             silent.add_metric([service], quiet)
-        yield from (tokens, jobs, silent, events)
+        yield from (tokens, jobs, silent, events, relays, rejected, rounds)
 
     def render(self):
         """Return all metrics as text."""
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -2,7 +2,7 @@
 
 from types import SimpleNamespace
 
-from fuchsiascale.jobs import StoreCall
+from fuchsiascale.jobs import Shard, StoreCall
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.testing import collect_functions
 
@@ -38,3 +38,24 @@
     labels = '{call="feed",outcome="no answer"}'
     assert f"fuchsiascale_store_calls_total{labels} 1.0" in text
     assert f"fuchsiascale_store_received_bytes_total{labels} 90000.0" in text
+
+
+def test_the_load_of_an_owner_is_exported_by_service():
+    owner = SimpleNamespace(
+        shard=Shard("pool", 3, 6.0),
+        workers=SimpleNamespace(count_channels=lambda: 6),
+        recorder=SimpleNamespace(rejected_rows=2),
+        round_count=50,
+        round_seconds=0.4,
+    )
+    metrics = NodeMetrics(
+        SimpleNamespace(owners={"pool": owner}),
+        SimpleNamespace(dropped=0),
+        lambda: (1, 0.0),
+    )
+    text = metrics.render().decode()
+    labels = '{service="pool"}'
+    assert f"fuchsiascale_relay_peers{labels} 6.0" in text
+    assert f"fuchsiascale_rows_rejected_total{labels} 2.0" in text
+    assert f"fuchsiascale_round_duration_seconds_count{labels} 50.0" in text
+    assert f"fuchsiascale_round_duration_seconds_sum{labels} 0.4" in text
--- a/fuchsiascale/platform/tests/test_row_store.py
+++ b/fuchsiascale/platform/tests/test_row_store.py
@@ -16,7 +16,7 @@
 )
 from fuchsiascale.platform.user_platform import HttpRowStore
 from fuchsiascale.testing import collect_functions
-from standins.rowstore import RowStoreStandin
+from standins.rowstore import MAX_ROW_BYTES, RowStoreStandin
 
 load_tests = collect_functions(__name__)
 
@@ -70,6 +70,14 @@
             assert len(served.standin.rows) == written, name
 
 
+async def test_a_row_larger_than_the_limit_is_rejected():
+    async with Served() as served:
+        large = Change(ROW_KEY, b"x" * (MAX_ROW_BYTES + 1))
+        reply = await served.store.commit((Expect(ROW_KEY, 0),), (large,))
+        assert classify_result(reply) is Rejected
+        assert [call.outcome for call in served.calls] == ["rejected"]
+
+
 async def test_a_refused_connection_is_busy_since_nothing_was_sent():
     async with Served() as served:
         await served.server.close()
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -13,6 +13,7 @@
 
 MAX_ENTRIES = 100
 PAGE_ROWS = 500
+MAX_ROW_BYTES = 65_536
 
 
 class RowStoreFaults:
@@ -159,8 +160,7 @@
         conditions = all(
             type(entry["version_id"]) is int for entry in body["expected_rev"]
         )
-        values = all(isinstance(entry.get("value"), str) for entry in body["write"])
-        return conditions and values
+        return conditions and all(map(_has_valid_value, body["write"]))
 
     def _apply(self, writes, removals):
         self.version += 1
@@ -220,5 +220,10 @@
         ]
 
 
+def _has_valid_value(entry):
+    value = entry.get("value")
+    return isinstance(value, str) and len(value) * 3 // 4 <= MAX_ROW_BYTES
+
+
 def _row_key(entry):
     return entry["table"], entry["part"], entry["key"]
