Bound the searches for fillers in a round

Urgent tasks start at the next round.

Change: 12 searches for fillers a round; those left over come in the next round, since what has just been tried counts as full for 0.25 s.

--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -25,7 +25,10 @@
 allows 3 s, which include observing the end of the last task and starting the next."""
 STARVATION_CHECK_PERIOD_S = 0.2
 """Period in which a job of fillers that has no room is checked for running tasks."""
-FULL_PERIOD_S = 0.1
+MAX_FILLER_SEARCHES = 12
+"""Searches of a worker for fillers in one round. Urgent tasks come first in a round,
+but wait for the end of the one before."""
+FULL_PERIOD_S = 0.25
 """Time for which no worker is sought for fillers like one that had no room. For other
 tasks it is the present round."""
 STALL_CHECK_PERIOD_S = 0.2
@@ -34,6 +37,21 @@
 """Target speed below which an attempt is not checked for progress."""
 
 
+class _SearchBudget:
+    """Number of searches of a worker for fillers that are left in a round."""
+
+    def __init__(self):
+        self._left = MAX_FILLER_SEARCHES
+
+    def allows(self, spec):
+        """Return whether a worker may still be sought for a step."""
+        return self._left > 0 or not spec.fills
+
+    def spend(self, spec):
+        """Count a search for a step."""
+        self._left -= spec.fills
+
+
 def plan_round(shard, now_s):
     """Decide what to start, move and stop, and set the speed of fillers.
 
@@ -58,6 +76,7 @@
     consolidate_serving_tasks(shard, workers, now_s)
     all_workers_confirmed = shard.all_workers_confirmed()
     workers = reserve_workers(shard, workers, leftovers, now_s)
+    budget = _SearchBudget()
     for job in order_jobs(shard, now_s):
         if job.inherited and not all_workers_confirmed:
             continue
@@ -65,12 +84,14 @@
             if step.spec.gang:
                 _place_gang(shard, step, workers, leftovers, now_s)
             else:
-                _place_step(shard, step, workers, leftovers, now_s)
+                _place_step(shard, step, workers, leftovers, budget, now_s)
 
 
-def _place_step(shard, step, workers, leftovers, now_s):
+def _place_step(shard, step, workers, leftovers, budget, now_s):
     """Start the waiting tasks of a step."""
     spec = step.spec
+    if not budget.allows(spec):
+        return
     is_full = shard.full_kinds.includes(spec, now_s)
     if is_full and not _is_starvation_check_due(step, now_s):
         return
@@ -79,6 +100,7 @@
         return
     started = []
     if not is_full:
+        budget.spend(spec)
         started = _start_tasks(
             Candidates(shard, step, workers, leftovers), waiting, now_s
         )
@@ -90,13 +112,20 @@
         and not started
         and step.job.measure_idle_s(now_s) > FILLER_STARVATION_S
     ):
-        worker = find_most_leftover(step, workers, leftovers)
-        if worker is not None:
-            started = [shard.start_task(waiting[0], worker, now_s)]
+        budget.spend(spec)
+        started = _start_starving_task(
+            shard, step, waiting[0], workers, leftovers, now_s
+        )
     if started:
         _log_started(shard, step, started, len(waiting))
 
 
+def _start_starving_task(shard, step, task, workers, leftovers, now_s):
+    """Start a filler on the worker with the most leftover capacity, if one has room."""
+    worker = find_most_leftover(step, workers, leftovers)
+    return [] if worker is None else [shard.start_task(task, worker, now_s)]
+
+
 def _is_starvation_check_due(step, now_s):
     """Return whether to look if a step of fillers without room makes any progress."""
     if not step.spec.fills or now_s < step.next_starvation_check_s:
--- a/fuchsiascale/jobs/_worker_selection.py
+++ b/fuchsiascale/jobs/_worker_selection.py
@@ -43,9 +43,9 @@
 """Cost of a worker outside the rack of the task's data."""
 LONG_RUNNING_USE = 0.5
 """Share of the requested processor time that long-running tasks are expected to use."""
-LEFTOVER_MAX_AGE_S = 0.2
-"""Time for which a leftover capacity is used; the load figures behind it are half a
-second old."""
+LEFTOVER_MAX_AGE_S = 0.4
+"""Time for which a leftover capacity is used: the period of the load figures behind
+it."""
 
 
 class LeftoverCapacity(msgspec.Struct, frozen=True):
--- a/fuchsiascale/jobs/tests/test_full_kinds.py
+++ b/fuchsiascale/jobs/tests/test_full_kinds.py
@@ -73,5 +73,21 @@
     for step in range(10):
         plan_round(shard, 1.0 + 0.005 * step)
     assert searches.call_count == 1
-    plan_round(shard, 1.2)
+    plan_round(shard, 1.1 + rounds.FULL_PERIOD_S)
     assert searches.call_count == 2
+
+
+def test_a_round_ends_soon_whatever_the_number_of_waiting_fillers(searches):
+    shard = make_shard(workers=4, cpu_millis=4_000)
+    for number in range(WAITING_JOBS):
+        step = make_step(count=2, cpu=10, fills=True, image=f"scan-{number}")
+        submit_job(shard, step, job=f"{number:016x}", priority=1)
+    submit_job(shard, make_step(cpu=500), job="f" * 16)
+    started = []
+    for number in range(WAITING_JOBS // rounds.MAX_FILLER_SEARCHES + 1):
+        searches.reset_mock()
+        plan_round(shard, 1.0 + 0.01 * number)
+        assert searches.call_count <= rounds.MAX_FILLER_SEARCHES + 1
+        started += drain_starts(shard)
+    assert started[0].task.step.job.job == "f" * 16
+    assert len(started) == 2 * WAITING_JOBS + 1
