Keep one type for members and one timeout of worker calls

Peers that may relay calls were a type of their own with three of the four fields of a member, and the timeout of a command stood in the adapter and in the relay.

--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -4,7 +4,6 @@
 import xxhash
 
 from fuchsiascale.ids import FailureDomainId
-from fuchsiascale.jobs._relay_selection import RelayCandidate
 
 __all__ = ["Member", "Members"]
 
@@ -65,45 +64,35 @@
 
     def report(self, known_digest):
         """Return all members, or None if the peer knows them, and their digest."""
-        members = tuple(self._list_live(own=True))
+        members = tuple(sorted([*self.live(), self.own], key=_get_address))
         digest = xxhash.xxh64_hexdigest(msgspec.json.encode(members))
         return (None if digest == known_digest else members), digest
 
-    def _list_live(self, own=False):
+    def live(self):
+        """Return the live members, in the order of their addresses."""
         now_s = self.clock.monotonic()
         live = [
             self._members.get(address) or Member(address)
             for address, seen_s in self._seen_s.items()
             if now_s - seen_s < MEMBER_TIMEOUT_S and address != self.own.address
         ]
-        if own:
-            live.append(self.own)
-        return sorted(live, key=lambda member: member.address)
+        return sorted(live, key=_get_address)
 
     def addresses(self):
         """Return the addresses of the live members."""
-        return [member.address for member in self._list_live()]
+        return [member.address for member in self.live()]
 
     def near_addresses(self):
         """Return the addresses of the live members of this region."""
         return [
-            member.address
-            for member in self._list_live()
-            if member.region == self.own.region
+            member.address for member in self.live() if member.region == self.own.region
         ]
 
     def strongest_first(self):
         """Return the addresses of the live members, the strongest first."""
-        live = sorted(self._list_live(), key=lambda member: -member.strength)
+        live = sorted(self.live(), key=lambda member: -member.strength)
         return [member.address for member in live]
 
-    def relay_candidates(self):
-        """Return the members that may relay calls to workers."""
-        return [
-            RelayCandidate(member.address, member.domain, member.strength)
-            for member in self._list_live()
-        ]
-
     def rank(self, key, excluded):
         """Return the number of members that come before this one as the next owner.
 
@@ -117,7 +106,9 @@
 
         own = order(self.own)
         return sum(
-            order(member) < own
-            for member in self._list_live()
-            if member.address != excluded
+            order(member) < own for member in self.live() if member.address != excluded
         )
+
+
+def _get_address(member):
+    return member.address
--- a/fuchsiascale/jobs/_relay_selection.py
+++ b/fuchsiascale/jobs/_relay_selection.py
@@ -6,12 +6,12 @@
 
 import math
 
-import msgspec
 import xxhash
 
 from fuchsiascale.ids import FailureDomainId, WorkerId
+from fuchsiascale.jobs._members import Member
 
-__all__ = ["RelayCandidate", "select_relays"]
+__all__ = ["select_relays"]
 
 DIRECT_WORKERS = 120
 """Number of workers that an owner of strength 1 calls directly."""
@@ -22,17 +22,9 @@
 MAX_HASH = (1 << 64) - 1
 
 
-class RelayCandidate(msgspec.Struct, frozen=True):
-    """A peer that may relay calls; see `Ping` for ``strength``."""
-
-    address: str
-    domain: FailureDomainId
-    strength: float
-
-
 def select_relays(
     workers: dict[WorkerId, FailureDomainId],
-    candidates: list[RelayCandidate],
+    members: list[Member],
     strength: float,
 ) -> dict[WorkerId, str]:
     """Return the peer that relays the calls to each worker.
@@ -45,7 +37,7 @@
     ----------
     workers : dict
         Failure domain of each worker.
-    candidates : list of RelayCandidate
+    members : list of Member
         Live peers.
     strength : float
         Strength of the owner itself.
@@ -58,7 +50,7 @@
     Examples
     --------
     >>> workers = {f"w{number}": "porto" for number in range(120)}
-    >>> peers = [RelayCandidate(f"10.0.0.{n}:80", "porto", 0.5) for n in range(9)]
+    >>> peers = [Member(f"10.0.0.{n}:80", "porto", "norte", 0.5) for n in range(9)]
     >>> relays = select_relays(workers, peers, 0.5)
     >>> len(relays), len(set(relays.values()))
     (120, 3)
@@ -71,11 +63,11 @@
     for worker, domain in workers.items():
         by_domain.setdefault(domain, []).append(worker)
     selected = {}
-    for domain, members in by_domain.items():
-        peers = [peer for peer in candidates if peer.domain == domain]
+    for domain, worker_ids in by_domain.items():
+        peers = [member for member in members if member.domain == domain]
         peers.sort(key=lambda peer: (-peer.strength, _hash(peer.address)))
-        relays = _take_relays(peers, len(members))
-        for worker in members if relays else ():
+        relays = _take_relays(peers, len(worker_ids))
+        for worker in worker_ids if relays else ():
             best = max(relays, key=lambda peer: _score(peer, worker))
             selected[worker] = best.address
     return selected
--- a/fuchsiascale/jobs/_relayed_workers.py
+++ b/fuchsiascale/jobs/_relayed_workers.py
@@ -61,7 +61,7 @@
         now_s = self.clock.monotonic()
         usable = [
             each
-            for each in self._members.relay_candidates()
+            for each in self._members.live()
             if now_s >= self._excluded_until_s.get(each.address, 0.0)
         ]
         if self._assigned_from == (domains, usable):
--- a/fuchsiascale/jobs/tests/test_relayed_workers.py
+++ b/fuchsiascale/jobs/tests/test_relayed_workers.py
@@ -19,7 +19,6 @@
     NoAnswer,
     Refused,
     RefusedReason,
-    RelayCandidate,
     RelayedWorkers,
     Resources,
     StartRequest,
@@ -292,9 +291,9 @@
     workers = {f"w{number}": "porto" for number in range(120)}
     workers |= {f"v{number}": "faro" for number in range(20)}
     candidates = [
-        RelayCandidate("strong", "porto", 1.0),
-        RelayCandidate("weak", "porto", 0.5),
-        RelayCandidate("spare", "porto", 0.4),
+        Member("strong", "porto", "norte", 1.0),
+        Member("weak", "porto", "norte", 0.5),
+        Member("spare", "porto", "norte", 0.4),
     ]
     relays = select_relays(workers, candidates, 0.5)
     counts = {name: list(relays.values()).count(name) for name in set(relays.values())}
@@ -304,7 +303,7 @@
 
 
 def test_a_small_deployment_calls_its_workers_directly():
-    candidates = [RelayCandidate("peer", "porto", 0.5)]
+    candidates = [Member("peer", "porto", "norte", 0.5)]
     workers = {f"w{number}": "porto" for number in range(33)}
     assert select_relays(workers, candidates, 0.53) == {}
 
--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -8,6 +8,7 @@
 
 from fuchsiascale.ids import TaskId
 from fuchsiascale.jobs import (
+    COMMAND_TIMEOUT_S,
     Absent,
     EndedAttempt,
     EndKind,
@@ -25,8 +26,6 @@
 
 __all__ = ["HttpTaskWorkers"]
 
-COMMAND_TIMEOUT_S = 0.8
-"""Workers normally reply to commands within a few milliseconds."""
 NO_TIMEOUT = aiohttp.ClientTimeout()
 """The session's own timeouts would count time in which this process could not run."""
 INCARNATION_HEADER = "Target-Instance"
