Give a rejected row within the limits up only after five rejections, and claim by strength after a start of all

By reading: a store that rejects every record for a moment, for a reason of its own, would have had all ends acknowledged without a record; tasks then run again under the next owner. The new test fails before the change: 8 ends acknowledged. Also by reading: after a start of all instances none knows a member, so that all have rank 0 and a weak one may win; they wait by their strength then, as before. Lost members are forgotten.

--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -56,6 +56,13 @@
             self._members[member.address] = member
             self._seen_s[member.address] = now_s
         self._seen_s[owner_address] = now_s
+        self._forget_lost(now_s)
+
+    def _forget_lost(self, now_s):
+        for address, seen_s in list(self._seen_s.items()):
+            if now_s - seen_s >= MEMBER_TIMEOUT_S:
+                del self._seen_s[address]
+                self._members.pop(address, None)
 
     @property
     def reported_digest(self):
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -56,8 +56,8 @@
 MAX_RANK_DELAY_S = 0.8
 """Longest delay of a claim, for an instance that many members come before."""
 MAX_STRENGTH_DELAY_S = 0.8
-"""Delay of the first claim of a service by an instance of strength 0, so that stronger
-ones claim first. Members don't know each other before the first owner."""
+"""Delay of a claim by an instance of strength 0 that knows no members, as after the
+start of all instances, so that stronger ones claim first."""
 
 
 class OwnerView(msgspec.Struct, frozen=True):
@@ -248,6 +248,8 @@
         excluded = view.row.address if view.row else ""
         rank = self.known_members.rank(f"{service}|{view.token}", excluded)
         delay_s = min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S)
+        if not self.members():
+            delay_s = self._strength_delay_s()
         await self._claim(view, delay_s, stopped_s)
 
     def _strength_delay_s(self):
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -42,6 +42,8 @@
 """Least time between two writes of the estimates."""
 MAX_ROWS = 90
 """Largest number of changes in one transaction; the platform accepts 100 entries."""
+MAX_REJECTIONS = 5
+"""Rejections after which a row within the known limits is left out of the record."""
 MAX_BATCH_BYTES = 500_000
 """Bytes of the values in a transaction; the store allows 1 MB, encoded in base64."""
 
@@ -88,6 +90,7 @@
         self.ledger_version = 0
         self.leased_workers = LeasedWorkersRows(shard.service, max_row_bytes)
         self.rejected_rows = 0
+        self._rejections = {}
         self._max_row_bytes = max_row_bytes
         self.flush_requested = asyncio.Event()
         self.ends_recorded = asyncio.Event()
@@ -167,16 +170,30 @@
                 # One row that the store rejects must not hold up the others.
                 batches[:1] = [[item] for item in batches[0]]
                 continue
-            if outcome is _Outcome.NOT_WRITTEN:
+            if outcome is _Outcome.REJECTED and self._gives_up(batches[0][0]):
+                self._report_rejected(batches[0][0])
+            elif outcome is not _Outcome.WRITTEN:
                 self._restore_dirty(batches)
                 return False
-            if outcome is _Outcome.REJECTED:
-                self._report_rejected(batches[0][0])
             del batches[0]
         shard.note_recorded(snapshot)
         self.ends_recorded.set()
         return True
 
+    def _gives_up(self, item):
+        """Return whether an item that the store rejects by itself is left out.
+
+        One within the limits may be rejected for another reason than its own.
+        """
+        place = item.changes[0].place
+        self._rejections[place] = self._rejections.get(place, 0) + 1
+        sizes = [len(change.value or b"") for change in item.changes]
+        is_too_large = max(sizes) > self._max_row_bytes or len(sizes) > MAX_ROWS
+        if is_too_large or self._rejections[place] >= MAX_REJECTIONS:
+            del self._rejections[place]
+            return True
+        return False
+
     def _restore_dirty(self, batches):
         """Keep the jobs of batches that were not written for the next record."""
         for item in (item for batch in batches for item in batch):
--- a/fuchsiascale/jobs/tests/test_row_bounds.py
+++ b/fuchsiascale/jobs/tests/test_row_bounds.py
@@ -36,6 +36,7 @@
     leased_workers_row_key,
 )
 from fuchsiascale.jobs._record_batches import limit_estimates
+from fuchsiascale.jobs._recorder import MAX_REJECTIONS
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -234,6 +235,9 @@
     owner = make_owner(store)
     add_workers(owner, range(3))
     run = end_tasks(owner, 8)
+    for _ in range(MAX_REJECTIONS - 1):
+        assert not await owner.recorder.flush()
+    assert run.last_recorded_end == 0
     assert await owner.recorder.flush()
     assert run.last_recorded_end == 8
     finished = [key.key for key in store.rows if key.table == "finished"]
@@ -242,6 +246,20 @@
     assert owner.recorder.rejected_rows == 3
 
 
+async def test_no_end_is_acknowledged_while_the_store_rejects_every_record():
+    store = LimitedStore(rejected_keys=["ledger"])
+    owner = make_owner(store)
+    add_workers(owner, range(3))
+    run = end_tasks(owner, 8)
+    for _ in range(MAX_REJECTIONS - 1):
+        assert not await owner.recorder.flush()
+    store.rejected_keys.clear()
+    assert run.last_recorded_end == 0
+    assert await owner.recorder.flush()
+    assert run.last_recorded_end == 8
+    assert owner.recorder.rejected_rows == 0
+
+
 def test_estimates_of_many_images_and_queues_fit_in_a_row():
     row = EstimatesRow(
         slopes={
--- a/fuchsiascale/platform/_row_store.py
+++ b/fuchsiascale/platform/_row_store.py
@@ -40,7 +40,9 @@
 """Read timeout of a feed beyond the requested wait."""
 ROWS_PER_PAGE = 500
 REFUSED_STATUSES = (429, 503, 507)
-"""Statuses of calls that had no effect and may be repeated."""
+"""Statuses of calls that had no effect, in addition to all of 400 to 499."""
+REJECTED_STATUSES = (400, 413)
+"""Statuses of calls whose form or size the store rejects."""
 
 
 class _Row(msgspec.Struct, omit_defaults=True):
@@ -243,8 +245,9 @@
         detail = f"status {status}: {text}" if text else f"status {status}"
         if status in REFUSED_STATUSES:
             return Failure(Busy(detail))
-        is_rejected = 400 <= status < 500
-        return Failure(Rejected(detail) if is_rejected else NoAnswer(detail))
+        if status in REJECTED_STATUSES:
+            return Failure(Rejected(detail))
+        return Failure(Busy(detail) if 400 <= status < 500 else NoAnswer(detail))
     try:
         response = (
             msgspec.json.decode(content, type=_Response) if content else _Response()
