Report members in a field of their own, so that the build before can read the answer to a ping

By reading: the members of a Pong had changed their type under the old name. An instance of the build before would have failed to decode the answer, taken the owner for dead and claimed the service, and the other way round, once a second during a mixed rollout. The test with a Pong of the build before fails before the change.

--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -222,7 +222,7 @@
         now_s = self.clock.monotonic()
         if isinstance(reply, Pong):
             self.known_members.apply_report(
-                view.row.address, reply.members, reply.members_digest
+                view.row.address, reply.live_members, reply.members_digest
             )
             if reply.owned.get(service, 0) >= view.token:
                 self._last_reply_s[service] = now_s
@@ -450,7 +450,7 @@
                 name: now_s - last_reply_s
                 for name, last_reply_s in self._last_reply_s.items()
             },
-            members=members,
+            live_members=members,
             members_digest=digest,
         )
 
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -70,16 +70,16 @@
 
     ``owned`` holds the fencing tokens of the services that this instance owns.
     ``heard_ago_s`` is the time since the owner of each other service last answered this
-    instance. ``members`` are all live instances; None if the instance that sent the
-    ping knows them already, by their digest. ``configuration`` is None before the first
-    version.
+    instance. ``live_members`` are all live instances; None if the instance that sent
+    the ping knows them already, by their digest. ``configuration`` is None before the
+    first version.
     """
 
     instance: str
     incarnation: str
     owned: dict[str, int] = {}
     heard_ago_s: dict[str, float] = {}
-    members: tuple[Member, ...] | None = None
+    live_members: tuple[Member, ...] | None = None
     members_digest: str = ""
     configuration: ConfigurationFreshness | None = None
 
--- a/fuchsiascale/jobs/tests/test_relayed_workers.py
+++ b/fuchsiascale/jobs/tests/test_relayed_workers.py
@@ -17,6 +17,9 @@
     Member,
     Members,
     NoAnswer,
+    PeerReply,
+    Ping,
+    Pong,
     Refused,
     RefusedReason,
     RelayedWorkers,
@@ -325,3 +328,38 @@
     other.apply_report("o:1", None, digest)
     clock.advance(2.0)
     assert other.addresses() == ["b:1", "o:1"]
+
+
+def test_stronger_members_claim_first_and_equal_ones_in_an_agreed_order():
+    names = {"a:1": 1.0, "b:1": 0.5, "c:1": 0.5, "owner:1": 1.0}
+    ranks = {}
+    for own in names:
+        members = Members(Member(own, strength=names[own]), ManualClock())
+        for address, strength in names.items():
+            members.observe(Member(address, strength=strength))
+        ranks[own] = members.rank("pool|7", "owner:1")
+    assert ranks["a:1"] == 0
+    assert sorted((ranks["b:1"], ranks["c:1"])) == [1, 2]
+
+
+def test_an_instance_of_the_build_before_can_still_be_pinged():
+    old = {
+        "type": "pong",
+        "instance": "entry-1",
+        "incarnation": "1",
+        "owned": {"pool": 3},
+        "members": ["10.0.0.1:7000"],
+        "near": ["10.0.0.1:7000"],
+    }
+    pong = msgspec.json.decode(msgspec.json.encode(old), type=PeerReply)
+    assert pong.owned == {"pool": 3}
+    assert pong.live_members is None
+
+
+def test_the_build_before_ignores_the_new_fields_of_a_ping_and_its_answer():
+    ping = msgspec.to_builtins(Ping(instance="a", incarnation="1", address="b:1"))
+    assert {"instance", "incarnation", "address", "strength", "region"} <= ping.keys()
+    pong = msgspec.to_builtins(
+        Pong(instance="a", incarnation="1", live_members=(Member("b:1"),))
+    )
+    assert not {"members", "near"} & pong.keys()
