Give workers' state a module of its own, and log records, claims and loads that fail

Left by that review: reads of the owner row, whose reason stands in the line of the store. Nothing else changes.

--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -22,3 +22,4 @@
 from fuchsiascale.jobs._table_watch import *  # noqa: F403
 from fuchsiascale.jobs._worker_calls import *  # noqa: F403
 from fuchsiascale.jobs._worker_relay import *  # noqa: F403
+from fuchsiascale.jobs._worker_state import *  # noqa: F403
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -4,7 +4,6 @@
 import contextlib
 
 import logbook
-import msgspec
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._job_order import compute_objective_s
@@ -29,7 +28,7 @@
 from fuchsiascale.jobs._table_watch import TableWatch
 from fuchsiascale.jobs._worker_links import WorkerLinks
 
-__all__ = ["Owner", "OwnerLimits"]
+__all__ = ["Owner"]
 
 LEASE_S = 6.0
 """Length of a worker's lease; the platform's longest lease where that is shorter."""
@@ -61,21 +60,6 @@
 """How long final states are kept; the platform requires 120 s."""
 
 
-class OwnerLimits(msgspec.Struct, frozen=True):
-    """Limits of the platform that owners keep to.
-
-    Parameters
-    ----------
-    longest_lease_s : float
-        Longest lease of a worker, in seconds.
-    max_row_bytes : int
-        Largest value that the store accepts for a row, in bytes.
-    """
-
-    longest_lease_s: float = 6.0
-    max_row_bytes: int = 65_536
-
-
 class Owner:
     """Owner of one service, as run by this instance.
 
@@ -207,13 +191,14 @@
         if self.lost:
             return
         self.lost = True
-        self.log.warning(
-            "ownership lost",
-            extra={"service": self.service, "token": self.row.token, "why": why},
-        )
+        self.log.warning("ownership lost", extra={**self._identify(), "why": why})
         self._cancel()
         self.on_lost(self)
 
+    def _identify(self):
+        """Return the fields of a log line that name this owner."""
+        return {"service": self.service, "token": self.row.token}
+
     def can_grant_leases(self):
         """Return whether leases may be granted, which needs a recent confirmation."""
         now_s = self.clock.monotonic()
@@ -237,6 +222,7 @@
             if all(isinstance(each, Success) for each in found):
                 self._restore(*(each.unwrap() for each in found))
                 return not self.lost
+            self.log.info("loading failed; reading again", extra=self._identify())
             await asyncio.sleep(STORE_RETRY_DELAY_S)
         return False
 
@@ -447,6 +433,9 @@
         """Read all jobs anew after a poll failed, as when the history was dropped."""
         found = await self.store.read(ACCEPTED, self.service)
         if isinstance(found, Failure):
+            self.log.info(
+                "reloading the jobs failed", extra={"why": repr(found.failure())}
+            )
             return False
         self.log.info("jobs reloaded", extra={"why": repr(error)})
         self._apply_changes(found.unwrap())
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -5,7 +5,7 @@
 
 import logbook
 import msgspec
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from fuchsiascale.jobs._members import Member, Members
 from fuchsiascale.jobs._owner import Owner
@@ -292,20 +292,9 @@
             incarnation=self.identity.incarnation,
             address=self.identity.address,
         )
-        row_key = owner_row_key(service)
-        reply = await self.store.commit(
-            (Expect(row_key, view.version),), (Change(row_key, encode_row(row)),)
-        )
-        if isinstance(reply, Failure):
-            if isinstance(reply.failure(), Conflict | NoAnswer):
-                found = await self._read_view(service)
-                if found is None or found.row != row:
-                    return False
-                version = found.version
-            else:
-                return False
-        else:
-            version = reply.unwrap()
+        version = await self._commit_claim(view, row)
+        if version is None:
+            return False
         self.update_view(service, row, version)
         self.log.warning(
             "ownership taken",
@@ -332,6 +321,25 @@
             self._spawn(self._watch_predecessor(owner, view.row))
         return True
 
+    async def _commit_claim(self, view, row):
+        """Write an owner row; return its version, or None if it is not written."""
+        row_key = owner_row_key(view.service)
+        reply = await self.store.commit(
+            (Expect(row_key, view.version),), (Change(row_key, encode_row(row)),)
+        )
+        if isinstance(reply, Success):
+            return reply.unwrap()
+        error = reply.failure()
+        if isinstance(error, Conflict | NoAnswer):
+            found = await self._read_view(view.service)
+            if found is not None and found.row == row:
+                return found.version
+        self.log.info(
+            "claim not written",
+            extra={"service": view.service, "why": type(error).__name__},
+        )
+        return None
+
     def _make_relayed_workers(self):
         return RelayedWorkers(
             self.workers,
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -23,6 +23,7 @@
     "Inventory",
     "ListedWorker",
     "NoAnswer",
+    "OwnerLimits",
     "Refused",
     "RefusedReason",
     "Rejected",
@@ -125,6 +126,21 @@
     received_bytes: int
 
 
+class OwnerLimits(msgspec.Struct, frozen=True):
+    """Limits of the platform that owners keep to.
+
+    Parameters
+    ----------
+    longest_lease_s : float
+        Longest lease of a worker, in seconds.
+    max_row_bytes : int
+        Largest value that the store accepts for a row, in bytes.
+    """
+
+    longest_lease_s: float = 6.0
+    max_row_bytes: int = 65_536
+
+
 class StorePort(Protocol):
     """The platform's transactional store of rows."""
 
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -315,6 +315,10 @@
             rows = found.unwrap().rows if isinstance(found, Success) else ()
         if self._was_written(ledger_row, rows):
             return _Outcome.WRITTEN
+        self.log.info(
+            "record not written",
+            extra={"why": type(error).__name__, "rows": len(changes)},
+        )
         return _Outcome.NOT_WRITTEN
 
     def _was_written(self, ledger_row, rows):
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -20,9 +20,9 @@
     Attempt,
     AttemptPhase,
     JobRun,
-    WorkerRun,
 )
 from fuchsiascale.jobs._worker_clocks import compute_lease_expiry, estimate_clock_ms
+from fuchsiascale.jobs._worker_state import WorkerRun
 
 __all__ = ["PaceCommand", "Shard", "StartCommand", "StopCommand"]
 
--- /dev/null
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -0,0 +1,174 @@
+"""In-memory state of a worker: its lease, its attempts and the room that they leave."""
+
+__all__ = ["WorkerRun"]
+
+
+class WorkerRun:
+    """An owner's state of a worker.
+
+    Parameters
+    ----------
+    listed : ListedWorker
+        The worker's entry in the platform's list.
+    now_s : float
+        Monotonic time.
+
+    Attributes
+    ----------
+    claimed : bool
+        Whether this incarnation has answered an exchange with the owner.
+    silent : bool
+        Whether the last exchange returned no inventory.
+    in_leased_workers : bool
+        Whether a stored row of leased workers lists the worker.
+    storable : bool
+        Whether the worker's entry fits in a row; otherwise it can't be used.
+    orphans : dict
+        Numbers of attempts to stop that the shard doesn't track, by task id.
+    last_seen_end, last_recorded_end : int
+        Highest number of an end that was seen, and that is recorded.
+    clock_ms, clock_read_s : int or None, float
+        Last reading of the worker's clock, and its monotonic time.
+    granted_until_ms : int
+        Latest end of a lease that was granted, on the worker's clock.
+    lease_expiry_s : float or None
+        Monotonic time after which all granted leases have expired.
+    fillers : int
+        Number of attempts of fillers.
+    serving_tasks, filler_shares, leftover_millis : object or None
+        Values that `_worker_selection` derives from the attempts and their target
+        speeds; None after a change.
+    leftovers : dict
+        Leftover capacity by image, and when it has to be computed anew.
+    blocked_until_s, suspended_until_s : float
+        Monotonic times before which nothing is started, for any reason and because
+        attempts failed or stalled.
+    """
+
+    def __init__(self, listed, now_s):
+        self.listed = listed
+        self.worker = listed.worker
+        self.incarnation = 0
+        self.claimed = False
+        self.silent = False
+        self.in_leased_workers = False
+        self.storable = True
+        self.is_listed = True
+        self.attempts = {}
+        self.orphans = {}
+        self.last_seen_end = 0
+        self.last_recorded_end = 0
+        self.clock_ms = None
+        self.clock_read_s = now_s
+        self.granted_until_ms = 0
+        self.lease_expiry_s = None
+        self.blocked_until_s = 0.0
+        self.fillers = 0
+        self.serving_tasks = None
+        self.filler_shares = None
+        self.leftover_millis = None
+        self.leftovers = {}
+        self.next_pace_s = 0.0
+        self.next_stall_check_s = 0.0
+        self.next_observation_s = 0.0
+        self.over_target_since_s = None
+        self.task_over_target_since_s = None
+        self.failed_jobs = set()
+        self.suspensions = 0
+        self.suspended_until_s = 0.0
+        self.cpu_used = 0
+        self.memory_used = 0
+        self.accelerators_used = 0
+
+    @property
+    def draining(self):
+        """Whether the platform is draining the worker."""
+        return self.listed.draining
+
+    @property
+    def retired(self):
+        """Whether nothing runs, or will be started, on the worker."""
+        return (
+            self.claimed
+            and (self.draining or not self.is_listed)
+            and not self.attempts
+            and not self.orphans
+        )
+
+    def is_usable(self, now_s):
+        """Return whether new attempts may be started on the worker."""
+        return (
+            self.claimed
+            and not self.silent
+            and self.in_leased_workers
+            and self.is_listed
+            and not self.listed.draining
+            and now_s >= self.blocked_until_s
+            and self.clock_ms is not None
+        )
+
+    def occupy(self, attempt):
+        """Add an attempt and reserve its resources."""
+        self.attempts[attempt.task.name] = attempt
+        self._add(attempt, 1)
+
+    def release(self, attempt):
+        """Remove an attempt and free its resources."""
+        if self.attempts.get(attempt.task.name) is attempt:
+            del self.attempts[attempt.task.name]
+            self._add(attempt, -1)
+
+    def update_listing(self, listed):
+        """Set the worker's entry in the platform's list, which has it at present."""
+        if listed.capacity != self.listed.capacity:
+            self._forget_derived()
+        self.listed = listed
+        self.is_listed = True
+
+    def _forget_derived(self):
+        self.serving_tasks = self.filler_shares = self.leftover_millis = None
+        self.leftovers.clear()
+
+    def set_target_pace(self, attempt, percent):
+        """Set the target speed of an attempt."""
+        attempt.target_pace = percent
+        self.filler_shares = None
+        self.leftovers.clear()
+
+    def _add(self, attempt, sign):
+        step = attempt.task.step
+        self.fillers += sign * step.spec.fills
+        self._forget_derived()
+        need = step.spec.need
+        if not step.spec.fills:
+            self.cpu_used += sign * need.cpu_millis
+        self.memory_used += sign * need.memory_mb
+        self.accelerators_used += sign * need.accelerators
+        count = step.attempts_per_worker.get(self.worker, 0) + sign
+        if count:
+            step.attempts_per_worker[self.worker] = count
+        else:
+            step.attempts_per_worker.pop(self.worker, None)
+
+    def fits(self, spec):
+        """Return whether a task of a step fits beside the present attempts."""
+        need, capacity = spec.need, self.listed.capacity
+        return (
+            (spec.fills or self.cpu_used + need.cpu_millis <= capacity.cpu_millis)
+            and self.memory_used + need.memory_mb <= capacity.memory_mb
+            and self.accelerators_used + need.accelerators <= capacity.accelerators
+        )
+
+    def fits_instead_of(self, spec, attempt):
+        """Return whether a task of a step fits once an attempt here has stopped."""
+        need, capacity = spec.need, self.listed.capacity
+        freed = attempt.task.step.spec
+        cpu = 0 if spec.fills else need.cpu_millis
+        freed_cpu = 0 if freed.fills else freed.need.cpu_millis
+        memory_mb = need.memory_mb - freed.need.memory_mb
+        accelerators = need.accelerators - freed.need.accelerators
+        return (
+            self.cpu_used + cpu - freed_cpu <= capacity.cpu_millis
+            and self.memory_used + memory_mb <= capacity.memory_mb
+            and self.accelerators_used + accelerators <= capacity.accelerators
+        )
