Tell the relay of the store from that of calls to workers by the names of their modules

_relay.py held the store's relay beside _relay_channel.py and _relay_selection.py of the calls to workers.

--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -31,8 +31,8 @@
     encode_row,
     owner_row_key,
 )
-from fuchsiascale.jobs._relay import decode_commit_result
 from fuchsiascale.jobs._relayed_workers import RelayedWorkers
+from fuchsiascale.jobs._store_relay import decode_commit_result
 
 __all__ = ["OwnerView", "OwnershipManager"]
 
--- a/fuchsiascale/jobs/_relayed_workers.py
+++ b/fuchsiascale/jobs/_relayed_workers.py
@@ -3,9 +3,9 @@
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._ports import Executed, Inventory, NoAnswer, WorkerAddress
-from fuchsiascale.jobs._relay_channel import RelayChannel
-from fuchsiascale.jobs._relay_selection import select_relays
 from fuchsiascale.jobs._worker_calls import ExchangeRequest, PaceRequest, StopRequest
+from fuchsiascale.jobs._worker_relay_channel import RelayChannel
+from fuchsiascale.jobs._worker_relay_selection import select_relays
 
 __all__ = ["COMMAND_TIMEOUT_S", "RelayedWorkers"]
 
--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -25,7 +25,7 @@
     job_row_key,
     owner_row_key,
 )
-from fuchsiascale.jobs._relay import encode_commit_result
+from fuchsiascale.jobs._store_relay import encode_commit_result
 
 __all__ = ["JobRequestHandler", "Outcome", "Reply"]
 
--- a/fuchsiascale/jobs/tests/test_relay.py
+++ b/fuchsiascale/jobs/tests/test_store_relay.py
@@ -19,7 +19,7 @@
     RowKey,
     VersionedRows,
 )
-from fuchsiascale.jobs import _relay as relay
+from fuchsiascale.jobs import _store_relay as relay
 from fuchsiascale.testing import LoopClock, collect_functions, run_in_virtual_time
 
 load_tests = collect_functions(__name__)
