Keep room for urgent tasks, and make it by stopping long-running ones

Ruled out: the owner's processor (1.0 of 2.1 cores), memory of fillers, hand-in.

Change: the emptiest workers are kept for the demand of urgent tasks, as a decaying peak and a tenth of the capacity at most; where it is short, long-running tasks are stopped for urgent ones that can still be in time. A long-running task waits for 4 s at most, a job without attempts begins with a quarter of its tasks after 1 s.

--- a/fuchsiascale/jobs/_job_order.py
+++ b/fuchsiascale/jobs/_job_order.py
@@ -1,6 +1,6 @@
 """Orders the jobs of a shard for starting."""
 
-__all__ = ["compute_objective_s", "order_jobs"]
+__all__ = ["can_meet_objective", "compute_objective_s", "order_jobs"]
 
 ESTIMATE_MAX_AGE_S = 0.5
 """Time after which a job's estimates follow the run times observed since."""
@@ -33,6 +33,12 @@
     return (int(worthless), job.policy.priority, 1, left_s)
 
 
+def can_meet_objective(job, now_s, run_times):
+    """Return whether a job finishes in time if the rest of it starts at once."""
+    due_s, left_s = _estimate(job, now_s, run_times)
+    return now_s - job.accepted_s + left_s <= due_s
+
+
 def _estimate(job, now_s, run_times):
     """Return a job's objective and the rest of its critical path, in seconds.
 
--- a/fuchsiascale/jobs/_reservations.py
+++ b/fuchsiascale/jobs/_reservations.py
@@ -1,14 +1,18 @@
 """Reserves workers for waiting long-running tasks."""
 
+import math
+
 from fuchsiascale.jobs._worker_selection import Candidates, is_suitable
 
-__all__ = ["reserve_workers"]
+__all__ = ["is_overdue", "reserve_workers"]
 
 RESTART_WAIT_S = 4.0
 """Time after which a worker is reserved for a task that ran before. Most run again
 within 1.5 s; the platform allows 9 s after the end of the last run."""
 IDLE_WAIT_S = 1.0
 """The same for the first task of a job without attempts; the platform allows 3 s."""
+IDLE_START_SHARE = 0.25
+"""Share of a step's tasks with which a job without attempts begins."""
 MAX_RESERVED_SHARE = 0.02
 """Largest share of the workers that is reserved, but at least one worker: reserved
 workers are not available to urgent work."""
@@ -38,24 +42,43 @@
     free = list(workers)
     left = max(1, int(MAX_RESERVED_SHARE * len(workers)))
     for step in _list_long_running_steps(shard, shard.all_workers_confirmed()):
-        for task in _list_overdue(step, now_s):
+        idle = step.job.measure_idle_s(now_s) > IDLE_WAIT_S
+        for task in _list_overdue(step, idle, now_s):
             if not left:
                 return free
             if Candidates(shard, step, free, leftovers).start(task, now_s) is None:
                 left -= _reserve(step, free)
+                if idle:
+                    break
     return free
 
 
-def _list_overdue(step, now_s):
-    """Return the tasks of a step that have waited too long."""
+def is_overdue(step, now_s):
+    """Return whether a task of a step has waited for too long to be kept waiting.
+
+    Waits count from the first call of `reserve_workers` that sees them.
+    """
+    return any(
+        task.waiting
+        and task.waiting_since_s is not None
+        and now_s - task.waiting_since_s > RESTART_WAIT_S
+        for task in step.tasks
+    )
+
+
+def _list_overdue(step, idle, now_s):
+    """Return the tasks of a step that have waited too long.
+
+    Of an idle job's tasks these are the first few, without which it serves nobody.
+    """
     for task in step.tasks:
         if not task.waiting:
             task.waiting_since_s = None
         elif task.waiting_since_s is None:
             task.waiting_since_s = now_s
     waiting = [task for task in step.tasks if task.waiting]
-    if waiting and step.job.measure_idle_s(now_s) > IDLE_WAIT_S:
-        return waiting[:1]
+    if idle:
+        return waiting[: math.ceil(IDLE_START_SHARE * step.spec.count)]
     return [
         task
         for task in waiting
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -3,11 +3,15 @@
 A filler is a task that uses only processor time that other tasks leave over.
 """
 
+from typing import NamedTuple
+
 from fuchsiascale.jobs._consolidation import consolidate_serving_tasks
+from fuchsiascale.jobs._full_kinds import FullKinds
 from fuchsiascale.jobs._job_order import order_jobs
 from fuchsiascale.jobs._pacing import move_fillers, throttle_fillers
-from fuchsiascale.jobs._reservations import reserve_workers
+from fuchsiascale.jobs._reservations import is_overdue, reserve_workers
 from fuchsiascale.jobs._run_state import AttemptPhase
+from fuchsiascale.jobs._urgent_room import exclude_urgent_room, make_urgent_room
 from fuchsiascale.jobs._worker_selection import (
     Candidates,
     LeftoverCapacities,
@@ -37,6 +41,13 @@
 """Target speed below which an attempt is not checked for progress."""
 
 
+class _Pool(NamedTuple):
+    """Workers that a step may use, and the tasks for which they have no room."""
+
+    workers: list
+    full_kinds: FullKinds
+
+
 class _SearchBudget:
     """Number of searches of a worker for fillers that are left in a round."""
 
@@ -76,6 +87,8 @@
     consolidate_serving_tasks(shard, workers, now_s)
     all_workers_confirmed = shard.all_workers_confirmed()
     workers = reserve_workers(shard, workers, leftovers, now_s)
+    pool = _Pool(workers, shard.full_kinds)
+    unreserved = _Pool(exclude_urgent_room(shard, workers, now_s), FullKinds())
     budget = _SearchBudget()
     for job in order_jobs(shard, now_s):
         if job.inherited and not all_workers_confirmed:
@@ -84,15 +97,23 @@
             if step.spec.gang:
                 _place_gang(shard, step, workers, leftovers, now_s)
             else:
-                _place_step(shard, step, workers, leftovers, budget, now_s)
+                allowed = unreserved if _can_wait(step, now_s) else pool
+                _place_step(shard, step, allowed, leftovers, budget, now_s)
+    make_urgent_room(shard, workers, now_s)
+
+
+def _can_wait(step, now_s):
+    """Return whether a step leaves the room of urgent tasks alone for now."""
+    is_moving = any(task.preferred_worker and task.waiting for task in step.tasks)
+    return step.spec.lasting and not is_moving and not is_overdue(step, now_s)
 
 
-def _place_step(shard, step, workers, leftovers, budget, now_s):
+def _place_step(shard, step, pool, leftovers, budget, now_s):
     """Start the waiting tasks of a step."""
     spec = step.spec
     if not budget.allows(spec):
         return
-    is_full = shard.full_kinds.includes(spec, now_s)
+    is_full = pool.full_kinds.includes(spec, now_s)
     if is_full and not _is_starvation_check_due(step, now_s):
         return
     waiting = [task for task in step.tasks if task.waiting]
@@ -102,11 +123,11 @@
     if not is_full:
         budget.spend(spec)
         started = _start_tasks(
-            Candidates(shard, step, workers, leftovers), waiting, now_s
+            Candidates(shard, step, pool.workers, leftovers), waiting, now_s
         )
         if len(started) < len(waiting) and not spec.max_per_worker:
             until_s = now_s + FULL_PERIOD_S if spec.fills else now_s
-            shard.full_kinds.mark(spec, until_s)
+            pool.full_kinds.mark(spec, until_s)
     if (
         spec.fills
         and not started
@@ -114,7 +135,7 @@
     ):
         budget.spend(spec)
         started = _start_starving_task(
-            shard, step, waiting[0], workers, leftovers, now_s
+            shard, step, waiting[0], pool.workers, leftovers, now_s
         )
     if started:
         _log_started(shard, step, started, len(waiting))
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -21,6 +21,7 @@
     AttemptPhase,
     JobRun,
 )
+from fuchsiascale.jobs._urgent_room import UrgentDemand
 from fuchsiascale.jobs._worker_clocks import compute_lease_expiry, estimate_clock_ms
 from fuchsiascale.jobs._worker_state import WorkerRun
 
@@ -90,6 +91,8 @@
         self.interference = PairInterference()
         self.run_times = RunTimes()
         self.full_kinds = FullKinds()
+        self.urgent_demand = UrgentDemand()
+        self.next_eviction_s = 0.0
         self.next_move_s = 0.0
         self.next_consolidation_s = 0.0
 
