Expect a step to take as long as its longest task

It took the mean of the tasks of a step for its length. Jobs then rank as late, or as too late to be worth anything, and wait behind others, while they can still be in time.

Change: the spread of run times within a step is learnt by queue, and a step takes as long as the largest of so many deviates.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -151,8 +151,9 @@
             worker.failed_jobs.clear()
             worker.suspensions = 0
         if end.end_kind is EndKind.DONE and attempt.has_full_run_time:
-            queue = attempt.task.step.job.policy.queue
-            shard.run_times.observe(queue, now_s - attempt.phase_since_s)
+            step = attempt.task.step
+            run_s = now_s - attempt.phase_since_s
+            shard.run_times.observe(step.job.policy.queue, run_s, step.run_times)
         worker.release(attempt)
         attempt.task.attempt = None
     task = job.find_task(*parts[1:]) if job else None
--- a/fuchsiascale/jobs/_job_order.py
+++ b/fuchsiascale/jobs/_job_order.py
@@ -64,9 +64,11 @@
     runs = next(iter(job.occurrences.values()), None)
     ends = []
     for number, step in enumerate(job.spec.steps):
-        run_s = run_times.estimate(job.policy.queue, step.estimate_ms / 1000)
-        if left and runs is not None and runs[number].done:
-            run_s = 0.0
+        declared_s = step.estimate_ms / 1000
+        count = runs[number].remaining if left and runs is not None else step.count
+        run_s = 0.0
+        if count:
+            run_s = run_times.estimate_longest(job.policy.queue, declared_s, count)
         before = max((ends[each] for each in step.after), default=0.0)
         ends.append(before + run_s)
     return max(ends)
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -2,6 +2,7 @@
 
 from enum import Enum
 
+from fuchsiascale.decisions import StepRunTimes
 from fuchsiascale.jobs._model import JobState, name_task
 from fuchsiascale.jobs._records import ProgressRow
 
@@ -160,6 +161,7 @@
         "number",
         "occurrence",
         "remaining",
+        "run_times",
         "spec",
         "tasks",
     )
@@ -172,6 +174,7 @@
         self.attempts_per_worker = {}
         self.remaining = spec.count
         self.next_starvation_check_s = 0.0
+        self.run_times = StepRunTimes()
         self.tasks = [
             Task(self, index, job.first_number, now_s) for index in range(spec.count)
         ]
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -104,6 +104,16 @@
     assert {attempt.task.step.job.job for attempt in drain_starts(shard)} == {"0" * 16}
 
 
+def test_a_wide_job_that_can_still_be_in_time_does_not_count_as_late():
+    """A step takes as long as its longest task; by the mean the job seems late."""
+    shard = make_shard(workers=1)
+    wide = make_step(count=39, estimate_ms=2_700)
+    submit_job(shard, wide, job="0" * 16, priority=2)
+    submit_job(shard, make_step(count=4, estimate_ms=9_000), job="1" * 16, priority=2)
+    plan_round(shard, 4.0)
+    assert {attempt.task.step.job.job for attempt in drain_starts(shard)} == {"0" * 16}
+
+
 def test_a_step_respects_its_limit_of_tasks_per_worker():
     shard = make_shard(workers=2)
     submit_job(shard, make_step(count=6, max_per_worker=1))
