--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -104,8 +104,10 @@
 
 def _can_wait(step, now_s):
     """Return whether a step leaves the room of urgent tasks alone for now."""
+    if not step.spec.lasting:
+        return False
     is_moving = any(task.preferred_worker and task.waiting for task in step.tasks)
-    return step.spec.lasting and not is_moving and not is_overdue(step, now_s)
+    return not is_moving and not is_overdue(step, now_s)
 
 
 def _place_step(shard, step, pool, leftovers, budget, now_s):
--- a/fuchsiascale/jobs/_urgent_room.py
+++ b/fuchsiascale/jobs/_urgent_room.py
@@ -1,6 +1,7 @@
 """Keeps and makes room for urgent tasks on workers full of long-running ones.
 
-An urgent task is one that neither lasts nor fills. Load pattern: more long-running
+An urgent task neither lasts nor fills, and has at least the priority of the
+long-running ones. Load pattern: more long-running
 tasks arrive than leave, and fill every gap, while urgent tasks are larger, run for a
 second, and arrive in bursts. Without room of their own, urgent tasks wait until a
 long-running task ends, some of them for half a minute.
@@ -108,11 +109,19 @@
 
 
 def _list_urgent_steps(shard):
-    """Return the steps of urgent tasks whose predecessors are done."""
+    """Return the steps of urgent tasks that may start."""
+    confirmed = shard.all_workers_confirmed()
+    jobs = [
+        job
+        for job in shard.jobs.values()
+        if not job.state.final and (confirmed or not job.inherited)
+    ]
+    priorities = [job.policy.priority for job in jobs if job.lasting]
+    least = min(priorities, default=0)
     return [
         step
-        for job in shard.jobs.values()
-        if not job.state.final and not job.lasting
+        for job in jobs
+        if not job.lasting and job.policy.priority <= least
         for step in job.find_ready_steps()
         if not step.spec.fills and not step.spec.gang
     ]
@@ -241,9 +250,15 @@
 
 
 def _choose_victims(need, worker, evictable):
-    """Return the first attempts that leave room for a task; none where all don't."""
+    """Return the first attempts that leave room for a task; none where all don't.
+
+    Only processors and memory can be made free.
+    """
+    capacity = worker.listed.capacity
+    if need.accelerators > capacity.accelerators - worker.accelerators_used:
+        return []
     cpu = need.cpu_millis - _measure_room(worker)
-    memory = need.memory_mb - worker.listed.capacity.memory_mb + worker.memory_used
+    memory = need.memory_mb - capacity.memory_mb + worker.memory_used
     victims = []
     for attempt in evictable:
         if cpu <= 0 and memory <= 0:
--- a/fuchsiascale/jobs/tests/test_urgent_room.py
+++ b/fuchsiascale/jobs/tests/test_urgent_room.py
@@ -53,10 +53,15 @@
             worker.in_leased_workers = True
             self._report(worker)
 
-    def submit(self, number, step, stretch=2.0):
+    def submit(self, number, step, stretch=2.0, priority=0):
         """Submit a job of one step; return it."""
         policy = QueuePolicy(
-            queue="q", service="pool", max_attempts=9, stretch=stretch, target_ms=400
+            queue="q",
+            service="pool",
+            priority=priority,
+            max_attempts=9,
+            stretch=stretch,
+            target_ms=400,
         )
         record = JobRecord(
             job=f"{number:016x}",
@@ -180,6 +185,37 @@
     assert count_running(lasting) == 16
 
 
+def test_tasks_of_a_lower_priority_do_not_stop_long_running_ones():
+    """Batch work that does not fill would otherwise take the place of services."""
+    fleet = Fleet(workers=4)
+    lasting = fill(fleet, workers=4)
+    fleet.submit(1, make_urgent_step(), stretch=3.0, priority=2)
+    fleet.advance(1.0)
+    assert count_running(lasting) == 16
+
+
+def test_nothing_is_stopped_for_inherited_jobs_that_may_not_start_yet():
+    """A new owner stopped tasks for jobs that wait for workers it does not reach."""
+    fleet = Fleet(workers=4)
+    lasting = fill(fleet, workers=4)
+    urgent = fleet.submit(1, make_urgent_step(), stretch=3.0)
+    urgent.inherited = True
+    fleet.shard.unconfirmed_workers["lost"] = fleet.now_s + 9.0
+    fleet.advance(1.0)
+    assert count_running(lasting) == 16
+
+
+def test_nothing_is_stopped_where_an_accelerator_is_missing():
+    """The end of a long-running task on processors frees no accelerator."""
+    fleet = Fleet(workers=4)
+    lasting = fill(fleet, workers=4)
+    need = Resources(cpu_millis=8_000, memory_mb=1_000, accelerators=1)
+    step = StepSpec(count=1, need=need, estimate_ms=int(URGENT_RUN_S * 1_000))
+    fleet.submit(1, step, stretch=3.0)
+    fleet.advance(1.0)
+    assert count_running(lasting) == 16
+
+
 def test_urgent_tasks_stop_a_bounded_share_of_the_long_running_ones():
     """A flood of urgent tasks would otherwise stop all long-running ones."""
     fleet = Fleet(workers=40)
