--- a/fuchsiascale/jobs/_reservations.py
+++ b/fuchsiascale/jobs/_reservations.py
@@ -42,14 +42,13 @@
     free = list(workers)
     left = max(1, int(MAX_RESERVED_SHARE * len(workers)))
     for step in _list_long_running_steps(shard, shard.all_workers_confirmed()):
-        idle = step.job.measure_idle_s(now_s) > IDLE_WAIT_S
-        for task in _list_overdue(step, idle, now_s):
-            if not left:
-                return free
+        overdue, reservations = _list_overdue(step, now_s)
+        for task in overdue:
+            if not left or not reservations:
+                break
             if Candidates(shard, step, free, leftovers).start(task, now_s) is None:
                 left -= _reserve(step, free)
-                if idle:
-                    break
+                reservations -= 1
     return free
 
 
@@ -66,10 +65,12 @@
     )
 
 
-def _list_overdue(step, idle, now_s):
+def _list_overdue(step, now_s):
     """Return the tasks of a step that have waited too long.
 
-    Of an idle job's tasks these are the first few, without which it serves nobody.
+    The second value is the number of tasks for which a worker may be reserved. Of an
+    idle job, the tasks are the first few, without which it serves nobody, and a worker
+    is reserved for one.
     """
     for task in step.tasks:
         if not task.waiting:
@@ -77,13 +78,14 @@
         elif task.waiting_since_s is None:
             task.waiting_since_s = now_s
     waiting = [task for task in step.tasks if task.waiting]
-    if idle:
-        return waiting[: math.ceil(IDLE_START_SHARE * step.spec.count)]
-    return [
+    if waiting and step.job.measure_idle_s(now_s) > IDLE_WAIT_S:
+        return waiting[: math.ceil(IDLE_START_SHARE * step.spec.count)], 1
+    overdue = [
         task
         for task in waiting
         if task.latest_number and now_s - task.waiting_since_s > RESTART_WAIT_S
     ]
+    return overdue, len(overdue)
 
 
 def _list_long_running_steps(shard, all_workers_confirmed):
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -104,10 +104,9 @@
 
 def _can_wait(step, now_s):
     """Return whether a step leaves the room of urgent tasks alone for now."""
-    if not step.spec.lasting:
+    if not step.spec.lasting or is_overdue(step, now_s):
         return False
-    is_moving = any(task.preferred_worker and task.waiting for task in step.tasks)
-    return not is_moving and not is_overdue(step, now_s)
+    return not any(task.preferred_worker and task.waiting for task in step.tasks)
 
 
 def _place_step(shard, step, pool, leftovers, budget, now_s):
--- a/fuchsiascale/jobs/_urgent_room.py
+++ b/fuchsiascale/jobs/_urgent_room.py
@@ -7,6 +7,7 @@
 long-running task ends, some of them for half a minute.
 """
 
+import heapq
 import math
 
 from fuchsiascale.jobs._job_order import can_meet_objective
@@ -21,6 +22,8 @@
 """Time constant of the decay of the demand after a peak."""
 EVICTION_PERIOD_S = 0.1
 """Period of the search for long-running tasks to stop."""
+MAX_SEARCHES = 8
+"""Steps for which victims are sought at once; each search looks at all workers."""
 MAX_EVICTIONS = 24
 """Long-running tasks after which a search ends."""
 STOP_TIME_S = 0.5
@@ -167,28 +170,28 @@
         if not any(map(_is_being_evicted, worker.attempts.values()))
     }
     stopped = 0
-    for step in needy:
-        if pending >= step.spec.need.cpu_millis:
-            pending -= step.spec.need.cpu_millis
-            continue
-        victims = _find_victims(step, candidates)
-        for attempt in victims:
-            candidates.pop(attempt.worker, None)
-            _evict(shard, attempt, step, now_s)
-        stopped += len(victims)
-        if stopped >= MAX_EVICTIONS:
-            return
+    for step in needy[:MAX_SEARCHES]:
+        waiting = sum(task.waiting for task in step.tasks)
+        need_millis = max(1, step.spec.need.cpu_millis)
+        covered = min(waiting, pending // need_millis)
+        pending -= covered * need_millis
+        for victims in _find_victims(step, candidates, waiting - covered):
+            candidates.pop(victims[0].worker)
+            for attempt in victims:
+                _evict(shard, attempt, step, now_s)
+            stopped += len(victims)
+            if stopped >= MAX_EVICTIONS:
+                return
 
 
 def _list_needy_steps(shard, now_s):
-    """Return the step of each waiting urgent task whose job can still be in time."""
+    """Return the steps with waiting urgent tasks whose job can still be in time."""
     start_s = now_s + STOP_TIME_S
     return [
         step
         for step in _list_urgent_steps(shard)
-        if can_meet_objective(step.job, start_s, shard.run_times)
-        for task in step.tasks
-        if task.waiting
+        if any(task.waiting for task in step.tasks)
+        and can_meet_objective(step.job, start_s, shard.run_times)
     ]
 
 
@@ -233,20 +236,19 @@
     return attempt.task.step.spec.need.cpu_millis
 
 
-def _find_victims(step, candidates):
-    """Return attempts of one worker whose end makes room for a task of a step.
+def _find_victims(step, candidates, count):
+    """Return groups of attempts; the end of each makes room for a task of a step.
 
-    Of all workers it is the one that loses the least; none where no room can be made.
+    Each group is on another worker. Those that lose the least come first.
     """
-    cheapest, cheapest_millis = [], math.inf
-    for worker, evictable in candidates.items():
-        if not is_suitable(step, worker):
-            continue
-        victims = _choose_victims(step.spec.need, worker, evictable)
-        millis = sum(map(_get_cpu_millis, victims))
-        if victims and millis < cheapest_millis:
-            cheapest, cheapest_millis = victims, millis
-    return cheapest
+    groups = [
+        _choose_victims(step.spec.need, worker, evictable)
+        for worker, evictable in candidates.items()
+        if evictable and is_suitable(step, worker)
+    ]
+    return heapq.nsmallest(
+        count, filter(None, groups), key=lambda group: sum(map(_get_cpu_millis, group))
+    )
 
 
 def _choose_victims(need, worker, evictable):
