Tidy the names and docstrings of the room for urgent tasks

Reading the change as a newcomer: a wrapped line, a name that read as its opposite, a rounded estimate for the sake of its example, an attribute without a description.

--- a/fuchsiascale/decisions/_run_times.py
+++ b/fuchsiascale/decisions/_run_times.py
@@ -35,8 +35,8 @@
     Examples
     --------
     >>> step = StepRunTimes()
-    >>> step.add(1.0), step.add(1.6)
-    (None, 0.18)
+    >>> step.add(1.0), step.add(2.0)
+    (None, 0.5)
     """
 
     __slots__ = ("_count", "_mean")
@@ -59,7 +59,7 @@
         self._mean += difference / self._count
         if self._count == 1:
             return None
-        return round(difference**2 * (self._count - 1) / self._count, 6)
+        return difference**2 * (self._count - 1) / self._count
 
 
 class RunTimes:
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -150,6 +150,8 @@
     ----------
     remaining : int
         Number of tasks that are not done.
+    run_times : StepRunTimes
+        Run times of the tasks that are done.
     next_starvation_check_s : float
         Monotonic time of the next check whether the job makes no progress.
     """
--- a/fuchsiascale/jobs/_urgent_room.py
+++ b/fuchsiascale/jobs/_urgent_room.py
@@ -1,10 +1,11 @@
 """Keeps and makes room for urgent tasks on workers full of long-running ones.
 
 An urgent task neither lasts nor fills, and has at least the priority of the
-long-running ones. Load pattern: more long-running
-tasks arrive than leave, and fill every gap, while urgent tasks are larger, run for a
-second, and arrive in bursts. Without room of their own, urgent tasks wait until a
-long-running task ends, some of them for half a minute.
+long-running ones.
+
+Load pattern: more long-running tasks arrive than leave, and fill every gap, while
+urgent tasks are larger, run for a second, and arrive in bursts. Without room of their
+own, urgent tasks wait until a long-running task ends, some of them for half a minute.
 """
 
 import heapq
@@ -25,7 +26,7 @@
 MAX_SEARCHES = 8
 """Steps for which victims are sought at once; each search looks at all workers."""
 MAX_EVICTIONS = 24
-"""Long-running tasks after which a search ends."""
+"""Long-running tasks after whose stops no more are sought until the next period."""
 STOP_TIME_S = 0.5
 """Time until a stopped task has ended and its room is known to be free."""
 MIN_RUN_S = 2.0
@@ -119,12 +120,12 @@
         for job in shard.jobs.values()
         if not job.state.final and (confirmed or not job.inherited)
     ]
-    priorities = [job.policy.priority for job in jobs if job.lasting]
-    least = min(priorities, default=0)
+    lasting = [job.policy.priority for job in jobs if job.lasting]
+    lowest_number = min(lasting, default=0)
     return [
         step
         for job in jobs
-        if not job.lasting and job.policy.priority <= least
+        if not job.lasting and job.policy.priority <= lowest_number
         for step in job.find_ready_steps()
         if not step.spec.fills and not step.spec.gang
     ]
