--- a/fuchsiascale/jobs/_urgent_room.py
+++ b/fuchsiascale/jobs/_urgent_room.py
@@ -5,7 +5,7 @@
 
 Load pattern: more long-running tasks arrive than leave, and fill every gap, while
 urgent tasks are larger, run for a second, and arrive in bursts. Without room of their
-own, urgent tasks wait until a long-running task ends, some of them for half a minute.
+own, urgent tasks wait until a long-running task ends, some of them for 10 s.
 """
 
 import heapq
--- a/fuchsiascale/jobs/tests/test_urgent_room.py
+++ b/fuchsiascale/jobs/tests/test_urgent_room.py
@@ -148,7 +148,7 @@
 
 
 def test_an_urgent_task_does_not_wait_for_the_end_of_a_long_running_one():
-    """A service full of long-running tasks left urgent ones waiting for a minute."""
+    """A service full of long-running tasks left urgent ones waiting for 10 s."""
     fleet = Fleet(workers=12)
     lasting = fill(fleet, workers=12)
     urgent = fleet.submit(1, make_urgent_step(cores=16), stretch=3.0)
@@ -264,7 +264,7 @@
     """Replays a day on which 95% of the processors are held by long-running tasks.
 
     Two jobs of urgent tasks arrive each second, three during a burst of 3 s. Before
-    room was made for them, one in ten finished in time.
+    room was made for them, none finished in time.
     """
     random = Random(11)
     fleet = Fleet(workers=60)
