--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases and stand-ins of the independent review."""
