--- a/review/harness/_nodes.py
+++ b/review/harness/_nodes.py
@@ -17,6 +17,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 30.0
+PASSED_ON = ("PATH", "HOME", "LANG")
+"""Variables that the processes take over, as on the platform."""
 
 
 def read_command():
@@ -93,9 +95,7 @@
     def start(self):
         """Start the process."""
         environment = {
-            "PATH": os.environ["PATH"],
-            "HOME": os.environ.get("HOME", "/tmp"),
-            "LANG": os.environ.get("LANG", "C.UTF-8"),
+            **{name: os.environ[name] for name in PASSED_ON if name in os.environ},
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
             "FUCHSIASCALE_BOOT": str(self.settings),
