--- a/fuchsiascale/jobs/_group_commit.py
+++ b/fuchsiascale/jobs/_group_commit.py
@@ -10,8 +10,9 @@
 
 __all__ = ["GroupCommitter", "PendingWrite"]
 
-MAX_GROUP_WRITES = 24
-"""Submissions in a transaction; each takes three of the 100 entries allowed."""
+MAX_GROUP_ENTRIES = 72
+"""Entries of a group of submissions in a transaction, which may have 100. A submission
+takes three, and two more for each service that its queue may have been sent to."""
 SLOW_TRANSACTION_S = 0.15
 """Duration of a transaction above which the store counts as slow; usual are 10 ms."""
 SLOW_PERIOD_S = 3.0
@@ -87,12 +88,15 @@
     def _pop_group(self):
         """Remove and return queued submissions of one owner row, within the limits."""
         view = self._queue[0][0].view
-        group, size = [], 0
-        for entry in self._queue[:MAX_GROUP_WRITES]:
-            size += len(entry[0].change.value)
-            if entry[0].view != view or (group and size > MAX_GROUP_BYTES):
+        group, size, entries = [], 0, 0
+        for queued in self._queue:
+            write = queued[0]
+            size += len(write.change.value)
+            entries += len(write.expected) + 1
+            is_full = size > MAX_GROUP_BYTES or entries > MAX_GROUP_ENTRIES
+            if write.view != view or (group and is_full):
                 break
-            group.append(entry)
+            group.append(queued)
         del self._queue[: len(group)]
         return group
 
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -158,6 +158,10 @@
             if service not in self._watches:
                 self._watches[service] = self._spawn(self._watch_service(service))
 
+    def other_services(self, service):
+        """Return all services ever watched here, except one."""
+        return tuple(each for each in self._watches if each != service)
+
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import uuid
 from enum import Enum
+from typing import NamedTuple
 
 import logbook
 import msgspec
@@ -21,11 +22,11 @@
     OwnerRow,
     cancel_row_key,
     decode_row,
-    encode_row,
     job_row_key,
     owner_row_key,
 )
 from fuchsiascale.jobs._store_relay import encode_commit_result
+from fuchsiascale.jobs._stored_jobs import inspect_job_rows, make_submission
 
 __all__ = ["JobRequestHandler", "Outcome", "Reply"]
 
@@ -53,16 +54,11 @@
     count: int = 0
 
 
-class _StoredJob(msgspec.Struct, frozen=True, kw_only=True):
-    """What the store holds under a job's id.
+class _Found(NamedTuple):
+    """Where a job was found, or could not be looked up, and what is known of it."""
 
-    ``row`` is None for a job that has ended. ``withdrawn_version`` is the version of
-    a row that blocks a late write of a refused submission; 0 if there is none.
-    """
-
-    known: bool = False
-    row: AcceptedRow | None = None
-    withdrawn_version: int = 0
+    service: str
+    reply: Reply
 
 
 DONE = Reply(Outcome.DONE)
@@ -82,12 +78,15 @@
         Owners of services, and messages to them.
     clock : Clock
         Source of time.
+    joins_partitions : bool, optional
+        Whether a transaction of the store may cover several partitions.
     """
 
-    def __init__(self, store, ownership, clock):
+    def __init__(self, store, ownership, clock, joins_partitions=True):
         self.store = store
         self.clock = clock
         self.ownership = ownership
+        self._joins_partitions = joins_partitions
         self.log = logbook.Logger("entry")
         self._committer = GroupCommitter(store, clock)
         self._final_states = {}
@@ -116,15 +115,26 @@
         if self._committer.is_slow() and await self.ownership.ask_state(service, job):
             # The owner knows only stored jobs; another write would delay the others.
             return self._accept(service, None, "known to the owner", job)
+        others = self.ownership.other_services(service)
+        if others and not self._joins_partitions:
+            found = await self._find_job(others, job)
+            if found.reply.outcome is not Outcome.ABSENT:
+                return self._answer_found(found, job)
+            others = ()
         record = JobRecord(
             job=job, spec=spec, policy=policy, accepted_ms=self.clock.wall_ms()
         )
+        return await self._write_submission(record, others, writes)
+
+    async def _write_submission(self, record, others, writes):
+        """Write a job's row unless some service holds the job already."""
+        service, job = record.policy.service, record.job
         write_id = uuid.uuid4().hex[:12]
-        version = 0
+        versions = {}
         for _ in range(MAX_SUBMIT_TRIES):
             view = self.ownership.view(service)
             row = AcceptedRow(token=view.token, write=write_id, record=record)
-            write = _make_write(view, row, job, version)
+            write = make_submission(view, row, job, others, versions)
             writes.append(write)
             reply = await self._commit(write)
             if isinstance(reply, Success):
@@ -136,11 +146,11 @@
                 )
                 return NOT_RUN
             if isinstance(error, NoAnswer):
-                return await self._resolve_unanswered(service, job, row, version)
-            found = self._inspect_rows(service, job, error.rows, view)
+                return await self._resolve_unanswered(job, row, others, versions, view)
+            found = self._inspect_rows(service, job, error.rows)
             if found.known:
-                return self._accept(service, found.row, "already stored", job)
-            version = found.withdrawn_version
+                return self._accept(found.service, found.row, "already stored", job)
+            versions = found.withdrawn_versions
         self.log.info("refused", extra={"job": job, "why": "conditions changed"})
         return NOT_RUN
 
@@ -162,25 +172,23 @@
         write = PendingWrite(view, message.expected, message.change)
         return encode_commit_result(await self._committer.commit(write))
 
-    def _inspect_rows(self, service, job, rows, view):
+    def _inspect_rows(self, service, job, rows):
         """Return what the rows of a submission's conditions show of a job.
 
         An owner row among them updates the cached owner.
         """
-        found = _StoredJob()
         for row in rows:
             if row.place == owner_row_key(service):
                 owner = decode_row(row.value, OwnerRow)
                 self.ownership.update_view(service, owner, row.version)
-            elif row.place == job_row_key(FINISHED, service, job) and row.version:
-                found = _StoredJob(known=True)
-            elif row.place == job_row_key(ACCEPTED, service, job) and row.version:
-                accepted = decode_row(row.value, AcceptedRow)
-                if accepted is None or accepted.record is None:
-                    found = _StoredJob(withdrawn_version=row.version)
-                else:
-                    found = _StoredJob(known=True, row=accepted)
-        return found
+        return inspect_job_rows(job, rows)
+
+    def _answer_found(self, found, job):
+        """Return the reply to a submission whose job was looked up beforehand."""
+        if found.reply.outcome is Outcome.DONE:
+            return self._accept(found.service, None, "found in another service", job)
+        self.log.warning("outcome unknown", extra={"job": job, "why": "lookup failed"})
+        return UNKNOWN
 
     def _accept(self, service, row, how, job):
         self.log.info("accepted", extra={"job": job, "how": how})
@@ -188,31 +196,33 @@
             self.ownership.notify_job(service, row)
         return DONE
 
-    async def _resolve_unanswered(self, service, job, row, version):
+    async def _resolve_unanswered(self, job, row, others, versions, view):
         """Find out whether an unanswered write was applied, or withdraw it.
 
-        The write expects ``version`` of the job's row. It is blocked permanently
-        once that row has another version.
+        The write expects one of ``versions`` of the job's row. It is blocked
+        permanently once that row has another version.
         """
+        service = view.service
         # Reads do not wait for queued commits, and mostly settle the question.
         seen = await self.store.read(ACCEPTED, service, job, job + "\0")
-        if isinstance(seen, Success) and seen.unwrap().rows:
-            view = self.ownership.view(service)
-            found = self._inspect_rows(service, job, seen.unwrap().rows, view)
+        if isinstance(seen, Success):
+            found = inspect_job_rows(job, seen.unwrap().rows)
             if found.known:
                 return self._accept(service, found.row, "found stored", job)
         withdrawn = AcceptedRow(token=row.token, write=row.write)
         view = self.ownership.view(service)
-        reply = await self._committer.commit(_make_write(view, withdrawn, job, version))
+        reply = await self._committer.commit(
+            make_submission(view, withdrawn, job, others, versions)
+        )
         if isinstance(reply, Success):
             return self._refuse_withdrawn(job, "this submission")
         error = reply.failure()
         if isinstance(error, Conflict):
-            view = self.ownership.view(service)
-            found = self._inspect_rows(service, job, error.rows, view)
+            found = self._inspect_rows(service, job, error.rows)
             if found.known:
-                return self._accept(service, found.row, "found stored", job)
-            if found.withdrawn_version not in (0, version):
+                return self._accept(found.service, found.row, "found stored", job)
+            version = found.withdrawn_versions.get(service, 0)
+            if version not in (0, versions.get(service, 0)):
                 return self._refuse_withdrawn(job, "another submission")
         self.log.warning("outcome unknown", extra={"job": job, "why": repr(error)})
         return UNKNOWN
@@ -226,20 +236,42 @@
     # State ---------------------------------------------------------------------
 
     async def state(self, service, job):
-        """Return the state of a job."""
+        """Return the state of a job of a queue that ``service`` serves now."""
         return await _limit_time(self._state(service, job))
 
     async def _state(self, service, job):
         if job in self._final_states:
             return Reply(Outcome.DONE, self._final_states[job])
+        return (await self._find_job(self._list_services(service), job)).reply
+
+    def _list_services(self, service):
+        """Return all services that may hold a job, the one given first."""
+        return (service, *self.ownership.other_services(service))
+
+    async def _find_job(self, services, job):
+        """Look a job up in each service until one holds it.
+
+        The reply is that it is absent only if every service said so.
+        """
+        found = _Found(services[0], ABSENT)
+        for service in services:
+            reply = await self._look_up(service, job)
+            if reply.outcome is Outcome.DONE:
+                return _Found(service, reply)
+            if reply.outcome is not Outcome.ABSENT:
+                found = _Found(service, reply)
+        return found
+
+    async def _look_up(self, service, job):
+        """Return the state of a job in one service."""
         found = await self.ownership.ask_state(service, job)
         if found is None:
             found = await self._read_state(service, job)
-        if isinstance(found, JobState):
-            if found.final:
-                self._final_states[job] = found
-            return Reply(Outcome.DONE, found)
-        return found
+        if not isinstance(found, JobState):
+            return found
+        if found.final:
+            self._final_states[job] = found
+        return Reply(Outcome.DONE, found)
 
     async def _read_state(self, service, job):
         """Return a job's state as stored, or a reply that holds none."""
@@ -267,7 +299,9 @@
         return await _limit_time(self._cancel(service, job))
 
     async def _cancel(self, service, job):
-        current = await self._state(service, job)
+        if job in self._final_states:
+            return DONE
+        service, current = await self._find_job(self._list_services(service), job)
         if current.outcome is not Outcome.DONE:
             return current
         if current.state.final:
@@ -294,10 +328,14 @@
 
     async def waiting(self, policy):
         """Return the number of jobs of a queue that wait for their first start."""
-        counts = await self.ownership.ask_waiting(policy.service)
-        if counts is None:
+        # The queue may have jobs in a service that served it earlier.
+        counts = await asyncio.gather(
+            *map(self.ownership.ask_waiting, self._list_services(policy.service))
+        )
+        if None in counts:
             return NOT_RUN
-        return Reply(Outcome.DONE, count=counts.get(policy.queue, 0))
+        count = sum(each.get(policy.queue, 0) for each in counts)
+        return Reply(Outcome.DONE, count=count)
 
 
 def _is_unanswered(reply):
@@ -311,13 +349,3 @@
             return await request
     except TimeoutError:
         return UNKNOWN
-
-
-def _make_write(view, row, job, version):
-    """Return a write of a job's row that replaces the given version of it."""
-    row_key = job_row_key(ACCEPTED, view.service, job)
-    expected = (
-        Expect(row_key, version),
-        Expect(job_row_key(FINISHED, view.service, job), 0),
-    )
-    return PendingWrite(view, expected, Change(row_key, encode_row(row)))
--- a/fuchsiascale/jobs/tests/test_group_commit.py
+++ b/fuchsiascale/jobs/tests/test_group_commit.py
@@ -7,7 +7,7 @@
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.jobs import Change, Conflict, Expect, OwnerView, Rejected, RowKey
 from fuchsiascale.jobs._group_commit import (
-    MAX_GROUP_WRITES,
+    MAX_GROUP_ENTRIES,
     GroupCommitter,
     PendingWrite,
 )
@@ -37,9 +37,10 @@
         return Success(len(self.groups))
 
 
-def make_write(key, view=VIEW):
+def make_write(key, view=VIEW, conditions=1):
     row_key = RowKey("jobs", "pool", key)
-    return PendingWrite(view, (Expect(row_key, 0),), Change(row_key, b"x"))
+    expected = (Expect(row_key, 0),) * conditions
+    return PendingWrite(view, expected, Change(row_key, b"x"))
 
 
 async def test_submissions_queued_during_a_transaction_share_the_next():
@@ -78,13 +79,26 @@
     assert store.groups == [["a"], ["b"]]
 
 
-async def test_a_transaction_holds_at_most_the_allowed_submissions():
+async def test_a_transaction_holds_at_most_the_allowed_entries():
+    for conditions in (1, 2, 4, 10):
+        store = FakeStore()
+        committer = GroupCommitter(store, ManualClock())
+        largest = MAX_GROUP_ENTRIES // (conditions + 1)
+        await asyncio.gather(
+            *(
+                committer.commit(make_write(str(key), conditions=conditions))
+                for key in range(largest + 1)
+            )
+        )
+        assert [len(group) for group in store.groups] == [largest, 1]
+
+
+async def test_a_submission_with_many_conditions_forms_a_group_of_its_own():
     store = FakeStore()
     committer = GroupCommitter(store, ManualClock())
-    await asyncio.gather(
-        *(committer.commit(make_write(str(key))) for key in range(MAX_GROUP_WRITES + 1))
-    )
-    assert [len(group) for group in store.groups] == [MAX_GROUP_WRITES, 1]
+    writes = [make_write(key, conditions=MAX_GROUP_ENTRIES + 8) for key in "ab"]
+    await asyncio.gather(*map(committer.commit, writes))
+    assert store.groups == [["a"], ["b"]]
 
 
 class SlowStore(FakeStore):
--- a/fuchsiascale/jobs/tests/test_refusals.py
+++ b/fuchsiascale/jobs/tests/test_refusals.py
@@ -42,9 +42,10 @@
 
 load_tests = collect_functions(__name__)
 
-SERVICE = "pool"
+SERVICE, NEW_SERVICE = "pool", "new pool"
 JOB = "1" * 16
 POLICY = QueuePolicy(queue="q", service=SERVICE)
+MOVED_POLICY = QueuePolicy(queue="q", service=NEW_SERVICE)
 SPEC = JobSpec(payload="", steps=(StepSpec(count=1, need=Resources(cpu_millis=100)),))
 OWNER = OwnerRow(token=1, instance="a", incarnation="1", address="10.0.0.1:7000")
 
@@ -67,7 +68,8 @@
         self.rows = {}
         self.version = 0
         self.late = []
-        self._write(owner_row_key(SERVICE), encode_row(OWNER))
+        for service in (SERVICE, NEW_SERVICE):
+            self._write(owner_row_key(service), encode_row(OWNER))
 
     def _write(self, row_key, value):
         self.version += 1
@@ -118,9 +120,9 @@
         ]
         return Success(VersionedRows(tuple(rows), self.version))
 
-    def stored(self):
+    def stored(self, service=SERVICE):
         """Return whether the job is stored and would run."""
-        row = self.rows.get(job_row_key(ACCEPTED, SERVICE, JOB))
+        row = self.rows.get(job_row_key(ACCEPTED, service, JOB))
         return row is not None and decode_row(row.value, AcceptedRow).record is not None
 
 
@@ -138,26 +140,36 @@
 
 
 class FakeOwnership:
-    """Ownership with the first owner row cached, until a newer one is seen."""
+    """Ownership with the first owner rows cached, until newer ones are seen."""
 
-    def __init__(self, rows):
-        self.row = rows.rows[owner_row_key(SERVICE)]
+    def __init__(self, rows, services=(SERVICE,)):
+        self.versions = {
+            service: rows.rows[owner_row_key(service)].version for service in services
+        }
+        self.waiting = {}
+        self.cancelled = []
 
     def view(self, service):
-        return OwnerView(service, OWNER, self.row.version)
+        return OwnerView(service, OWNER, self.versions[service])
 
     def update_view(self, service, owner, version):
-        self.row = StoredRow(self.row.place, b"", version)
+        self.versions[service] = version
+
+    def other_services(self, service):
+        return tuple(each for each in self.versions if each != service)
 
     def notify_job(self, service, row):
         pass
 
     def notify_cancel(self, service, job):
-        pass
+        self.cancelled.append((service, job))
 
     async def ask_state(self, service, job):
         return None
 
+    async def ask_waiting(self, service):
+        return self.waiting.get(service)
+
 
 async def submit_until_accepted(
     fates, relayed, attempts=4, late_after=-1, owner_after=-1
--- a/fuchsiascale/jobs/tests/test_request_handler.py
+++ b/fuchsiascale/jobs/tests/test_request_handler.py
@@ -47,6 +47,9 @@
     def view(self, service):
         return OwnerView(service)
 
+    def other_services(self, service):
+        return ()
+
     async def ask_state(self, service, job):
         return None
 
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -179,7 +179,9 @@
             self.clock,
             self._watch_services,
         )
-        self.request_handler = JobRequestHandler(self.store, self.ownership, self.clock)
+        self.request_handler = JobRequestHandler(
+            self.store, self.ownership, self.clock, settings.joins_partitions
+        )
         self.metrics = NodeMetrics(
             self.ownership, self.log_buffer, self._describe_configuration
         )
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -36,6 +36,8 @@
         Time from the stop signal until the process is killed, in seconds.
     max_row_bytes : int
         Largest value that the store accepts for a row, in bytes.
+    joins_partitions : bool
+        Whether a transaction of the store may cover several partitions.
     cores, link_mbit_s : float
         Processors available to this process, and its link's bandwidth in Mbit/s.
     """
@@ -51,6 +53,7 @@
     longest_lease_s: float = 6.0
     stop_grace_s: float = 6.0
     max_row_bytes: int = 65_536
+    joins_partitions: bool = False
     cores: float = 1.0
     link_mbit_s: float = 1000.0
 
@@ -112,6 +115,7 @@
         "longest_lease_s": reader.number("bounds.hold_max_ms", 6000) / 1000,
         "stop_grace_s": reader.number("bounds.grace_s", 6),
         "max_row_bytes": int(reader.number("platform.row_bytes", 65_536)),
+        "joins_partitions": reader.get("platform.across") == "true",
         "cores": reader.number("limits.cpu_share", 1)
         * reader.number("limits.cpu_cores", 1),
         "link_mbit_s": reader.number("limits.link_mbps", 1000),
--- a/fuchsiascale/platform/tests/test_local_settings.py
+++ b/fuchsiascale/platform/tests/test_local_settings.py
@@ -38,6 +38,8 @@
     assert settings.peer_listen == ("10.0.0.1", 82)
     assert settings.longest_lease_s == 10.0
     assert settings.cores == 1.0
+    assert not settings.joins_partitions
+    assert parse_settings(GOOD + "platform.across=true\n").unwrap().joins_partitions
     assert settings.store_address == "10.9.0.1:90"
 
 
