--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -11,6 +11,10 @@
 
 __all__ = ["apply_inventory"]
 
+PENDING_EXCHANGE_S = 1.0
+"""Time after the first answer of a worker in which an exchange with an earlier owner
+may still be open there, and show it an end. A worker holds one open for 0.5 s."""
+
 STOP_RETRY_S = 0.6
 """Time after which a stop without an effect is sent again."""
 SUSPENSION_JOBS = 2
@@ -37,6 +41,7 @@
     if not worker.claimed:
         # The previous owner may have granted a lease immediately before.
         worker.granted_until_ms = inventory.clock_ms + shard.lease_ms
+        worker.claimed_s = now_s
     record_clock_reading(worker, inventory.clock_ms, now_s)
     worker.claimed = True
     worker.silent = False
@@ -46,9 +51,10 @@
             worker.last_seen_end = end.number
             _apply_end(shard, worker, end, now_s)
     reported = {}
+    is_exclusive = sent_s - worker.claimed_s > PENDING_EXCHANGE_S
     for running in inventory.running:
         reported[running.task] = running.attempt
-        _apply_running(shard, worker, running, now_s)
+        _apply_running(shard, worker, running, is_exclusive, now_s)
     for attempt in list(worker.attempts.values()):
         if reported.get(attempt.task.name) != attempt.number:
             _handle_absence(shard, attempt, sent_s, now_s)
@@ -74,13 +80,18 @@
     worker.clock_ms = None
 
 
-def _apply_running(shard, worker, running, now_s):
-    """Update, or adopt, an attempt that an inventory lists as running."""
+def _apply_running(shard, worker, running, is_exclusive, now_s):
+    """Update, or adopt, an attempt that an inventory lists as running.
+
+    ``is_exclusive`` tells that no earlier owner can learn of its end.
+    """
     attempt = worker.attempts.get(running.task)
     if attempt is None or attempt.number != running.attempt:
         attempt = _adopt_attempt(shard, worker, running, now_s)
         if attempt is None:
             return
+    if is_exclusive:
+        attempt.task.mark_located()
     if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
         attempt.enter_phase(AttemptPhase.RUNNING, now_s)
     if running.checkpoint:
--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -1,5 +1,8 @@
 """Live instances, as learnt from their pings and from the answers of owners."""
 
+import math
+import random
+
 import msgspec
 import xxhash
 
@@ -9,6 +12,9 @@
 
 MEMBER_TIMEOUT_S = 3.0
 """Time without a sign of life after which an instance is no longer a member."""
+RETENTION_S = 15.0
+"""Time for which an instance is remembered after its last sign of life. An owner that
+is cut off from the store counts on its peers for 10 s."""
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
@@ -32,36 +38,48 @@
         This instance.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    reported_s : float
+        Monotonic time of the last report of an owner.
     """
 
     def __init__(self, own, clock):
         self.own = own
         self.clock = clock
         self._members = {}
+        self._first_seen_s = {}
         self._seen_s = {}
+        self.reported_s = -math.inf
         self._reported = ()
         self._reported_digest = ""
 
     def observe(self, member):
         """Note a sign of life of an instance."""
         self._members[member.address] = member
-        self._seen_s[member.address] = self.clock.monotonic()
+        self._note_sign_of_life(member.address, self.clock.monotonic())
+
+    def _note_sign_of_life(self, address, now_s):
+        self._first_seen_s.setdefault(address, now_s)
+        self._seen_s[address] = now_s
 
     def apply_report(self, owner_address, members, digest):
         """Apply the members that an owner reports; None if they have not changed."""
         if members is not None:
             self._reported, self._reported_digest = members, digest
-        now_s = self.clock.monotonic()
+        now_s = self.reported_s = self.clock.monotonic()
         for member in self._reported:
             self._members[member.address] = member
-            self._seen_s[member.address] = now_s
-        self._seen_s[owner_address] = now_s
+            self._note_sign_of_life(member.address, now_s)
+        self._note_sign_of_life(owner_address, now_s)
         self._forget_lost(now_s)
 
     def _forget_lost(self, now_s):
         for address, seen_s in list(self._seen_s.items()):
-            if now_s - seen_s >= MEMBER_TIMEOUT_S:
+            if now_s - seen_s >= RETENTION_S:
                 del self._seen_s[address]
+                del self._first_seen_s[address]
                 self._members.pop(address, None)
 
     @property
@@ -85,6 +103,20 @@
         ]
         return sorted(live, key=_get_address)
 
+    def recent_addresses(self):
+        """Return the addresses of all instances that were alive lately."""
+        return sorted(self._seen_s.keys() - {self.own.address})
+
+    def established_addresses(self, min_age_s):
+        """Return the live members known for some time, in random order."""
+        before_s = self.clock.monotonic() - min_age_s
+        found = [
+            member.address
+            for member in self.live()
+            if self._first_seen_s[member.address] <= before_s
+        ]
+        return random.sample(found, len(found))
+
     def addresses(self):
         """Return the addresses of the live members."""
         return [member.address for member in self.live()]
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -6,7 +6,9 @@
 import logbook
 from returns.result import Failure, Success
 
+from fuchsiascale.jobs._inherited_leases import InheritedLeases
 from fuchsiascale.jobs._job_order import compute_objective_s
+from fuchsiascale.jobs._ownership_evidence import OwnershipEvidence
 from fuchsiascale.jobs._recorder import Recorder
 from fuchsiascale.jobs._records import (
     ACCEPTED,
@@ -17,6 +19,7 @@
     AcceptedRow,
     EstimatesRow,
     LeasedWorkersRow,
+    LedgerRow,
     ProgressRow,
     decode_row,
     estimates_row_key,
@@ -49,13 +52,6 @@
 """Delay after a failed store call."""
 LISTING_POLL_INTERVAL_S = 0.3
 """Minimum time between two polls of the worker list."""
-STORE_SILENCE_LIMIT_S = 10.0
-"""Time without a confirmation by the store after which an owner grants no leases."""
-LEASE_DRIFT_FACTOR = 1.03
-"""Longest duration of a lease by the owner's clock, as a multiple of its length: clocks
-of workers are up to 2% slow."""
-LEASE_MARGIN_S = 0.3
-"""Added to that duration for the network latency of the last grant."""
 FINISHED_RETENTION_S = 150.0
 """How long final states are kept; the platform requires 120 s."""
 
@@ -105,12 +101,11 @@
         self.on_lost = on_lost
         self.log = logbook.Logger("owner")
         self.shard = Shard(service, row.token, self.lease_s)
+        self.inherited_leases = InheritedLeases(self.shard, self.lease_s)
         self.lost = False
         self.handing_over = False
-        self._predecessor_stopped_s = None
-        self._grant_end_s = None
+        self.evidence = OwnershipEvidence(clock)
         self.feed_version = version
-        self._confirmed_s = self.clock.monotonic()
         self.recorder = Recorder(
             self.shard,
             version,
@@ -118,7 +113,7 @@
             limits.max_row_bytes,
             clock,
             self.relinquish,
-            self._confirm_ownership,
+            self.evidence.confirm,
         )
         self.links = WorkerLinks(
             self.shard,
@@ -148,7 +143,8 @@
             Monotonic time from which the previous owner grants no leases; None if
             it is unknown.
         """
-        self._predecessor_stopped_s = predecessor_stopped_s
+        if predecessor_stopped_s is not None:
+            self.inherited_leases.mark_stopped(predecessor_stopped_s)
         if not await self._load():
             return
         self.shard.loaded = True
@@ -200,18 +196,12 @@
         return {"service": self.service, "token": self.row.token}
 
     def can_grant_leases(self):
-        """Return whether leases may be granted, which needs a recent confirmation."""
-        now_s = self.clock.monotonic()
-        if self._grant_end_s is not None and now_s >= self._grant_end_s:
-            return False
-        return now_s - self._confirmed_s < STORE_SILENCE_LIMIT_S
+        """Return whether leases may be granted, which needs recent evidence."""
+        return self.evidence.is_valid()
 
     def stop_granting_at(self, end_s):
         """Grant no leases from ``end_s`` on; the successor relies on this."""
-        self._grant_end_s = end_s
-
-    def _confirm_ownership(self):
-        self._confirmed_s = self.clock.monotonic()
+        self.evidence.end_at(end_s)
 
     async def _load(self):
         tables = (ACCEPTED, PROGRESS, POOLS)
@@ -237,10 +227,13 @@
         for row in pools.rows:
             if row.place == ledger_row_key(self.service):
                 self.recorder.ledger_version = row.version
+                ledger = decode_row(row.value, LedgerRow)
+                self.inherited_leases.restore_ledger(ledger)
             if is_leased_workers_row(row.place):
                 self._restore_leased_workers(row, now_s)
             if row.place == estimates_row_key(self.service):
                 self._restore_estimates(row)
+        self.inherited_leases.limit()
         self.log.info(
             "loaded",
             extra={
@@ -256,13 +249,10 @@
         if leased_workers is None:
             self.log.error("malformed row", extra={"row": row.place.key})
             return
-        stopped_s = self._predecessor_stopped_s or now_s + STORE_SILENCE_LIMIT_S
         for entry in self.recorder.leased_workers.restore(row.place, leased_workers):
             worker = self.shard.update_worker(entry.worker, now_s)
             worker.in_leased_workers = True
-            self.shard.unconfirmed_workers[worker.worker] = self._compute_lease_end(
-                stopped_s
-            )
+            self.inherited_leases.add(worker.worker, now_s)
 
     def _restore_estimates(self, row):
         estimates = decode_row(row.value, EstimatesRow)
@@ -270,17 +260,6 @@
             self.shard.interference.restore(estimates.slopes)
             self.shard.run_times.restore(estimates.run_times)
 
-    def _compute_lease_end(self, stopped_s):
-        """Return when all leases of a predecessor that stopped by then have expired."""
-        return stopped_s + self.lease_s * LEASE_DRIFT_FACTOR + LEASE_MARGIN_S
-
-    def mark_predecessor_stopped(self, now_s):
-        """Note that the previous owner grants no leases any more."""
-        self._predecessor_stopped_s = self._predecessor_stopped_s or now_s
-        until_s = self._compute_lease_end(now_s)
-        for worker, before_s in self.shard.unconfirmed_workers.items():
-            self.shard.unconfirmed_workers[worker] = min(before_s, until_s)
-
     @property
     def is_takeover_complete(self):
         """Whether all is loaded and no attempt of an earlier owner can be unknown."""
@@ -412,25 +391,26 @@
             started_s = self.clock.monotonic()
             reply = await self.store.follow(ACCEPTED, self.feed_version, FEED_WAIT_MS)
             if isinstance(reply, Success):
-                self._apply_changes(reply.unwrap())
+                self._apply_changes(reply.unwrap(), started_s)
             elif not await self._reload_jobs(reply.failure()):
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
             elapsed_s = self.clock.monotonic() - started_s
             await asyncio.sleep(max(0.0, FEED_POLL_INTERVAL_S - elapsed_s))
             await self._forget_finished()
 
-    def _apply_changes(self, changes):
+    def _apply_changes(self, changes, asked_s):
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         for row in changes.rows:
             if row.place.partition == self.service:
                 self._apply_row(row, now_s, wall_ms)
         self.feed_version = max(self.feed_version, changes.version)
         if not self.lost:
-            self._confirm_ownership()
+            self.evidence.confirm(asked_s)
         self.request_round()
 
     async def _reload_jobs(self, error):
         """Read all jobs anew after a poll failed, as when the history was dropped."""
+        asked_s = self.clock.monotonic()
         found = await self.store.read(ACCEPTED, self.service)
         if isinstance(found, Failure):
             self.log.info(
@@ -438,7 +418,7 @@
             )
             return False
         self.log.info("jobs reloaded", extra={"why": repr(error)})
-        self._apply_changes(found.unwrap())
+        self._apply_changes(found.unwrap(), asked_s)
         return True
 
     async def _forget_finished(self):
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -9,12 +9,12 @@
 
 from fuchsiascale.jobs._members import Member, Members
 from fuchsiascale.jobs._owner import Owner
+from fuchsiascale.jobs._peer_answers import answer_message
 from fuchsiascale.jobs._peer_messages import (
     Acknowledgement,
     CancelNotice,
     Handover,
     JobNotice,
-    Ping,
     Pong,
     RelayWrite,
     StateQuery,
@@ -23,6 +23,11 @@
     WaitingReply,
 )
 from fuchsiascale.jobs._ports import Change, Conflict, Expect, NoAnswer
+from fuchsiascale.jobs._predecessor import (
+    announce_owner,
+    seek_support,
+    watch_predecessor,
+)
 from fuchsiascale.jobs._records import (
     ACCEPTED,
     OWNER_KEY,
@@ -60,6 +65,13 @@
 start of all instances, so that stronger ones claim first."""
 
 
+MAX_REPORT_AGE_S = 3.0
+"""Age of an owner's last report from which its members are not known for certain."""
+MIN_SUPPORTER_AGE_S = 4.0
+"""Time for which an owner knows a member that may support it; the member is then in the
+last report that any other instance may have."""
+
+
 class OwnerView(msgspec.Struct, frozen=True):
     """The owner row of a service as last seen; version 0 means that there is none."""
 
@@ -295,6 +307,7 @@
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
             address=self.identity.address,
+            seeks_support=True,
         )
         version = await self._commit_claim(view, row)
         if version is None:
@@ -321,10 +334,31 @@
         )
         self.owners[service] = owner
         self._spawn(owner.start(stopped_s))
+        self._spawn(seek_support(owner, self._list_supporters, self.peers))
+        if view.row is not None:
+            self._announce(owner, view.row)
         if view.row is not None and stopped_s is None:
-            self._spawn(self._watch_predecessor(owner, view.row))
+            self._spawn(watch_predecessor(owner, view.row, self._ping))
         return True
 
+    def _announce(self, owner, predecessor):
+        """Tell all instances that may support the predecessor of its successor."""
+        claimed_s = self.clock.monotonic()
+        members = self.known_members
+        reported_ago_s = claimed_s - members.reported_s
+        if not predecessor.seeks_support or reported_ago_s > MAX_REPORT_AGE_S:
+            return
+        addresses = [
+            address
+            for address in members.recent_addresses()
+            if address != predecessor.address
+        ]
+        self._spawn(announce_owner(owner, addresses, self.peers, claimed_s))
+
+    def _list_supporters(self):
+        """Return the members that a successor of this instance would tell of itself."""
+        return self.known_members.established_addresses(MIN_SUPPORTER_AGE_S)
+
     async def _commit_claim(self, view, row):
         """Write an owner row; return its version, or None if it is not written."""
         row_key = owner_row_key(view.service)
@@ -352,19 +386,6 @@
             self.clock,
         )
 
-    async def _watch_predecessor(self, owner, row):
-        """Notify an owner once its predecessor has restarted or relinquished."""
-        while not owner.lost and not owner.is_takeover_complete:
-            reply = await self._ping(row.address, PING_TIMEOUT_S)
-            restarted = isinstance(reply, Pong) and (
-                reply.incarnation != row.incarnation
-                or reply.owned.get(owner.service) != row.token
-            )
-            if restarted:
-                owner.mark_predecessor_stopped(self.clock.monotonic())
-                return
-            await asyncio.sleep(PING_PERIOD_S)
-
     def _handle_owner_lost(self, owner):
         if self.owners.get(owner.service) is owner:
             del self.owners[owner.service]
@@ -427,28 +448,10 @@
 
     async def answer(self, message):
         """Return the reply to a peer's message about ownership or jobs."""
-        match message:
-            case Ping():
-                return self._answer_ping(message)
-            case JobNotice(service=service):
-                if service in self.owners:
-                    self.owners[service].add_job(message.row)
-                return Acknowledgement(service in self.owners)
-            case CancelNotice(service=service):
-                if service in self.owners:
-                    self.owners[service].cancel_job(message.job)
-                return Acknowledgement(service in self.owners)
-            case StateQuery(service=service):
-                owner = self.owners.get(service)
-                return StateReply(owner.shard.get_state(message.job) if owner else None)
-            case WaitingQuery(service=service):
-                owner = self.owners.get(service)
-                return WaitingReply(owner.count_waiting() if owner else None)
-            case Handover():
-                return await self._accept_handover(message)
-        return Acknowledgement(False)
-
-    def _answer_ping(self, ping):
+        return await answer_message(message, self)
+
+    def answer_ping(self, ping):
+        """Return the state of this instance, and note that the peer is alive."""
         now_s = self.clock.monotonic()
         self.known_members.observe(
             Member(ping.address, ping.domain, ping.region, ping.strength)
@@ -466,7 +469,8 @@
             members_digest=digest,
         )
 
-    async def _accept_handover(self, message):
+    async def accept_handover(self, message):
+        """Take a service over from an owner that is stopping."""
         self.update_view(message.service, message.row, message.version)
         view = self.view(message.service)
         if view.version != message.version:
--- /dev/null
+++ b/fuchsiascale/jobs/_peer_answers.py
@@ -0,0 +1,84 @@
+"""Answers to the messages of peers about ownership and jobs."""
+
+from functools import singledispatch
+
+from fuchsiascale.jobs._peer_messages import (
+    Acknowledgement,
+    CancelNotice,
+    Handover,
+    JobNotice,
+    OwnerNotice,
+    OwnerQuery,
+    OwnerReply,
+    Ping,
+    StateQuery,
+    StateReply,
+    WaitingQuery,
+    WaitingReply,
+)
+
+__all__ = ["answer_message"]
+
+
+@singledispatch
+async def answer_message(message, ownership):
+    """Return the reply to a message.
+
+    Parameters
+    ----------
+    message : PeerMessage
+        The message; one of another kind has no effect.
+    ownership : OwnershipManager
+        The services that this instance owns, and the owners that it knows.
+    """
+    return Acknowledgement(False)
+
+
+@answer_message.register
+async def _(message: Ping, ownership):
+    return ownership.answer_ping(message)
+
+
+@answer_message.register
+async def _(message: JobNotice, ownership):
+    owner = ownership.owners.get(message.service)
+    if owner is not None:
+        owner.add_job(message.row)
+    return Acknowledgement(owner is not None)
+
+
+@answer_message.register
+async def _(message: CancelNotice, ownership):
+    owner = ownership.owners.get(message.service)
+    if owner is not None:
+        owner.cancel_job(message.job)
+    return Acknowledgement(owner is not None)
+
+
+@answer_message.register
+async def _(message: StateQuery, ownership):
+    owner = ownership.owners.get(message.service)
+    return StateReply(owner.shard.get_state(message.job) if owner else None)
+
+
+@answer_message.register
+async def _(message: WaitingQuery, ownership):
+    owner = ownership.owners.get(message.service)
+    return WaitingReply(owner.count_waiting() if owner else None)
+
+
+@answer_message.register
+async def _(message: Handover, ownership):
+    return await ownership.accept_handover(message)
+
+
+@answer_message.register
+async def _(message: OwnerNotice, ownership):
+    ownership.update_view(message.service, message.row, message.version)
+    known_version = ownership.view(message.service).version
+    return Acknowledgement(known_version >= message.version)
+
+
+@answer_message.register
+async def _(message: OwnerQuery, ownership):
+    return OwnerReply(ownership.view(message.service).version)
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -16,6 +16,9 @@
     "ConfigurationReply",
     "Handover",
     "JobNotice",
+    "OwnerNotice",
+    "OwnerQuery",
+    "OwnerReply",
     "PeerMessage",
     "PeerReply",
     "Ping",
@@ -148,6 +151,26 @@
     version: int
 
 
+class OwnerNotice(msgspec.Struct, frozen=True, tag="owner"):
+    """Reports the owner row that an instance has just written."""
+
+    service: str
+    row: OwnerRow
+    version: int
+
+
+class OwnerQuery(msgspec.Struct, frozen=True, tag="owner_query"):
+    """Asks which owner of a service an instance knows."""
+
+    service: str
+
+
+class OwnerReply(msgspec.Struct, frozen=True, tag="owner_reply"):
+    """Version of the owner row that an instance knows; 0 for none."""
+
+    version: int
+
+
 class RelayCommit(msgspec.Struct, frozen=True, tag="commit"):
     """Asks a peer to commit a transaction to the store."""
 
@@ -204,10 +227,18 @@
     | StateQuery
     | WaitingQuery
     | Handover
+    | OwnerNotice
+    | OwnerQuery
     | RelayCommit
     | RelayRead
     | RelayWrite
 )
 PeerReply = (
-    Pong | ConfigurationReply | StateReply | WaitingReply | RelayReply | Acknowledgement
+    Pong
+    | ConfigurationReply
+    | StateReply
+    | WaitingReply
+    | OwnerReply
+    | RelayReply
+    | Acknowledgement
 )
--- /dev/null
+++ b/fuchsiascale/jobs/_predecessor.py
@@ -0,0 +1,125 @@
+"""Finds out when the predecessor of a new owner has stopped granting leases."""
+
+import asyncio
+
+import logbook
+
+from fuchsiascale.jobs._ownership_evidence import ISOLATION_LIMIT_S, PEER_SUPPORT_S
+from fuchsiascale.jobs._peer_messages import (
+    Acknowledgement,
+    OwnerNotice,
+    OwnerQuery,
+    OwnerReply,
+    Pong,
+)
+
+__all__ = ["announce_owner", "seek_support", "watch_predecessor"]
+
+REPEAT_PERIOD_S = 0.3
+"""Period in which instances that have not answered are asked again."""
+SUPPORT_PERIOD_S = 0.5
+"""Period in which an owner asks peers for support."""
+MAX_SUPPORTERS = 3
+"""Number of peers that are asked at a time."""
+REPLY_TIMEOUT_S = 0.5
+"""Timeout of a call to a peer."""
+
+log = logbook.Logger("offices")
+
+
+async def watch_predecessor(owner, row, ping):
+    """Tell an owner once its predecessor has restarted or relinquished.
+
+    Parameters
+    ----------
+    owner : Owner
+        The new owner.
+    row : OwnerRow
+        The owner row of its predecessor.
+    ping : callable
+        Coroutine function from an address and a timeout to the reply.
+    """
+    while not owner.lost and not owner.is_takeover_complete:
+        reply = await ping(row.address, REPLY_TIMEOUT_S)
+        restarted = isinstance(reply, Pong) and (
+            reply.incarnation != row.incarnation
+            or reply.owned.get(owner.service) != row.token
+        )
+        if restarted:
+            owner.inherited_leases.mark_stopped(owner.clock.monotonic())
+            return
+        await asyncio.sleep(REPEAT_PERIOD_S)
+
+
+async def announce_owner(owner, addresses, peers, claimed_s):
+    """Tell instances of a new owner, and the owner when its predecessor has stopped.
+
+    An instance that knows of the new owner supports no earlier one. Once all have
+    answered, an earlier owner that runs on can only be isolated.
+
+    Parameters
+    ----------
+    owner : Owner
+        The new owner.
+    addresses : list of str
+        All instances that may support an earlier owner.
+    peers : PeerClient
+        Calls to them.
+    claimed_s : float
+        Monotonic time by which the claim was written.
+    """
+    notice = OwnerNotice(owner.service, owner.row, owner.version)
+    missing = set(addresses)
+    while missing and not owner.lost and not owner.is_takeover_complete:
+        asked = sorted(missing)
+        replies = await asyncio.gather(
+            *(peers.ask(address, notice, REPLY_TIMEOUT_S) for address in asked)
+        )
+        for address, reply in zip(asked, replies, strict=True):
+            if isinstance(reply, Acknowledgement) and reply.done:
+                missing.discard(address)
+        if missing:
+            await asyncio.sleep(REPEAT_PERIOD_S)
+    if not missing and not owner.lost:
+        now_s = owner.clock.monotonic()
+        stopped_s = max(claimed_s + ISOLATION_LIMIT_S, now_s + PEER_SUPPORT_S)
+        log.info(
+            "owner announced",
+            extra={
+                "service": owner.service,
+                "instances": len(addresses),
+                "predecessor_stops_in_s": round(stopped_s - now_s, 3),
+            },
+        )
+        owner.inherited_leases.mark_stopped(stopped_s, includes_earlier_owners=True)
+
+
+async def seek_support(owner, list_supporters, peers):
+    """Ask peers for support while the store does not confirm an owner.
+
+    Parameters
+    ----------
+    owner : Owner
+        The owner.
+    list_supporters : callable
+        Returns the addresses of instances that may support it, in random order.
+    peers : PeerClient
+        Calls to them.
+    """
+    while not owner.lost:
+        if owner.evidence.needs_support():
+            asked_s = owner.clock.monotonic()
+            replies = await asyncio.gather(
+                *(
+                    peers.ask(address, OwnerQuery(owner.service), REPLY_TIMEOUT_S)
+                    for address in list_supporters()[:MAX_SUPPORTERS]
+                )
+            )
+            versions = [
+                each.version for each in replies if isinstance(each, OwnerReply)
+            ]
+            if any(version > owner.version for version in versions):
+                owner.relinquish("a peer knows a later owner")
+            elif owner.version in versions:
+                owner.evidence.note_support(asked_s)
+        await asyncio.sleep(SUPPORT_PERIOD_S)
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -75,7 +75,8 @@
     clock : Clock
         Source of time.
     on_lost, on_confirmed : callable
-        Called when the store shows that ownership was lost, and when it confirms it.
+        Called when the store shows that ownership was lost, and when it confirms it;
+        the latter with the monotonic time at which the store was asked.
     """
 
     def __init__(
@@ -269,7 +270,11 @@
     async def _record(self, items):
         """Write items in one commit; returns the outcome."""
         service = self.service
-        ledger_row = LedgerRow(token=self.token, write=uuid.uuid4().hex[:12])
+        ledger_row = LedgerRow(
+            token=self.token,
+            write=uuid.uuid4().hex[:12],
+            settled=self.shard.all_workers_confirmed(),
+        )
         changes = [Change(ledger_row_key(service), encode_row(ledger_row))]
         changes += [change for item in items for change in item.changes]
         expected = (
@@ -295,9 +300,10 @@
 
     async def _commit(self, ledger_row, expected, changes):
         """Commit as the owner; returns the outcome."""
+        sent_s = self.clock.monotonic()
         reply = await self.store.commit(expected, changes)
         if isinstance(reply, Success):
-            self._on_confirmed()
+            self._on_confirmed(sent_s)
             self.ledger_version = reply.unwrap()
             return _Outcome.WRITTEN
         error = reply.failure()
@@ -313,7 +319,7 @@
         elif isinstance(error, NoAnswer):
             found = await self.store.read(POOLS, self.service, "ledger", "ledger~")
             rows = found.unwrap().rows if isinstance(found, Success) else ()
-        if self._was_written(ledger_row, rows):
+        if self._was_written(ledger_row, rows, sent_s):
             return _Outcome.WRITTEN
         self.log.info(
             "record not written",
@@ -321,7 +327,7 @@
         )
         return _Outcome.NOT_WRITTEN
 
-    def _was_written(self, ledger_row, rows):
+    def _was_written(self, ledger_row, rows, sent_s):
         """Return whether a commit was written, judged by the rows of its conditions."""
         for row in rows:
             if (
@@ -334,6 +340,6 @@
                 self.ledger_version = row.version
                 ledger = decode_row(row.value, LedgerRow)
                 if ledger is not None and ledger.write == ledger_row.write:
-                    self._on_confirmed()
+                    self._on_confirmed(sent_s)
                     return True
         return False
--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -54,20 +54,29 @@
     record: JobRecord | None = None
 
 
-class OwnerRow(msgspec.Struct, frozen=True, kw_only=True):
-    """The instance that owns a service, and its fencing token."""
+class OwnerRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The instance that owns a service, and its fencing token.
+
+    ``seeks_support`` tells that the owner stops soon once it is isolated; see
+    `OwnershipEvidence`. Owners of earlier versions don't.
+    """
 
     token: int
     instance: InstanceId
     incarnation: str
     address: str
+    seeks_support: bool = False
 
 
-class LedgerRow(msgspec.Struct, frozen=True, kw_only=True):
-    """The last record that was written, and the token of its owner."""
+class LedgerRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The last record that was written, and the token of its owner.
+
+    ``settled`` tells that no earlier owner can start or hold anything any more.
+    """
 
     token: int
     write: str
+    settled: bool = False
 
 
 class LeasedWorkersEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/fuchsiascale/jobs/_reservations.py
+++ b/fuchsiascale/jobs/_reservations.py
@@ -41,8 +41,8 @@
     """
     free = list(workers)
     left = max(1, int(MAX_RESERVED_SHARE * len(workers)))
-    for step in _list_long_running_steps(shard, shard.all_workers_confirmed()):
-        overdue, reservations = _list_overdue(step, now_s)
+    for step in _list_long_running_steps(shard):
+        overdue, reservations = _list_overdue(shard, step, now_s)
         for task in overdue:
             if not left or not reservations:
                 break
@@ -65,7 +65,7 @@
     )
 
 
-def _list_overdue(step, now_s):
+def _list_overdue(shard, step, now_s):
     """Return the tasks of a step that have waited too long.
 
     The second value is the number of tasks for which a worker may be reserved. Of an
@@ -77,7 +77,7 @@
             task.waiting_since_s = None
         elif task.waiting_since_s is None:
             task.waiting_since_s = now_s
-    waiting = [task for task in step.tasks if task.waiting]
+    waiting = [task for task in step.tasks if task.waiting and shard.may_start(task)]
     if waiting and step.job.measure_idle_s(now_s) > IDLE_WAIT_S:
         return waiting[: math.ceil(IDLE_START_SHARE * step.spec.count)], 1
     overdue = [
@@ -88,15 +88,9 @@
     return overdue, len(overdue)
 
 
-def _list_long_running_steps(shard, all_workers_confirmed):
-    """Return the steps of long-running tasks that may be started, oldest job first."""
-    jobs = [
-        job
-        for job in shard.jobs.values()
-        if job.lasting
-        and not job.state.final
-        and (all_workers_confirmed or not job.inherited)
-    ]
+def _list_long_running_steps(shard):
+    """Return the steps of long-running tasks that are ready, oldest job first."""
+    jobs = [job for job in shard.jobs.values() if job.lasting and not job.state.final]
     return [
         step
         for job in sorted(jobs, key=lambda job: job.accepted_s)
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -85,14 +85,11 @@
     leftovers = LeftoverCapacities(shard, workers, now_s)
     move_fillers(shard, workers, leftovers, now_s)
     consolidate_serving_tasks(shard, workers, now_s)
-    all_workers_confirmed = shard.all_workers_confirmed()
     workers = reserve_workers(shard, workers, leftovers, now_s)
     pool = _Pool(workers, shard.full_kinds)
     unreserved = _Pool(exclude_urgent_room(shard, workers, now_s), FullKinds())
     budget = _SearchBudget()
     for job in order_jobs(shard, now_s):
-        if job.inherited and not all_workers_confirmed:
-            continue
         for step in job.find_ready_steps():
             if step.spec.gang:
                 _place_gang(shard, step, workers, leftovers, now_s)
@@ -117,7 +114,7 @@
     is_full = pool.full_kinds.includes(spec, now_s)
     if is_full and not _is_starvation_check_due(step, now_s):
         return
-    waiting = [task for task in step.tasks if task.waiting]
+    waiting = [task for task in step.tasks if task.waiting and shard.may_start(task)]
     if not waiting:
         return
     started = []
@@ -169,7 +166,7 @@
 
 def _place_gang(shard, step, workers, leftovers, now_s):
     """Start all tasks of a gang with the same attempt number, or none of them."""
-    if not all(task.waiting for task in step.tasks):
+    if not all(task.waiting and shard.may_start(task) for task in step.tasks):
         return
     for group in _list_rack_groups(step.spec, workers):
         started = _start_gang(shard, step, group, leftovers, now_s)
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -100,6 +100,9 @@
         Worker to avoid: an attempt failed or stalled there, or it was unhealthy.
     preferred_worker : str or None
         Worker to which the task is being moved.
+    located : bool
+        Whether this owner has seen an attempt run. An earlier owner can't have started
+        another one then.
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         "failed",
         "index",
         "latest_number",
+        "located",
         "name",
         "next_number",
         "preferred_worker",
@@ -130,12 +134,17 @@
         self.avoided_worker = None
         self.waiting_since_s = None
         self.preferred_worker = None
+        self.located = False
 
     @property
     def waiting(self):
         """Whether the task may be started."""
         return not self.done and self.attempt is None
 
+    def mark_located(self):
+        """Note that this owner has seen an attempt of the task run."""
+        self.located = self.step.has_located_task = True
+
     def mark_done(self):
         """Mark the task as done."""
         if not self.done:
@@ -154,10 +163,13 @@
         Run times of the tasks that are done.
     next_starvation_check_s : float
         Monotonic time of the next check whether the job makes no progress.
+    has_located_task : bool
+        Whether one of the tasks is located; see `Task`.
     """
 
     __slots__ = (
         "attempts_per_worker",
+        "has_located_task",
         "job",
         "next_starvation_check_s",
         "number",
@@ -176,6 +188,7 @@
         self.attempts_per_worker = {}
         self.remaining = spec.count
         self.next_starvation_check_s = 0.0
+        self.has_located_task = False
         self.run_times = StepRunTimes()
         self.tasks = [
             Task(self, index, job.first_number, now_s) for index in range(spec.count)
@@ -186,6 +199,11 @@
         """Whether all tasks are done."""
         return not self.remaining
 
+    def follows_located_task(self):
+        """Return whether a task that this step had to wait for is located."""
+        steps = self.job.occurrences[self.occurrence]
+        return any(steps[before].has_located_task for before in self.spec.after)
+
     def note_done(self):
         """Count a task that has just been done."""
         self.remaining -= 1
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -181,6 +181,12 @@
         """Return whether all attempts of earlier owners are known or have expired."""
         return not self.unconfirmed_workers
 
+    def may_start(self, task):
+        """Return whether no attempt by an earlier owner can run, or start, unseen."""
+        if not self.unconfirmed_workers or not task.step.job.inherited:
+            return True
+        return task.located or task.step.follows_located_task()
+
     def grant_lease(self, worker, now_s):
         """Extend a worker's lease; returns its end on the worker's clock.
 
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -17,6 +17,8 @@
     ----------
     claimed : bool
         Whether this incarnation has answered an exchange with the owner.
+    claimed_s : float
+        Monotonic time of its first answer.
     silent : bool
         Whether the last exchange returned no inventory.
     in_leased_workers : bool
@@ -50,6 +52,7 @@
         self.worker = listed.worker
         self.incarnation = 0
         self.claimed = False
+        self.claimed_s = 0.0
         self.silent = False
         self.in_leased_workers = False
         self.storable = True
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_inherited_tasks.py
@@ -0,0 +1,97 @@
+"""Inherited tasks while a worker of an earlier owner does not answer.
+
+One worker that was lost just before its owner held up all inherited tasks for 16.5 s,
+also those that the new owner had seen run elsewhere.
+"""
+
+from fuchsiascale.jobs import (
+    EndedAttempt,
+    EndKind,
+    Inventory,
+    RunningAttempt,
+    plan_round,
+)
+from fuchsiascale.jobs._inventories import PENDING_EXCHANGE_S
+from fuchsiascale.jobs.tests.test_rounds import (
+    drain_starts,
+    make_shard,
+    make_step,
+    submit_job,
+)
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+LOST_WORKER = "w9"
+SETTLED_S = 0.2 + PENDING_EXCHANGE_S
+"""Time at which no earlier owner has an open exchange with the workers any more."""
+
+
+def make_successor(*steps):
+    """Return the shard of a new owner, with an inherited job and a lost worker."""
+    shard = make_shard()
+    job = submit_job(shard, *steps, token=0)
+    shard.unconfirmed_workers[LOST_WORKER] = 16.5
+    return shard, job
+
+
+def report(shard, sent_s, running=(), ended=()):
+    """Let the first worker report what runs and has ended there."""
+    worker = shard.workers["w0"]
+    inventory = Inventory(
+        clock_ms=int(1_000 + 1_000 * sent_s),
+        incarnation=1,
+        running=running,
+        ended=ended,
+    )
+    shard.observe(worker, inventory, sent_s, sent_s + 0.01)
+
+
+def list_started(shard, now_s):
+    """Return the names of the tasks that a round starts."""
+    plan_round(shard, now_s)
+    return [attempt.task.name for attempt in drain_starts(shard)]
+
+
+def test_a_task_seen_running_starts_again_while_a_lost_worker_is_waited_for():
+    shard, job = make_successor(make_step(count=2, lasting=True))
+    seen, unseen = (task.name for task in job.occurrences[0][0].tasks)
+    report(shard, SETTLED_S, running=(RunningAttempt(seen, 5),))
+    end = EndedAttempt(1, seen, 5, EndKind.FAILED)
+    report(shard, SETTLED_S + 0.5, ended=(end,))
+    assert list_started(shard, SETTLED_S + 0.6) == [seen]
+    del shard.unconfirmed_workers[LOST_WORKER]
+    assert list_started(shard, SETTLED_S + 0.7) == [unseen]
+
+
+def test_a_task_whose_end_the_earlier_owner_may_have_seen_waits_for_a_lost_worker():
+    # The earlier owner may have learnt of the end, and have started the task again.
+    shard, job = make_successor(make_step(lasting=True))
+    name = job.find_task(0, 0, 0).name
+    report(shard, 0.5, running=(RunningAttempt(name, 5),))
+    report(shard, 0.6, ended=(EndedAttempt(1, name, 5, EndKind.FAILED),))
+    assert list_started(shard, 0.7) == []
+
+
+def test_a_step_follows_a_task_seen_running_while_a_lost_worker_is_waited_for():
+    shard, job = make_successor(make_step(), make_step(after=(0,)))
+    first = job.find_task(0, 0, 0).name
+    report(shard, SETTLED_S, running=(RunningAttempt(first, 5),))
+    report(shard, SETTLED_S + 0.5, ended=(EndedAttempt(1, first, 5, EndKind.DONE),))
+    assert list_started(shard, SETTLED_S + 0.6) == [job.find_task(0, 1, 0).name]
+
+
+def test_a_step_whose_predecessor_was_not_seen_running_waits_for_a_lost_worker():
+    shard, job = make_successor(make_step(), make_step(after=(0,)))
+    first = job.find_task(0, 0, 0).name
+    report(shard, SETTLED_S, ended=(EndedAttempt(1, first, 5, EndKind.DONE),))
+    assert list_started(shard, SETTLED_S + 0.1) == []
+
+
+def test_a_gang_waits_for_a_lost_worker_unless_all_its_tasks_were_seen_running():
+    shard, job = make_successor(make_step(count=2, gang=True))
+    names = [task.name for task in job.occurrences[0][0].tasks]
+    report(shard, SETTLED_S, running=(RunningAttempt(names[0], 5),))
+    end = EndedAttempt(1, names[0], 5, EndKind.BROKEN)
+    report(shard, SETTLED_S + 0.5, ended=(end,))
+    assert list_started(shard, SETTLED_S + 0.6) == []
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -15,6 +15,7 @@
     JobSpec,
     LeasedWorkersEntry,
     LeasedWorkersRow,
+    LedgerRow,
     ListedWorker,
     Owner,
     OwnerLimits,
@@ -155,7 +156,31 @@
 async def test_a_predecessor_known_to_have_stopped_shortens_the_wait_for_its_workers():
     owner, _ = make_owner(BlockingStore())
     owner.shard.unconfirmed_workers["w2"] = 16.5
-    owner.mark_predecessor_stopped(2.0)
+    owner.inherited_leases.restore_ledger(LedgerRow(token=0, write="", settled=True))
+    owner.inherited_leases.mark_stopped(2.0)
+    assert 8.0 < owner.shard.unconfirmed_workers["w2"] < 9.0
+
+
+async def test_an_earlier_owner_that_may_still_grant_leases_is_waited_for():
+    # The previous owner was gone before it had reached all workers of the one before.
+    for ledger in (None, LedgerRow(token=0, write=""), LedgerRow(token=-1, write="")):
+        owner, _ = make_owner(BlockingStore())
+        leases = owner.inherited_leases
+        leases.restore_ledger(ledger)
+        leases.add("w2", 0.0)
+        leases.mark_stopped(2.0)
+        assert 16.0 < owner.shard.unconfirmed_workers["w2"] < 17.0
+        leases.mark_stopped(3.0, includes_earlier_owners=True)
+        assert 9.0 < owner.shard.unconfirmed_workers["w2"] < 10.0
+
+
+async def test_a_time_that_is_known_before_the_workers_are_loaded_holds_for_them():
+    owner, _ = make_owner(BlockingStore())
+    leases = owner.inherited_leases
+    leases.mark_stopped(2.0)
+    leases.restore_ledger(LedgerRow(token=0, write="", settled=True))
+    leases.add("w2", 1.0)
+    leases.limit()
     assert 8.0 < owner.shard.unconfirmed_workers["w2"] < 9.0
 
 
