--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -303,8 +303,11 @@
         self.request_round()
 
     def add_job(self, accepted):
-        """Add a job that an instance has just stored."""
-        if accepted.record is None or accepted.token > self.row.token:
+        """Add a job that an instance has just stored.
+
+        A job accepted under an earlier owner was loaded, or has ended since.
+        """
+        if accepted.record is None or accepted.token != self.row.token:
             return
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         if self._loaded.is_set():
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -7,6 +7,7 @@
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.jobs import (
+    AcceptedRow,
     Busy,
     EndedAttempt,
     EndKind,
@@ -51,8 +52,8 @@
     return RelayedWorkers(None, None, None, ManualClock())
 
 
-def make_owner(store):
-    row = OwnerRow(token=1, instance="a", incarnation="1", address="10.0.0.1:80")
+def make_owner(store, token=1):
+    row = OwnerRow(token=token, instance="a", incarnation="1", address="10.0.0.1:80")
     owner = Owner(
         "pool",
         row,
@@ -190,3 +191,16 @@
     assert owner.can_grant_leases()
     owner.clock.advance(1.0)
     assert not owner.can_grant_leases()
+
+
+async def test_a_late_notice_does_not_bring_back_a_job_that_an_earlier_owner_finished():
+    # An instance read the job's row before the last record of the earlier owner.
+    store = BlockingStore()
+    owner, _ = make_owner(store, token=3)
+    owner._loaded.set()
+    policy = QueuePolicy(queue="q", service="pool")
+    spec = JobSpec(payload="", steps=(StepSpec(count=1),))
+    for token, expected in ((2, []), (4, []), (3, [JOB])):
+        record = JobRecord(job=JOB, spec=spec, policy=policy, accepted_ms=0)
+        owner.add_job(AcceptedRow(token=token, write="1", record=record))
+        assert list(owner.shard.jobs) == expected
