--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -128,6 +128,7 @@
         self.round_count = 0
         self.round_seconds = 0.0
         self._relays_due_s = 0.0
+        self._confirmation = None
         self._round_requested = asyncio.Event()
         self._tasks = set()
         self._loaded = asyncio.Event()
@@ -376,7 +377,7 @@
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         if now_s >= self._relays_due_s:
             self._assign_relays()
-        self.shard.expire_leases(now_s)
+        self._expire_leases(now_s)
         for job in self.shard.jobs.values():
             if job.timed and not job.state.final:
                 job.open_due_occurrences(now_s, wall_ms)
@@ -387,6 +388,32 @@
             self.recorder.flush_requested.set()
         self.links.sync()
 
+    def _expire_leases(self, now_s):
+        """Mark as lost what ran under expired leases, once the store confirms it."""
+        confirmed_s = self.evidence.confirmed_s
+        self.shard.expire_leases(confirmed_s)
+        is_due = self.shard.has_lease_expired_since(confirmed_s, now_s)
+        if is_due and self._confirmation is None:
+            self._confirmation = self._spawn(self._confirm_ownership())
+
+    async def _confirm_ownership(self):
+        """Ask the store for the owner row, and relinquish if another one owns it."""
+        asked_s = self.clock.monotonic()
+        found = await self.store.read(
+            ACCEPTED, self.service, OWNER_KEY, OWNER_KEY + "\0"
+        )
+        if isinstance(found, Failure):
+            self.log.info(
+                "ownership not confirmed", extra={"why": repr(found.failure())}
+            )
+            await asyncio.sleep(STORE_RETRY_DELAY_S)
+        elif [row.version for row in found.unwrap().rows] == [self.version]:
+            self.evidence.confirm(asked_s)
+            self.request_round()
+        else:
+            self.relinquish("the owner row has changed")
+        self._confirmation = None
+
     # Job feed ------------------------------------------------------------------
 
     async def _run_feed(self):
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -87,6 +87,7 @@
         self.commands = []
         self.loaded = False
         self.unconfirmed_workers = {}
+        self.orphans = frozenset()
         self.events = Counter()
         self.interference = PairInterference()
         self.run_times = RunTimes()
@@ -182,7 +183,9 @@
         return not self.unconfirmed_workers
 
     def may_start(self, task):
-        """Return whether no attempt by an earlier owner can run, or start, unseen."""
+        """Return whether no other attempt of a waiting task can run or start."""
+        if task.name in self.orphans:
+            return False
         if not self.unconfirmed_workers or not task.step.job.inherited:
             return True
         return task.located or task.step.follows_located_task()
@@ -248,26 +251,50 @@
             },
         )
 
-    def expire_leases(self, now_s):
+    def has_lease_expired_since(self, then_s, now_s):
+        """Return whether a lease that matters has expired between two times."""
+        expiries_s = [
+            worker.lease_expiry_s
+            for worker in self.workers.values()
+            if (worker.attempts or worker.orphans) and worker.lease_expiry_s is not None
+        ]
+        expiries_s += self.unconfirmed_workers.values()
+        return any(then_s <= expiry_s < now_s for expiry_s in expiries_s)
+
+    def expire_leases(self, confirmed_s):
         """Mark attempts as lost on workers whose lease has expired.
 
         Unconfirmed workers whose last lease from an earlier owner has expired count
         as confirmed.
+
+        Parameters
+        ----------
+        confirmed_s : float
+            Monotonic time at which this was last known to be the owner. A later owner
+            may have extended the leases that end after it.
         """
         for worker in self.workers.values():
             expired = (
-                worker.lease_expiry_s is not None and now_s > worker.lease_expiry_s
+                worker.lease_expiry_s is not None
+                and confirmed_s > worker.lease_expiry_s
             )
-            if expired and worker.attempts:
-                self.mark_all_lost(worker, now_s, "lease over")
+            if expired and (worker.attempts or worker.orphans):
+                self.mark_all_lost(worker, confirmed_s, "lease over")
+                worker.orphans.clear()
         for worker_id, until_s in list(self.unconfirmed_workers.items()):
-            if now_s > until_s:
+            if confirmed_s > until_s:
                 self.log.warning(
                     "worker not reached before its last lease expired",
                     extra={"worker": worker_id},
                 )
                 del self.unconfirmed_workers[worker_id]
 
+    def note_orphans(self):
+        """Note which tasks have attempts that are still being stopped."""
+        self.orphans = frozenset().union(
+            *(worker.orphans for worker in self.workers.values())
+        )
+
     # Commands --------------------------------------------------------------
 
     def drain_commands(self):
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -25,8 +25,11 @@
     RelayedWorkers,
     Resources,
     StepSpec,
+    StoredRow,
+    VersionedRows,
     WorkerListing,
     leased_workers_row_key,
+    owner_row_key,
 )
 from fuchsiascale.testing import collect_functions
 
@@ -204,3 +207,40 @@
         record = JobRecord(job=JOB, spec=spec, policy=policy, accepted_ms=0)
         owner.add_job(AcceptedRow(token=token, write="1", record=record))
         assert list(owner.shard.jobs) == expected
+
+
+class OwnerRowStore:
+    """A store that answers reads of the owner row, and nothing else."""
+
+    def __init__(self):
+        self.version = None
+
+    async def read(self, table, partition, first="", last=""):
+        if self.version is None:
+            return Failure(Busy("down"))
+        row = StoredRow(owner_row_key("pool"), b"", self.version)
+        return Success(VersionedRows((row,), self.version))
+
+
+async def test_no_attempt_counts_as_lost_before_the_store_has_confirmed_the_owner():
+    # A later owner that reaches the worker may have extended its lease.
+    for version, is_lost in ((None, False), (5, True), (6, False)):
+        store = OwnerRowStore()
+        owner, run = make_owner(store)
+        owner.links.sync = lambda: None
+        store.version = version
+        end_first_task(owner, run)
+        second = owner.shard.jobs[JOB].find_task(0, 0, 1)
+        owner.shard.start_task(second, run, 0.3)
+        owner.shard.drain_commands()
+        owner.shard.grant_lease(run, 0.3)
+        owner.shard.note_silence(run)
+        owner.clock.advance(9.0)
+        owner._run_round()
+        assert run.attempts
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        owner._run_round()
+        assert bool(run.attempts) is not is_lost, version
+        assert owner.lost is (version == 6)
+        await owner.stop()
