--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -108,12 +108,12 @@
 
 
 def _adopt_attempt(shard, worker, running, now_s):
-    """Adopt an attempt that an earlier owner started, or mark it as an orphan."""
+    """Adopt the latest attempt of an earlier owner, or mark another as an orphan."""
     parts = split_task(running.task)
     job = shard.jobs.get(parts[0]) if parts else None
     task = job.find_task(*parts[1:]) if job else None
-    is_adoptable = task is not None and task.waiting and not job.state.final
-    if not is_adoptable or running.attempt < task.latest_number:
+    is_known = task is not None and not task.done and not job.state.final
+    if not is_known or running.attempt < task.latest_number:
         if shard.loaded and worker.orphans.get(running.task) != running.attempt:
             shard.log.warning(
                 "stopping an unknown attempt",
@@ -125,6 +125,9 @@
             )
             worker.orphans[running.task] = running.attempt
         return None
+    if task.attempt is not None:
+        # The earlier owner started this one after the other had ended.
+        shard.mark_lost(task.attempt, now_s, "a later attempt runs")
     attempt = Attempt(task, worker, running.attempt, AttemptPhase.RUNNING, now_s)
     task.attempt = attempt
     task.latest_number = running.attempt
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -73,6 +73,7 @@
     now_s : float
         Monotonic time in seconds.
     """
+    shard.note_orphans()
     for worker in list(shard.workers.values()):
         throttle_fillers(shard, worker, now_s)
         _evacuate_draining(shard, worker, now_s)
--- a/fuchsiascale/jobs/tests/test_inherited_tasks.py
+++ b/fuchsiascale/jobs/tests/test_inherited_tasks.py
@@ -95,3 +95,54 @@
     end = EndedAttempt(1, names[0], 5, EndKind.BROKEN)
     report(shard, SETTLED_S + 0.5, ended=(end,))
     assert list_started(shard, SETTLED_S + 0.6) == []
+
+
+def make_takeover():
+    """Return the shard of a new owner that has adopted an attempt, and its job."""
+    shard = make_shard()
+    job = submit_job(shard, make_step(), token=0)
+    report(shard, 1.0, running=(RunningAttempt(job.find_task(0, 0, 0).name, 5),))
+    return shard, job
+
+
+def test_the_latest_attempt_of_an_earlier_owner_is_adopted():
+    # That owner saw the first attempt end and started another one before it was fenced.
+    shard, job = make_takeover()
+    task = job.find_task(0, 0, 0)
+    second = shard.workers["w1"]
+    running = (RunningAttempt(task.name, 6),)
+    inventory = Inventory(clock_ms=2_000, incarnation=1, running=running)
+    shard.observe(second, inventory, 1.1, 1.1)
+    assert (task.attempt.number, task.attempt.worker) == (6, second)
+    report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
+    assert list_started(shard, 1.3) == []
+    assert task.attempt.number == 6
+
+
+def test_a_task_waits_while_an_unknown_attempt_of_it_is_being_stopped():
+    shard, job = make_takeover()
+    task = job.find_task(0, 0, 0)
+    second = shard.workers["w1"]
+    running = (RunningAttempt(task.name, 4),)
+    inventory = Inventory(clock_ms=2_000, incarnation=1, running=running)
+    shard.observe(second, inventory, 1.1, 1.1)
+    report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
+    assert list_started(shard, 1.3) == []
+    end = EndedAttempt(1, task.name, 4, EndKind.STOPPED)
+    inventory = Inventory(clock_ms=3_000, incarnation=1, ended=(end,))
+    shard.observe(second, inventory, 1.4, 1.4)
+    assert list_started(shard, 1.5) == [task.name]
+
+
+def test_a_task_is_not_held_up_for_ever_by_an_unknown_attempt_on_a_lost_worker():
+    shard, job = make_takeover()
+    task = job.find_task(0, 0, 0)
+    second = shard.workers["w1"]
+    running = (RunningAttempt(task.name, 4),)
+    inventory = Inventory(clock_ms=2_000, incarnation=1, running=running)
+    shard.observe(second, inventory, 1.1, 1.1)
+    report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
+    shard.expire_leases(6.4)
+    assert list_started(shard, 6.4) == []
+    shard.expire_leases(6.5)
+    assert list_started(shard, 6.5) == [task.name]
