--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -218,7 +218,8 @@
             return
         if view.row is None:
             await self._claim(view, self._strength_delay_s(), None)
-        elif view.row.instance == self.identity.instance:
+        elif view.row.address == self.identity.address:
+            # An earlier process at this address, which has ended.
             await self._claim(view, 0.0, self.clock.monotonic())
         else:
             await self._check_owner(view)
@@ -291,15 +292,21 @@
         ``stopped_s`` is the monotonic time from which the previous owner grants no
         leases; None if it may still grant some.
         """
-        if self.stopping or view.service in self._claiming:
+        if not self._may_claim(view.service) or view.service in self._claiming:
             return False
         self._claiming.add(view.service)
         try:
             await asyncio.sleep(delay_s)
+            if not self._may_claim(view.service):
+                return False
             return await self._write_claim(view, stopped_s)
         finally:
             self._claiming.discard(view.service)
 
+    def _may_claim(self, service):
+        """Return whether this instance may become the owner; it may be already."""
+        return not self.stopping and service not in self.owners
+
     async def _write_claim(self, view, stopped_s):
         service = view.service
         row = OwnerRow(
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -0,0 +1,104 @@
+"""Claims of a service that coincide at one instance."""
+
+import asyncio
+
+from returns.result import Failure, Success
+
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.jobs import (
+    Busy,
+    Conflict,
+    Handover,
+    OwnerLimits,
+    OwnerRow,
+    OwnershipManager,
+    Ping,
+    Pong,
+    StoredRow,
+    VersionedRows,
+    WorkerListing,
+    encode_row,
+    owner_row_key,
+)
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+SERVICE = "pool"
+OTHER = OwnerRow(token=1, instance="b", incarnation="b1", address="b:1")
+
+
+class OwnerRows:
+    """A store of one owner row."""
+
+    def __init__(self, row):
+        self.row, self.version = row, 1
+
+    async def commit(self, expected, changes):
+        if expected[0].version != self.version:
+            return Failure(Conflict())
+        self.version += 1
+        self.row = changes[0].value
+        return Success(self.version)
+
+    async def read(self, table, partition, first="", last=""):
+        if not first:
+            return Failure(Busy("not loaded in this test"))
+        row = StoredRow(owner_row_key(SERVICE), self.row, self.version)
+        return Success(VersionedRows((row,), self.version))
+
+
+class SlowPeers:
+    """Peers whose replies to pings wait until they are released."""
+
+    def __init__(self):
+        self.asked = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def ask(self, address, message, timeout_s):
+        if isinstance(message, Ping):
+            self.asked.set()
+            await self.released.wait()
+            return Pong(instance="b", incarnation="b2")
+        return None
+
+
+def make_manager(store, peers):
+    identity = Ping(instance="a", incarnation="a1", address="a:1")
+    listing = WorkerListing("servers", lambda row: None)
+    return OwnershipManager(
+        identity, store, None, peers, listing, OwnerLimits(), ManualClock()
+    )
+
+
+async def test_a_handover_during_a_check_of_the_owner_leads_to_one_owner():
+    # Both the handover and the check claimed the service, and each had an owner.
+    store, peers = OwnerRows(encode_row(OTHER)), SlowPeers()
+    manager = make_manager(store, peers)
+    manager.update_view(SERVICE, OTHER, 1)
+    checking = asyncio.create_task(manager._check_service(SERVICE))
+    await peers.asked.wait()
+    reply = await manager.answer(Handover(SERVICE, OTHER, 1))
+    assert reply.done
+    owner = manager.owners[SERVICE]
+    peers.released.set()
+    await checking
+    assert manager.owners == {SERVICE: owner}
+    assert (owner.row.token, owner.lost) == (2, False)
+    assert store.version == 2
+    await manager.stop()
+
+
+async def test_an_owner_row_of_another_process_with_this_name_is_not_claimed_at_once():
+    # A replacement starts under the name of the instance that it replaces.
+    namesake = OwnerRow(token=1, instance="a", incarnation="a0", address="c:1")
+    store, peers = OwnerRows(encode_row(namesake)), SlowPeers()
+    manager = make_manager(store, peers)
+    checking = asyncio.create_task(manager._check_service(SERVICE))
+    asked = asyncio.create_task(peers.asked.wait())
+    await asyncio.wait({checking, asked}, return_when=asyncio.FIRST_COMPLETED)
+    assert store.version == 1
+    for task in (checking, asked):
+        task.cancel()
+    await asyncio.gather(checking, asked, return_exceptions=True)
+    await manager.stop()
