--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -5,6 +5,7 @@
 from fuchsiascale.ids import InstanceId, JobId, ServiceId
 from fuchsiascale.jobs._model import JobRecord, JobState
 from fuchsiascale.jobs._ports import ListedWorker, RowKey
+from fuchsiascale.json_decoding import decode_json
 
 __all__ = [
     "ACCEPTED",
@@ -176,7 +177,4 @@
 
 def decode_row(value: bytes, kind: type):
     """Return the decoded value of a row; None where it has another format."""
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, kind).value_or(None)
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -169,8 +169,15 @@
             worker.is_listed = False
 
     def list_leased_workers(self):
-        """Return the workers that may run attempts now or after a later start."""
-        return [worker for worker in self.workers.values() if not worker.retired]
+        """Return the workers that may run attempts now or after a later start.
+
+        One that has never answered runs nothing unless an earlier owner used it.
+        """
+        return [
+            worker
+            for worker in self.workers.values()
+            if not worker.retired and (worker.claimed or worker.in_leased_workers)
+        ]
 
     def drop_worker(self, worker_id):
         """Forget a worker that has no attempts left and is not listed."""
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -120,6 +120,7 @@
     owner, run = make_owner(store)
     owner.shard.drop_worker("w1")
     relisted = owner.shard.update_worker(run.listed, 1.0)
+    owner.shard.observe(relisted, Inventory(clock_ms=9, incarnation=1), 1.1, 1.1)
     recording = asyncio.create_task(owner.recorder.flush())
     await asyncio.sleep(0)
     assert store.commits
@@ -128,6 +129,19 @@
     assert relisted.in_leased_workers
 
 
+async def test_a_worker_that_has_never_answered_is_not_recorded():
+    # Its entry may name an address that nobody has; a later owner would wait for it.
+    store = BlockingStore()
+    owner, run = make_owner(store)
+    listed = msgspec.structs.replace(run.listed, worker="w2")
+    silent = owner.shard.update_worker(listed, 1.0)
+    assert await record_workers(owner, store) == {"w1"}
+    owner.shard.observe(silent, Inventory(clock_ms=9, incarnation=1), 1.1, 1.1)
+    assert not silent.is_usable(1.1)
+    assert await record_workers(owner, store) == {"w1", "w2"}
+    assert silent.is_usable(1.2)
+
+
 async def record_workers(owner, store):
     """Record all changes, and return the ids of the recorded workers."""
     before = len(store.commits)
--- a/fuchsiascale/node/tests/_deployment.py
+++ b/fuchsiascale/node/tests/_deployment.py
@@ -150,6 +150,12 @@
         entry = worker.entry(SERVICE, self.addresses[worker.name], state)
         self.store.put("servers", "", worker.name, entry)
 
+    async def add_worker(self, worker):
+        """Start and list another worker."""
+        self.workers.append(worker)
+        self.addresses[worker.name] = await self._serve(worker)
+        self.list_worker(worker)
+
     async def start_instance(self, number):
         """Start an instance."""
         instance = Instance(self, number)
--- a/fuchsiascale/node/tests/test_takeover.py
+++ b/fuchsiascale/node/tests/test_takeover.py
@@ -14,6 +14,7 @@
     wait_until,
 )
 from fuchsiascale.testing import collect_functions
+from standins.taskworker import TaskWorkerStandin
 
 load_tests = collect_functions(__name__)
 
@@ -49,6 +50,35 @@
         assert deployment.count_starts_of(TASK) == 1
 
 
+ODD_ENTRIES = (
+    {"address": "10.0.0.9:99999"},
+    {"address": "a..b:80"},
+    {"capacity": {"cpu": 2**63, "mem_mb": 2**63}},
+    {"born": 10**400},
+    {"labels": "a", "state": 7},
+)
+
+
+async def test_odd_entries_among_the_workers_end_no_owner():
+    """Another writer's entry ended each owner, or the task that follows the list."""
+    async with Deployment() as deployment:
+        await wait_until(deployment.find_owner, "an owner")
+        owner = deployment.find_owner().owner
+        worker = deployment.workers[0]
+        entry = worker.entry(SERVICE, deployment.addresses[worker.name])
+        for number, changes in enumerate(ODD_ENTRIES):
+            deployment.store.put("servers", "", f"odd-{number}", {**entry, **changes})
+        nested = b'{"service":"pool","x":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
+        deployment.store.put("servers", "", "nested", nested)
+        deployment.store.put("servers", "", "odd\r\nkey: x", entry)
+        added = TaskWorkerStandin("i-late")
+        await deployment.add_worker(added)
+        await wait_until(lambda: added.token, "a call to the worker listed last")
+        await submit(deployment.find_owner())
+        await wait_until(lambda: TASK in deployment.running(), "a start")
+        assert deployment.find_owner().owner is owner
+
+
 async def test_a_job_submitted_twice_runs_once():
     async with Deployment() as deployment:
         await wait_until(deployment.find_owner, "an owner")
--- a/fuchsiascale/platform/_caller_api.py
+++ b/fuchsiascale/platform/_caller_api.py
@@ -6,9 +6,11 @@
 import logbook
 import msgspec
 from aiohttp import web
+from returns.result import Failure
 
 from fuchsiascale.ids import JobId
 from fuchsiascale.jobs import JobSpec, Outcome, Resources, StepSpec, find_problems
+from fuchsiascale.json_decoding import decode_json
 
 __all__ = ["CallerApi"]
 
@@ -125,10 +127,10 @@
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
             return _build_response(413, _Error("the body is too large"))
-        try:
-            spec = _decode_job(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return _build_response(400, _Error(f"body: {error}"))
+        decoded = decode_json(body, _Job)
+        if isinstance(decoded, Failure):
+            return _build_response(400, _Error(f"body: {decoded.failure()}"))
+        spec = _convert_job(decoded.unwrap())
         problems = find_problems(spec)
         if problems:
             return _build_response(400, _Error("; ".join(problems)))
@@ -165,18 +167,17 @@
     return None
 
 
-def _decode_job(body):
-    job = msgspec.json.decode(body, type=_Job)
+def _convert_job(job):
     return JobSpec(
         payload=job.spec,
-        steps=tuple(_decode_step(step) for step in job.steps),
+        steps=tuple(_convert_step(step) for step in job.steps),
         occurrences=job.repeat_count,
         first_run_ms=job.first_run_ms,
         interval_ms=job.interval_ms,
     )
 
 
-def _decode_step(step):
+def _convert_step(step):
     return StepSpec(
         count=step.count,
         need=Resources(
--- a/fuchsiascale/platform/_operator_rows.py
+++ b/fuchsiascale/platform/_operator_rows.py
@@ -1,6 +1,11 @@
 """Decoders of the rows that the users' operator and workers write."""
 
+import ipaddress
+from typing import Annotated
+
+import logbook
 import msgspec
+from returns.result import Failure
 
 from fuchsiascale.ids import ServiceId, WorkerId
 from fuchsiascale.jobs import (
@@ -11,6 +16,7 @@
     Resources,
     StoredRow,
 )
+from fuchsiascale.json_decoding import decode_json
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -25,10 +31,17 @@
 CONFIGURATION_KEY = "config"
 
 
+MAX_NUMBER = 2**53
+"""Largest number of an entry; larger ones are not exact in all JSON libraries."""
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+log = logbook.Logger("listing")
+
+
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
 
 class _Server(msgspec.Struct):
@@ -40,8 +53,8 @@
     state: str
     capacity: _Capacity
     labels: list[str] = []
-    born: int = 0
-    remaining_ms: int | None = None
+    born: Count = 0
+    remaining_ms: Count | None = None
 
 
 class _Advice(msgspec.Struct):
@@ -89,10 +102,11 @@
 
 def decode_configuration(value: bytes) -> Configuration | None:
     """Return the decoded configuration, or None if it is malformed."""
-    try:
-        config = msgspec.json.decode(value, type=_Config)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    decoded = decode_json(value, _Config)
+    if isinstance(decoded, Failure):
+        log.error("malformed configuration", extra={"why": decoded.failure()})
         return None
+    config = decoded.unwrap()
     return Configuration(
         version=config.version,
         queues=tuple(_decode_queue(route) for route in config.routes),
@@ -117,14 +131,27 @@
 def decode_worker(row: StoredRow) -> ListedWorker | None:
     """Return the worker that a row describes, or None if it is unusable.
 
-    Other writers may have written the row: fields may be missing or of another
-    type, the state may be unknown, and the value may not be valid JSON.
+    Other writers may have written the row: fields may be missing, of another type or
+    out of range, the state may be unknown, the value may not be valid JSON, and the
+    id and the address may be any text.
     """
-    try:
-        server = msgspec.json.decode(row.value, type=_Server)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    decoded = decode_json(row.value, _Server)
+    if isinstance(decoded, Failure):
+        log.debug(
+            "entry ignored", extra={"entry": row.place.key, "why": decoded.failure()}
+        )
         return None
-    if server.state not in ("ready", "draining") or ":" not in server.address:
+    server = decoded.unwrap()
+    is_known = server.state in ("ready", "draining") and _is_address(server.address)
+    if not is_known or not _is_header_text(row.place.key):
+        log.debug(
+            "entry ignored",
+            extra={
+                "entry": row.place.key,
+                "state": server.state,
+                "address": server.address,
+            },
+        )
         return None
     return ListedWorker(
         worker=WorkerId(row.place.key),
@@ -141,3 +168,18 @@
         remaining_ms=server.remaining_ms,
         incarnation=server.born,
     )
+
+
+def _is_address(address):
+    """Return whether a text is an IPv4 address and a port that can be connected to."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) < 65_536
+
+
+def _is_header_text(text):
+    """Return whether a text can be sent as the value of an HTTP header."""
+    return text.isascii() and text.isprintable() and text == text.strip()
--- a/fuchsiascale/platform/_row_store.py
+++ b/fuchsiascale/platform/_row_store.py
@@ -23,6 +23,7 @@
     StoreError,
     VersionedRows,
 )
+from fuchsiascale.json_decoding import decode_json
 from fuchsiascale.platform._calls import TRANSFER_TIMEOUT_S
 
 __all__ = ["HttpRowStore"]
@@ -248,13 +249,12 @@
         if status in REJECTED_STATUSES:
             return Failure(Rejected(detail))
         return Failure(Busy(detail) if 400 <= status < 500 else NoAnswer(detail))
-    try:
-        response = (
-            msgspec.json.decode(content, type=_Response) if content else _Response()
-        )
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(NoAnswer(f"malformed response: {error}"))
-    return Success((status, response))
+    if not content:
+        return Success((status, _Response()))
+    decoded = decode_json(content, _Response)
+    if isinstance(decoded, Failure):
+        return Failure(NoAnswer(f"malformed response: {decoded.failure()}"))
+    return Success((status, decoded.unwrap()))
 
 
 def _classify_outcome(reply):
--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -1,7 +1,5 @@
 """HTTP client of the workers of the users' platform, which calls them runners."""
 
-from typing import Any
-
 import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
@@ -22,6 +20,7 @@
     StartRequest,
     WorkerReply,
 )
+from fuchsiascale.json_decoding import decode_json
 from fuchsiascale.timeouts import limit_response_time
 
 __all__ = ["HttpTaskWorkers"]
@@ -80,18 +79,33 @@
     wait_ms: int = 0
 
 
-class _HoldReply(msgspec.Struct):
-    """Inventory of a worker, whose incarnation is ``born``.
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A running attempt; ``saved`` is its checkpoint."""
 
-    A row of ``running`` holds task, attempt, checkpoint, pace in percent and
-    optionally a load figure. A row of ``ended`` holds number, task, attempt,
-    kind of end and checkpoint.
-    """
+    task: str
+    run_id: int
+    saved: str | None = None
+    percent: float = 0
+    figure: float = 0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    """An ended attempt; ``saved`` is its checkpoint."""
+
+    number: int
+    task: str
+    run_id: int
+    how: EndKind
+    saved: str | None = None
+
+
+class _HoldReply(msgspec.Struct):
+    """Inventory of a worker, whose incarnation is ``born``."""
 
     clock_ms: int = 0
     born: int = 0
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
 
 
 class _CommandReply(msgspec.Struct):
@@ -126,15 +140,10 @@
         )
         if isinstance(result, Failure):
             return result
-        try:
-            return Success(_decode_inventory(result.unwrap()))
-        except (
-            msgspec.DecodeError,
-            UnicodeDecodeError,
-            ValueError,
-            IndexError,
-        ) as error:
-            return Failure(NoAnswer(f"malformed inventory: {error}"))
+        decoded = decode_json(result.unwrap(), _HoldReply)
+        if isinstance(decoded, Failure):
+            return Failure(NoAnswer(f"malformed inventory: {decoded.failure()}"))
+        return Success(_convert_inventory(decoded.unwrap()))
 
     async def start(self, worker: ListedWorker, request: StartRequest) -> WorkerReply:
         """Start an attempt."""
@@ -195,14 +204,7 @@
 
 
 def _decode_refusal(status, content):
-    try:
-        reply = (
-            msgspec.json.decode(content, type=_CommandReply)
-            if content
-            else _CommandReply()
-        )
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        reply = _CommandReply()
+    reply = _decode_command_body(content)
     if status == 421:
         return Refused(RefusedReason.OTHER_INCARNATION, reply.clock_ms)
     if status in (429, 503):
@@ -218,27 +220,28 @@
 def _decode_command_reply(result):
     if isinstance(result, Failure):
         return result
-    try:
-        reply = msgspec.json.decode(result.unwrap(), type=_CommandReply)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        reply = _CommandReply()
+    reply = _decode_command_body(result.unwrap())
     return Success(Executed(reply.clock_ms or 0))
 
 
-def _decode_inventory(content):
-    inventory = msgspec.json.decode(content, type=_HoldReply)
+def _decode_command_body(content):
+    """Return the body of a reply to a command; an empty one if it is malformed."""
+    return decode_json(content, _CommandReply).value_or(_CommandReply())
+
+
+def _convert_inventory(inventory):
     running = tuple(
         RunningAttempt(
-            TaskId(row[0]),
-            row[1],
-            row[2] or "",
-            row[3],
-            int(row[4]) if len(row) > 4 else 0,
+            TaskId(row.task),
+            row.run_id,
+            row.saved or "",
+            int(row.percent),
+            int(row.figure),
         )
         for row in inventory.running
     )
     ended = tuple(
-        EndedAttempt(row[0], TaskId(row[1]), row[2], EndKind(row[3]), row[4] or "")
+        EndedAttempt(row.number, TaskId(row.task), row.run_id, row.how, row.saved or "")
         for row in inventory.ended
     )
     return Inventory(
--- a/fuchsiascale/platform/tests/test_caller_api.py
+++ b/fuchsiascale/platform/tests/test_caller_api.py
@@ -92,6 +92,7 @@
 # name, body, text that the response must contain
 BAD_BODIES = (
     ("no JSON", b"{", "body"),
+    ("a deep nesting", b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}", "nested"),
     ("no steps", {"spec": "p"}, "steps"),
     ("an empty graph", {"spec": "p", "steps": []}, "steps"),
     ("no tasks", {"steps": [{**STEP, "count": 0}]}, "steps[0].count"),
--- a/fuchsiascale/platform/tests/test_operator_rows.py
+++ b/fuchsiascale/platform/tests/test_operator_rows.py
@@ -33,12 +33,38 @@
     ("a number in place of a text", {"service": 7}),
     ("a text in place of a number", {"capacity": {"cpu": "many"}}),
     ("labels of another type", {"labels": "a"}),
+    ("a port out of range", {"address": "10.0.0.9:65536"}),
+    ("port 0", {"address": "10.0.0.9:0"}),
+    ("a negative port", {"address": "10.0.0.9:-1"}),
+    ("a port of other digits", {"address": "10.0.0.9:\uff18\uff10"}),
+    ("an empty port", {"address": "10.0.0.9:"}),
+    ("an empty host", {"address": ":80"}),
+    ("a host with an empty label", {"address": "a..b:80"}),
+    ("a long host", {"address": f"{'a' * 300}:80"}),
+    ("a host to look up", {"address": "worker.example:80"}),
+    ("a path in the address", {"address": "10.0.0.9/x:80"}),
+    ("a line break in the address", {"address": "10.0.0.9\n:80"}),
+    ("a number too large", {"born": 2**64 - 1}),
+    ("a capacity too large", {"capacity": {"cpu": 2**60, "mem_mb": 1}}),
+    ("a negative capacity", {"capacity": {"cpu": -1, "mem_mb": 1}}),
+    ("a remaining time too large", {"remaining_ms": 2**60}),
+)
+DEPTH = 100_000
+# field with a value, and the text that takes the value's place
+RAW_REPLACEMENTS = (
+    (b'"born":12', b'"born":' + b"9" * 400),
+    (b'"born":12', b'"born":' + b"9" * 5_000),
+    (b'"born":12', b'"born":1e400'),
+    (b'"sequence":4', b'"other":' + b"[" * DEPTH + b"]" * DEPTH),
+    (b'"sequence":4', b'"other":' + b'{"a":' * DEPTH + b"1" + b"}" * DEPTH),
+    (b'["a","r1-3"]', b"[" * DEPTH + b"]" * DEPTH),
+    (b'"zone":"a"', b'"zone":"\\ud800"'),
 )
 
 
-def row(value):
+def row(value, key="i-1"):
     raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
-    return StoredRow(RowKey("servers", "", "i-1"), raw, 3)
+    return StoredRow(RowKey("servers", "", key), raw, 3)
 
 
 def test_a_worker_is_decoded_with_its_capacity():
@@ -62,6 +88,21 @@
         entry = {key: value for key, value in entry.items() if value is not None}
         assert decode_worker(row(entry)) is None, name
     assert decode_worker(row(b"\xff\x00")) is None
+    for old, new in RAW_REPLACEMENTS:
+        raw = msgspec.json.encode(ENTRY)
+        assert old in raw
+        assert decode_worker(row(raw.replace(old, new))) is None, new[:20]
+
+
+def test_an_entry_under_a_key_that_no_header_can_carry_is_no_worker():
+    for key in ("i-1\r\nx: y", "i-\u00e9", " i-1", "i-1\x00"):
+        assert decode_worker(row(ENTRY, key)) is None, key
+    assert decode_worker(row(ENTRY, "i-1")) is not None
+
+
+def test_a_configuration_that_is_nested_too_deeply_is_ignored():
+    config = b'{"version":7,"other":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+    assert decode_configuration(config) is None
 
 
 def test_a_configuration_is_decoded_with_its_queues():
--- a/fuchsiascale/platform/tests/test_task_workers.py
+++ b/fuchsiascale/platform/tests/test_task_workers.py
@@ -144,10 +144,17 @@
 
 
 async def test_an_unreadable_inventory_is_no_answer():
-    async with Served() as served:
-        served.standin.ended.append([1, TASK, 1, "in another way", ""])
-        reply = await served.client.exchange(served.worker, 1, 0, None, 0)
-        assert find_reason(reply) is NoAnswer
+    rows = (
+        [1, TASK, 1, "in another way", ""],
+        [1, TASK, "first", "done", ""],
+        [1, 7, 1, "done", ""],
+        [1, TASK],
+    )
+    for row in rows:
+        async with Served() as served:
+            served.standin.ended.append(row)
+            reply = await served.client.exchange(served.worker, 1, 0, None, 0)
+            assert find_reason(reply) is NoAnswer, row
 
 
 async def test_a_running_attempt_accepts_a_pace():
