--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -36,14 +36,8 @@
     sent_s, now_s : float
         Monotonic times of the request and of the reply, in seconds.
     """
-    if inventory.incarnation != worker.incarnation:
-        _handle_restart(shard, worker, inventory, now_s)
-    if not worker.claimed:
-        # The previous owner may have granted a lease immediately before.
-        worker.granted_until_ms = inventory.clock_ms + shard.lease_ms
-        worker.claimed_s = now_s
+    _identify_incarnation(shard, worker, inventory, sent_s, now_s)
     record_clock_reading(worker, inventory.clock_ms, now_s)
-    worker.claimed = True
     worker.silent = False
     shard.unconfirmed_workers.pop(worker.worker, None)
     for end in inventory.ended:
@@ -65,19 +59,44 @@
             del worker.orphans[name]
 
 
-def _handle_restart(shard, worker, inventory, now_s):
-    """Reset what is known of a worker that has a new incarnation."""
+def _identify_incarnation(shard, worker, inventory, sent_s, now_s):
+    """Note which incarnation has answered, and take it over if it is a new one."""
+    if inventory.incarnation == worker.incarnation and worker.claimed:
+        if worker.doubted_s is not None and sent_s > worker.doubted_s:
+            worker.doubted_s = None
+        return
+    # The previous owner may have granted a lease immediately before. A restarted
+    # worker takes the end of a lease on the clock before for a time far away.
+    lease_ms = shard.longest_lease_ms if worker.incarnation else shard.lease_ms
+    if inventory.incarnation != worker.incarnation:
+        _handle_restart(shard, worker, inventory, sent_s, now_s)
+    worker.granted_until_ms = inventory.clock_ms + lease_ms
+    worker.claimed_s = now_s
+    worker.claimed = True
+
+
+def _handle_restart(shard, worker, inventory, sent_s, now_s):
+    """Reset what is known of a worker that has a new incarnation.
+
+    Starts that may have reached the new one are looked up in later inventories.
+    """
+    lost = [
+        attempt
+        for attempt in worker.attempts.values()
+        if attempt.phase in (AttemptPhase.RUNNING, AttemptPhase.STOPPING)
+        and attempt.phase_since_s < sent_s
+    ]
     if worker.incarnation:
         shard.log.warning(
-            "worker restarted",
-            extra={"worker": worker.worker, "lost": len(worker.attempts)},
+            "worker restarted", extra={"worker": worker.worker, "lost": len(lost)}
         )
     worker.incarnation = inventory.incarnation
-    shard.mark_all_lost(worker, now_s, "worker restarted")
+    for attempt in lost:
+        shard.mark_lost(attempt, now_s, "worker restarted")
     worker.orphans.clear()
     worker.last_seen_end = worker.last_recorded_end = 0
-    worker.claimed = False
     worker.clock_ms = None
+    worker.doubted_s = None
 
 
 def _apply_running(shard, worker, running, is_exclusive, now_s):
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -100,7 +100,12 @@
         self.lease_s = min(LEASE_S, limits.longest_lease_s)
         self.on_lost = on_lost
         self.log = logbook.Logger("owner")
-        self.shard = Shard(service, row.token, self.lease_s)
+        self.shard = Shard(
+            service,
+            row.token,
+            self.lease_s,
+            longest_lease_s=limits.longest_lease_s,
+        )
         self.inherited_leases = InheritedLeases(self.shard, self.lease_s)
         self.lost = False
         self.handing_over = False
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -72,12 +72,15 @@
         Longest lease that any owner grants.
     log : logbook.Logger, optional
         Where decisions are logged.
+    longest_lease_s : float, optional
+        Longest lease that a worker takes.
     """
 
-    def __init__(self, service, token, lease_s, log=None):
+    def __init__(self, service, token, lease_s, log=None, longest_lease_s=None):
         self.service = service
         self.token = token
         self.lease_ms = int(lease_s * 1000)
+        self.longest_lease_ms = int((longest_lease_s or lease_s) * 1000)
         self.log = log or logbook.Logger("shard")
         self.jobs = {}
         self.finished = {}
@@ -159,7 +162,7 @@
         worker = self.workers.get(listed.worker)
         if worker is None:
             worker = self.workers[listed.worker] = WorkerRun(listed, now_s)
-        worker.update_listing(listed)
+        worker.update_listing(listed, now_s)
         return worker
 
     def note_worker_unlisted(self, worker_id):
@@ -215,9 +218,36 @@
         """Apply an inventory that was requested at ``sent_s``."""
         apply_inventory(self, worker, inventory, sent_s, now_s)
 
-    def note_silence(self, worker):
+    def note_silence(self, worker, now_s):
         """Note that a worker did not answer an exchange."""
         worker.silent = True
+        worker.doubted_s = now_s
+
+    def note_start_sent(self, worker):
+        """Note that a start is on its way to a worker."""
+        worker.starts_in_flight += 1
+
+    def note_start_reply(self, worker, clock_ms, sent_s, now_s):
+        """Note the reply to a start, or its absence.
+
+        Parameters
+        ----------
+        worker : WorkerRun
+            The worker.
+        clock_ms : int or None
+            Time on the worker's clock; None if there was no reply. A clock that is
+            behind is that of a later incarnation.
+        sent_s, now_s : float
+            Monotonic times of the start and of the reply, in seconds.
+        """
+        worker.starts_in_flight -= 1
+        is_same = (
+            clock_ms is not None
+            and worker.clock_ms is not None
+            and clock_ms >= estimate_clock_ms(worker, sent_s)
+        )
+        if not is_same:
+            worker.doubted_s = now_s
 
     def suspend(self, worker, now_s):
         """Start nothing on a worker for a while, longer each time.
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -101,8 +101,10 @@
             token=self.shard.token,
             checkpoint=attempt.checkpoint,
         )
+        shard.note_start_sent(worker)
         reply = await self.calls.start(worker.listed, request)
         now_s = self.clock.monotonic()
+        shard.note_start_reply(worker, _get_clock_ms(reply), sent_s, now_s)
         if isinstance(reply, Success):
             shard.note_started(attempt, now_s)
             if attempt.task.step.spec.fills:
@@ -191,7 +193,11 @@
         is_urgent = until_ms is None or worker.last_seen_end > worker.last_recorded_end
         wait_ms = 0 if is_urgent else EXCHANGE_WAIT_MS
         reply = await self.calls.exchange(
-            worker.listed, self.shard.token, worker.last_recorded_end, until_ms, wait_ms
+            worker.listed,
+            self.shard.token,
+            worker.acknowledgeable_end,
+            until_ms,
+            wait_ms,
         )
         now_s = self.clock.monotonic()
         if isinstance(reply, Success):
@@ -205,7 +211,7 @@
             return True
         error = reply.failure()
         self._check_fence(error)
-        shard.note_silence(worker)
+        shard.note_silence(worker, now_s)
         gone = (
             isinstance(error, Refused)
             and error.reason is RefusedReason.OTHER_INCARNATION
@@ -240,3 +246,11 @@
                     self.recorder.ends_recorded.clear()
         except TimeoutError:
             pass
+
+
+def _get_clock_ms(reply):
+    """Return the time on a worker's clock in a reply; None if it has none."""
+    if isinstance(reply, Success):
+        return reply.unwrap().clock_ms or None
+    error = reply.failure()
+    return error.clock_ms if isinstance(error, Refused) else None
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -19,6 +19,11 @@
         Whether this incarnation has answered an exchange with the owner.
     claimed_s : float
         Monotonic time of its first answer.
+    starts_in_flight : int
+        Number of starts without a reply yet.
+    doubted_s : float or None
+        Monotonic time of the last sign that the worker may have restarted; None once
+        it has answered an exchange that was sent later.
     silent : bool
         Whether the last exchange returned no inventory.
     in_leased_workers : bool
@@ -53,6 +58,8 @@
         self.incarnation = 0
         self.claimed = False
         self.claimed_s = 0.0
+        self.starts_in_flight = 0
+        self.doubted_s = None
         self.silent = False
         self.in_leased_workers = False
         self.storable = True
@@ -83,6 +90,18 @@
         self.memory_used = 0
         self.accelerators_used = 0
 
+    @property
+    def acknowledgeable_end(self):
+        """Highest number of an end that the worker may be told is recorded.
+
+        Another incarnation numbers its ends anew, and would drop ends that nobody has
+        seen. It has none unless a start has reached it, so it is enough to know that
+        all starts were carried out by the incarnation of the last exchange.
+        """
+        if self.starts_in_flight or self.doubted_s is not None:
+            return 0
+        return self.last_recorded_end
+
     @property
     def draining(self):
         """Whether the platform is draining the worker."""
@@ -121,10 +140,12 @@
             del self.attempts[attempt.task.name]
             self._add(attempt, -1)
 
-    def update_listing(self, listed):
+    def update_listing(self, listed, now_s):
         """Set the worker's entry in the platform's list, which has it at present."""
         if listed.capacity != self.listed.capacity:
             self._forget_derived()
+        if listed.incarnation not in (0, self.incarnation) and self.incarnation:
+            self.doubted_s = now_s
         self.listed = listed
         self.is_listed = True
 
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -248,7 +248,7 @@
         owner.shard.start_task(second, run, 0.3)
         owner.shard.drain_commands()
         owner.shard.grant_lease(run, 0.3)
-        owner.shard.note_silence(run)
+        owner.shard.note_silence(run, 0.4)
         owner.clock.advance(9.0)
         owner._run_round()
         assert run.attempts
--- a/fuchsiascale/jobs/tests/test_shard.py
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -171,7 +171,7 @@
     worker, attempt = start_first_task(shard)
     shard.note_started(attempt, 1.1)
     shard.grant_lease(worker, 1.1)
-    shard.note_silence(worker)
+    shard.note_silence(worker, 1.2)
     assert not worker.is_usable(1.2)
     for second in range(2, 10):
         assert shard.grant_lease(worker, second) is None
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -0,0 +1,165 @@
+"""What is known of one incarnation of a worker, and must not reach the next.
+
+A worker that lost power was up again at once under its id. It was told that ends of the
+incarnation before are recorded, dropped its own, and their tasks ran twice.
+"""
+
+import msgspec
+
+from fuchsiascale.jobs import (
+    AttemptPhase,
+    EndedAttempt,
+    EndKind,
+    Inventory,
+    RunningAttempt,
+    Shard,
+    StopCommand,
+)
+from fuchsiascale.jobs.tests.test_shard import (
+    JOB,
+    make_end,
+    make_worker,
+    start_first_task,
+)
+from fuchsiascale.testing import collect_functions, fixture
+
+load_tests = collect_functions(__name__)
+
+FIRST = f"{JOB}.0.0.0"
+CLOCK_MS = 50_000
+LEASE_S, LONGEST_LEASE_S = 6.0, 10.0
+
+
+def make_inventory(incarnation, clock_ms, running=(), ended=()):
+    return Inventory(
+        clock_ms=clock_ms, incarnation=incarnation, running=running, ended=ended
+    )
+
+
+def make_shard():
+    """Return a shard whose worker has answered, with six recorded ends."""
+    made = Shard("pool", 1, LEASE_S, longest_lease_s=LONGEST_LEASE_S)
+    made.loaded = True
+    worker = made.update_worker(make_worker(), 0.0)
+    ends = tuple(
+        EndedAttempt(number, f"{'9' * 16}.0.0.{number}", 1, EndKind.DONE)
+        for number in range(1, 7)
+    )
+    made.observe(worker, make_inventory(1, CLOCK_MS, ended=ends), 0.0, 0.1)
+    made.note_recorded(made.snapshot_ends())
+    assert worker.acknowledgeable_end == 6
+    return made
+
+
+@fixture
+def shard():
+    yield make_shard()
+
+
+def restart(shard, sent_s, running=(), ended=()):
+    """Let a new incarnation, 0.3 s old, answer an exchange."""
+    worker = shard.workers["w1"]
+    shard.observe(worker, make_inventory(2, 300, running, ended), sent_s, sent_s + 0.01)
+    return worker
+
+
+def test_no_end_is_acknowledged_to_a_worker_that_may_have_restarted(shard):
+    worker = shard.workers["w1"]
+    signs = {
+        "no answer to an exchange": lambda: shard.note_silence(worker, 1.0),
+        "another incarnation in the list": lambda: shard.update_worker(
+            msgspec.structs.replace(make_worker(), incarnation=2), 1.0
+        ),
+        "no answer to a start": lambda: answer_start(shard, None),
+        "a clock that is behind": lambda: answer_start(shard, 300),
+    }
+    for name, notice in signs.items():
+        notice()
+        assert worker.acknowledgeable_end == 0, name
+        shard.observe(worker, make_inventory(1, CLOCK_MS + 900), 0.9, 1.1)
+        assert worker.acknowledgeable_end == 0, name
+        shard.observe(worker, make_inventory(1, CLOCK_MS + 1_100), 1.1, 1.2)
+        assert worker.acknowledgeable_end == 6, name
+
+
+def answer_start(shard, clock_ms):
+    """Send a start at 0.9 s, answered at 1.0 s with a time on the worker's clock."""
+    worker = shard.workers["w1"]
+    shard.note_start_sent(worker)
+    shard.note_start_reply(worker, clock_ms, 0.9, 1.0)
+
+
+def test_no_end_is_acknowledged_while_a_start_is_on_its_way(shard):
+    worker = shard.workers["w1"]
+    shard.note_start_sent(worker)
+    assert worker.acknowledgeable_end == 0
+    shard.note_start_reply(worker, CLOCK_MS + 950, 0.9, 1.0)
+    assert worker.acknowledgeable_end == 6
+
+
+def test_a_reply_that_was_overtaken_is_no_sign_of_a_restart(shard):
+    worker = shard.workers["w1"]
+    shard.observe(worker, make_inventory(1, CLOCK_MS + 990), 0.95, 1.0)
+    shard.note_start_sent(worker)
+    shard.note_start_reply(worker, CLOCK_MS + 905, 0.9, 1.1)
+    assert worker.acknowledgeable_end == 6
+
+
+def test_ends_of_the_new_incarnation_are_seen_and_count(shard):
+    _, attempt = start_first_task(shard)
+    shard.note_started(attempt, 1.1)
+    job = shard.jobs[JOB]
+    worker = restart(shard, 2.0, ended=(make_end(1, 1, EndKind.DONE),))
+    assert job.find_task(0, 0, 0).done
+    assert worker.acknowledgeable_end == 0
+    shard.note_recorded(shard.snapshot_ends())
+    assert worker.acknowledgeable_end == 1
+
+
+def test_a_start_that_the_new_incarnation_has_carried_out_is_kept(shard):
+    _, attempt = start_first_task(shard)
+    shard.note_started(attempt, 1.1)
+    restart(shard, 2.0, running=(RunningAttempt(FIRST, 1),))
+    assert attempt.task.attempt.number == 1
+    assert not attempt.task.waiting
+
+
+def test_a_start_that_may_reach_the_new_incarnation_is_not_repeated():
+    for phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT, AttemptPhase.RUNNING):
+        shard = make_shard()
+        _, attempt = start_first_task(shard)
+        attempt.enter_phase(phase, 1.5)
+        restart(shard, 1.4)
+        assert not attempt.task.waiting, phase
+
+
+def test_an_unanswered_start_is_stopped_at_the_new_incarnation_before_it_is_repeated(
+    shard,
+):
+    worker, attempt = start_first_task(shard)
+    attempt.enter_phase(AttemptPhase.IN_DOUBT, 1.5)
+    restart(shard, 2.0)
+    assert shard.drain_commands() == [StopCommand(worker, FIRST, 1)]
+    shard.note_stop_answered(worker, FIRST, 1, 2.1)
+    shard.observe(worker, make_inventory(2, 700), 2.2, 2.3)
+    assert attempt.task.waiting
+
+
+def test_what_ran_in_the_incarnation_before_is_lost_at_once(shard):
+    _, attempt = start_first_task(shard)
+    shard.note_started(attempt, 1.1)
+    worker = restart(shard, 2.0)
+    assert attempt.task.waiting
+    assert worker.cpu_used == 0
+
+
+def test_a_lease_granted_by_the_clock_before_is_taken_for_the_longest(shard):
+    # The new incarnation shortens it to the longest that it takes.
+    worker = restart(shard, 2.0)
+    attempt = start_first_task(shard, now_s=2.0)[1]
+    shard.note_started(attempt, 2.0)
+    shard.expire_leases(2.0 + LEASE_S + 1.0)
+    assert not attempt.task.waiting
+    shard.expire_leases(2.1 + LONGEST_LEASE_S / 0.98 + 0.3)
+    assert attempt.task.waiting
+    assert shard.grant_lease(worker, 2.01) == 300 + LEASE_S * 1_000
