--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -39,7 +39,6 @@
     _identify_incarnation(shard, worker, inventory, sent_s, now_s)
     record_clock_reading(worker, inventory.clock_ms, now_s)
     worker.silent = False
-    shard.unconfirmed_workers.pop(worker.worker, None)
     for end in inventory.ended:
         if end.number > worker.last_seen_end:
             worker.last_seen_end = end.number
@@ -49,9 +48,17 @@
     for running in inventory.running:
         reported[running.task] = running.attempt
         _apply_running(shard, worker, running, is_exclusive, now_s)
-    for attempt in list(worker.attempts.values()):
-        if reported.get(attempt.task.name) != attempt.number:
+    absent = [
+        attempt
+        for attempt in worker.attempts.values()
+        if reported.get(attempt.task.name) != attempt.number
+    ]
+    if inventory.lists_all_ends:
+        shard.unconfirmed_workers.pop(worker.worker, None)
+        for attempt in absent:
             _handle_absence(shard, attempt, sent_s, now_s)
+    else:
+        _await_more_ends(shard, worker, absent, now_s)
     for name, number in list(worker.orphans.items()):
         if reported.get(name) == number:
             shard.stop_orphan(worker, name, number)
@@ -156,6 +163,20 @@
     return attempt
 
 
+def _await_more_ends(shard, worker, absent, now_s):
+    """Wait for the ends that an inventory had no room for.
+
+    An attempt that is not listed may have ended, as may one of an earlier owner. If
+    the worker is lost before it lists them, they don't count.
+    """
+    for attempt in absent:
+        attempt.progressed_at_s = now_s
+    if worker.worker in shard.unconfirmed_workers:
+        shard.unconfirmed_workers[worker.worker] = max(
+            shard.unconfirmed_workers[worker.worker], worker.lease_expiry_s
+        )
+
+
 def _handle_absence(shard, attempt, sent_s, now_s):
     """Mark an attempt as lost, or stop it again, where an inventory lacks it."""
     if sent_s <= attempt.phase_since_s:
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -220,12 +220,16 @@
 
 
 class Inventory(msgspec.Struct, frozen=True, kw_only=True, tag="inventory"):
-    """A worker's answer to an exchange: its attempts, clock and incarnation."""
+    """A worker's answer to an exchange: its attempts, clock and incarnation.
+
+    ``lists_all_ends`` is False if there may be more ends than ``ended`` has room for.
+    """
 
     clock_ms: int
     incarnation: int
     running: tuple[RunningAttempt, ...] = ()
     ended: tuple[EndedAttempt, ...] = ()
+    lists_all_ends: bool = True
 
 
 class RefusedReason(Enum):
--- a/fuchsiascale/jobs/tests/test_shard.py
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -323,3 +323,38 @@
     assert sorted(job.occurrences) == []
     job.open_due_occurrences(0.0, 1_500)
     assert sorted(job.occurrences) == [0, 1]
+
+
+def test_an_attempt_whose_end_has_no_room_in_the_inventory_is_not_lost(shard):
+    # While ends can't be recorded, a worker lists the same first 500 again and again.
+    worker, attempt = start_first_task(shard)
+    shard.note_started(attempt, 1.1)
+    for second in range(2, 12):
+        crowded = msgspec.structs.replace(
+            make_inventory(1_000 * second), lists_all_ends=False
+        )
+        shard.observe(worker, crowded, second, second + 0.1)
+        shard.grant_lease(worker, second + 0.1)
+        assert shard.drain_commands() == []
+        assert not attempt.task.waiting
+    end = make_end(501, 1, EndKind.DONE)
+    shard.observe(worker, make_inventory(12_000, ended=(end,)), 12.0, 12.1)
+    assert shard.jobs[JOB].state is JobState.COMPLETED
+
+
+def test_a_worker_with_more_ends_than_it_lists_is_not_confirmed():
+    # A task of the earlier owner may have ended there.
+    shard = Shard("pool", 2, 6.0)
+    shard.loaded = True
+    worker = shard.update_worker(make_worker(), 0.0)
+    shard.unconfirmed_workers["w1"] = 9.0
+    crowded = msgspec.structs.replace(make_inventory(1_000), lists_all_ends=False)
+    shard.observe(worker, crowded, 8.0, 8.1)
+    shard.expire_leases(9.5)
+    assert not shard.all_workers_confirmed()
+    shard.observe(worker, make_inventory(3_000), 10.0, 10.1)
+    assert shard.all_workers_confirmed()
+    shard.unconfirmed_workers["w1"] = 9.0
+    shard.observe(worker, crowded, 11.0, 11.1)
+    shard.expire_leases(20.0)
+    assert shard.all_workers_confirmed()
--- a/fuchsiascale/platform/_row_store.py
+++ b/fuchsiascale/platform/_row_store.py
@@ -188,7 +188,10 @@
         status, response = result.unwrap()
         if status == 410:
             return Failure(HistoryTruncated())
-        return Success(VersionedRows(_decode_rows(response.rows), response.version_id))
+        version = response.version_id
+        if response.has_more and response.rows:
+            version = response.rows[-1].version_id
+        return Success(VersionedRows(_decode_rows(response.rows), version))
 
     async def _call(
         self,
--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -27,6 +27,8 @@
 
 NO_TIMEOUT = aiohttp.ClientTimeout()
 """The session's own timeouts would count time in which this process could not run."""
+MAX_LISTED_ENDS = 500
+"""Number of ends that a worker returns at most; it lists the earliest ones."""
 INCARNATION_HEADER = "Target-Instance"
 REFUSAL_REASONS = {
     "fence": RefusedReason.FENCED,
@@ -249,4 +251,5 @@
         incarnation=inventory.born,
         running=running,
         ended=ended,
+        lists_all_ends=len(ended) < MAX_LISTED_ENDS,
     )
--- a/fuchsiascale/platform/tests/test_row_store.py
+++ b/fuchsiascale/platform/tests/test_row_store.py
@@ -134,6 +134,16 @@
         ]
 
 
+async def test_a_feed_that_is_cut_short_goes_on_after_its_last_row():
+    async with Served() as served:
+        for number in range(501):
+            served.standin.put("op", "", f"row-{number}", b"1")
+        first = (await served.store.follow("op", 0, 100)).unwrap()
+        second = (await served.store.follow("op", first.version, 100)).unwrap()
+        assert len(first.rows) == 500
+        assert [row.place.key for row in second.rows] == ["row-500"]
+
+
 async def test_a_feed_without_changes_returns_the_newest_version():
     async with Served() as served:
         served.standin.put("servers", "", "w", b"1")
--- a/fuchsiascale/platform/tests/test_task_workers.py
+++ b/fuchsiascale/platform/tests/test_task_workers.py
@@ -134,6 +134,18 @@
         assert found.ended == ()
 
 
+async def test_an_inventory_as_long_as_it_may_be_may_lack_ends():
+    async with Served() as served:
+        served.standin.ended += [
+            [number, TASK, number, "failed", ""] for number in range(1, 500)
+        ]
+        found = (await served.client.exchange(served.worker, 1, 0, None, 0)).unwrap()
+        assert found.lists_all_ends
+        served.standin.ended.append([500, TASK, 500, "failed", ""])
+        found = (await served.client.exchange(served.worker, 1, 0, None, 0)).unwrap()
+        assert not found.lists_all_ends
+
+
 async def test_a_stop_prevents_a_late_start():
     async with Served() as served:
         served.standin.delay_orders = 1
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -209,7 +209,12 @@
         except TimeoutError:
             rows = []
         return web.json_response(
-            {"rows": rows, "version_id": self.version, "now_ms": 0}
+            {
+                "rows": rows[:PAGE_ROWS],
+                "has_more": len(rows) > PAGE_ROWS,
+                "version_id": self.version,
+                "now_ms": 0,
+            }
         )
 
     def _list_changes_after(self, table, after):
