--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -214,6 +214,7 @@
     if task is None or task.done:
         return
     shard.dirty[job.job] = job
+    job.unrecorded_ends.setdefault((worker.worker, worker.incarnation), end.number)
     if end.end_kind is EndKind.FAILED:
         _count_failure(shard, worker, job, task, end, now_s)
     if task.attempt is not None or end.attempt < task.latest_number:
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -20,10 +20,10 @@
     EstimatesRow,
     LeasedWorkersRow,
     LedgerRow,
-    ProgressRow,
     decode_row,
     estimates_row_key,
     is_leased_workers_row,
+    join_progress,
     ledger_row_key,
 )
 from fuchsiascale.jobs._rounds import plan_round
@@ -225,9 +225,7 @@
     def _restore(self, accepted, progress, pools):
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         self.feed_version = accepted.version
-        recorded = {
-            row.place.key: decode_row(row.value, ProgressRow) for row in progress.rows
-        }
+        recorded = join_progress(progress.rows)
         for row in accepted.rows:
             self._apply_row(row, now_s, wall_ms, recorded.get(row.place.key))
         for row in pools.rows:
@@ -284,9 +282,21 @@
         else:
             accepted = decode_row(row.value, AcceptedRow)
             if accepted is not None and accepted.record is not None:
-                self.shard.add_job(
-                    accepted.record, accepted.token, now_s, wall_ms, progress
-                )
+                self._add_stored_job(accepted, now_s, wall_ms, progress)
+
+    def _add_stored_job(self, accepted, now_s, wall_ms, stored):
+        """Add a job that was read from the store, with its progress or None."""
+        record = accepted.record
+        if stored is None:
+            self.shard.add_job(record, accepted.token, now_s, wall_ms)
+        elif stored.progress is None:
+            self.log.error("malformed progress: job not run", extra={"job": record.job})
+        else:
+            job = self.shard.add_job(
+                record, accepted.token, now_s, wall_ms, stored.progress
+            )
+            if job is not None:
+                job.progress_rows = stored.rows
 
     # Inputs from other components --------------------------------------------
 
--- a/fuchsiascale/jobs/_record_batches.py
+++ b/fuchsiascale/jobs/_record_batches.py
@@ -14,11 +14,13 @@
 class RecordItem(msgspec.Struct, frozen=True, kw_only=True):
     """Changes to write in the same transaction: those of a job, or of a worker row.
 
-    ``final_state`` is None for a job that the changes do not end.
+    ``final_state`` is None for a job that the changes do not end. ``ends`` are those
+    of the job that the changes cover; see `JobRun`.
     """
 
     changes: tuple[Change, ...]
     job: JobRun | None = None
+    ends: dict = {}
     final_state: JobState | None = None
     leased: LeasedWorkersUpdate | None = None
 
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -18,18 +18,19 @@
     ACCEPTED,
     FINISHED,
     POOLS,
-    PROGRESS,
     EstimatesRow,
     FinishedRow,
     LedgerRow,
     cancel_row_key,
     decode_row,
+    divide_progress,
     encode_row,
     estimates_row_key,
     job_row_key,
     leased_workers_row_key,
     ledger_row_key,
     owner_row_key,
+    progress_row_key,
 )
 
 __all__ = ["Recorder"]
@@ -44,6 +45,8 @@
 """Largest number of changes in one transaction; the platform accepts 100 entries."""
 MAX_REJECTIONS = 5
 """Rejections after which a row within the known limits is left out of the record."""
+UNSTORABLE_RETRY_S = 5.0
+"""Period in which jobs that the store rejected are recorded again."""
 MAX_BATCH_BYTES = 500_000
 """Bytes of the values in a transaction; the store allows 1 MB, encoded in base64."""
 
@@ -92,6 +95,7 @@
         self.leased_workers = LeasedWorkersRows(shard.service, max_row_bytes)
         self.rejected_rows = 0
         self._rejections = {}
+        self._retry_s = 0.0
         self._max_row_bytes = max_row_bytes
         self.flush_requested = asyncio.Event()
         self.ends_recorded = asyncio.Event()
@@ -161,6 +165,7 @@
     async def _record_all(self):
         shard = self.shard
         snapshot = shard.snapshot_ends()
+        self._retry_unstorable()
         dirty, shard.dirty = shard.dirty, {}
         items = [self._make_job_item(job) for job in dirty.values()]
         items += self._make_leased_worker_items()
@@ -172,7 +177,7 @@
                 batches[:1] = [[item] for item in batches[0]]
                 continue
             if outcome is _Outcome.REJECTED and self._gives_up(batches[0][0]):
-                self._report_rejected(batches[0][0])
+                self._leave_out(batches[0][0])
             elif outcome is not _Outcome.WRITTEN:
                 self._restore_dirty(batches)
                 return False
@@ -200,8 +205,23 @@
         for item in (item for batch in batches for item in batch):
             if item.job is not None:
                 self.shard.dirty.setdefault(item.job.job, item.job)
+                item.job.unrecorded_ends |= item.ends
 
-    def _report_rejected(self, item):
+    def _retry_unstorable(self):
+        """Include the jobs that the store rejected, now and then."""
+        now_s = self.clock.monotonic()
+        if now_s >= self._retry_s:
+            self._retry_s = now_s + UNSTORABLE_RETRY_S
+            self.shard.dirty = self.shard.unstorable | self.shard.dirty
+
+    def _leave_out(self, item):
+        """Leave an item out of the record; nothing builds on what it holds.
+
+        Nothing more of its job is started, and its ends are not acknowledged.
+        """
+        if item.job is not None:
+            item.job.unrecorded_ends |= item.ends
+            self.shard.unstorable[item.job.job] = item.job
         self.rejected_rows += len(item.changes)
         for change in item.changes:
             self.log.error(
@@ -253,19 +273,34 @@
     def _make_job_item(self, job):
         """Return the changes that record the present state of a job."""
         service = self.service
+        ends, job.unrecorded_ends = job.unrecorded_ends, {}
         if not job.state.final:
-            row_key = job_row_key(PROGRESS, service, job.job)
-            change = Change(row_key, encode_row(job.export_progress()))
-            return RecordItem(changes=(change,), job=job)
+            changes = self._make_progress_changes(job)
+            return RecordItem(changes=changes, job=job, ends=ends)
         final = FinishedRow(state=job.state, at_ms=self.clock.wall_ms())
         changes = [
             Change(job_row_key(FINISHED, service, job.job), encode_row(final)),
             Change(job_row_key(ACCEPTED, service, job.job), None),
-            Change(job_row_key(PROGRESS, service, job.job), None),
+            *(
+                Change(progress_row_key(service, job.job, number), None)
+                for number in range(max(1, job.progress_rows))
+            ),
         ]
         if job.cancelled:
             changes.append(Change(cancel_row_key(service, job.job), None))
-        return RecordItem(changes=tuple(changes), job=job, final_state=job.state)
+        return RecordItem(
+            changes=tuple(changes), job=job, ends=ends, final_state=job.state
+        )
+
+    def _make_progress_changes(self, job):
+        """Return the rows of a job's progress; rows that are left over are removed."""
+        values = divide_progress(job.export_progress(), self._max_row_bytes)
+        job.progress_rows = max(job.progress_rows, len(values))
+        values += [None] * (job.progress_rows - len(values))
+        return tuple(
+            Change(progress_row_key(self.service, job.job, number), value)
+            for number, value in enumerate(values)
+        )
 
     async def _record(self, items):
         """Write items in one commit; returns the outcome."""
@@ -289,6 +324,8 @@
         return outcome
 
     def _note_written(self, item, now_s):
+        if item.job is not None:
+            self.shard.unstorable.pop(item.job.job, None)
         if item.final_state is not None:
             self.shard.note_finished(item.job.job, item.final_state, now_s)
         if item.leased is not None:
--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -20,15 +20,19 @@
     "LedgerRow",
     "OwnerRow",
     "ProgressRow",
+    "StoredProgress",
     "LeasedWorkersEntry",
     "LeasedWorkersRow",
     "cancel_row_key",
     "decode_row",
+    "divide_progress",
     "encode_row",
+    "join_progress",
     "job_row_key",
     "estimates_row_key",
     "ledger_row_key",
     "owner_row_key",
+    "progress_row_key",
     "is_leased_workers_row",
     "leased_workers_row_key",
 ]
@@ -120,11 +124,24 @@
         not do, since the next owner may see an end again.
     checkpoints : dict
         For ``occurrence.step.index`` the last checkpoint of an ended attempt.
+    finished : list
+        First and last numbers of the occurrences of which nothing else is kept.
     """
 
     done: dict[str, str] = {}
     failed: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
+    finished: list[tuple[int, int]] = []
+
+
+class StoredProgress(msgspec.Struct, frozen=True):
+    """Progress as read from the store; None if it is malformed.
+
+    ``rows`` is the number of rows that it takes.
+    """
+
+    progress: ProgressRow | None
+    rows: int
 
 
 class FinishedRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -170,6 +187,32 @@
     return RowKey(table, service, job)
 
 
+def progress_row_key(service: ServiceId, job: JobId, number: int = 0) -> RowKey:
+    """Return the key of one of the rows over which a job's progress is divided."""
+    return RowKey(PROGRESS, service, f"{job}~{number}" if number else job)
+
+
+def divide_progress(progress: ProgressRow, max_bytes: int) -> list[bytes]:
+    """Return the values of the rows that hold a job's progress, in order."""
+    value = encode_row(progress)
+    return [value[at : at + max_bytes] for at in range(0, len(value), max_bytes)]
+
+
+def join_progress(rows) -> dict[JobId, StoredProgress]:
+    """Return the progress of each job from all rows of a service's progress."""
+    parts = {}
+    for row in rows:
+        job, _, number = row.place.key.partition("~")
+        parts.setdefault(job, {})[int(number or 0)] = row.value
+    return {
+        job: StoredProgress(
+            decode_row(b"".join(values[each] for each in sorted(values)), ProgressRow),
+            len(values),
+        )
+        for job, values in parts.items()
+    }
+
+
 def encode_row(value) -> bytes:
     """Return the encoded value of a row."""
     return msgspec.json.encode(value)
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -4,6 +4,7 @@
 
 from fuchsiascale.decisions import StepRunTimes
 from fuchsiascale.jobs._model import JobState, name_task
+from fuchsiascale.jobs._number_ranges import NumberRanges
 from fuchsiascale.jobs._records import ProgressRow
 
 __all__ = [
@@ -17,6 +18,9 @@
 ATTEMPT_NUMBERS_PER_OWNER = 1_000
 """Number of attempt numbers reserved for each owner, so that owners never share one."""
 FULL_SPEED_PERCENT = 100
+MAX_OPEN_TASKS = 4_096
+"""Tasks of a job in occurrences that have not finished, above which none is opened. It
+bounds the memory and the progress of a job of which many occurrences are overdue."""
 
 
 class AttemptPhase(Enum):
@@ -226,6 +230,15 @@
         Monotonic time.
     wall_ms : int
         Time of day in milliseconds since the epoch.
+
+    Attributes
+    ----------
+    occurrences : dict
+        Steps of the occurrences that have been opened and have not finished.
+    progress_rows : int
+        Number of rows in which its progress may be stored.
+    unrecorded_ends : dict
+        The lowest number of an end that no record covers, by worker and incarnation.
     """
 
     def __init__(self, record, token, inherited, now_s, wall_ms):
@@ -241,8 +254,11 @@
         self.cancelled = False
         self.idle_since_s = None
         self.occurrences = {}
-        self.finished_occurrences = set()
+        self.finished_occurrences = NumberRanges()
+        self.progress_rows = 0
+        self.unrecorded_ends = {}
         self.estimate = None
+        self._next_occurrence = 0
         self._ready_steps = None
 
     @property
@@ -258,15 +274,29 @@
     def open_due_occurrences(self, now_s, wall_ms):
         """Add the occurrences that are due; returns whether any was due."""
         added = False
-        for occurrence in range(max(1, self.spec.occurrences)):
-            if occurrence in self.occurrences:
-                continue
-            if self.timed and wall_ms < self.compute_due_ms(occurrence):
-                break
-            self.open_occurrence(occurrence, now_s)
-            added = True
+        while self._next_occurrence < max(1, self.spec.occurrences):
+            occurrence = self._next_occurrence
+            if self._is_unopened(occurrence):
+                if self.timed and not self._may_open(occurrence, wall_ms):
+                    break
+                self.open_occurrence(occurrence, now_s)
+                added = True
+            self._next_occurrence += 1
         return added
 
+    def _is_unopened(self, occurrence):
+        return (
+            occurrence not in self.occurrences
+            and occurrence not in self.finished_occurrences
+        )
+
+    def _may_open(self, occurrence, wall_ms):
+        """Return whether an occurrence is due and there are not too many open ones."""
+        tasks = sum(step.count for step in self.spec.steps)
+        return wall_ms >= self.compute_due_ms(occurrence) and (
+            len(self.occurrences) * tasks < MAX_OPEN_TASKS
+        )
+
     def compute_due_ms(self, occurrence):
         """Return when an occurrence is due, in milliseconds since the epoch."""
         return self.spec.first_run_ms + occurrence * self.spec.interval_ms
@@ -280,9 +310,10 @@
         ]
 
     def find_task(self, occurrence, step, index):
-        """Return a task; None where the job has no such task."""
+        """Return a task; None where the job has no such task, or it is long done."""
         steps = self.occurrences.get(occurrence)
-        if steps is None and 0 <= occurrence < max(1, self.spec.occurrences):
+        is_valid = 0 <= occurrence < max(1, self.spec.occurrences)
+        if is_valid and self._is_unopened(occurrence):
             self.open_occurrence(occurrence, self.accepted_s)
             steps = self.occurrences[occurrence]
         if steps is None or not 0 <= step < len(steps):
@@ -303,12 +334,12 @@
 
     def _collect_ready_steps(self):
         ready = []
-        for occurrence, steps in self.occurrences.items():
-            if occurrence in self.finished_occurrences:
-                continue
+        for occurrence, steps in list(self.occurrences.items()):
             done = [step.done for step in steps]
             if all(done):
                 self.finished_occurrences.add(occurrence)
+                if not any(task.attempt for step in steps for task in step.tasks):
+                    del self.occurrences[occurrence]
                 continue
             ready += [
                 step
@@ -343,6 +374,7 @@
 
     def restore(self, progress):
         """Restore the progress that an earlier owner recorded."""
+        self.finished_occurrences = NumberRanges(progress.finished)
         for name, bits in progress.done.items():
             occurrence, step = (int(part) for part in name.split("."))
             done = int(bits, 16)
@@ -361,8 +393,11 @@
 
     def export_progress(self):
         """Return the progress to record."""
+        self.find_ready_steps()
         done, failed, checkpoints = {}, {}, {}
         for occurrence, steps in self.occurrences.items():
+            if occurrence in self.finished_occurrences:
+                continue
             for step in steps:
                 bits = 0
                 for task in step.tasks:
@@ -376,4 +411,9 @@
                         checkpoints[name] = task.checkpoint
                 if bits:
                     done[f"{occurrence}.{step.number}"] = f"{bits:x}"
-        return ProgressRow(done=done, failed=failed, checkpoints=checkpoints)
+        return ProgressRow(
+            done=done,
+            failed=failed,
+            checkpoints=checkpoints,
+            finished=self.finished_occurrences.export(),
+        )
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -5,6 +5,7 @@
 docs/design/platform.md.
 """
 
+import math
 from collections import Counter
 
 import logbook
@@ -87,6 +88,7 @@
         self.workers = {}
         self.pending_cancels = set()
         self.dirty = {}
+        self.unstorable = {}
         self.commands = []
         self.loaded = False
         self.unconfirmed_workers = {}
@@ -142,6 +144,7 @@
         Its remaining attempts become orphans.
         """
         job = self.jobs.pop(job_id, None)
+        self.unstorable.pop(job_id, None)
         self.interference.forget(job_id)
         self.finished[job_id] = (state, now_s)
         if job is not None:
@@ -194,7 +197,7 @@
 
     def may_start(self, task):
         """Return whether no other attempt of a waiting task can run or start."""
-        if task.name in self.orphans:
+        if task.name in self.orphans or task.step.job.job in self.unstorable:
             return False
         if not self.unconfirmed_workers or not task.step.job.inherited:
             return True
@@ -478,7 +481,19 @@
         """Note that the ends of a snapshot are recorded; workers may then drop them."""
         for worker, incarnation, seen in snapshot:
             if worker.incarnation == incarnation:
-                worker.last_recorded_end = max(worker.last_recorded_end, seen)
+                recorded = min(seen, self._find_unrecorded_end(worker) - 1)
+                worker.last_recorded_end = max(worker.last_recorded_end, recorded)
+
+    def _find_unrecorded_end(self, worker):
+        """Return the lowest end of a worker that belongs to a job without a record."""
+        source = (worker.worker, worker.incarnation)
+        return min(
+            (
+                job.unrecorded_ends.get(source, math.inf)
+                for job in self.unstorable.values()
+            ),
+            default=math.inf,
+        )
 
     def count_waiting(self):
         """Return the number of accepted jobs of each queue that have not started."""
--- a/fuchsiascale/jobs/tests/test_row_bounds.py
+++ b/fuchsiascale/jobs/tests/test_row_bounds.py
@@ -5,16 +5,20 @@
 was retried without a log line.
 """
 
+import math
+
 from returns.result import Failure, Success
 
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.jobs import (
+    AcceptedRow,
     EndedAttempt,
     EndKind,
     EstimatesRow,
     Inventory,
     JobRecord,
     JobSpec,
+    JobState,
     LeasedWorkersEntry,
     LeasedWorkersRow,
     ListedWorker,
@@ -33,10 +37,13 @@
     decode_row,
     encode_row,
     is_leased_workers_row,
+    job_row_key,
     leased_workers_row_key,
+    plan_round,
 )
+from fuchsiascale.jobs._model import MAX_TASKS_PER_JOB
 from fuchsiascale.jobs._record_batches import limit_estimates
-from fuchsiascale.jobs._recorder import MAX_REJECTIONS
+from fuchsiascale.jobs._recorder import MAX_REJECTIONS, UNSTORABLE_RETRY_S
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -239,13 +246,145 @@
         assert not await owner.recorder.flush()
     assert run.last_recorded_end == 0
     assert await owner.recorder.flush()
-    assert run.last_recorded_end == 8
     finished = [key.key for key in store.rows if key.table == "finished"]
     assert len(finished) == 7
     assert rejected_job not in finished
     assert owner.recorder.rejected_rows == 3
 
 
+async def test_ends_of_a_job_that_the_store_rejects_are_not_acknowledged():
+    """They were, so that the next owner started tasks again that had ended done."""
+    rejected_job = f"{3:016x}"
+    store = LimitedStore(rejected_keys=[rejected_job])
+    owner = make_owner(store)
+    add_workers(owner, range(3))
+    run = end_tasks(owner, 8)
+    while not await owner.recorder.flush():
+        pass
+    assert run.last_recorded_end == 3
+    assert owner.shard.get_state(rejected_job) is JobState.RUNNING
+    owner.clock.advance(UNSTORABLE_RETRY_S)
+    while not await owner.recorder.flush():
+        pass
+    assert run.last_recorded_end == 3
+    store.rejected_keys.clear()
+    owner.clock.advance(UNSTORABLE_RETRY_S)
+    assert await owner.recorder.flush()
+    assert run.last_recorded_end == 8
+    assert owner.shard.get_state(rejected_job) is JobState.COMPLETED
+
+
+async def test_nothing_more_of_a_job_that_the_store_rejects_is_started():
+    store = LimitedStore(rejected_keys=[LARGE_JOB])
+    owner = make_owner(store)
+    add_workers(owner, range(1))
+    job = add_large_job(owner, StepSpec(count=2))
+    end_attempts(owner, job, [job.find_task(0, 0, 0)], EndKind.DONE)
+    while not await owner.recorder.flush():
+        pass
+    plan_round(owner.shard, 1.0)
+    assert not owner.shard.drain_commands()
+    store.rejected_keys.clear()
+    owner.clock.advance(UNSTORABLE_RETRY_S)
+    assert await owner.recorder.flush()
+    plan_round(owner.shard, 2.0)
+    assert len(owner.shard.drain_commands()) == 1
+
+
+LARGE_JOB = "f" * 16
+
+
+def add_large_job(owner, *steps, **fields):
+    policy = QueuePolicy(queue="q", service="pool", max_attempts=9)
+    spec = JobSpec(payload="", steps=steps, **fields)
+    record = JobRecord(job=LARGE_JOB, spec=spec, policy=policy, accepted_ms=0)
+    return owner.shard.add_job(record, 1, 0.0, 0)
+
+
+def end_attempts(owner, job, tasks, how, checkpoint=""):
+    """Report an end of each task."""
+    run = next(iter(owner.shard.workers.values()))
+    first = run.last_seen_end + 1
+    ended = tuple(
+        EndedAttempt(first + number, task.name, task.next_number, how, checkpoint)
+        for number, task in enumerate(tasks)
+    )
+    inventory = Inventory(clock_ms=first + 1, incarnation=1, ended=ended)
+    owner.shard.observe(run, inventory, 0.2, 0.2)
+
+
+async def load_successor(store):
+    """Return a later owner that has read what the store holds."""
+    successor = make_owner(store)
+    assert await successor._load()
+    return successor
+
+
+def store_accepted_job(store, job):
+    row = AcceptedRow(token=1, write="1", record=job.record)
+    store.rows[job_row_key("jobs", "pool", job.job)] = encode_row(row)
+
+
+async def test_the_largest_progress_is_divided_into_rows_and_read_back():
+    store = LimitedStore()
+    owner = make_owner(store)
+    add_workers(owner, range(1))
+    job = add_large_job(owner, StepSpec(count=MAX_TASKS_PER_JOB, checkpoints=True))
+    tasks = job.occurrences[0][0].tasks
+    for _ in range(2):
+        end_attempts(owner, job, tasks[1:], EndKind.FAILED, "c" * 16)
+    end_attempts(owner, job, tasks[:1], EndKind.DONE)
+    assert await owner.recorder.flush()
+    assert store.rejections == 0
+    rows = [key for key in store.rows if key.table == "progress"]
+    size = len(encode_row(job.export_progress()))
+    assert size > MAX_ROW_BYTES
+    assert len(rows) == math.ceil(size / MAX_ROW_BYTES)
+    store_accepted_job(store, job)
+    restored = (await load_successor(store)).shard.jobs[LARGE_JOB]
+    assert restored.export_progress() == job.export_progress()
+    assert restored.progress_rows == len(rows)
+    owner.shard.cancel_job(LARGE_JOB, 1.0)
+    assert await owner.recorder.flush()
+    assert all(store.rows[key] is None for key in rows)
+
+
+async def test_the_progress_of_a_job_with_many_occurrences_stays_small():
+    """It grew with each one, until the store rejected it."""
+    store = LimitedStore()
+    owner = make_owner(store)
+    add_workers(owner, range(1))
+    steps = [StepSpec(count=1) for _ in range(5)]
+    job = add_large_job(owner, *steps, occurrences=10_000, interval_ms=1)
+    for occurrence in range(2_000):
+        tasks = [job.find_task(occurrence, step, 0) for step in range(5)]
+        end_attempts(owner, job, tasks, EndKind.DONE)
+        job.find_ready_steps()
+    assert await owner.recorder.flush()
+    assert store.rejections == 0
+    assert len(encode_row(job.export_progress())) < 200
+    assert job.find_task(7, 0, 0) is None
+    store_accepted_job(store, job)
+    restored = (await load_successor(store)).shard.jobs[LARGE_JOB]
+    assert restored.find_task(1_999, 4, 0) is None
+    assert not restored.find_task(2_000, 0, 0).done
+
+
+def test_occurrences_that_are_all_overdue_are_opened_a_few_at_a_time():
+    owner = make_owner(LimitedStore())
+    add_workers(owner, range(1))
+    job = add_large_job(
+        owner, StepSpec(count=1_000), occurrences=1_000_000, interval_ms=1
+    )
+    job.open_due_occurrences(1.0, 10**9)
+    assert list(job.occurrences) == [0, 1, 2, 3, 4]
+    for task in job.occurrences[2][0].tasks:
+        task.mark_done()
+    job.find_ready_steps()
+    job.open_due_occurrences(2.0, 10**9)
+    assert list(job.occurrences) == [0, 1, 3, 4, 5]
+
+
 async def test_no_end_is_acknowledged_while_the_store_rejects_every_record():
     store = LimitedStore(rejected_keys=["ledger"])
     owner = make_owner(store)
