--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -52,6 +52,7 @@
         self._first_seen_s = {}
         self._seen_s = {}
         self.reported_s = -math.inf
+        self._started_s = clock.monotonic()
         self._reported = ()
         self._reported_digest = ""
 
@@ -64,11 +65,17 @@
         self._first_seen_s.setdefault(address, now_s)
         self._seen_s[address] = now_s
 
-    def apply_report(self, owner_address, members, digest):
-        """Apply the members that an owner reports; None if they have not changed."""
+    def apply_report(self, owner_address, members, digest, is_owner=True):
+        """Apply the members that an instance reports; None if they have not changed.
+
+        ``is_owner`` tells that it owns the service for which it was asked, so that all
+        other instances ping it.
+        """
         if members is not None:
             self._reported, self._reported_digest = members, digest
-        now_s = self.reported_s = self.clock.monotonic()
+        now_s = self.clock.monotonic()
+        if is_owner:
+            self.reported_s = now_s
         for member in self._reported:
             self._members[member.address] = member
             self._note_sign_of_life(member.address, now_s)
@@ -103,6 +110,10 @@
         ]
         return sorted(live, key=_get_address)
 
+    def has_history(self):
+        """Return whether all instances that were alive lately can be known."""
+        return self.clock.monotonic() - self._started_s >= RETENTION_S
+
     def recent_addresses(self):
         """Return the addresses of all instances that were alive lately."""
         return sorted(self._seen_s.keys() - {self.own.address})
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -1,6 +1,7 @@
 """Ownership of services: cached owner rows, failure detection, claims, handover."""
 
 import asyncio
+import math
 import random
 
 import logbook
@@ -58,6 +59,10 @@
 """Time for a peer to take a service over; the old owner grants leases until then."""
 STARTUP_GRACE_S = 1.5
 """Time for a new owner to load and reply before it may be suspected."""
+MAX_STARTUP_GRACE_S = 6.0
+"""Longest such time, after owners that were replaced one after the other."""
+BRIEF_TENURE_S = 5.0
+"""Time for which an owner should last after its time to start."""
 MAX_RANK_DELAY_S = 0.8
 """Longest delay of a claim, for an instance that many members come before."""
 MAX_STRENGTH_DELAY_S = 0.8
@@ -133,6 +138,7 @@
         self.stopping = False
         self._views = {}
         self._last_reply_s = {}
+        self._tenures = {}
         self.known_members = Members(
             Member(
                 identity.address, identity.domain, identity.region, identity.strength
@@ -153,9 +159,24 @@
         """Update the cached owner of a service, unless the row is outdated."""
         if version >= self.view(service).version or version == 0:
             if version > self.view(service).version:
-                self._last_reply_s[service] = self.clock.monotonic() + STARTUP_GRACE_S
+                self._note_new_owner(service)
             self._views[service] = OwnerView(service, row, version)
 
+    def _note_new_owner(self, service):
+        """Give a new owner time to load, more of it after owners that lasted briefly.
+
+        An owner without enough processor time for a takeover answers late. Replacing it
+        at once would make the next one do the same work again.
+        """
+        now_s = self.clock.monotonic()
+        since_s, grace_s = self._tenures.get(service, (-math.inf, 0.0))
+        if now_s - since_s < grace_s + BRIEF_TENURE_S:
+            grace_s = min(2 * grace_s, MAX_STARTUP_GRACE_S)
+        else:
+            grace_s = STARTUP_GRACE_S
+        self._tenures[service] = (now_s, grace_s)
+        self._last_reply_s[service] = now_s + grace_s
+
     def members(self):
         """Return the addresses of the other instances that are alive."""
         return self.known_members.addresses()
@@ -238,18 +259,19 @@
         reply = await self._ping(view.row.address, PING_TIMEOUT_S)
         now_s = self.clock.monotonic()
         if isinstance(reply, Pong):
+            is_owner = reply.owned.get(service, 0) >= view.token
             self.known_members.apply_report(
-                view.row.address, reply.live_members, reply.members_digest
+                view.row.address, reply.live_members, reply.members_digest, is_owner
             )
-            if reply.owned.get(service, 0) >= view.token:
+            if is_owner:
                 self._last_reply_s[service] = now_s
                 return
             if reply.incarnation != view.row.incarnation:
-                await self._refresh_and_claim(service, now_s)
+                await self._refresh_and_claim(view, now_s)
                 return
         silent_s = now_s - self._last_reply_s.setdefault(service, now_s)
         if silent_s > SUSPECT_AFTER_S and not await self._replied_to_peer(service):
-            await self._refresh_and_claim(service, None)
+            await self._refresh_and_claim(view, None)
 
     async def _ping(self, address, timeout_s):
         ping = msgspec.structs.replace(
@@ -257,10 +279,14 @@
         )
         return await self.peers.ask(address, ping, timeout_s)
 
-    async def _refresh_and_claim(self, service, stopped_s):
-        before = self.view(service)
+    async def _refresh_and_claim(self, suspected, stopped_s):
+        """Claim a service unless the store shows another owner than the suspected one.
+
+        This instance may have learnt of that owner while it checked the suspected one.
+        """
+        service = suspected.service
         view = await self._read_view(service)
-        if view is None or view.version != before.version:
+        if view is None or view.version != suspected.version:
             return
         excluded = view.row.address if view.row else ""
         rank = self.known_members.rank(f"{service}|{view.token}", excluded)
@@ -352,8 +378,8 @@
         """Tell all instances that may support the predecessor of its successor."""
         claimed_s = self.clock.monotonic()
         members = self.known_members
-        reported_ago_s = claimed_s - members.reported_s
-        if not predecessor.seeks_support or reported_ago_s > MAX_REPORT_AGE_S:
+        is_complete = claimed_s - members.reported_s < MAX_REPORT_AGE_S
+        if not (predecessor.seeks_support and is_complete and members.has_history()):
             return
         addresses = [
             address
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -10,6 +10,7 @@
     Conflict,
     Handover,
     OwnerLimits,
+    OwnerNotice,
     OwnerRow,
     OwnershipManager,
     Ping,
@@ -20,6 +21,7 @@
     encode_row,
     owner_row_key,
 )
+from fuchsiascale.jobs._ownership import MAX_STARTUP_GRACE_S
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -102,3 +104,59 @@
         task.cancel()
     await asyncio.gather(checking, asked, return_exceptions=True)
     await manager.stop()
+
+
+async def test_an_owner_learnt_of_while_its_predecessor_was_checked_is_not_replaced():
+    # The check of the lost owner ended with a claim against its successor.
+    store, peers = OwnerRows(encode_row(OTHER)), SlowPeers()
+    manager = make_manager(store, peers)
+    manager.update_view(SERVICE, OTHER, 1)
+    checking = asyncio.create_task(manager._check_service(SERVICE))
+    await peers.asked.wait()
+    successor = OwnerRow(token=2, instance="c", incarnation="c1", address="c:1")
+    store.row, store.version = encode_row(successor), 2
+    await manager.answer(OwnerNotice(SERVICE, successor, 2))
+    peers.released.set()
+    await checking
+    assert manager.owners == {}
+    assert store.version == 2
+    await manager.stop()
+
+
+async def measure_silence_until_a_claim(manager, store, row, version):
+    """Return how long a new owner may stay silent before it is replaced."""
+    store.row, store.version = encode_row(row), version
+    manager.update_view(SERVICE, row, version)
+    since_s = manager.clock.monotonic()
+    while store.version == version:
+        manager.clock.advance(0.1)
+        await manager._check_service(SERVICE)
+    return manager.clock.monotonic() - since_s
+
+
+class SilentPeers:
+    """Peers that don't answer."""
+
+    async def ask(self, address, message, timeout_s):
+        return None
+
+
+async def test_owners_that_are_replaced_one_after_the_other_get_more_time():
+    # Each takeover kept an overloaded instance from answering, and led to the next.
+    silences_s = []
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, SilentPeers())
+    manager.known_members.addresses = lambda: ["d:1"]
+    manager.known_members.rank = lambda key, excluded: 0
+    for number in range(4):
+        row = OwnerRow(token=9 * number + 1, instance="b", incarnation="1", address="b")
+        silences_s.append(
+            await measure_silence_until_a_claim(manager, store, row, 10 * number + 10)
+        )
+        for owner in list(manager.owners.values()):
+            await owner.stop()
+        manager.owners.clear()
+    await manager.stop()
+    assert 2.5 < silences_s[0] < 3.0
+    assert min(silences_s[1:]) > 1.5 * silences_s[0]
+    assert max(silences_s) < MAX_STARTUP_GRACE_S + 1.3
