--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -22,7 +22,8 @@
 
 STALL_TIMEOUT_S = 2.5
 """Time without progress after which an attempt is restarted on another worker. The
-slowest tasks, of 5 s on a worker 6.5 times slower, advance by one percent in 0.4 s."""
+slowest tasks, of 5 s on a worker 6.5 times slower, advance by one percent in 0.4 s. It
+doubles with each such restart of a task: longer ones advance by one percent later."""
 FILLER_STARVATION_S = 0.8
 """Time without a running task after which a job of fillers is started on any worker,
 whatever the interference: throttling then protects the serving tasks. The platform
@@ -242,10 +243,9 @@
             continue
         if attempt.target_pace < STALL_MIN_PACE_PERCENT:
             attempt.progressed_at_s = now_s
-        if (
-            now_s - max(attempt.progressed_at_s, attempt.phase_since_s)
-            > STALL_TIMEOUT_S
-        ):
+        idle_s = now_s - max(attempt.progressed_at_s, attempt.phase_since_s)
+        if idle_s > STALL_TIMEOUT_S * 2**attempt.task.stalls:
+            attempt.task.stalls += 1
             shard.log.warning(
                 "no progress",
                 extra={
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -104,6 +104,8 @@
         Worker to avoid: an attempt failed or stalled there, or it was unhealthy.
     preferred_worker : str or None
         Worker to which the task is being moved.
+    stalls : int
+        Number of attempts that were stopped because they made no progress.
     located : bool
         Whether this owner has seen an attempt run. An earlier owner can't have started
         another one then.
@@ -121,6 +123,7 @@
         "name",
         "next_number",
         "preferred_worker",
+        "stalls",
         "step",
         "waiting_since_s",
     )
@@ -139,6 +142,7 @@
         self.waiting_since_s = None
         self.preferred_worker = None
         self.located = False
+        self.stalls = 0
 
     @property
     def waiting(self):
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -9,10 +9,9 @@
 from collections import Counter
 
 import logbook
-import msgspec
 
 from fuchsiascale.decisions import PairInterference, RunTimes
-from fuchsiascale.ids import TaskId
+from fuchsiascale.jobs._commands import PaceCommand, StartCommand, StopCommand
 from fuchsiascale.jobs._full_kinds import FullKinds
 from fuchsiascale.jobs._inventories import apply_inventory
 from fuchsiascale.jobs._model import JobState
@@ -26,7 +25,7 @@
 from fuchsiascale.jobs._worker_clocks import compute_lease_expiry, estimate_clock_ms
 from fuchsiascale.jobs._worker_state import WorkerRun
 
-__all__ = ["PaceCommand", "Shard", "StartCommand", "StopCommand"]
+__all__ = ["Shard"]
 
 NO_ROOM_PAUSE_S = 0.4
 """Pause of a worker that refused a start because it had no room."""
@@ -39,27 +38,6 @@
 """Longest suspension."""
 
 
-class StartCommand(msgspec.Struct, frozen=True):
-    """Command to start an attempt."""
-
-    attempt: Attempt
-
-
-class StopCommand(msgspec.Struct, frozen=True):
-    """Command to stop an attempt, which the shard may not know or may not run yet."""
-
-    worker: WorkerRun
-    task: TaskId
-    number: int
-
-
-class PaceCommand(msgspec.Struct, frozen=True):
-    """Command to set the speed of an attempt."""
-
-    attempt: Attempt
-    percent: int
-
-
 class Shard:
     """Workers and jobs of one service under one owner.
 
@@ -226,32 +204,6 @@
         worker.silent = True
         worker.doubted_s = now_s
 
-    def note_start_sent(self, worker):
-        """Note that a start is on its way to a worker."""
-        worker.starts_in_flight += 1
-
-    def note_start_reply(self, worker, clock_ms, sent_s, now_s):
-        """Note the reply to a start, or its absence.
-
-        Parameters
-        ----------
-        worker : WorkerRun
-            The worker.
-        clock_ms : int or None
-            Time on the worker's clock; None if there was no reply. A clock that is
-            behind is that of a later incarnation.
-        sent_s, now_s : float
-            Monotonic times of the start and of the reply, in seconds.
-        """
-        worker.starts_in_flight -= 1
-        is_same = (
-            clock_ms is not None
-            and worker.clock_ms is not None
-            and clock_ms >= estimate_clock_ms(worker, sent_s)
-        )
-        if not is_same:
-            worker.doubted_s = now_s
-
     def suspend(self, worker, now_s):
         """Start nothing on a worker for a while, longer each time.
 
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -5,6 +5,7 @@
 import logbook
 from returns.result import Success
 
+from fuchsiascale.jobs._commands import PaceCommand, StartCommand, StopCommand
 from fuchsiascale.jobs._pacing import observe_tail_latencies
 from fuchsiascale.jobs._ports import (
     Absent,
@@ -13,7 +14,6 @@
     RefusedReason,
     StartRequest,
 )
-from fuchsiascale.jobs._shard import PaceCommand, StartCommand, StopCommand
 
 __all__ = ["WorkerLinks"]
 
@@ -101,10 +101,10 @@
             token=self.shard.token,
             checkpoint=attempt.checkpoint,
         )
-        shard.note_start_sent(worker)
+        worker.note_start_sent()
         reply = await self.calls.start(worker.listed, request)
         now_s = self.clock.monotonic()
-        shard.note_start_reply(worker, _get_clock_ms(reply), sent_s, now_s)
+        worker.note_start_reply(_get_clock_ms(reply), sent_s, now_s)
         if isinstance(reply, Success):
             shard.note_started(attempt, now_s)
             if attempt.task.step.spec.fills:
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -1,5 +1,7 @@
 """In-memory state of a worker: its lease, its attempts and the room that they leave."""
 
+from fuchsiascale.jobs._worker_clocks import estimate_clock_ms
+
 __all__ = ["WorkerRun"]
 
 
@@ -129,6 +131,30 @@
             and self.clock_ms is not None
         )
 
+    def note_start_sent(self):
+        """Note that a start is on its way to the worker."""
+        self.starts_in_flight += 1
+
+    def note_start_reply(self, clock_ms, sent_s, now_s):
+        """Note the reply to a start, or its absence.
+
+        Parameters
+        ----------
+        clock_ms : int or None
+            Time on the worker's clock; None if there was no reply. A clock that is
+            behind is that of a later incarnation.
+        sent_s, now_s : float
+            Monotonic times of the start and of the reply, in seconds.
+        """
+        self.starts_in_flight -= 1
+        is_same = (
+            clock_ms is not None
+            and self.clock_ms is not None
+            and clock_ms >= estimate_clock_ms(self, sent_s)
+        )
+        if not is_same:
+            self.doubted_s = now_s
+
     def occupy(self, attempt):
         """Add an attempt and reserve its resources."""
         self.attempts[attempt.task.name] = attempt
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -461,3 +461,37 @@
     submit_job(shard, make_step(estimate_ms=60_000), job="0" * 16)
     plan_round(shard, 5.0)
     assert [attempt.task.step.job.job for attempt in drain_starts(shard)] == ["0" * 16]
+
+
+def test_a_task_that_advances_slowly_is_not_stopped_again_and_again():
+    """One without checkpoints that took 2.5 s a percent would never have ended."""
+    shard = make_shard(workers=1)
+    job = submit_job(shard, make_step())
+    task = job.find_task(0, 0, 0)
+    worker = shard.workers["w0"]
+    now_s, stops = 1.0, 0
+    for number in range(1, 5):
+        worker.blocked_until_s = 0.0
+        plan_round(shard, now_s)
+        shard.note_started(task.attempt, now_s)
+        shard.drain_commands()
+        started_s = now_s
+        while now_s - started_s < 8.0 and not shard.commands:
+            now_s += 0.25
+            percent = int((now_s - started_s) / 4.0)
+            running = (RunningAttempt(task.name, number, "", percent),)
+            inventory = Inventory(
+                clock_ms=int(now_s * 1000) + 1_000, incarnation=1, running=running
+            )
+            shard.observe(worker, inventory, now_s, now_s)
+            plan_round(shard, now_s)
+        if not shard.drain_commands():
+            break
+        stops += 1
+        end = EndedAttempt(number, task.name, number, EndKind.STOPPED)
+        inventory = Inventory(
+            clock_ms=int(now_s * 1000) + 1_100, incarnation=1, ended=(end,)
+        )
+        shard.observe(worker, inventory, now_s, now_s)
+    assert stops == 1
+    assert task.attempt.number == 2
