--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -7,6 +7,7 @@
 from fuchsiascale.jobs._members import *  # noqa: F403
 from fuchsiascale.jobs._model import *  # noqa: F403
 from fuchsiascale.jobs._owner import *  # noqa: F403
+from fuchsiascale.jobs._owner_views import *  # noqa: F403
 from fuchsiascale.jobs._ownership import *  # noqa: F403
 from fuchsiascale.jobs._pacing import *  # noqa: F403
 from fuchsiascale.jobs._peer_messages import *  # noqa: F403
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -1,7 +1,6 @@
 """Ownership of services: cached owner rows, failure detection, claims, handover."""
 
 import asyncio
-import math
 import random
 
 import logbook
@@ -10,6 +9,7 @@
 
 from fuchsiascale.jobs._members import Member, Members
 from fuchsiascale.jobs._owner import Owner
+from fuchsiascale.jobs._owner_views import OwnerView, OwnerViews
 from fuchsiascale.jobs._peer_answers import answer_message
 from fuchsiascale.jobs._peer_messages import (
     Acknowledgement,
@@ -40,7 +40,7 @@
 from fuchsiascale.jobs._relayed_workers import RelayedWorkers
 from fuchsiascale.jobs._store_relay import decode_commit_result
 
-__all__ = ["OwnerView", "OwnershipManager"]
+__all__ = ["OwnershipManager"]
 
 PING_PERIOD_S = 0.3
 """Period of pings to the owner of a service."""
@@ -57,19 +57,11 @@
 """Delay between the claims of instances of consecutive rank."""
 HANDOVER_TIMEOUT_S = 1.0
 """Time for a peer to take a service over; the old owner grants leases until then."""
-STARTUP_GRACE_S = 1.5
-"""Time for a new owner to load and reply before it may be suspected."""
-MAX_STARTUP_GRACE_S = 6.0
-"""Longest such time, after owners that were replaced one after the other."""
-BRIEF_TENURE_S = 5.0
-"""Time for which an owner should last after its time to start."""
 MAX_RANK_DELAY_S = 0.8
 """Longest delay of a claim, for an instance that many members come before."""
 MAX_STRENGTH_DELAY_S = 0.8
 """Delay of a claim by an instance of strength 0 that knows no members, as after the
 start of all instances, so that stronger ones claim first."""
-
-
 MAX_REPORT_AGE_S = 3.0
 """Age of an owner's last report from which its members are not known for certain."""
 MIN_SUPPORTER_AGE_S = 4.0
@@ -77,19 +69,6 @@
 last report that any other instance may have."""
 
 
-class OwnerView(msgspec.Struct, frozen=True):
-    """The owner row of a service as last seen; version 0 means that there is none."""
-
-    service: str
-    row: OwnerRow | None = None
-    version: int = 0
-
-    @property
-    def token(self):
-        """Return the owner's fencing token; 0 if there is no owner."""
-        return self.row.token if self.row else 0
-
-
 class OwnershipManager:
     """Tracks the owners of services, and runs those that this instance owns.
 
@@ -136,9 +115,7 @@
         self._connect_relay = connect_relay
         self.owners = {}
         self.stopping = False
-        self._views = {}
-        self._last_reply_s = {}
-        self._tenures = {}
+        self._views = OwnerViews(clock)
         self.known_members = Members(
             Member(
                 identity.address, identity.domain, identity.region, identity.strength
@@ -153,29 +130,11 @@
 
     def view(self, service):
         """Return the cached owner of a service."""
-        return self._views.get(service) or OwnerView(service)
+        return self._views.get(service)
 
     def update_view(self, service, row, version):
         """Update the cached owner of a service, unless the row is outdated."""
-        if version >= self.view(service).version or version == 0:
-            if version > self.view(service).version:
-                self._note_new_owner(service)
-            self._views[service] = OwnerView(service, row, version)
-
-    def _note_new_owner(self, service):
-        """Give a new owner time to load, more of it after owners that lasted briefly.
-
-        An owner without enough processor time for a takeover answers late. Replacing it
-        at once would make the next one do the same work again.
-        """
-        now_s = self.clock.monotonic()
-        since_s, grace_s = self._tenures.get(service, (-math.inf, 0.0))
-        if now_s - since_s < grace_s + BRIEF_TENURE_S:
-            grace_s = min(2 * grace_s, MAX_STARTUP_GRACE_S)
-        else:
-            grace_s = STARTUP_GRACE_S
-        self._tenures[service] = (now_s, grace_s)
-        self._last_reply_s[service] = now_s + grace_s
+        self._views.update(service, row, version)
 
     def members(self):
         """Return the addresses of the other instances that are alive."""
@@ -264,12 +223,12 @@
                 view.row.address, reply.live_members, reply.members_digest, is_owner
             )
             if is_owner:
-                self._last_reply_s[service] = now_s
+                self._views.note_reply(service, now_s)
                 return
             if reply.incarnation != view.row.incarnation:
                 await self._refresh_and_claim(view, now_s)
                 return
-        silent_s = now_s - self._last_reply_s.setdefault(service, now_s)
+        silent_s = self._views.measure_silence_s(service, now_s)
         if silent_s > SUSPECT_AFTER_S and not await self._replied_to_peer(service):
             await self._refresh_and_claim(view, None)
 
@@ -312,7 +271,7 @@
             for reply in replies
         )
 
-    async def _claim(self, view, delay_s, stopped_s):
+    async def _claim(self, view, delay_s, stopped_s, was_handed_over=False):
         """Claim a service after a delay, unless another instance claims it first.
 
         ``stopped_s`` is the monotonic time from which the previous owner grants no
@@ -325,7 +284,7 @@
             await asyncio.sleep(delay_s)
             if not self._may_claim(view.service):
                 return False
-            return await self._write_claim(view, stopped_s)
+            return await self._write_claim(view, stopped_s, was_handed_over)
         finally:
             self._claiming.discard(view.service)
 
@@ -333,7 +292,7 @@
         """Return whether this instance may become the owner; it may be already."""
         return not self.stopping and service not in self.owners
 
-    async def _write_claim(self, view, stopped_s):
+    async def _write_claim(self, view, stopped_s, was_handed_over):
         service = view.service
         row = OwnerRow(
             token=view.token + 1,
@@ -341,6 +300,7 @@
             incarnation=self.identity.incarnation,
             address=self.identity.address,
             seeks_support=True,
+            was_handed_over=was_handed_over,
         )
         version = await self._commit_claim(view, row)
         if version is None:
@@ -423,7 +383,7 @@
         if self.owners.get(owner.service) is owner:
             del self.owners[owner.service]
             # Drop the cached row, so that it is read again before it is used.
-            self._views.pop(owner.service, None)
+            self._views.forget(owner.service)
 
     # Messages to the owner ---------------------------------------------------------
 
@@ -494,10 +454,7 @@
             instance=self.identity.instance,
             incarnation=self.identity.incarnation,
             owned={name: owner.row.token for name, owner in self.owners.items()},
-            heard_ago_s={
-                name: now_s - last_reply_s
-                for name, last_reply_s in self._last_reply_s.items()
-            },
+            heard_ago_s=self._views.export_silences_s(now_s),
             live_members=members,
             members_digest=digest,
         )
@@ -509,7 +466,8 @@
         if view.version != message.version:
             return Acknowledgement(False)
         stopped_s = self.clock.monotonic() + HANDOVER_TIMEOUT_S
-        return Acknowledgement(await self._claim(view, 0.0, stopped_s))
+        claimed = await self._claim(view, 0.0, stopped_s, was_handed_over=True)
+        return Acknowledgement(claimed)
 
     async def hand_over(self):
         """Hand all services over to other instances before this one stops."""
--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -63,7 +63,8 @@
     """The instance that owns a service, and its fencing token.
 
     ``seeks_support`` tells that the owner stops soon once it is isolated; see
-    `OwnershipEvidence`. Owners of earlier versions don't.
+    `OwnershipEvidence`. Owners of earlier versions don't. ``was_handed_over`` tells that
+    the owner before gave the service up because it was stopping.
     """
 
     token: int
@@ -71,6 +72,7 @@
     incarnation: str
     address: str
     seeks_support: bool = False
+    was_handed_over: bool = False
 
 
 class LedgerRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -11,7 +11,7 @@
 
 from fuchsiascale.jobs._group_commit import GroupCommitter, PendingWrite
 from fuchsiascale.jobs._model import JobRecord, JobState
-from fuchsiascale.jobs._ownership import OwnerView
+from fuchsiascale.jobs._owner_views import OwnerView
 from fuchsiascale.jobs._ports import Busy, Change, Conflict, Expect, NoAnswer
 from fuchsiascale.jobs._records import (
     ACCEPTED,
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -21,7 +21,11 @@
     encode_row,
     owner_row_key,
 )
-from fuchsiascale.jobs._ownership import MAX_STARTUP_GRACE_S
+from fuchsiascale.jobs._owner_views import (
+    MAX_STARTUP_GRACE_S,
+    STARTUP_GRACE_S,
+    OwnerViews,
+)
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -160,3 +164,19 @@
     assert 2.5 < silences_s[0] < 3.0
     assert min(silences_s[1:]) > 1.5 * silences_s[0]
     assert max(silences_s) < MAX_STARTUP_GRACE_S + 1.3
+
+
+def test_owners_that_hand_over_one_after_the_other_are_replaced_as_soon_as_any():
+    clock = ManualClock()
+    views = OwnerViews(clock)
+    for number in range(1, 6):
+        row = OwnerRow(
+            token=number,
+            instance="b",
+            incarnation="1",
+            address="b:1",
+            was_handed_over=number > 1,
+        )
+        views.update(SERVICE, row, number)
+        clock.advance(1.2)
+    assert views.measure_silence_s(SERVICE, clock.monotonic()) > -STARTUP_GRACE_S
