--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -63,8 +63,8 @@
     """The instance that owns a service, and its fencing token.
 
     ``seeks_support`` tells that the owner stops soon once it is isolated; see
-    `OwnershipEvidence`. Owners of earlier versions don't. ``was_handed_over`` tells that
-    the owner before gave the service up because it was stopping.
+    `OwnershipEvidence`. Owners of earlier versions don't. ``was_handed_over`` tells
+    that the owner before gave the service up because it was stopping.
     """
 
     token: int
