--- a/fuchsiascale/jobs/_predecessor.py
+++ b/fuchsiascale/jobs/_owner_succession.py
@@ -1,4 +1,4 @@
-"""Finds out when the predecessor of a new owner has stopped granting leases."""
+"""Calls between instances about the succession of a service's owners."""
 
 import asyncio
 
@@ -6,6 +6,8 @@
 
 from fuchsiascale.jobs._ownership_evidence import ISOLATION_LIMIT_S, PEER_SUPPORT_S
 from fuchsiascale.jobs._peer_messages import (
+    PING_PERIOD_S,
+    PING_TIMEOUT_S,
     Acknowledgement,
     OwnerNotice,
     OwnerQuery,
@@ -15,14 +17,10 @@
 
 __all__ = ["announce_owner", "seek_support", "watch_predecessor"]
 
-REPEAT_PERIOD_S = 0.3
-"""Period in which instances that have not answered are asked again."""
 SUPPORT_PERIOD_S = 0.5
 """Period in which an owner asks peers for support."""
 MAX_SUPPORTERS = 3
 """Number of peers that are asked at a time."""
-REPLY_TIMEOUT_S = 0.5
-"""Timeout of a call to a peer."""
 
 log = logbook.Logger("offices")
 
@@ -40,7 +38,7 @@
         Coroutine function from an address and a timeout to the reply.
     """
     while not owner.lost and not owner.is_takeover_complete:
-        reply = await ping(row.address, REPLY_TIMEOUT_S)
+        reply = await ping(row.address, PING_TIMEOUT_S)
         restarted = isinstance(reply, Pong) and (
             reply.incarnation != row.incarnation
             or reply.owned.get(owner.service) != row.token
@@ -48,7 +46,7 @@
         if restarted:
             owner.inherited_leases.mark_stopped(owner.clock.monotonic())
             return
-        await asyncio.sleep(REPEAT_PERIOD_S)
+        await asyncio.sleep(PING_PERIOD_S)
 
 
 async def announce_owner(owner, addresses, peers, claimed_s):
@@ -73,13 +71,13 @@
     while missing and not owner.lost and not owner.is_takeover_complete:
         asked = sorted(missing)
         replies = await asyncio.gather(
-            *(peers.ask(address, notice, REPLY_TIMEOUT_S) for address in asked)
+            *(peers.ask(address, notice, PING_TIMEOUT_S) for address in asked)
         )
         for address, reply in zip(asked, replies, strict=True):
             if isinstance(reply, Acknowledgement) and reply.done:
                 missing.discard(address)
         if missing:
-            await asyncio.sleep(REPEAT_PERIOD_S)
+            await asyncio.sleep(PING_PERIOD_S)
     if not missing and not owner.lost:
         now_s = owner.clock.monotonic()
         stopped_s = max(claimed_s + ISOLATION_LIMIT_S, now_s + PEER_SUPPORT_S)
@@ -111,7 +109,7 @@
             asked_s = owner.clock.monotonic()
             replies = await asyncio.gather(
                 *(
-                    peers.ask(address, OwnerQuery(owner.service), REPLY_TIMEOUT_S)
+                    peers.ask(address, OwnerQuery(owner.service), PING_TIMEOUT_S)
                     for address in list_supporters()[:MAX_SUPPORTERS]
                 )
             )
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -9,9 +9,16 @@
 
 from fuchsiascale.jobs._members import Member, Members
 from fuchsiascale.jobs._owner import Owner
+from fuchsiascale.jobs._owner_succession import (
+    announce_owner,
+    seek_support,
+    watch_predecessor,
+)
 from fuchsiascale.jobs._owner_views import OwnerView, OwnerViews
 from fuchsiascale.jobs._peer_answers import answer_message
 from fuchsiascale.jobs._peer_messages import (
+    PING_PERIOD_S,
+    PING_TIMEOUT_S,
     Acknowledgement,
     CancelNotice,
     Handover,
@@ -24,11 +31,6 @@
     WaitingReply,
 )
 from fuchsiascale.jobs._ports import Change, Conflict, Expect, NoAnswer
-from fuchsiascale.jobs._predecessor import (
-    announce_owner,
-    seek_support,
-    watch_predecessor,
-)
 from fuchsiascale.jobs._records import (
     ACCEPTED,
     OWNER_KEY,
@@ -42,10 +44,6 @@
 
 __all__ = ["OwnershipManager"]
 
-PING_PERIOD_S = 0.3
-"""Period of pings to the owner of a service."""
-PING_TIMEOUT_S = 0.5
-"""Timeout of a ping or a query."""
 WRITE_TIMEOUT_S = 1.3
 """Timeout of a submission that the owner commits for another instance: the time of
 two slow commits."""
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -9,6 +9,8 @@
 from fuchsiascale.jobs._records import AcceptedRow, OwnerRow
 
 __all__ = [
+    "PING_PERIOD_S",
+    "PING_TIMEOUT_S",
     "Acknowledgement",
     "CancelNotice",
     "ConfigurationFreshness",
@@ -34,6 +36,12 @@
 ]
 
 
+PING_PERIOD_S = 0.3
+"""Period of pings to the owner of a service."""
+PING_TIMEOUT_S = 0.5
+"""Timeout of a ping or a query."""
+
+
 class Ping(msgspec.Struct, frozen=True, tag="ping", kw_only=True):
     """Heartbeat of an instance to an owner or another instance.
 
--- a/fuchsiascale/jobs/tests/test_inherited_tasks.py
+++ b/fuchsiascale/jobs/tests/test_inherited_tasks.py
@@ -47,6 +47,19 @@
     shard.observe(worker, inventory, sent_s, sent_s + 0.01)
 
 
+def report_on_second_worker(shard, sent_s=1.1, running=(), ended=()):
+    """Let the second worker report what runs and has ended there; return it."""
+    worker = shard.workers["w1"]
+    inventory = Inventory(
+        clock_ms=int(900 + 1_000 * sent_s),
+        incarnation=1,
+        running=running,
+        ended=ended,
+    )
+    shard.observe(worker, inventory, sent_s, sent_s)
+    return worker
+
+
 def list_started(shard, now_s):
     """Return the names of the tasks that a round starts."""
     plan_round(shard, now_s)
@@ -109,10 +122,7 @@
     # That owner saw the first attempt end and started another one before it was fenced.
     shard, job = make_takeover()
     task = job.find_task(0, 0, 0)
-    second = shard.workers["w1"]
-    running = (RunningAttempt(task.name, 6),)
-    inventory = Inventory(clock_ms=2_000, incarnation=1, running=running)
-    shard.observe(second, inventory, 1.1, 1.1)
+    second = report_on_second_worker(shard, running=(RunningAttempt(task.name, 6),))
     assert (task.attempt.number, task.attempt.worker) == (6, second)
     report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
     assert list_started(shard, 1.3) == []
@@ -122,25 +132,18 @@
 def test_a_task_waits_while_an_unknown_attempt_of_it_is_being_stopped():
     shard, job = make_takeover()
     task = job.find_task(0, 0, 0)
-    second = shard.workers["w1"]
-    running = (RunningAttempt(task.name, 4),)
-    inventory = Inventory(clock_ms=2_000, incarnation=1, running=running)
-    shard.observe(second, inventory, 1.1, 1.1)
+    report_on_second_worker(shard, running=(RunningAttempt(task.name, 4),))
     report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
     assert list_started(shard, 1.3) == []
     end = EndedAttempt(1, task.name, 4, EndKind.STOPPED)
-    inventory = Inventory(clock_ms=3_000, incarnation=1, ended=(end,))
-    shard.observe(second, inventory, 1.4, 1.4)
+    report_on_second_worker(shard, sent_s=1.4, ended=(end,))
     assert list_started(shard, 1.5) == [task.name]
 
 
 def test_a_task_is_not_held_up_for_ever_by_an_unknown_attempt_on_a_lost_worker():
     shard, job = make_takeover()
     task = job.find_task(0, 0, 0)
-    second = shard.workers["w1"]
-    running = (RunningAttempt(task.name, 4),)
-    inventory = Inventory(clock_ms=2_000, incarnation=1, running=running)
-    shard.observe(second, inventory, 1.1, 1.1)
+    report_on_second_worker(shard, running=(RunningAttempt(task.name, 4),))
     report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
     shard.expire_leases(6.4)
     assert list_started(shard, 6.4) == []
--- a/fuchsiascale/jobs/tests/test_ownership_evidence.py
+++ b/fuchsiascale/jobs/tests/test_ownership_evidence.py
@@ -13,13 +13,13 @@
     OwnerRow,
 )
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
+from fuchsiascale.jobs._owner_succession import announce_owner, seek_support
 from fuchsiascale.jobs._ownership_evidence import (
     ISOLATION_LIMIT_S,
     PEER_SUPPORT_S,
     STORE_SILENCE_LIMIT_S,
     OwnershipEvidence,
 )
-from fuchsiascale.jobs._predecessor import announce_owner, seek_support
 from fuchsiascale.jobs._shard import Shard
 from fuchsiascale.testing import LoopClock, collect_functions, run_in_virtual_time
 
