--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -9,6 +9,7 @@
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
 from fuchsiascale.jobs._job_order import compute_objective_s
 from fuchsiascale.jobs._ownership_evidence import OwnershipEvidence
+from fuchsiascale.jobs._pool_rows import restore_pool_rows
 from fuchsiascale.jobs._recorder import Recorder
 from fuchsiascale.jobs._records import (
     ACCEPTED,
@@ -17,14 +18,8 @@
     POOLS,
     PROGRESS,
     AcceptedRow,
-    EstimatesRow,
-    LeasedWorkersRow,
-    LedgerRow,
     decode_row,
-    estimates_row_key,
-    is_leased_workers_row,
     join_progress,
-    ledger_row_key,
 )
 from fuchsiascale.jobs._rounds import plan_round
 from fuchsiascale.jobs._shard import Shard
@@ -228,15 +223,7 @@
         recorded = join_progress(progress.rows)
         for row in accepted.rows:
             self._apply_row(row, now_s, wall_ms, recorded.get(row.place.key))
-        for row in pools.rows:
-            if row.place == ledger_row_key(self.service):
-                self.recorder.ledger_version = row.version
-                ledger = decode_row(row.value, LedgerRow)
-                self.inherited_leases.restore_ledger(ledger)
-            if is_leased_workers_row(row.place):
-                self._restore_leased_workers(row, now_s)
-            if row.place == estimates_row_key(self.service):
-                self._restore_estimates(row)
+        restore_pool_rows(self, pools.rows, now_s)
         self.inherited_leases.limit()
         self.log.info(
             "loaded",
@@ -248,22 +235,6 @@
             },
         )
 
-    def _restore_leased_workers(self, row, now_s):
-        leased_workers = decode_row(row.value, LeasedWorkersRow)
-        if leased_workers is None:
-            self.log.error("malformed row", extra={"row": row.place.key})
-            return
-        for entry in self.recorder.leased_workers.restore(row.place, leased_workers):
-            worker = self.shard.update_worker(entry.worker, now_s)
-            worker.in_leased_workers = True
-            self.inherited_leases.add(worker.worker, now_s)
-
-    def _restore_estimates(self, row):
-        estimates = decode_row(row.value, EstimatesRow)
-        if estimates is not None:
-            self.shard.interference.restore(estimates.slopes)
-            self.shard.run_times.restore(estimates.run_times)
-
     @property
     def is_takeover_complete(self):
         """Whether all is loaded and no attempt of an earlier owner can be unknown."""
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -14,6 +14,7 @@
     batch_items,
     limit_estimates,
 )
+from fuchsiascale.jobs._recorded_ends import note_recorded, snapshot_ends
 from fuchsiascale.jobs._records import (
     ACCEPTED,
     FINISHED,
@@ -164,7 +165,7 @@
 
     async def _record_all(self):
         shard = self.shard
-        snapshot = shard.snapshot_ends()
+        snapshot = snapshot_ends(shard)
         self._retry_unstorable()
         dirty, shard.dirty = shard.dirty, {}
         items = [self._make_job_item(job) for job in dirty.values()]
@@ -182,7 +183,7 @@
                 self._restore_dirty(batches)
                 return False
             del batches[0]
-        shard.note_recorded(snapshot)
+        note_recorded(shard, snapshot)
         self.ends_recorded.set()
         return True
 
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -5,7 +5,6 @@
 docs/design/platform.md.
 """
 
-import math
 from collections import Counter
 
 import logbook
@@ -416,36 +415,7 @@
         attempt.pace = percent
         attempt.has_full_run_time = False
 
-    # Records ---------------------------------------------------------------
-
-    def snapshot_ends(self):
-        """Return each worker's last end that the next record will include.
-
-        An entry is the worker, its incarnation and the number of that end.
-        """
-        return [
-            (worker, worker.incarnation, worker.last_seen_end)
-            for worker in self.workers.values()
-            if worker.last_seen_end > worker.last_recorded_end
-        ]
-
-    def note_recorded(self, snapshot):
-        """Note that the ends of a snapshot are recorded; workers may then drop them."""
-        for worker, incarnation, seen in snapshot:
-            if worker.incarnation == incarnation:
-                recorded = min(seen, self._find_unrecorded_end(worker) - 1)
-                worker.last_recorded_end = max(worker.last_recorded_end, recorded)
-
-    def _find_unrecorded_end(self, worker):
-        """Return the lowest end of a worker that belongs to a job without a record."""
-        source = (worker.worker, worker.incarnation)
-        return min(
-            (
-                job.unrecorded_ends.get(source, math.inf)
-                for job in self.unstorable.values()
-            ),
-            default=math.inf,
-        )
+    # States ----------------------------------------------------------------
 
     def count_waiting(self):
         """Return the number of accepted jobs of each queue that have not started."""
--- a/fuchsiascale/jobs/tests/test_shard.py
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -21,6 +21,7 @@
     StepSpec,
     StopCommand,
 )
+from fuchsiascale.jobs._recorded_ends import note_recorded, snapshot_ends
 from fuchsiascale.testing import collect_functions, fixture
 
 load_tests = collect_functions(__name__)
@@ -106,9 +107,9 @@
     shard.observe(
         worker, make_inventory(2_000, ended=(make_end(1, 1, EndKind.DONE),)), 2, 2
     )
-    snapshot = shard.snapshot_ends()
+    snapshot = snapshot_ends(shard)
     assert worker.last_recorded_end == 0
-    shard.note_recorded(snapshot)
+    note_recorded(shard, snapshot)
     assert worker.last_recorded_end == 1
 
 
@@ -117,9 +118,9 @@
     shard.observe(
         worker, make_inventory(2_000, ended=(make_end(3, 1, EndKind.DONE),)), 2, 2
     )
-    snapshot = shard.snapshot_ends()
+    snapshot = snapshot_ends(shard)
     shard.observe(worker, make_inventory(10, incarnation=2), 3.0, 3.0)
-    shard.note_recorded(snapshot)
+    note_recorded(shard, snapshot)
     assert worker.last_recorded_end == 0
 
 
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -16,6 +16,7 @@
     Shard,
     StopCommand,
 )
+from fuchsiascale.jobs._recorded_ends import note_recorded, snapshot_ends
 from fuchsiascale.jobs.tests.test_shard import (
     JOB,
     make_end,
@@ -47,7 +48,7 @@
         for number in range(1, 7)
     )
     made.observe(worker, make_inventory(1, CLOCK_MS, ended=ends), 0.0, 0.1)
-    made.note_recorded(made.snapshot_ends())
+    note_recorded(made, snapshot_ends(made))
     assert worker.acknowledgeable_end == 6
     return made
 
@@ -112,7 +113,7 @@
     worker = restart(shard, 2.0, ended=(make_end(1, 1, EndKind.DONE),))
     assert shard.jobs[JOB].state is JobState.COMPLETED
     assert worker.acknowledgeable_end == 0
-    shard.note_recorded(shard.snapshot_ends())
+    note_recorded(shard, snapshot_ends(shard))
     assert worker.acknowledgeable_end == 1
 
 
