Start a lost task again only once the owner has been confirmed since

What callers saw: a task could run twice, or start after its end had been acknowledged, if an owner that had been replaced without knowing it learnt that a worker had restarted, or that another worker has its address.

Cause: the restarted worker has forgotten the successor's token and refuses nothing, so the old owner concluded from its empty inventory that the task was lost. The successor may have seen that task end, or have started it elsewhere. Only expired leases waited for the store since; the other conclusions of the same kind did not.

Change: each attempt that is lost without a reported end notes when; its task may start once the store has shown the owner later than that. A pending conclusion asks the store at once, so that it costs a read and not a poll interval.

Evidence: by reading, and by a test that starts the task without the check (run with the check undone).

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -363,7 +363,7 @@
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         if now_s >= self._relays_due_s:
             self._assign_relays()
-        self._expire_leases(now_s)
+        self._apply_confirmation(now_s)
         for job in self.shard.jobs.values():
             if job.timed and not job.state.final:
                 job.open_due_occurrences(now_s, wall_ms)
@@ -374,12 +374,10 @@
             self.recorder.flush_requested.set()
         self.links.sync()
 
-    def _expire_leases(self, now_s):
-        """Mark as lost what ran under expired leases, once the store confirms it."""
-        confirmed_s = self.evidence.confirmed_s
-        self.shard.expire_leases(confirmed_s)
-        is_due = self.shard.has_lease_expired_since(confirmed_s, now_s)
-        if is_due and self._confirmation is None:
+    def _apply_confirmation(self, now_s):
+        """Conclude what the last confirmation allows; ask for another if one is due."""
+        self.shard.confirm_owner(self.evidence.confirmed_s)
+        if self.shard.needs_confirmation(now_s) and self._confirmation is None:
             self._confirmation = self._spawn(self._confirm_ownership())
 
     async def _confirm_ownership(self):
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -1,5 +1,6 @@
 """In-memory state of jobs, steps, tasks and attempts."""
 
+import math
 from enum import Enum
 
 from fuchsiascale.decisions import StepRunTimes
@@ -109,6 +110,8 @@
     located : bool
         Whether this owner has seen an attempt run. An earlier owner can't have started
         another one then.
+    lost_s : float
+        Monotonic time at which the last attempt without a reported end was lost.
     """
 
     __slots__ = (
@@ -120,6 +123,7 @@
         "index",
         "latest_number",
         "located",
+        "lost_s",
         "name",
         "next_number",
         "preferred_worker",
@@ -142,6 +146,7 @@
         self.waiting_since_s = None
         self.preferred_worker = None
         self.located = False
+        self.lost_s = -math.inf
         self.stalls = 0
 
     @property
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -5,6 +5,7 @@
 docs/design/platform.md.
 """
 
+import math
 from collections import Counter
 
 import logbook
@@ -52,6 +53,14 @@
         Where decisions are logged.
     longest_lease_s : float, optional
         Longest lease that a worker takes.
+
+    Attributes
+    ----------
+    confirmed_s : float
+        Monotonic time at which the store last showed the owner as such. What was
+        concluded later may be known better by a later owner.
+    concluded_s : float
+        Monotonic time of the last conclusion that needs a later confirmation.
     """
 
     def __init__(self, service, token, lease_s, log=None, longest_lease_s=None):
@@ -68,6 +77,8 @@
         self.unstorable = {}
         self.commands = []
         self.loaded = False
+        self.confirmed_s = math.inf
+        self.concluded_s = -math.inf
         self.unconfirmed_workers = {}
         self.orphans = frozenset()
         self.events = Counter()
@@ -173,9 +184,15 @@
         return not self.unconfirmed_workers
 
     def may_start(self, task):
-        """Return whether no other attempt of a waiting task can run or start."""
+        """Return whether no other attempt of a waiting task can run or start.
+
+        After an attempt was lost, a later owner may have adopted it, seen its end, or
+        started another one.
+        """
         if task.name in self.orphans or task.step.job.job in self.unstorable:
             return False
+        if task.lost_s >= self.confirmed_s:
+            return False
         if not self.unconfirmed_workers or not task.step.job.inherited:
             return True
         return task.located or task.step.follows_located_task()
@@ -225,10 +242,16 @@
             self.mark_lost(attempt, now_s, why)
 
     def mark_lost(self, attempt, now_s, why):
-        """Mark an attempt as ended without a reported end; its task waits again."""
+        """Mark an attempt as ended without a reported end; its task waits again.
+
+        ``now_s`` is the monotonic time at which this was known. The task may start
+        again once the owner has been confirmed later than that.
+        """
         self.events[f"lost: {why}"] += 1
         attempt.worker.release(attempt)
         task = attempt.task
+        task.lost_s = max(task.lost_s, now_s)
+        self.concluded_s = max(self.concluded_s, now_s)
         if task.attempt is attempt:
             task.attempt = None
             task.checkpoint = attempt.checkpoint or task.checkpoint
@@ -242,8 +265,15 @@
             },
         )
 
-    def has_lease_expired_since(self, then_s, now_s):
-        """Return whether a lease that matters has expired between two times."""
+    def needs_confirmation(self, now_s):
+        """Return whether something waits until the store confirms the owner.
+
+        That is a conclusion since the last confirmation, or the end of a lease that
+        matters.
+        """
+        then_s = self.confirmed_s
+        if self.concluded_s >= then_s:
+            return True
         expiries_s = [
             worker.lease_expiry_s
             for worker in self.workers.values()
@@ -252,25 +282,21 @@
         expiries_s += self.unconfirmed_workers.values()
         return any(then_s <= expiry_s < now_s for expiry_s in expiries_s)
 
-    def expire_leases(self, confirmed_s):
-        """Mark attempts as lost on workers whose lease has expired.
-
-        Unconfirmed workers whose last lease from an earlier owner has expired count
-        as confirmed.
+    def confirm_owner(self, confirmed_s):
+        """Note that this was the owner at a time, and conclude what follows from it.
 
-        Parameters
-        ----------
-        confirmed_s : float
-            Monotonic time at which this was last known to be the owner. A later owner
-            may have extended the leases that end after it.
+        Attempts are lost on workers whose lease has expired; a later owner may have
+        extended the leases that end after that time. Unconfirmed workers whose last
+        lease from an earlier owner has expired count as confirmed.
         """
+        self.confirmed_s = confirmed_s
         for worker in self.workers.values():
             expired = (
                 worker.lease_expiry_s is not None
                 and confirmed_s > worker.lease_expiry_s
             )
             if expired and (worker.attempts or worker.orphans):
-                self.mark_all_lost(worker, confirmed_s, "lease over")
+                self.mark_all_lost(worker, worker.lease_expiry_s, "lease over")
                 worker.orphans.clear()
         for worker_id, until_s in list(self.unconfirmed_workers.items()):
             if confirmed_s > until_s:
--- a/fuchsiascale/jobs/tests/test_inherited_tasks.py
+++ b/fuchsiascale/jobs/tests/test_inherited_tasks.py
@@ -145,7 +145,7 @@
     task = job.find_task(0, 0, 0)
     report_on_second_worker(shard, running=(RunningAttempt(task.name, 4),))
     report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
-    shard.expire_leases(6.4)
+    shard.confirm_owner(6.4)
     assert list_started(shard, 6.4) == []
-    shard.expire_leases(6.5)
+    shard.confirm_owner(6.5)
     assert list_started(shard, 6.5) == [task.name]
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -0,0 +1,69 @@
+"""Conclusions of an owner that has been replaced and doesn't know it yet.
+
+An owner whose failure domain was cut off from the store took the leases of workers for
+expired that its successor had extended, and started their tasks a second time. These
+tests cover the other conclusions that the successor may contradict: a worker that has
+restarted has forgotten which owner was the last, and refuses none.
+"""
+
+import asyncio
+
+from fuchsiascale.jobs import Inventory
+from fuchsiascale.jobs.tests.test_owner import (
+    JOB,
+    OwnerRowStore,
+    end_first_task,
+    make_owner,
+)
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+REPLACED = 6
+"""Version of the owner row after a successor has written it; the owner wrote 5."""
+
+
+def make_running_owner(store):
+    """Return an owner, its worker, and a task that runs there."""
+    owner, worker = make_owner(store)
+    owner.links.sync = lambda: None
+    end_first_task(owner, worker)
+    task = owner.shard.jobs[JOB].find_task(0, 0, 1)
+    attempt = owner.shard.start_task(task, worker, 0.3)
+    owner.shard.drain_commands()
+    owner.shard.note_started(attempt, 0.3)
+    return owner, worker, task
+
+
+def restart_worker(owner, worker):
+    """Let a new incarnation of the worker, which runs nothing, answer an exchange."""
+    owner.clock.advance(0.5)
+    now_s = owner.clock.monotonic()
+    inventory = Inventory(clock_ms=300, incarnation=2)
+    owner.shard.observe(worker, inventory, now_s - 0.01, now_s)
+    owner.clock.advance(0.1)
+
+
+async def run_rounds(owner):
+    """Run a round, let the store answer, and run another; return the new starts."""
+    started = []
+    owner.links.send_commands = lambda: started.extend(owner.shard.drain_commands())
+    owner._run_round()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    if not owner.lost:
+        owner._run_round()
+    return started
+
+
+async def test_a_task_of_a_restarted_worker_waits_until_the_owner_is_confirmed():
+    # The successor may have seen the end of the task before the worker restarted.
+    for version, starts in ((None, False), (5, True), (REPLACED, False)):
+        store = OwnerRowStore()
+        store.version = version
+        owner, worker, task = make_running_owner(store)
+        restart_worker(owner, worker)
+        assert task.waiting
+        assert bool(await run_rounds(owner)) is starts, version
+        assert owner.lost is (version == REPLACED)
+        await owner.stop()
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -154,7 +154,7 @@
     submit_job(shard, make_step(), job="1" * 16, token=1)
     plan_round(shard, 1.0)
     assert [attempt.task.step.job.job for attempt in drain_starts(shard)] == ["1" * 16]
-    shard.expire_leases(9.1)
+    shard.confirm_owner(9.1)
     plan_round(shard, 9.2)
     assert JOB in {attempt.task.step.job.job for attempt in drain_starts(shard)}
 
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -159,8 +159,8 @@
     worker = restart(shard, 2.0)
     attempt = start_first_task(shard, now_s=2.0)[1]
     shard.note_started(attempt, 2.0)
-    shard.expire_leases(2.0 + LEASE_S + 1.0)
+    shard.confirm_owner(2.0 + LEASE_S + 1.0)
     assert not attempt.task.waiting
-    shard.expire_leases(2.1 + LONGEST_LEASE_S / 0.98 + 0.3)
+    shard.confirm_owner(2.1 + LONGEST_LEASE_S / 0.98 + 0.3)
     assert attempt.task.waiting
     assert shard.grant_lease(worker, 2.01) == 300 + LEASE_S * 1_000
