Start nothing on a worker's new incarnation before the owner is confirmed

What callers saw: a task could run twice if an owner that had been replaced without knowing it reached a worker that had just restarted, before its successor did.

Cause: tokens fence an earlier owner only at workers that remember the later one. The successor had confirmed the worker before its restart, so it had stopped waiting for what might run there, and the old owner's start was accepted by the new incarnation. A worker that is new to the list was safe, since it is used only after a record that names it.

Change: an incarnation may be used once the store has shown the owner later than its first answer. A successor that claims after that looks for attempts there.

Evidence: by reading, and by a test that starts the task without the check (run with the check undone).

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -78,8 +78,7 @@
     if inventory.incarnation != worker.incarnation:
         _handle_restart(shard, worker, inventory, sent_s, now_s)
     worker.granted_until_ms = inventory.clock_ms + lease_ms
-    worker.claimed_s = now_s
-    worker.claimed = True
+    shard.note_claimed(worker, now_s)
 
 
 def _handle_restart(shard, worker, inventory, sent_s, now_s):
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -82,7 +82,7 @@
     workers = [
         worker
         for worker in shard.workers.values()
-        if worker.is_usable(now_s) and not worker.orphans
+        if shard.may_use(worker, now_s) and not worker.orphans
     ]
     leftovers = LeftoverCapacities(shard, workers, now_s)
     move_fillers(shard, workers, leftovers, now_s)
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -183,6 +183,14 @@
         """Return whether all attempts of earlier owners are known or have expired."""
         return not self.unconfirmed_workers
 
+    def may_use(self, worker, now_s):
+        """Return whether new attempts may be started on a worker.
+
+        An incarnation that has not seen a later owner refuses nothing. A later owner
+        that is claimed after its first answer will look for attempts there.
+        """
+        return worker.claimed_s < self.confirmed_s and worker.is_usable(now_s)
+
     def may_start(self, task):
         """Return whether no other attempt of a waiting task can run or start.
 
@@ -211,6 +219,12 @@
         compute_lease_expiry(worker)
         return until_ms
 
+    def note_claimed(self, worker, now_s):
+        """Note that an incarnation of a worker has answered for the first time."""
+        worker.claimed = True
+        worker.claimed_s = now_s
+        self.concluded_s = max(self.concluded_s, now_s)
+
     def observe(self, worker, inventory, sent_s, now_s):
         """Apply an inventory that was requested at ``sent_s``."""
         apply_inventory(self, worker, inventory, sent_s, now_s)
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -51,6 +51,7 @@
     owner._run_round()
     await asyncio.sleep(0)
     await asyncio.sleep(0)
+    owner.clock.advance(0.1)
     if not owner.lost:
         owner._run_round()
     return started
@@ -67,3 +68,23 @@
         assert bool(await run_rounds(owner)) is starts, version
         assert owner.lost is (version == REPLACED)
         await owner.stop()
+
+
+async def test_nothing_starts_on_a_restarted_worker_until_the_owner_is_confirmed():
+    # The worker would refuse the start if it still knew the successor, which may have
+    # found it empty and started the task elsewhere.
+    for version, starts in ((None, False), (5, True), (REPLACED, False)):
+        store = OwnerRowStore()
+        store.version = version
+        owner, worker, task = make_running_owner(store)
+        end_attempt(owner, worker, task)
+        restart_worker(owner, worker)
+        assert bool(await run_rounds(owner)) is starts, version
+        await owner.stop()
+
+
+def end_attempt(owner, worker, task):
+    """Let the attempt of a task end without success, as known before the restart."""
+    worker.release(task.attempt)
+    task.attempt = None
+    assert owner.shard.may_start(task)
