Check the evidence of ownership again where a start is sent

What callers saw: a task could run twice if the owner's process was paused between the round that decided on a start and the call that sends it.

Cause: the round checks whether the owner may act; the call that follows granted a lease from its own time on, without a check. A successor reckons that nothing is granted once the evidence of its predecessor has ended.

Change: the start takes its time, checks the evidence and grants the lease from that time, as exchanges do. A start that is not sent counts as refused.

Evidence: by reading, and by a test that sends the start without the check (run with the check undone).

--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -88,9 +88,10 @@
         shard = self.shard
         job = attempt.task.step.job
         sent_s = self.clock.monotonic()
-        until_ms = shard.grant_lease(worker, sent_s)
+        until_ms = shard.grant_lease(worker, sent_s) if self._may_grant() else None
         if until_ms is None:
-            # The worker stopped answering after the round: nothing has been sent.
+            # The worker stopped answering after the round, or the process was paused
+            # and may have been replaced: nothing has been sent.
             shard.note_start_refused(attempt, RefusedReason.UNHEALTHY, sent_s)
             return
         request = StartRequest(
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -88,3 +88,14 @@
     worker.release(task.attempt)
     task.attempt = None
     assert owner.shard.may_start(task)
+
+
+async def test_nothing_is_sent_to_start_after_the_evidence_has_ended():
+    # A process that was paused between its decision and the call may be replaced.
+    owner, worker, task = make_running_owner(OwnerRowStore())
+    end_attempt(owner, worker, task)
+    attempt = owner.shard.start_task(task, worker, 0.4)
+    owner.clock.advance(11.0)
+    await owner.links._start(attempt)
+    assert task.waiting
+    await owner.stop()
