Keep a worker while an attempt is being stopped there, and confirm its end

What callers saw: a task could run twice if an owner that had been replaced without knowing it forgot an attempt that it was stopping.

Cause: a worker that had left the list and didn't answer was dropped by the owner's own clock, also where it might still run an attempt that was being stopped; and such attempts were forgotten at a restart of the worker, or when another one had its address, without a confirmation. The task then counted as free. The successor may have adopted the attempt.

Change: such a worker is kept until its lease has expired by a confirmed time, and a forgotten attempt makes its task wait for a confirmation like any lost one. The lookup of a task by its name, which stood three times, is a method of the shard.

Evidence: by reading, and by two tests that failed before.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -4,7 +4,7 @@
 task from running twice are in docs/design/platform.md.
 """
 
-from fuchsiascale.jobs._model import JobState, split_task
+from fuchsiascale.jobs._model import JobState
 from fuchsiascale.jobs._ports import EndKind
 from fuchsiascale.jobs._run_state import Attempt, AttemptPhase
 from fuchsiascale.jobs._worker_clocks import record_clock_reading
@@ -99,7 +99,7 @@
     worker.incarnation = inventory.incarnation
     for attempt in lost:
         shard.mark_lost(attempt, now_s, "worker restarted")
-    worker.orphans.clear()
+    shard.forget_orphans(worker, now_s)
     worker.last_seen_end = worker.last_recorded_end = 0
     worker.clock_ms = None
     worker.doubted_s = None
@@ -134,10 +134,8 @@
 
 def _adopt_attempt(shard, worker, running, now_s):
     """Adopt the latest attempt of an earlier owner, or mark another as an orphan."""
-    parts = split_task(running.task)
-    job = shard.jobs.get(parts[0]) if parts else None
-    task = job.find_task(*parts[1:]) if job else None
-    is_known = task is not None and not task.done and not job.state.final
+    task = shard.find_task(running.task)
+    is_known = task is not None and not task.done and not task.step.job.state.final
     if not is_known or running.attempt < task.latest_number:
         if shard.loaded and worker.orphans.get(running.task) != running.attempt:
             shard.log.warning(
@@ -158,7 +156,7 @@
     task.latest_number = running.attempt
     task.next_number = max(task.next_number, running.attempt + 1)
     worker.occupy(attempt)
-    shard.mark_running(job)
+    shard.mark_running(task.step.job)
     return attempt
 
 
@@ -194,8 +192,6 @@
 
 def _apply_end(shard, worker, end, now_s):
     """Apply an end that an inventory lists for the first time."""
-    parts = split_task(end.task)
-    job = shard.jobs.get(parts[0]) if parts else None
     worker.orphans.pop(end.task, None)
     shard.events[f"ended: {end.end_kind.value}"] += 1
     attempt = worker.attempts.get(end.task)
@@ -209,9 +205,10 @@
             shard.run_times.observe(step.job.policy.queue, run_s, step.run_times)
         worker.release(attempt)
         attempt.task.attempt = None
-    task = job.find_task(*parts[1:]) if job else None
+    task = shard.find_task(end.task)
     if task is None or task.done:
         return
+    job = task.step.job
     shard.dirty[job.job] = job
     job.unrecorded_ends.setdefault((worker.worker, worker.incarnation), end.number)
     if end.end_kind is EndKind.FAILED:
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -14,7 +14,7 @@
 from fuchsiascale.jobs._commands import PaceCommand, StartCommand, StopCommand
 from fuchsiascale.jobs._full_kinds import FullKinds
 from fuchsiascale.jobs._inventories import apply_inventory
-from fuchsiascale.jobs._model import JobState
+from fuchsiascale.jobs._model import JobState, split_task
 from fuchsiascale.jobs._ports import RefusedReason
 from fuchsiascale.jobs._run_state import (
     Attempt,
@@ -251,9 +251,29 @@
         )
 
     def mark_all_lost(self, worker, now_s, why):
-        """Mark all attempts on a worker as lost."""
+        """Mark all attempts on a worker as lost, with those that are being stopped."""
         for attempt in list(worker.attempts.values()):
             self.mark_lost(attempt, now_s, why)
+        self.forget_orphans(worker, now_s)
+
+    def forget_orphans(self, worker, now_s):
+        """Note that attempts that were being stopped on a worker are lost."""
+        for name in worker.orphans:
+            task = self.find_task(name)
+            if task is not None:
+                self._note_lost(task, now_s)
+        worker.orphans.clear()
+
+    def find_task(self, name):
+        """Return the task of a name; None if it is unknown."""
+        parts = split_task(name)
+        job = self.jobs.get(parts[0]) if parts else None
+        return job.find_task(*parts[1:]) if job else None
+
+    def _note_lost(self, task, now_s):
+        """Note that a task has lost an attempt whose end nobody has reported."""
+        task.lost_s = max(task.lost_s, now_s)
+        self.concluded_s = max(self.concluded_s, now_s)
 
     def mark_lost(self, attempt, now_s, why):
         """Mark an attempt as ended without a reported end; its task waits again.
@@ -264,8 +284,7 @@
         self.events[f"lost: {why}"] += 1
         attempt.worker.release(attempt)
         task = attempt.task
-        task.lost_s = max(task.lost_s, now_s)
-        self.concluded_s = max(self.concluded_s, now_s)
+        self._note_lost(task, now_s)
         if task.attempt is attempt:
             task.attempt = None
             task.checkpoint = attempt.checkpoint or task.checkpoint
@@ -311,7 +330,6 @@
             )
             if expired and (worker.attempts or worker.orphans):
                 self.mark_all_lost(worker, worker.lease_expiry_s, "lease over")
-                worker.orphans.clear()
         for worker_id, until_s in list(self.unconfirmed_workers.items()):
             if confirmed_s > until_s:
                 self.log.warning(
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -232,6 +232,9 @@
             return False
         if gone:
             return True
+        if worker.orphans:
+            # A later owner may have extended the lease of an attempt that runs on.
+            return False
         expired = worker.lease_expiry_s is None or now_s > worker.lease_expiry_s
         return expired and worker.worker not in self.shard.unconfirmed_workers
 
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -8,7 +8,9 @@
 
 import asyncio
 
-from fuchsiascale.jobs import Inventory
+from returns.result import Failure
+
+from fuchsiascale.jobs import Inventory, NoAnswer, RunningAttempt
 from fuchsiascale.jobs.tests.test_owner import (
     JOB,
     OwnerRowStore,
@@ -99,3 +101,47 @@
     await owner.links._start(attempt)
     assert task.waiting
     await owner.stop()
+
+
+class SilentCalls:
+    """Calls to workers that get no answer."""
+
+    async def exchange(self, *arguments):
+        return Failure(NoAnswer("cut off"))
+
+
+async def test_a_worker_is_kept_while_it_may_run_an_attempt_that_is_being_stopped():
+    # The successor may have adopted that attempt, and extended the worker's lease.
+    owner, worker, task = make_running_owner(OwnerRowStore())
+    end_attempt(owner, worker, task)
+    running = (RunningAttempt(task=task.name, attempt=1, checkpoint="", percent=1),)
+    task.latest_number = 2
+    owner.shard.loaded = True
+    owner.shard.observe(
+        worker, Inventory(clock_ms=500, incarnation=1, running=running), 0.4, 0.5
+    )
+    assert worker.orphans
+    owner.shard.note_worker_unlisted(worker.worker)
+    owner.links.calls = SilentCalls()
+    owner.clock.advance(20.0)
+    assert await owner.links._exchange(worker)
+    assert worker.worker in owner.shard.workers
+    await owner.stop()
+
+
+async def test_a_task_waits_for_confirmation_after_its_stopped_attempt_is_forgotten():
+    # The successor may have adopted the attempt that this owner is stopping.
+    for forget in (restart_worker, mark_gone):
+        owner, worker, task = make_running_owner(OwnerRowStore())
+        end_attempt(owner, worker, task)
+        worker.orphans[task.name] = 1
+        forget(owner, worker)
+        assert not worker.orphans
+        assert not await run_rounds(owner)
+        assert not owner.shard.may_start(task)
+        await owner.stop()
+
+
+def mark_gone(owner, worker):
+    """Let another worker answer at the worker's address."""
+    owner.shard.mark_all_lost(worker, owner.clock.monotonic(), "gone")
