Log what tells two overlapping owners apart

`tasks started` names each attempt's number and the owner's token, `attempt lost` the token and whether the task waits for a confirmation, `ownership taken` how long the owner before was silent, `ownership lost` the age of the last confirmation and whether a peer supported the owner. No line is added, so the volume stays bounded as it was.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -188,7 +188,15 @@
         if self.lost:
             return
         self.lost = True
-        self.log.warning("ownership lost", extra={**self._identify(), "why": why})
+        self.log.warning(
+            "ownership lost",
+            extra={
+                **self._identify(),
+                "why": why,
+                "confirmed_ago_s": round(self.evidence.measure_age_s(), 3),
+                "supported": self.evidence.is_supported(),
+            },
+        )
         self._cancel()
         self.on_lost(self)
 
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -303,6 +303,7 @@
         version = await self._commit_claim(view, row)
         if version is None:
             return False
+        silent_s = self._views.measure_silence_s(service, self.clock.monotonic())
         self.update_view(service, row, version)
         self.log.warning(
             "ownership taken",
@@ -310,6 +311,8 @@
                 "service": service,
                 "token": row.token,
                 "from": view.row.instance if view.row else "",
+                "handed_over": was_handed_over,
+                "silent_s": round(silent_s, 3),
             },
         )
         owner = Owner(
--- a/fuchsiascale/jobs/_ownership_evidence.py
+++ b/fuchsiascale/jobs/_ownership_evidence.py
@@ -55,16 +55,22 @@
         """Let all evidence end at a time that the successor is told."""
         self._end_s = end_s
 
+    def measure_age_s(self):
+        """Return how long ago the store was asked that last confirmed the owner."""
+        return self._clock.monotonic() - self.confirmed_s
+
+    def is_supported(self):
+        """Return whether a peer has lately known no later owner."""
+        return self._clock.monotonic() - self._supported_s < PEER_SUPPORT_S
+
     def needs_support(self):
         """Return whether peers should be asked."""
-        age_s = self._clock.monotonic() - self.confirmed_s
-        return SUPPORT_NEEDED_AFTER_S < age_s < STORE_SILENCE_LIMIT_S
+        return SUPPORT_NEEDED_AFTER_S < self.measure_age_s() < STORE_SILENCE_LIMIT_S
 
     def is_valid(self):
         """Return whether this instance may act as the owner."""
-        now_s = self._clock.monotonic()
-        age_s = now_s - self.confirmed_s
-        if now_s >= self._end_s or age_s >= STORE_SILENCE_LIMIT_S:
+        age_s = self.measure_age_s()
+        has_ended = self._clock.monotonic() >= self._end_s
+        if has_ended or age_s >= STORE_SILENCE_LIMIT_S:
             return False
-        is_supported = now_s - self._supported_s < PEER_SUPPORT_S
-        return age_s < ISOLATION_LIMIT_S or is_supported
+        return age_s < ISOLATION_LIMIT_S or self.is_supported()
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -216,7 +216,11 @@
             "step": f"{step.occurrence}.{step.number}",
             "started": len(started),
             "of": waiting,
-            "on": [f"{each.task.index}@{each.worker.worker}" for each in started],
+            "on": [
+                f"{each.task.index}#{each.number}@{each.worker.worker}"
+                for each in started
+            ],
+            "token": shard.token,
         },
     )
 
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -295,6 +295,8 @@
                 "attempt": attempt.number,
                 "worker": attempt.worker.worker,
                 "why": why,
+                "token": self.token,
+                "awaits_confirmation": task.lost_s >= self.confirmed_s,
             },
         )
 
