Log no negative silence of an owner that is replaced while it starts

A process that finds its predecessor's row claims at once, also within the time that a new owner has to start; the log then showed a silence of -1.5 s.

--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -312,7 +312,7 @@
                 "token": row.token,
                 "from": view.row.instance if view.row else "",
                 "handed_over": was_handed_over,
-                "silent_s": round(silent_s, 3),
+                "silent_s": round(max(0.0, silent_s), 3),
             },
         )
         owner = Owner(
