--- /dev/null
+++ b/soak/_load.py
@@ -0,0 +1,128 @@
+"""Load of a play: jobs that callers hand in, again elsewhere, ask for and cancel."""
+
+import asyncio
+
+from soak._checks import Job
+
+__all__ = ["Load"]
+
+RUNS_MS = (300, 400, 1500, 4000, 9000, 18000)
+"""Run times of tasks, in milliseconds."""
+FIRST_JOBS = 8
+"""Number of jobs that are handed in at the start, 0.1 s apart."""
+LASTING_JOB_PERIOD = 25
+"""One job of this many runs until it is cancelled; so does the third one."""
+FINAL_TIMEOUT_S = 14.0
+"""Time after the play in which the state of a job has to be told."""
+RETRIED = (None, 502, 504)
+
+
+class Load:
+    """Hands jobs in and follows them.
+
+    Parameters
+    ----------
+    client : Client
+        Sends the requests.
+    nodes : list of Node
+        The processes that take them.
+    rng : random.Random
+        Draws the jobs.
+    now_s : callable
+        Returns the time of the record.
+    """
+
+    def __init__(self, client, nodes, rng, now_s):
+        self.jobs = {}
+        self._client = client
+        self._nodes = nodes
+        self._rng = rng
+        self._now_s = now_s
+
+    async def run(self):
+        """Hand jobs in until cancelled."""
+        rng, number = self._rng, 0
+        async with asyncio.TaskGroup() as group:
+            while True:
+                number += 1
+                job = self._draw_job(number)
+                self.jobs[job.name] = job
+                group.create_task(self._follow(job))
+                is_first = number < FIRST_JOBS
+                await asyncio.sleep(0.1 if is_first else rng.uniform(0.3, 1.4))
+
+    def _draw_job(self, number):
+        rng = self._rng
+        run_ms = rng.choice(RUNS_MS)
+        step = {"cpu": 1000, "mem_mb": 100, "estimate_ms": run_ms}
+        spec, count = f"run_ms={run_ms}", 6 if run_ms > 400 else 12
+        name = f"{number:016x}"
+        path = f"{'/m/' if rng.random() < 0.15 else '/q/'}{name}"
+        if number % LASTING_JOB_PERIOD == 3:
+            steps = [{"count": rng.randint(1, 3), "long_running": True, **step}]
+            return Job(name, path, f"lasts {spec}", steps)
+        steps = [{"count": rng.randint(1, count), **step}]
+        for after in range(rng.randint(0, 2)):
+            later = {"count": rng.randint(1, 6), **step}
+            steps.append({**later, "after": [after]} if rng.random() < 0.7 else later)
+        return Job(name, path, spec, steps)
+
+    async def _follow(self, job):
+        rng = self._rng
+        await self._submit(job)
+        is_unsure = any(status in RETRIED for status in job.answers)
+        if (job.accepted or is_unsure) and rng.random() < 0.25:
+            await asyncio.sleep(rng.uniform(0.2, 5))
+            await self._send(job)
+        if job.accepted and rng.random() < 0.12:
+            await asyncio.sleep(rng.uniform(0.2, 10))
+            await self._cancel(job)
+        while True:
+            await asyncio.sleep(rng.uniform(1, 6))
+            await self._ask(job)
+
+    async def _submit(self, job):
+        """Hand a job in, elsewhere after no answer and at times after a rejection."""
+        for _ in range(5):
+            status = await self._send(job)
+            is_rejected = status not in RETRIED and status != 200
+            if status == 200 or (is_rejected and self._rng.random() < 0.5):
+                return
+            await asyncio.sleep(self._rng.uniform(0.1, 1))
+
+    async def _send(self, job):
+        number = len(job.answers)
+        job.answers.append(None)
+        node = self._rng.choice(self._nodes)
+        status = await self._client.submit(node, job.path, job.steps, job.spec)
+        job.answers[number] = status
+        return status
+
+    async def _cancel(self, job):
+        for _ in range(4):
+            job.cancels.append(None)
+            node = self._rng.choice(self._nodes)
+            job.cancels[-1] = await self._client.cancel(node, job.path)
+            if job.cancels[-1] in (200, 202, 204, 410):
+                return
+            await asyncio.sleep(0.5)
+
+    async def _ask(self, job):
+        node = self._rng.choice(self._nodes)
+        status, state = await self._client.ask_state(node, job.path)
+        job.shown.append((self._now_s(), status, state))
+        return status, state
+
+    async def ask_all(self):
+        """Ask for the state of each accepted job after the play."""
+        accepted = [job for job in self.jobs.values() if job.accepted]
+        await asyncio.gather(*(self._ask_finally(job) for job in accepted))
+
+    async def _ask_finally(self, job):
+        end_s = self._now_s() + FINAL_TIMEOUT_S
+        while self._now_s() < end_s:
+            job.final = await self._ask(job)
+            if job.final[0] in (200, 410):
+                return
+            job.final = None, None
+            await asyncio.sleep(0.5)
