--- a/.ci/suite.py
+++ b/.ci/suite.py
@@ -18,7 +18,7 @@
 TEST_TIMEOUT_S = 300
 FEATURE_TIMEOUT_S = 900
 PARALLEL_FEATURES = 2
-TEST_ROOTS = ("fuchsiascale", "standins", "measurements")
+TEST_ROOTS = ("fuchsiascale", "standins", "measurements", "soak")
 
 
 def read_known_red():
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -303,16 +303,17 @@
 
 
 @fault(2)
-async def crash_runner(stage):
+async def crash_runner(stage, runner=None):
     """Let a runner lose power, and come back under its id, or leave the list first."""
-    runner = stage.rng.choice(stage.runners)
+    is_brief = runner is not None
+    runner = runner or stage.rng.choice(stage.runners)
     if runner.busy:
         return
     runner.busy = True
     try:
         runner.crash()
-        await asyncio.sleep(stage.rng.uniform(0.2, 4.4))
-        if stage.rng.random() < 0.4:
+        await asyncio.sleep(stage.rng.uniform(0.2, 0.6 if is_brief else 4.4))
+        if not is_brief and stage.rng.random() < 0.4:
             stage.site.store.drop("servers", "", runner.name)
             await asyncio.sleep(stage.rng.uniform(1, 8))
     finally:
--- a/soak/_patterns.py
+++ b/soak/_patterns.py
@@ -4,6 +4,7 @@
 
 from soak import _faults
 from soak._faults import FAULTS
+from soak._relay import STORE, Effect, Rule, pair_both_ways
 
 __all__ = ["PATTERNS"]
 
@@ -55,6 +56,38 @@
         await asyncio.sleep(rng.uniform(2, 9))
 
 
+@pattern
+async def forgotten_tokens(stage, group):
+    """Let an owner that is cut off reach workers that have forgotten a later token.
+
+    The owner and a peer that supports it are cut from the store and the others. The
+    owner is cut from all workers too until its successor has called them and some of
+    them have restarted.
+    """
+    rng = stage.rng
+    while True:
+        owner = stage.find_owner()
+        allies = [x.name for x in stage.nodes.all if x.domain == owner.domain]
+        others = [STORE, *(x.name for x in stage.nodes.all if x.name not in allies)]
+        for_s = rng.uniform(6, 9)
+        links = pair_both_ways(allies, others)
+        group.create_task(stage.cut(f"{allies} from {others}", links, for_s))
+        restarted = stage.draw_some(stage.runners)
+        names = [runner.name for runner in restarted]
+        kept = [name for name in stage.list_runners() if name not in names]
+        links = pair_both_ways([owner.name], kept)
+        group.create_task(stage.cut(f"{owner.name} from {kept}", links, for_s))
+        rule = Rule(Effect.CUT, pair_both_ways([owner.name], names))
+        stage.relay.add(rule)
+        stage.note(f"cut {owner.name} from {names} until these have restarted")
+        await _wait_for_takeover(stage, owner)
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        await asyncio.gather(*(_faults.crash_runner(stage, x) for x in restarted))
+        stage.relay.remove(rule)
+        stage.note(f"healed: {owner.name} and {names}")
+        await asyncio.sleep(rng.uniform(6, 12))
+
+
 async def _wait_for_takeover(stage, owner):
     end_s = stage.record.now_s() + TAKEOVER_TIMEOUT_S
     while stage.find_owner() is owner and stage.record.now_s() < end_s:  # noqa: ASYNC110
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -105,7 +105,7 @@
     finally:
         await client.close()
         nodes.stop()
-        relay.stop()
+        await relay.stop()
         await site.stop()
         record.close()
 
@@ -130,6 +130,7 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds), asyncio.TaskGroup() as group:
             group.create_task(pattern(stage, group))
+    stage.relay.heal()
     stage.note("all faults have ended")
 
 
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -6,6 +6,7 @@
 import signal
 import struct
 import subprocess
+import sys
 from pathlib import Path
 
 from review.harness import Node, Nodes, Runner, find_ports
@@ -54,7 +55,7 @@
         """Start the process."""
         environment = {
             **{name: os.environ[name] for name in PASSED_ON if name in os.environ},
-            "PYTHONPATH": f"{HOOKS}:{ROOT / 'target' / 'deps'}",
+            "PYTHONPATH": f"{HOOKS}:{ROOT}:{ROOT / 'target' / 'deps'}",
             "PYTHONDONTWRITEBYTECODE": "1",
             "FUCHSIASCALE_BOOT": str(self.settings),
             "SOAK_RELAY": self._relay.address,
@@ -63,7 +64,12 @@
         }
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                read_command(), cwd=ROOT, env=environment, stdout=log, stderr=log
+                # This interpreter has the dependencies where target/deps is missing.
+                [sys.executable, *read_command()[1:]],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
         self.record.note(f"{self.name}: started")
 
--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -101,17 +101,22 @@
         self._rng = rng
         self._changed = asyncio.Event()
         self._server = None
+        self._tasks = set()
 
     async def start(self):
         """Listen on a loopback address."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
-    def stop(self):
+    async def stop(self):
         """Stop listening, and reset all connections."""
         self._server.close()
         for connection in list(self.connections):
             connection.abort()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def add(self, rule):
         """Bring a rule into force."""
@@ -123,6 +128,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def heal(self):
+        """Remove all rules."""
+        for rule in list(self.rules):
+            self.remove(rule)
+
     def list_connections(self, links):
         """Return the open connections whose caller and target form one of the links."""
         return [each for each in self.connections if each.ends in links]
@@ -139,27 +149,38 @@
             await self._changed.wait()
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(OSError, ValueError):
-            caller, host, port = (await reader.readline()).decode().split()
-            target = self.names.get(f"{host}:{port}") or self.names.get(host, STORE)
-            await self._wait_open((caller, target), (target, caller))
-            try:
-                source, upstream = await asyncio.open_connection(host, int(port))
-            except OSError:
-                writer.write(b"-")
-                writer.close()
-                return
-            connection = _Connection(caller, target, writer, upstream)
-            self.connections.add(connection)
-            writer.write(b"+")
-            try:
-                await asyncio.gather(
-                    self._copy_requests(reader, upstream, connection),
-                    self._copy_answers(source, writer, connection),
-                )
-            finally:
-                self.connections.discard(connection)
-                connection.abort()
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            with contextlib.suppress(OSError, ValueError):
+                await self._forward(reader, writer)
+        finally:
+            writer.transport.abort()
+
+    async def _forward(self, reader, writer):
+        caller, host, port = (await reader.readline()).decode().split()
+        target = self.names.get(f"{host}:{port}") or self.names.get(host, STORE)
+        await self._wait_open((caller, target), (target, caller))
+        try:
+            source, upstream = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.write(b"-")
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+            return
+        connection = _Connection(caller, target, writer, upstream)
+        self.connections.add(connection)
+        writer.write(b"+")
+        try:
+            await asyncio.gather(
+                self._copy_requests(reader, upstream, connection),
+                self._copy_answers(source, writer, connection),
+            )
+        finally:
+            self.connections.discard(connection)
+            connection.abort()
 
     async def _copy_requests(self, source, target, connection):
         """Copy requests; those that were read arrive even if the caller has gone."""
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -9,5 +9,11 @@
         "TWICE at 3a82921 (mended in 77f2a12): an owner that was cut off from the store"
         " took leases that its successor had extended for expired",
     ),
+    (
+        300,
+        "forgotten_tokens",
+        "TWICE at 57c1e1f (open): an owner that has been replaced takes a worker that"
+        " has restarted, and has forgotten the later token, for its own",
+    ),
 )
 """Seed, pattern and cause of each."""
--- /dev/null
+++ b/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
