Simulate takeovers of a service in virtual time, and search seeds for broken rules

Six instances, nine workers, a store and callers now run in one process: delays, late and lost calls, cuts, kills, freezes, stops with handover, crashes of workers and faults of the store are drawn from a seed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: run test unit scenarios lint format measure fuzz clean
+.PHONY: run test unit scenarios lint format measure fuzz takeovers clean
 
 $(INSTALLED): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,5 +37,8 @@
 fuzz: $(INSTALLED)
 	FUCHSIASCALE_FUZZ_EXAMPLES=20000 $(BIN)/python -m unittest fuchsiascale.coordination.tests.test_state_machine
 
+takeovers: $(INSTALLED)
+	PYTHONHASHSEED=0 $(BIN)/python -m fuchsiascale.jobs.tests.play_takeovers --count 2000
+
 clean:
 	rm -rf $(VENV) .hypothesis .ruff_cache *.egg-info
--- /dev/null
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -0,0 +1,334 @@
+"""A deterministic simulation of instances that own a service in turn.
+
+`play` draws a deployment, its load and its faults from a seed, plays them in virtual
+time, and returns a record of what workers and callers saw. See `Rule` for what is
+checked.
+"""
+
+import asyncio
+import contextvars
+import random
+import traceback
+
+import logbook
+
+from fuchsiascale.jobs import (
+    FINISHED,
+    JobSpec,
+    Outcome,
+    QueuePolicy,
+    Resources,
+    StepSpec,
+    job_row_key,
+    split_task,
+)
+from fuchsiascale.jobs.tests._simulation_faults import Faults
+from fuchsiascale.jobs.tests._simulation_instance import Instance
+from fuchsiascale.jobs.tests._simulation_loop import ProcessLoop
+from fuchsiascale.jobs.tests._simulation_network import LinkFaults, Network
+from fuchsiascale.jobs.tests._simulation_record import Record, Rule
+from fuchsiascale.jobs.tests._simulation_store import Store
+from fuchsiascale.jobs.tests._simulation_worker import Gangs, Worker
+from fuchsiascale.testing import LoopClock, run_in_virtual_time
+
+__all__ = ["play"]
+
+DOMAINS = "abc"
+INSTANCES_PER_DOMAIN = 2
+WORKERS_PER_DOMAIN = 3
+RUN_S = (0.3, 0.3, 1.5, 1.5, 4.0, 9.0, 18.0)
+QUIET_S = (3.0, 17.0)
+"""Time before the first fault; an instance that has run for 15 s knows its peers."""
+FAULTY_S = 40.0
+STANDSTILL_S = 25.0
+"""Time after the faults without a start or an end after which open jobs are lost."""
+MAX_SETTLING_S = 90.0
+"""Time after the faults in which jobs may end; final states are kept for 150 s."""
+CALLER_TIMEOUT_S = 3.0
+CALLER_TRIES = 3
+LOST_ANSWERS = 0.03
+"""Share of the answers to callers that are lost."""
+
+
+class Simulation:
+    """A store, workers, instances and callers.
+
+    Parameters
+    ----------
+    seed : int
+        What all is drawn from.
+    """
+
+    service = "pool"
+
+    def __init__(self, seed):
+        self.seed = seed
+        self.rng = random.Random(f"simulation {seed}")
+        self.clock = LoopClock()
+        self.record = Record(self.clock)
+        self.store = Store()
+        self.network = Network(random.Random(f"network {seed}"))
+        self.network.bind(contextvars.copy_context())
+        self.network.usual = LinkFaults(
+            lost=self.rng.choice((0.0, 0.0, 0.003, 0.02)),
+            late=self.rng.choice((0.0, 0.0, 0.003, 0.02)),
+            slow=self.rng.choice((0.0, 0.01, 0.1)),
+        )
+        self.gangs = Gangs()
+        self.instances = {}
+        self.workers = {}
+        self.domains = {}
+        self.accepted = set()
+        self.cancelled = set()
+        self._starts = 0
+        self._processes = []
+        self._tasks = []
+        self._rejects_overload = self.rng.random() < 0.5
+        self._listed_ends = self.rng.choice((500, 500, 500, 5))
+        self._load_period_s = self.rng.choice((0.6, 1.0, 2.0))
+
+    def count_starts(self):
+        """Return a number that no earlier instance had."""
+        self._starts += 1
+        return self._starts
+
+    def start_instance(self, address, domain):
+        """Start an instance at an address where none runs."""
+        instance = Instance(self, address, domain)
+        self.domains[address] = domain
+        self.instances[address] = instance
+        self._processes.append(instance.process)
+
+    def kill(self, instance):
+        """End the process of an instance at once."""
+        instance.process.kill()
+        if self.instances.get(instance.address) is instance:
+            del self.instances[instance.address]
+
+    def add_worker(self, domain):
+        """Start a worker under a new id."""
+        name = f"w{len(self.workers)}-{domain}"
+        self.domains[name] = domain
+        worker = self.workers[name] = Worker(
+            self, name, domain, self._rejects_overload, self._listed_ends
+        )
+        self._tasks.append(asyncio.create_task(worker.run_heartbeats()))
+
+    def list_owners(self):
+        """Return the instances that take themselves for the owner."""
+        return [each for each in self.instances.values() if each.owner is not None]
+
+    def find_work(self, task):
+        """Return the step of a task, and the time that it takes in seconds."""
+        job, _, number, index = split_task(task)
+        spec, _ = self.record.specs[job]
+        step = spec.steps[number]
+        if step.lasting:
+            return step, 25.0 + 10.0 * index
+        varied = random.Random(task if not step.gang else f"{job} {number}")
+        return step, step.estimate_ms / 1000 * varied.uniform(0.7, 1.3)
+
+    # Callers -----------------------------------------------------------------
+
+    def _draw_spec(self):
+        rng = self.rng
+        if rng.random() < 0.06:
+            step = StepSpec(
+                count=rng.randint(1, 3), need=Resources(cpu_millis=500), lasting=True
+            )
+            return JobSpec(payload="lasting", steps=(step,))
+        steps = []
+        for number in range(rng.choice((1, 1, 2, 3))):
+            is_gang = rng.random() < 0.1
+            steps.append(
+                StepSpec(
+                    count=rng.randint(2, 4) if is_gang else rng.randint(1, 6),
+                    need=Resources(cpu_millis=rng.choice((500, 1_000, 2_000))),
+                    estimate_ms=int(1000 * rng.choice(RUN_S)),
+                    after=(rng.randrange(number),) if number else (),
+                    checkpoints=rng.random() < 0.3,
+                    gang=is_gang,
+                )
+            )
+        return JobSpec(payload="p", steps=tuple(steps))
+
+    async def _ask(self, request):
+        """Make a caller's request at some instance; None if no answer arrives."""
+        running = list(self.instances.values())
+        if not running:
+            await asyncio.sleep(0.5)
+            return None
+        instance = self.rng.choice(running)
+        if instance.is_stopping and self.rng.random() < 0.8:
+            return None
+        answer = instance.process.spawn(request(instance.request_handler))
+        done, _ = await asyncio.wait({answer}, timeout=CALLER_TIMEOUT_S)
+        if not done or self.rng.random() < LOST_ANSWERS:
+            return None
+        return answer.result()
+
+    async def _submit(self, job):
+        """Hand a job in until it is accepted or refused, and perhaps once more."""
+        spec, policy = self.record.specs[job]
+        outcomes = []
+        for _ in range(CALLER_TRIES):
+            reply = await self._ask(lambda handler: handler.submit(policy, job, spec))
+            outcomes.append(reply.outcome if reply else Outcome.UNKNOWN)
+            if outcomes[-1] is not Outcome.UNKNOWN:
+                break
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        if outcomes[-1] is Outcome.DONE:
+            self.accepted.add(job)
+            self.record.note(f"{job} accepted")
+        elif all(outcome is Outcome.NOT_RUN for outcome in outcomes):
+            self.record.note_refused(job)
+        if outcomes[-1] is Outcome.DONE and self.rng.random() < 0.1:
+            await asyncio.sleep(self.rng.uniform(0.0, 6.0))
+            await self._ask(lambda handler: handler.submit(policy, job, spec))
+
+    async def _cancel(self, job):
+        await asyncio.sleep(self.rng.uniform(0.5, 12.0))
+        self.cancelled.add(job)
+        self.record.note(f"{job} is cancelled")
+        for _ in range(CALLER_TRIES):
+            reply = await self._ask(lambda handler: handler.cancel(self.service, job))
+            if reply is not None and reply.outcome is not Outcome.UNKNOWN:
+                return
+
+    async def _hand_in(self, until_s):
+        number = 0
+        while self.clock.monotonic() < until_s:
+            number += 1
+            job = f"{number:016x}"
+            policy = QueuePolicy(
+                queue="q",
+                service=self.service,
+                priority=self.rng.randrange(3),
+                max_attempts=self.rng.choice((2, 3)),
+            )
+            self.record.specs[job] = (self._draw_spec(), policy)
+            self._tasks.append(asyncio.create_task(self._submit(job)))
+            if self.rng.random() < 0.08:
+                self._tasks.append(asyncio.create_task(self._cancel(job)))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.8) * self._load_period_s)
+
+    async def _ask_states(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+            jobs = sorted(self.accepted - self.record.shown_completed.keys())
+            if not jobs:
+                continue
+            job = self.rng.choice(jobs[-30:])
+            self._tasks.append(asyncio.create_task(self._ask_state(job)))
+
+    async def _ask_state(self, job):
+        reply = await self._ask(lambda handler: handler.state(self.service, job))
+        if reply is None:
+            return
+        if reply.outcome is Outcome.ABSENT:
+            self.record.report(Rule.LOST, f"{job} is not known")
+        self.record.note_state(job, reply.state)
+
+    # Course ------------------------------------------------------------------
+
+    async def run(self):
+        """Play the whole simulation."""
+        for domain in DOMAINS:
+            for _ in range(WORKERS_PER_DOMAIN):
+                self.add_worker(domain)
+            for number in range(INSTANCES_PER_DOMAIN):
+                self.start_instance(f"{domain}{number}", domain)
+        until_s = self.rng.uniform(*QUIET_S) + FAULTY_S
+        self._tasks.append(asyncio.create_task(self._hand_in(until_s)))
+        self._tasks.append(asyncio.create_task(self._ask_states()))
+        await asyncio.sleep(until_s - FAULTY_S)
+        await Faults(self).run(until_s)
+        self.record.note("--- no further faults")
+        self.network.faults.clear()
+        self.network.usual = LinkFaults()
+        await self._settle()
+
+    async def _settle(self):
+        """Wait until all jobs have ended, or nothing starts or ends any more."""
+        end_s = self.clock.monotonic() + MAX_SETTLING_S
+        await asyncio.sleep(CALLER_TRIES * CALLER_TIMEOUT_S)
+        while open_jobs := self._list_open_jobs():
+            now_s = self.clock.monotonic()
+            if now_s - self.record.changed_s > STANDSTILL_S:
+                for job in open_jobs:
+                    self.record.report(Rule.LOST, f"{job} has not ended")
+            if now_s - self.record.changed_s > STANDSTILL_S or now_s > end_s:
+                return
+            await asyncio.sleep(1.0)
+
+    def _list_open_jobs(self):
+        return [job for job in sorted(self.accepted) if not self._has_ended(job)]
+
+    def _has_ended(self, job):
+        spec, _ = self.record.specs[job]
+        if any(step.lasting for step in spec.steps) and job not in self.cancelled:
+            tasks = [f"{job}.0.0.{index}" for index in range(spec.steps[0].count)]
+            runs = [run for task in tasks for run in self.record.list_runs(task)]
+            return sum(run.end_s is None for run in runs) == len(tasks)
+        return job_row_key(FINISHED, self.service, job) in self.store.rows
+
+    async def close(self):
+        """Let all processes run, so that their tasks can be cancelled."""
+        for process in self._processes:
+            process.revive()
+
+
+class _LogHandler(logbook.Handler):
+    """Keeps log lines in a record."""
+
+    def __init__(self, record, level):
+        super().__init__(level)
+        self._record = record
+
+    def emit(self, line):
+        fields = {**line.extra}
+        text = f"{line.channel}: {line.message} {fields}"
+        self._record.note(text)
+        if line.level >= logbook.ERROR:
+            error = (
+                "".join(traceback.format_exception(*line.exc_info))
+                if (line.exc_info)
+                else ""
+            )
+            self._record.report(Rule.ERROR, text + error)
+
+
+def play(seed, log_level=logbook.ERROR):
+    """Play the simulation of a seed.
+
+    Parameters
+    ----------
+    seed : int
+        What all is drawn from.
+    log_level : int, optional
+        Level from which the product's log lines are kept in the record.
+
+    Returns
+    -------
+    Record
+        What happened.
+    """
+    # The product draws delays and peers from the shared source.
+    random.seed(seed)
+    simulations = []
+
+    async def run():
+        simulation = Simulation(seed)
+        simulations.append(simulation)
+        handler = _LogHandler(simulation.record, log_level)
+        with logbook.NullHandler().applicationbound(), handler.applicationbound():
+            await simulation.run()
+        with logbook.NullHandler().applicationbound():
+            await simulation.close()
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_in_virtual_time(run(), ProcessLoop)
+    return simulations[0].record
--- /dev/null
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -0,0 +1,47 @@
+"""Simulated takeovers: a service whose owners are cut off, killed, frozen or stopped.
+
+The failures that it guards against: a task runs in two places at once, or is started
+again after its end as done was acknowledged; an accepted job is lost; a refused one
+runs; a worker gets more than it has room for. `make takeovers` plays more seeds.
+"""
+
+from unittest import mock
+
+from fuchsiascale.jobs import Owner
+from fuchsiascale.jobs.tests._simulation import play
+from fuchsiascale.jobs.tests._simulation_record import Rule
+from fuchsiascale.testing import collect_functions
+
+load_tests = collect_functions(__name__)
+
+SEEDS = range(1_000, 1_020)
+REGRESSIONS = {}
+"""Seeds that broke a rule once, and the cause."""
+
+
+def expire_without_confirmation(owner, now_s):
+    """Take expired leases for lost as before commit 77f2a12."""
+    owner.shard.expire_leases(now_s)
+
+
+def test_no_rule_is_broken_with_a_series_of_seeds():
+    for seed in SEEDS:
+        assert play(seed).breaks == [], seed
+
+
+def test_no_rule_is_broken_with_the_seeds_that_found_faults():
+    for seed, cause in REGRESSIONS.items():
+        assert play(seed).breaks == [], (seed, cause)
+
+
+def test_a_seed_always_gives_the_same_course():
+    events = play(4).events
+    assert events
+    assert play(4).events == events
+
+
+def test_the_simulation_finds_owners_that_do_not_confirm_their_ownership():
+    # Such an owner, cut off, restarts what its successor runs on.
+    with mock.patch.object(Owner, "_expire_leases", expire_without_confirmation):
+        rules = {each.rule for each in play(3).breaks}
+    assert {Rule.TWICE_AT_ONCE, Rule.TWICE_AFTER_DONE} <= rules
--- a/fuchsiascale/testing.py
+++ b/fuchsiascale/testing.py
@@ -15,7 +15,13 @@
 import sys
 import unittest
 
-__all__ = ["LoopClock", "collect_functions", "fixture", "run_in_virtual_time"]
+__all__ = [
+    "LoopClock",
+    "VirtualTimeLoop",
+    "collect_functions",
+    "fixture",
+    "run_in_virtual_time",
+]
 
 _FIXTURES = {}
 _MANAGERS = {}
@@ -46,7 +52,7 @@
         return ready
 
 
-class _VirtualTimeLoop(asyncio.SelectorEventLoop):
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """An event loop whose waits take no time."""
 
     def __init__(self):
@@ -56,9 +62,11 @@
         selector.loop = self
 
     def time(self):
+        """Return the virtual time in seconds."""
         return self._now_s
 
     def advance(self, seconds):
+        """Move the time forward."""
         self._now_s += seconds
 
 
@@ -74,9 +82,16 @@
         return int(self.monotonic() * 1000)
 
 
-def run_in_virtual_time(coroutine):
+def run_in_virtual_time(coroutine, loop_factory=VirtualTimeLoop):
     """Run a coroutine on an event loop whose timers expire without waiting.
 
+    Parameters
+    ----------
+    coroutine : coroutine
+        The coroutine.
+    loop_factory : callable, optional
+        Creates the loop; `VirtualTimeLoop` or a subclass.
+
     Examples
     --------
     >>> async def wait():
@@ -85,7 +100,7 @@
     >>> run_in_virtual_time(wait())
     3600.0
     """
-    with asyncio.Runner(loop_factory=_VirtualTimeLoop) as runner:
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
         return runner.run(coroutine)
 
 
