Start what follows a gang only once all its members were seen running

Two runs of a task at once (TWICE), one by each of two owners. The end of one member of a gang represents all, so an earlier owner that is cut off with the worker of one member, and that a peer in its domain supports, learns that the gang is done, and starts the steps after it. The new owner had seen another member running, took the gang for its own, and started them too.

--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -151,7 +151,8 @@
 
     def mark_located(self):
         """Note that this owner has seen an attempt of the task run."""
-        self.located = self.step.has_located_task = True
+        self.located = True
+        self.step.note_located()
 
     def mark_done(self):
         """Mark the task as done."""
@@ -171,13 +172,14 @@
         Run times of the tasks that are done.
     next_starvation_check_s : float
         Monotonic time of the next check whether the job makes no progress.
-    has_located_task : bool
-        Whether one of the tasks is located; see `Task`.
+    is_located : bool
+        Whether one of the tasks is located, see `Task`, or all those of a gang. No
+        earlier owner can learn then that the step is done.
     """
 
     __slots__ = (
         "attempts_per_worker",
-        "has_located_task",
+        "is_located",
         "job",
         "next_starvation_check_s",
         "number",
@@ -196,7 +198,7 @@
         self.attempts_per_worker = {}
         self.remaining = spec.count
         self.next_starvation_check_s = 0.0
-        self.has_located_task = False
+        self.is_located = False
         self.run_times = StepRunTimes()
         self.tasks = [
             Task(self, index, job.first_number, now_s) for index in range(spec.count)
@@ -207,10 +209,17 @@
         """Whether all tasks are done."""
         return not self.remaining
 
-    def follows_located_task(self):
-        """Return whether a task that this step had to wait for is located."""
+    def follows_located_step(self):
+        """Return whether a step that this one had to wait for is located."""
         steps = self.job.occurrences[self.occurrence]
-        return any(steps[before].has_located_task for before in self.spec.after)
+        return any(steps[before].is_located for before in self.spec.after)
+
+    def note_located(self):
+        """Note that a task is located; a gang's end is listed by any of its members."""
+        if not self.is_located:
+            self.is_located = not self.spec.gang or all(
+                task.located for task in self.tasks
+            )
 
     def note_done(self):
         """Count a task that has just been done."""
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -178,7 +178,7 @@
             return False
         if not self.unconfirmed_workers or not task.step.job.inherited:
             return True
-        return task.located or task.step.follows_located_task()
+        return task.located or task.step.follows_located_step()
 
     def grant_lease(self, worker, now_s):
         """Extend a worker's lease; returns its end on the worker's clock.
--- a/fuchsiascale/jobs/tests/test_inherited_tasks.py
+++ b/fuchsiascale/jobs/tests/test_inherited_tasks.py
@@ -101,6 +101,25 @@
     assert list_started(shard, SETTLED_S + 0.1) == []
 
 
+def test_a_step_follows_a_gang_once_all_its_tasks_were_seen_running():
+    # The end of one member represents all. An earlier owner that reaches the worker of
+    # another one learns of it too, and starts the step that follows.
+    for seen, expected in ((1, False), (2, True)):
+        shard, job = make_successor(
+            make_step(count=2, gang=True), make_step(after=(0,))
+        )
+        gang = [task.name for task in job.occurrences[0][0].tasks]
+        running = tuple(RunningAttempt(name, 5) for name in gang[:seen])
+        report(shard, SETTLED_S, running=running)
+        end = EndedAttempt(1, gang[0], 5, EndKind.DONE)
+        report(shard, SETTLED_S + 0.5, ended=(end,))
+        follower = job.find_task(0, 1, 0)
+        assert list_started(shard, SETTLED_S + 0.6) == [follower.name] * expected
+        del shard.unconfirmed_workers[LOST_WORKER]
+        started = list_started(shard, SETTLED_S + 0.7)
+        assert started == [follower.name] * (not expected)
+
+
 def test_a_gang_waits_for_a_lost_worker_unless_all_its_tasks_were_seen_running():
     shard, job = make_successor(make_step(count=2, gang=True))
     names = [task.name for task in job.occurrences[0][0].tasks]
