--- a/fuchsiascale/jobs/tests/_simulation_faults.py
+++ b/fuchsiascale/jobs/tests/_simulation_faults.py
@@ -150,7 +150,9 @@
 
     async def _start_again(self, instance):
         await asyncio.sleep(self._rng.choice((0.3, 1.0, 3.0, 8.0)))
-        self._simulation.start_instance(instance.address, instance.domain)
+        # Another episode may have killed it meanwhile, and started it again.
+        if instance.address not in self._simulation.instances:
+            self._simulation.start_instance(instance.address, instance.domain)
 
     async def freeze(self):
         """Freeze an instance."""
@@ -159,9 +161,11 @@
             seconds = self._rng.uniform(*FREEZES_S)
             self._note(f"{instance.address} frozen for {seconds:.1f} s")
             instance.process.pause()
+            self._simulation.network.disturb([instance.address])
             await asyncio.sleep(seconds)
             self._note(f"{instance.address} goes on")
             instance.process.resume(self._rng.random() < 0.5)
+            self._simulation.network.disturb([instance.address])
 
     async def crash_worker(self):
         """Crash a worker, which starts again under its id or is gone."""
@@ -193,6 +197,7 @@
         self._note(f"store {store.state.value}")
         await asyncio.sleep(self._draw_cut_s())
         store.state = StoreState.USUAL
+        self._simulation.network.disturb([STORE])
         self._note("store usual")
 
     async def disturb_links(self):
@@ -211,6 +216,7 @@
         await asyncio.sleep(self._draw_cut_s())
         for name in chosen:
             network.faults.pop(name, None)
+        network.disturb(chosen)
         self._note(f"links of {chosen} usual")
 
     async def drop_history(self):
--- a/fuchsiascale/jobs/tests/_simulation_network.py
+++ b/fuchsiascale/jobs/tests/_simulation_network.py
@@ -11,6 +11,8 @@
 SLOW_DELAY_S = (0.02, 0.4)
 LATE_DELAY_S = (0.8, 8.0)
 """Delay of a call that is carried out after its caller has given up."""
+CONTACT_S = 5.0
+"""Time without a disturbance after which the platform holds a machine to all rules."""
 
 
 class LinkFaults(msgspec.Struct):
@@ -39,6 +41,7 @@
         self._cuts = Counter()
         self._healed = asyncio.Event()
         self._carriers = set()
+        self._disturbed_s = {}
         self.usual = LinkFaults()
         self.faults = {}
 
@@ -49,6 +52,7 @@
     def heal(self, pairs):
         """End a cut of these links."""
         self._cuts.subtract(pairs)
+        self.disturb({name for pair in pairs for name in pair})
         self._healed.set()
         self._healed = asyncio.Event()
 
@@ -60,6 +64,23 @@
         """Return whether messages pass in both directions."""
         return self.is_open(one, other) and self.is_open(other, one)
 
+    def disturb(self, endpoints):
+        """Note that endpoints, or links of theirs, have been disturbed until now."""
+        now_s = asyncio.get_running_loop().time()
+        self._disturbed_s.update(dict.fromkeys(endpoints, now_s))
+
+    def is_calm(self, endpoint):
+        """Return whether nothing has disturbed an endpoint or its links lately."""
+        since_s = asyncio.get_running_loop().time() - CONTACT_S
+        is_cut = any(
+            count > 0 and endpoint in pair for pair, count in self._cuts.items()
+        )
+        return (
+            not is_cut
+            and endpoint not in self.faults
+            and self._disturbed_s.get(endpoint, 0.0) <= since_s
+        )
+
     def happens(self, fault, one, other):
         """Draw whether a fault of `LinkFaults` happens to a message."""
         shares = [
