--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -203,7 +203,7 @@
             return False
         if not self.unconfirmed_workers or not task.step.job.inherited:
             return True
-        return task.located or task.step.follows_located_task()
+        return task.located or task.step.follows_located_step()
 
     def grant_lease(self, worker, now_s):
         """Extend a worker's lease; returns its end on the worker's clock.
@@ -420,6 +420,7 @@
         self.events["start unanswered"] += 1
         if attempt.phase is AttemptPhase.STARTING:
             attempt.enter_phase(AttemptPhase.IN_DOUBT, now_s)
+            attempt.is_start_in_doubt = True
             attempt.worker.blocked_until_s = now_s + NO_ROOM_PAUSE_S
         self._stop_if_obsolete(attempt, now_s)
 
