Patch the step of an owner that the simulation disables by its present name

The method is now the one that applies a confirmation by the store; disabling it stands for the code before, as before: the test finds both kinds of two runs.

--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -22,9 +22,9 @@
 """Seeds that broke a rule once, and the cause."""
 
 
-def expire_without_confirmation(owner, now_s):
-    """Take expired leases for lost as before commit 77f2a12."""
-    owner.shard.expire_leases(now_s)
+def conclude_without_confirmation(owner, now_s):
+    """Take the owner for confirmed at any time, as before commit 77f2a12."""
+    owner.shard.confirm_owner(now_s)
 
 
 def test_no_rule_is_broken_with_a_series_of_seeds():
@@ -45,6 +45,6 @@
 
 def test_the_simulation_finds_owners_that_do_not_confirm_their_ownership():
     # Such an owner, cut off, restarts what its successor runs on.
-    with mock.patch.object(Owner, "_expire_leases", expire_without_confirmation):
+    with mock.patch.object(Owner, "_apply_confirmation", conclude_without_confirmation):
         rules = {each.rule for each in play(3).breaks}
     assert {Rule.TWICE_AT_ONCE, Rule.TWICE_AFTER_DONE} <= rules
