Confirm nothing by a feed that is cut short

An owner that had been paused or cut off could take itself for the owner by the first page of the changes that it had missed: the row of a later owner may be on the next one. It then granted leases, and counted those that had ended as over, which the confirmation is meant to prevent (TWICE). In the same way a process took its configuration for the newest.

The client now says whether it is complete.

Found by reading; it takes 500 changes of the table in one poll. The two tests failed before: the time of the poll counted as the time of a confirmation.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -426,7 +426,7 @@
             if row.place.partition == self.service:
                 self._apply_row(row, now_s, wall_ms)
         self.feed_version = max(self.feed_version, changes.version)
-        if not self.lost:
+        if changes.is_complete and not self.lost:
             self.evidence.confirm(asked_s)
         self.request_round()
 
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -76,11 +76,13 @@
 class VersionedRows(msgspec.Struct, frozen=True):
     """Rows that a read or a poll returned, and the store version they belong to.
 
-    The rows of a poll are those that changed since a version, oldest first.
+    The rows of a poll are those that changed since a version, oldest first;
+    ``is_complete`` is False if there may be more of them.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
+    is_complete: bool = True
 
 
 class Busy(msgspec.Struct, frozen=True):
--- a/fuchsiascale/jobs/_table_watch.py
+++ b/fuchsiascale/jobs/_table_watch.py
@@ -98,8 +98,9 @@
         began_s = self.clock.monotonic()
         reply = await self.store.follow(self.table, self.store_version, self._wait_ms)
         if isinstance(reply, Success):
-            self.current_as_of_s = began_s
             changes = reply.unwrap()
+            if changes.is_complete:
+                self.current_as_of_s = began_s
             self.store_version = max(self.store_version, changes.version)
             row_keys = [row.place for row in changes.rows]
             self._full_read_due = len(set(row_keys)) < len(row_keys)
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -258,3 +258,11 @@
         assert bool(run.attempts) is not is_lost, version
         assert owner.lost is (version == 6)
         await owner.stop()
+
+
+async def test_a_feed_that_is_cut_short_does_not_confirm_the_owner():
+    # The row of a later owner may be among the changes that are left.
+    for is_complete, confirmed_s in ((False, 0.0), (True, 8.0)):
+        owner, _ = make_owner(BlockingStore())
+        owner._apply_changes(VersionedRows((), 9, is_complete=is_complete), 8.0)
+        assert owner.evidence.confirmed_s == confirmed_s
--- a/fuchsiascale/jobs/tests/test_table_watch.py
+++ b/fuchsiascale/jobs/tests/test_table_watch.py
@@ -84,3 +84,17 @@
     assert seen == [5, 9, 13, 17, 21, 25]
     # The first read, one poll of the feed, then reads until one finds no change.
     assert store.sent == 1 + 4 + 4 + 1
+
+
+async def test_a_feed_that_is_cut_short_does_not_show_the_newest_rows():
+    store = mock.AsyncMock()
+    store.read.return_value = Success(VersionedRows((), 1))
+    clock = ManualClock()
+    watch = TableWatch(store, "op", lambda rows: None, clock)
+    with mock.patch("asyncio.sleep"):
+        await watch.poll()
+        for is_complete in (False, True):
+            clock.advance(2.0)
+            store.follow.return_value = Success(VersionedRows((), 2, is_complete))
+            await watch.poll()
+            assert (watch.current_as_of_s == clock.monotonic()) is is_complete
--- a/fuchsiascale/platform/_row_store.py
+++ b/fuchsiascale/platform/_row_store.py
@@ -188,10 +188,10 @@
         status, response = result.unwrap()
         if status == 410:
             return Failure(HistoryTruncated())
-        version = response.version_id
-        if response.has_more and response.rows:
-            version = response.rows[-1].version_id
-        return Success(VersionedRows(_decode_rows(response.rows), version))
+        rows = _decode_rows(response.rows)
+        if response.has_more and rows:
+            return Success(VersionedRows(rows, rows[-1].version, is_complete=False))
+        return Success(VersionedRows(rows, response.version_id))
 
     async def _call(
         self,
--- a/fuchsiascale/platform/tests/test_row_store.py
+++ b/fuchsiascale/platform/tests/test_row_store.py
@@ -141,6 +141,7 @@
         first = (await served.store.follow("op", 0, 100)).unwrap()
         second = (await served.store.follow("op", first.version, 100)).unwrap()
         assert len(first.rows) == 500
+        assert (first.is_complete, second.is_complete) == (False, True)
         assert [row.place.key for row in second.rows] == ["row-500"]
 
 
