Start inherited tasks only once the owner is confirmed since the last worker answered

What callers saw: a task could run twice if an owner that had been replaced without knowing it reached a worker for the first time after that had restarted, or found another worker at its address.

Cause: the empty inventory ended the wait for what earlier owners started there. The successor may have seen a task run on the incarnation before; it knows then that no other attempt exists and starts the task again at once when the worker restarts.

Change: the wait ends once the store has shown the owner later than that answer. The owner's shard begins with the time of its claim as the last confirmation; before its first round it had none, and everything counted as confirmed.

Evidence: by reading, in review; a test for both ways failed before. The test of a worker with more ends than it lists asserted that an inventory alone ends the wait; it now asserts that the wait goes on, and ends with the confirmation that follows.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -54,7 +54,7 @@
         if reported.get(attempt.task.name) != attempt.number
     ]
     if inventory.lists_all_ends:
-        shard.unconfirmed_workers.pop(worker.worker, None)
+        shard.note_located(worker, now_s)
         for attempt in absent:
             _handle_absence(shard, attempt, sent_s, now_s)
     else:
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -105,6 +105,7 @@
         self.lost = False
         self.handing_over = False
         self.evidence = OwnershipEvidence(clock)
+        self.shard.confirm_owner(self.evidence.confirmed_s)
         self.feed_version = version
         self.recorder = Recorder(
             self.shard,
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -175,9 +175,21 @@
 
     def drop_worker(self, worker_id):
         """Forget a worker that has no attempts left and is not listed."""
-        worker = self.workers.pop(worker_id, None)
-        if worker is not None:
-            self.unconfirmed_workers.pop(worker_id, None)
+        self.workers.pop(worker_id, None)
+
+    def note_located(self, worker, now_s):
+        """Note that it is known what earlier owners started on a worker.
+
+        That holds once the owner is confirmed later than ``now_s``: what a later owner
+        has seen there may be gone with an incarnation of the worker.
+        """
+        until_s = self.unconfirmed_workers.get(worker.worker)
+        if until_s is None:
+            return
+        if now_s < self.confirmed_s:
+            del self.unconfirmed_workers[worker.worker]
+        else:
+            self.unconfirmed_workers[worker.worker] = min(until_s, now_s)
 
     def all_workers_confirmed(self):
         """Return whether all attempts of earlier owners are known or have expired."""
@@ -334,12 +346,17 @@
                 self.mark_all_lost(worker, worker.lease_expiry_s, "lease over")
         for worker_id, until_s in list(self.unconfirmed_workers.items()):
             if confirmed_s > until_s:
-                self.log.warning(
-                    "worker not reached before its last lease expired",
-                    extra={"worker": worker_id},
-                )
+                self._log_unreached(worker_id)
                 del self.unconfirmed_workers[worker_id]
 
+    def _log_unreached(self, worker_id):
+        worker = self.workers.get(worker_id)
+        if worker is not None and not worker.claimed:
+            self.log.warning(
+                "worker not reached before its last lease expired",
+                extra={"worker": worker_id},
+            )
+
     def note_orphans(self):
         """Note which tasks have attempts that are still being stopped."""
         self.orphans = frozenset().union(
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -219,7 +219,7 @@
         )
         if gone:
             shard.mark_all_lost(worker, now_s, "another worker has its address")
-            shard.unconfirmed_workers.pop(worker.worker, None)
+            shard.note_located(worker, now_s)
         if self._has_left(worker, gone, now_s):
             shard.drop_worker(worker.worker)
             return False
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -10,7 +10,13 @@
 
 from returns.result import Failure
 
-from fuchsiascale.jobs import Inventory, NoAnswer, RunningAttempt
+from fuchsiascale.jobs import (
+    Inventory,
+    NoAnswer,
+    Refused,
+    RefusedReason,
+    RunningAttempt,
+)
 from fuchsiascale.jobs.tests.test_owner import (
     JOB,
     OwnerRowStore,
@@ -103,11 +109,14 @@
     await owner.stop()
 
 
-class SilentCalls:
-    """Calls to workers that get no answer."""
+class FailingCalls:
+    """Calls to workers whose exchanges fail."""
+
+    def __init__(self, error):
+        self.error = error
 
     async def exchange(self, *arguments):
-        return Failure(NoAnswer("cut off"))
+        return Failure(self.error)
 
 
 async def test_a_worker_is_kept_while_it_may_run_an_attempt_that_is_being_stopped():
@@ -122,7 +131,7 @@
     )
     assert worker.orphans
     owner.shard.note_worker_unlisted(worker.worker)
-    owner.links.calls = SilentCalls()
+    owner.links.calls = FailingCalls(NoAnswer("cut off"))
     owner.clock.advance(20.0)
     assert await owner.links._exchange(worker)
     assert worker.worker in owner.shard.workers
@@ -145,3 +154,36 @@
 def mark_gone(owner, worker):
     """Let another worker answer at the worker's address."""
     owner.shard.mark_all_lost(worker, owner.clock.monotonic(), "gone")
+
+
+async def test_inherited_tasks_wait_for_confirmation_after_the_last_worker_is_reached():
+    # The successor may have seen a task run there before the worker restarted, and
+    # starts it again at once. The same holds if another worker has the address.
+    for reach in (answer_first_exchange, answer_as_another_worker):
+        for version, is_free in ((None, False), (5, True), (REPLACED, False)):
+            store = OwnerRowStore()
+            store.version = version
+            owner, worker, _ = make_running_owner(store)
+            owner.shard.unconfirmed_workers[worker.worker] = 16.5
+            owner.clock.advance(2.0)
+            await reach(owner, worker)
+            owner.clock.advance(0.1)
+            await run_rounds(owner)
+            assert owner.shard.all_workers_confirmed() is is_free, (reach, version)
+            await owner.stop()
+
+
+async def answer_first_exchange(owner, worker):
+    """Let the worker answer with an inventory that lists nothing."""
+    now_s = owner.clock.monotonic()
+    owner.shard.observe(
+        worker, Inventory(clock_ms=3_000, incarnation=1), now_s - 0.01, now_s
+    )
+
+
+async def answer_as_another_worker(owner, worker):
+    """Let another worker answer at its address after it has left the list."""
+    owner.links.calls = FailingCalls(Refused(RefusedReason.OTHER_INCARNATION))
+    owner.shard.note_worker_unlisted(worker.worker)
+    assert not await owner.links._exchange(worker)
+    assert not owner.shard.workers
--- a/fuchsiascale/jobs/tests/test_shard.py
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -354,6 +354,8 @@
     shard.confirm_owner(9.5)
     assert not shard.all_workers_confirmed()
     shard.observe(worker, make_inventory(3_000), 10.0, 10.1)
+    assert not shard.all_workers_confirmed()
+    shard.confirm_owner(10.2)
     assert shard.all_workers_confirmed()
     shard.unconfirmed_workers["w1"] = 9.0
     shard.observe(worker, crowded, 11.0, 11.1)
