Take an answer of an earlier owner for none of its successor

Cause: an answer that was asked for before the successor was known was noted as one of the successor, and ended its time to start. Found by reading; the test replays it. Change: an answer counts only if its token is that of the newest owner known here.

--- a/fuchsiascale/jobs/_owner_views.py
+++ b/fuchsiascale/jobs/_owner_views.py
@@ -77,9 +77,10 @@
         self._tenures[service] = (now_s, grace_s)
         self._last_reply_s[service] = now_s + grace_s
 
-    def note_reply(self, service, now_s):
-        """Note that the owner of a service has replied as such."""
-        self._last_reply_s[service] = now_s
+    def note_reply(self, service, token, now_s):
+        """Note that an owner of a service has replied, unless it has a successor."""
+        if token >= self.get(service).token:
+            self._last_reply_s[service] = now_s
 
     def measure_silence_s(self, service, now_s):
         """Return how long an owner has not replied; negative while it may start."""
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -216,12 +216,13 @@
         reply = await self._ping(view.row.address, PING_TIMEOUT_S)
         now_s = self.clock.monotonic()
         if isinstance(reply, Pong):
-            is_owner = reply.owned.get(service, 0) >= view.token
+            token = reply.owned.get(service, 0)
+            is_owner = token >= view.token
             self.known_members.apply_report(
                 view.row.address, reply.live_members, reply.members_digest, is_owner
             )
             if is_owner:
-                self._views.note_reply(service, now_s)
+                self._views.note_reply(service, token, now_s)
                 return
             if reply.incarnation != view.row.incarnation:
                 await self._refresh_and_claim(view, now_s)
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -26,6 +26,7 @@
     STARTUP_GRACE_S,
     OwnerViews,
 )
+from fuchsiascale.jobs._ownership import SUSPECT_AFTER_S
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -57,7 +58,8 @@
 class SlowPeers:
     """Peers whose replies to pings wait until they are released."""
 
-    def __init__(self):
+    def __init__(self, owned=None):
+        self.owned = owned or {}
         self.asked = asyncio.Event()
         self.released = asyncio.Event()
 
@@ -65,7 +67,8 @@
         if isinstance(message, Ping):
             self.asked.set()
             await self.released.wait()
-            return Pong(instance="b", incarnation="b2")
+            incarnation = "b1" if self.owned else "b2"
+            return Pong(instance="b", incarnation=incarnation, owned=self.owned)
         return None
 
 
@@ -166,6 +169,25 @@
     assert max(silences_s) < MAX_STARTUP_GRACE_S + 1.3
 
 
+async def test_a_late_answer_of_an_owner_does_not_count_as_one_of_its_successor():
+    # The successor's time to start was over with that answer.
+    store, peers = OwnerRows(encode_row(OTHER)), SlowPeers(owned={SERVICE: 1})
+    manager = make_manager(store, peers)
+    manager.update_view(SERVICE, OTHER, 1)
+    checking = asyncio.create_task(manager._check_service(SERVICE))
+    await peers.asked.wait()
+    successor = OwnerRow(token=2, instance="c", incarnation="c1", address="c:1")
+    store.row, store.version = encode_row(successor), 2
+    await manager.answer(OwnerNotice(SERVICE, successor, 2))
+    peers.released.set()
+    await checking
+    manager.peers = SilentPeers()
+    manager.clock.advance(SUSPECT_AFTER_S + STARTUP_GRACE_S - 0.1)
+    await manager._check_service(SERVICE)
+    assert store.version == 2
+    await manager.stop()
+
+
 def test_owners_that_hand_over_one_after_the_other_are_replaced_as_soon_as_any():
     clock = ManualClock()
     views = OwnerViews(clock)
