Keep the time to start of an owner that has replied once

Cause: an owner replies to pings before it loads, and that reply ended its time to start. Tests failed before.

--- a/fuchsiascale/jobs/_owner_views.py
+++ b/fuchsiascale/jobs/_owner_views.py
@@ -78,9 +78,16 @@
         self._last_reply_s[service] = now_s + grace_s
 
     def note_reply(self, service, token, now_s):
-        """Note that an owner of a service has replied, unless it has a successor."""
-        if token >= self.get(service).token:
-            self._last_reply_s[service] = now_s
+        """Note that an owner of a service has replied, unless it has a successor.
+
+        The work of a takeover begins after the first replies, so these leave the owner
+        time for it.
+        """
+        if token < self.get(service).token:
+            return
+        since_s, grace_s = self._tenures.get(service, (-math.inf, 0.0))
+        grace_end_s = min(since_s + grace_s, now_s + STARTUP_GRACE_S)
+        self._last_reply_s[service] = max(now_s, grace_end_s)
 
     def measure_silence_s(self, service, now_s):
         """Return how long an owner has not replied; negative while it may start."""
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -188,6 +188,38 @@
     await manager.stop()
 
 
+def note_brief_owners(views, clock, owners):
+    """Note owners that are replaced one after the other; return the last token."""
+    for token in range(1, owners + 1):
+        row = OwnerRow(token=token, instance="b", incarnation="1", address="b:1")
+        views.update(SERVICE, row, token)
+        clock.advance(2.0)
+    return owners
+
+
+def test_a_first_reply_does_not_end_the_time_of_a_new_owner():
+    # An owner replies before it loads, and then had 1.1 s for the whole takeover.
+    clock = ManualClock()
+    views = OwnerViews(clock)
+    views.update(SERVICE, OTHER, 1)
+    clock.advance(0.2)
+    views.note_reply(SERVICE, 1, clock.monotonic())
+    silence_s = views.measure_silence_s(SERVICE, clock.monotonic())
+    assert abs(silence_s - 0.2 + STARTUP_GRACE_S) < 0.01
+
+
+def test_a_reply_limits_the_time_of_an_owner_after_others_that_were_replaced():
+    # Its workers' leases of 6 s must not expire before it is suspected.
+    clock = ManualClock()
+    views = OwnerViews(clock)
+    token = note_brief_owners(views, clock, 5)
+    silence_s = views.measure_silence_s(SERVICE, clock.monotonic())
+    assert silence_s < -STARTUP_GRACE_S
+    views.note_reply(SERVICE, token, clock.monotonic())
+    silence_s = views.measure_silence_s(SERVICE, clock.monotonic())
+    assert abs(silence_s + STARTUP_GRACE_S) < 0.01
+
+
 def test_owners_that_hand_over_one_after_the_other_are_replaced_as_soon_as_any():
     clock = ManualClock()
     views = OwnerViews(clock)
