Wait as long for the answer of an owner as it may be silent

Cause: a ping was given up after 0.5 s, so an owner that always took longer counted as silent. Change: 1.0 s; by a unit test one that is lost is suspected as soon as before.

--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -49,6 +49,10 @@
 two slow commits."""
 SUSPECT_AFTER_S = 1.1
 """Time without a reply of the owner after which it is suspected to have failed."""
+OWNER_PING_TIMEOUT_S = 1.0
+"""Timeout of a ping to the owner. With the period of the pings it is just longer than
+the time above: shorter ones would find a lost owner no sooner, and take one that is
+slow for lost. Each that is given up also costs the owner a new connection."""
 PEER_REPLY_RECENT_S = 0.7
 """An owner that replied to a peer less than this long ago is not suspected."""
 RANK_DELAY_S = 0.1
@@ -213,7 +217,7 @@
 
     async def _check_owner(self, view):
         service = view.service
-        reply = await self._ping(view.row.address, PING_TIMEOUT_S)
+        reply = await self._ping(view.row.address, OWNER_PING_TIMEOUT_S)
         now_s = self.clock.monotonic()
         if isinstance(reply, Pong):
             token = reply.owned.get(service, 0)
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -27,6 +27,7 @@
     OwnerViews,
 )
 from fuchsiascale.jobs._ownership import SUSPECT_AFTER_S
+from fuchsiascale.jobs._peer_messages import PING_PERIOD_S
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -169,6 +170,55 @@
     assert max(silences_s) < MAX_STARTUP_GRACE_S + 1.3
 
 
+class SlowOwner:
+    """An owner that answers pings after a time, unless that is longer than theirs."""
+
+    def __init__(self, clock, delay_s):
+        self.clock = clock
+        self.delay_s = delay_s
+
+    async def ask(self, address, message, timeout_s):
+        self.clock.advance(min(self.delay_s, timeout_s))
+        if self.delay_s > timeout_s:
+            return None
+        return Pong(instance="b", incarnation="b1", owned={SERVICE: 1})
+
+
+async def check_for(manager, duration_s):
+    """Check the owner as often as an instance does for some time."""
+    end_s = manager.clock.monotonic() + duration_s
+    while manager.clock.monotonic() < end_s and not manager.owners:
+        started_s = manager.clock.monotonic()
+        await manager._check_service(SERVICE)
+        elapsed_s = manager.clock.monotonic() - started_s
+        manager.clock.advance(max(0.02, PING_PERIOD_S - elapsed_s))
+
+
+async def test_an_owner_that_answers_slowly_is_not_replaced():
+    # Its peers were as slow once they had to take the service over.
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, None)
+    manager.peers = SlowOwner(manager.clock, 0.9)
+    manager.update_view(SERVICE, OTHER, 1)
+    await check_for(manager, 12.0)
+    assert store.version == 1
+    await manager.stop()
+
+
+async def test_an_owner_that_does_not_answer_is_replaced_as_soon_as_before():
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, None)
+    manager.peers = SlowOwner(manager.clock, 0.0)
+    manager.update_view(SERVICE, OTHER, 1)
+    await check_for(manager, 3.0)
+    lost_s = manager.clock.monotonic()
+    manager.peers.delay_s = 60.0
+    await check_for(manager, 12.0)
+    assert store.version == 2
+    assert manager.clock.monotonic() - lost_s < 1.4
+    await manager.stop()
+
+
 async def test_a_late_answer_of_an_owner_does_not_count_as_one_of_its_successor():
     # The successor's time to start was over with that answer.
     store, peers = OwnerRows(encode_row(OTHER)), SlowPeers(owned={SERVICE: 1})
