Bound the connections that commands take at a worker

Cause: a burst of commands opened a connection each, and those of owners that lost power stay open. Change: four commands at a time. The test failed before.

--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -1,5 +1,9 @@
 """HTTP client of the workers of the users' platform, which calls them runners."""
 
+import asyncio
+import contextlib
+import weakref
+
 import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
@@ -29,6 +33,11 @@
 """The session's own timeouts would count time in which this process could not run."""
 MAX_LISTED_ENDS = 500
 """Number of ends that a worker returns at most; it lists the earliest ones."""
+MAX_CONCURRENT_COMMANDS = 4
+"""Commands that one process has open at a worker; each takes a connection. A worker
+resets those beyond its limit, 64 from all processes. Connections of processes that lost
+power or their network stay open there, so several owners' share has to fit in."""
+NO_LIMIT = contextlib.nullcontext()
 INCARNATION_HEADER = "Target-Instance"
 REFUSAL_REASONS = {
     "fence": RefusedReason.FENCED,
@@ -126,6 +135,7 @@
 
     def __init__(self, session: aiohttp.ClientSession):
         self._session = session
+        self._command_limits = weakref.WeakValueDictionary()
 
     async def exchange(
         self,
@@ -158,27 +168,38 @@
             request.checkpoint,
             request.ticket,
         )
-        return _decode_command_reply(await self._call(worker, "run-start", body))
+        return await self._command(worker, "run-start", body)
 
     async def stop(
         self, worker: ListedWorker, task: TaskId, attempt: int, token: int
     ) -> WorkerReply:
         """Stop an attempt; a start of it that arrives later is refused."""
         body = _StopBody(task, attempt, token)
-        return _decode_command_reply(await self._call(worker, "run-stop", body))
+        return await self._command(worker, "run-stop", body)
 
     async def pace(
         self, worker: ListedWorker, task: TaskId, attempt: int, percent: int, token: int
     ) -> WorkerReply:
         """Throttle an attempt to a percentage of its full speed."""
         body = _PaceBody(task, attempt, percent, token)
-        return _decode_command_reply(await self._call(worker, "pace", body))
+        return await self._command(worker, "pace", body)
+
+    async def _command(self, worker, name, body):
+        """Send a command once few enough are open at the worker; return the reply."""
+        limit = self._command_limits.get(worker.address)
+        if limit is None:
+            limit = asyncio.Semaphore(MAX_CONCURRENT_COMMANDS)
+            self._command_limits[worker.address] = limit
+        return _decode_command_reply(
+            await self._call(worker, name, body, COMMAND_TIMEOUT_S, limit)
+        )
 
-    async def _call(self, worker, name, body, timeout_s=COMMAND_TIMEOUT_S):
-        """Send a command and return the body of a response with status 200."""
+    async def _call(self, worker, name, body, timeout_s, limit=NO_LIMIT):
+        """Send a request and return the body of a response with status 200."""
         try:
             async with (
                 limit_response_time(timeout_s),
+                limit,
                 self._session.post(
                     f"http://{worker.address}/fuchsiascale/{name}",
                     data=msgspec.json.encode(body),
--- a/fuchsiascale/platform/tests/test_task_workers.py
+++ b/fuchsiascale/platform/tests/test_task_workers.py
@@ -1,6 +1,9 @@
 """Contract tests of the worker client, with a table of refusals."""
 
+import asyncio
+
 import aiohttp
+from aiohttp import web
 from aiohttp.test_utils import TestServer
 from returns.result import Success
 
@@ -14,6 +17,7 @@
     Resources,
     StartRequest,
 )
+from fuchsiascale.platform._task_workers import MAX_CONCURRENT_COMMANDS
 from fuchsiascale.platform.user_platform import HttpTaskWorkers
 from fuchsiascale.testing import collect_functions
 from standins.taskworker import TaskWorkerStandin
@@ -35,11 +39,12 @@
         self.worker = self.list_worker("i-1")
         return self
 
-    def list_worker(self, name):
+    def list_worker(self, name, server=None):
+        server = server or self.server
         return ListedWorker(
             worker=name,
             service="pool",
-            address=f"{self.server.host}:{self.server.port}",
+            address=f"{server.host}:{server.port}",
             domain="a",
             capacity=Resources(),
             labels=(),
@@ -98,6 +103,47 @@
             assert find_reason(reply) is expected, name
 
 
+class BusyWorker:
+    """A worker that counts its connections, and holds every request for a while."""
+
+    def __init__(self):
+        self.connections = set()
+        self.released = asyncio.Event()
+
+    async def handle(self, request):
+        self.connections.add(request.transport)
+        if not request.path.endswith("hold"):
+            await self.released.wait()
+        return web.json_response({"clock_ms": 1})
+
+    def make_application(self):
+        application = web.Application()
+        application.router.add_post("/{path:.*}", self.handle)
+        return application
+
+
+async def test_a_burst_of_commands_takes_few_connections_and_holds_up_no_exchange():
+    # Workers reset connections beyond 64, and then took no command for 25 s.
+    async with Served() as served:
+        busy = BusyWorker()
+        server = TestServer(busy.make_application())
+        await server.start_server()
+        worker = served.list_worker("i-1", server)
+        starts = [
+            asyncio.create_task(served.client.start(worker, make_request(number)))
+            for number in range(1, 31)
+        ]
+        await asyncio.sleep(0.05)
+        reply = await served.client.exchange(worker, 1, 0, None, 0)
+        assert isinstance(reply, Success)
+        assert len(busy.connections) == MAX_CONCURRENT_COMMANDS + 1
+        busy.released.set()
+        replies = await asyncio.gather(*starts)
+        assert all(isinstance(each, Success) for each in replies)
+        assert len(busy.connections) <= MAX_CONCURRENT_COMMANDS + 1
+        await server.close()
+
+
 async def test_a_start_is_idempotent_by_its_attempt():
     async with Served() as served:
         for _ in range(2):
