Count a start as not sent where no connection was made

Cause: only a refused connection counted as proof that nothing was sent. Change: any failure to connect does, so that the task starts elsewhere. The test failed before.

--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -259,7 +259,7 @@
 
 
 class Absent(msgspec.Struct, frozen=True, tag="absent"):
-    """Nothing listens at the worker's address; the connection was refused."""
+    """No connection to the worker could be made, so nothing was sent."""
 
 
 WorkerReply = Result[Executed, Refused | NoAnswer | Absent]
--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -211,10 +211,9 @@
                 ) as response,
             ):
                 content = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            return Failure(
-                Absent() if _is_connection_refused(error) else NoAnswer(repr(error))
-            )
+        except aiohttp.ClientConnectorError:
+            # There was no connection yet, so nothing has been sent.
+            return Failure(Absent())
         except (aiohttp.ClientError, TimeoutError) as error:
             return Failure(NoAnswer(repr(error)))
         if response.status == 200:
@@ -222,10 +221,6 @@
         return Failure(_decode_refusal(response.status, content))
 
 
-def _is_connection_refused(error):
-    return isinstance(error.os_error, ConnectionRefusedError)
-
-
 def _decode_refusal(status, content):
     reply = _decode_command_body(content)
     if status == 421:
--- a/fuchsiascale/platform/tests/test_task_workers.py
+++ b/fuchsiascale/platform/tests/test_task_workers.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 from aiohttp import web
+from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.test_utils import TestServer
 from returns.result import Success
 
@@ -103,6 +104,22 @@
             assert find_reason(reply) is expected, name
 
 
+class FailedConnections:
+    """A session whose connections are reset before they are established."""
+
+    def post(self, url, **options):
+        key = ConnectionKey("h", 80, False, True, None, None, None, None)
+        raise aiohttp.ClientConnectorError(key, ConnectionResetError())
+
+
+async def test_a_connection_reset_before_it_is_made_is_absent_since_nothing_was_sent():
+    # A worker with too many connections resets new ones; tasks waited for their stops.
+    async with Served() as served:
+        client = HttpTaskWorkers(FailedConnections())
+        reply = await client.start(served.worker, make_request())
+        assert find_reason(reply) is Absent
+
+
 class BusyWorker:
     """A worker that counts its connections, and holds every request for a while."""
 
