--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -26,6 +26,8 @@
     STARTUP_GRACE_S,
     OwnerViews,
 )
+from fuchsiascale.jobs._ownership import SUSPECT_AFTER_S
+from fuchsiascale.jobs._peer_messages import PING_PERIOD_S
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -57,7 +59,8 @@
 class SlowPeers:
     """Peers whose replies to pings wait until they are released."""
 
-    def __init__(self):
+    def __init__(self, owned=None):
+        self.owned = owned or {}
         self.asked = asyncio.Event()
         self.released = asyncio.Event()
 
@@ -65,7 +68,8 @@
         if isinstance(message, Ping):
             self.asked.set()
             await self.released.wait()
-            return Pong(instance="b", incarnation="b2")
+            incarnation = "b1" if self.owned else "b2"
+            return Pong(instance="b", incarnation=incarnation, owned=self.owned)
         return None
 
 
@@ -166,6 +170,149 @@
     assert max(silences_s) < MAX_STARTUP_GRACE_S + 1.3
 
 
+class SlowOwner:
+    """An owner that answers pings after a time, unless that is longer than theirs."""
+
+    def __init__(self, clock, delay_s):
+        self.clock = clock
+        self.delay_s = delay_s
+
+    async def ask(self, address, message, timeout_s):
+        self.clock.advance(min(self.delay_s, timeout_s))
+        if self.delay_s > timeout_s:
+            return None
+        return Pong(instance="b", incarnation="b1", owned={SERVICE: 1})
+
+
+async def check_for(manager, duration_s):
+    """Check the owner as often as an instance does for some time."""
+    end_s = manager.clock.monotonic() + duration_s
+    while manager.clock.monotonic() < end_s and not manager.owners:
+        started_s = manager.clock.monotonic()
+        await manager._check_service(SERVICE)
+        elapsed_s = manager.clock.monotonic() - started_s
+        manager.clock.advance(max(0.02, PING_PERIOD_S - elapsed_s))
+
+
+async def test_an_owner_that_answers_slowly_is_not_replaced():
+    # Its peers were as slow once they had to take the service over.
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, None)
+    manager.peers = SlowOwner(manager.clock, 0.9)
+    manager.update_view(SERVICE, OTHER, 1)
+    await check_for(manager, 12.0)
+    assert store.version == 1
+    await manager.stop()
+
+
+async def test_an_owner_that_does_not_answer_is_replaced_as_soon_as_before():
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, None)
+    manager.peers = SlowOwner(manager.clock, 0.0)
+    manager.update_view(SERVICE, OTHER, 1)
+    await check_for(manager, 3.0)
+    lost_s = manager.clock.monotonic()
+    manager.peers.delay_s = 60.0
+    await check_for(manager, 12.0)
+    assert store.version == 2
+    assert manager.clock.monotonic() - lost_s < 1.4
+    await manager.stop()
+
+
+async def test_a_late_answer_of_an_owner_does_not_count_as_one_of_its_successor():
+    # The successor's time to start was over with that answer.
+    store, peers = OwnerRows(encode_row(OTHER)), SlowPeers(owned={SERVICE: 1})
+    manager = make_manager(store, peers)
+    manager.update_view(SERVICE, OTHER, 1)
+    checking = asyncio.create_task(manager._check_service(SERVICE))
+    await peers.asked.wait()
+    successor = OwnerRow(token=2, instance="c", incarnation="c1", address="c:1")
+    store.row, store.version = encode_row(successor), 2
+    await manager.answer(OwnerNotice(SERVICE, successor, 2))
+    peers.released.set()
+    await checking
+    manager.peers = SilentPeers()
+    manager.clock.advance(SUSPECT_AFTER_S + STARTUP_GRACE_S - 0.1)
+    await manager._check_service(SERVICE)
+    assert store.version == 2
+    await manager.stop()
+
+
+def note_brief_owners(views, clock, owners):
+    """Note owners that are replaced one after the other; return the last token."""
+    for token in range(1, owners + 1):
+        row = OwnerRow(token=token, instance="b", incarnation="1", address="b:1")
+        views.update(SERVICE, row, token)
+        clock.advance(2.0)
+    return owners
+
+
+def test_a_first_reply_does_not_end_the_time_of_a_new_owner():
+    # An owner replies before it loads, and then had 1.1 s for the whole takeover.
+    clock = ManualClock()
+    views = OwnerViews(clock)
+    views.update(SERVICE, OTHER, 1)
+    clock.advance(0.2)
+    views.note_reply(SERVICE, 1, clock.monotonic())
+    silence_s = views.measure_silence_s(SERVICE, clock.monotonic())
+    assert abs(silence_s - 0.2 + STARTUP_GRACE_S) < 0.01
+
+
+def test_a_reply_limits_the_time_of_an_owner_after_others_that_were_replaced():
+    # Its workers' leases of 6 s must not expire before it is suspected.
+    clock = ManualClock()
+    views = OwnerViews(clock)
+    token = note_brief_owners(views, clock, 5)
+    silence_s = views.measure_silence_s(SERVICE, clock.monotonic())
+    assert silence_s < -STARTUP_GRACE_S
+    views.note_reply(SERVICE, token, clock.monotonic())
+    silence_s = views.measure_silence_s(SERVICE, clock.monotonic())
+    assert abs(silence_s + STARTUP_GRACE_S) < 0.01
+
+
+class OwnerInTakeover:
+    """An owner that answers at first, and while it loads only once that is done."""
+
+    def __init__(self, clock, row):
+        self.clock = clock
+        self.row = row
+        self.loading_s = clock.monotonic() + 0.2
+        self.loaded_s = clock.monotonic() + 2.4
+
+    async def ask(self, address, message, timeout_s):
+        if address != self.row.address or not isinstance(message, Ping):
+            return None
+        now_s = self.clock.monotonic()
+        if self.loading_s < now_s < self.loaded_s:
+            self.clock.advance(min(timeout_s, self.loaded_s - now_s))
+            if now_s + timeout_s < self.loaded_s:
+                return None
+        return Pong(
+            instance="b",
+            incarnation=self.row.incarnation,
+            owned={SERVICE: self.row.token},
+        )
+
+
+async def test_owners_that_are_busy_with_their_takeovers_do_not_replace_each_other():
+    # Nine owners followed each other, 2.7 to 3.6 s apart, until the day was over.
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, None)
+    kept = 0
+    for number in range(1, 5):
+        row = OwnerRow(token=number, instance="b", incarnation="b1", address="b:1")
+        store.row, store.version = encode_row(row), number
+        manager.peers = OwnerInTakeover(manager.clock, row)
+        manager.update_view(SERVICE, row, number)
+        await check_for(manager, 3.4)
+        kept += not manager.owners
+        for owner in list(manager.owners.values()):
+            await owner.stop()
+        manager.owners.clear()
+    assert kept == 4
+    await manager.stop()
+
+
 def test_owners_that_hand_over_one_after_the_other_are_replaced_as_soon_as_any():
     clock = ManualClock()
     views = OwnerViews(clock)
