Stop late starts at a worker's next incarnation, also if their task runs elsewhere

What callers saw: a task could run twice and a worker get more than it has room for, when a start without an answer took effect seconds later, after a restart of the worker.

Cause: the start had been stopped, and the incarnation before had answered that. Its task was free then and ran elsewhere. The next incarnation knows nothing of the stop.

Change: the last starts without an answer are remembered for 10 s and stopped at the next incarnation when it first answers. One that takes effect before that can't be prevented: only the worker could refuse it.

The unit test failed before.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -85,7 +85,8 @@
     """Reset what is known of a worker that has a new incarnation.
 
     Starts that may have reached the new one, or still may, are looked up in later
-    inventories. The new one knows nothing of the stops that the one before answered.
+    inventories. The new one knows nothing of the stops that the one before answered,
+    so a start that may still take effect is stopped there too.
     """
     lost = []
     for attempt in worker.attempts.values():
@@ -104,6 +105,9 @@
     for attempt in lost:
         shard.mark_lost(attempt, now_s, "worker restarted")
     shard.forget_orphans(worker, now_s)
+    for name, number in worker.take_late_starts(now_s):
+        if name not in worker.attempts:
+            shard.stop_orphan(worker, name, number)
     worker.last_seen_end = worker.last_recorded_end = 0
     worker.clock_ms = None
     worker.doubted_s = None
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -435,6 +435,7 @@
     def note_start_unanswered(self, attempt, now_s):
         """Note that a start without an answer may be carried out, now or later."""
         self.events["start unanswered"] += 1
+        attempt.worker.note_start_unanswered(attempt, now_s)
         if attempt.phase is AttemptPhase.STARTING:
             attempt.enter_phase(AttemptPhase.IN_DOUBT, now_s)
             attempt.is_start_in_doubt = True
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -4,6 +4,9 @@
 
 __all__ = ["WorkerRun"]
 
+LATE_START_S = 10.0
+"""Time in which a start without an answer may still take effect."""
+
 
 class WorkerRun:
     """An owner's state of a worker.
@@ -23,6 +26,9 @@
         Monotonic time of its first answer.
     starts_in_flight : int
         Number of starts without a reply yet.
+    unanswered_starts : dict
+        Attempt number, and monotonic time, of the last start without an answer, by
+        task id.
     doubted_s : float or None
         Monotonic time of the last sign that the worker may have restarted; None once
         it has answered an exchange that was sent later.
@@ -61,6 +67,7 @@
         self.claimed = False
         self.claimed_s = 0.0
         self.starts_in_flight = 0
+        self.unanswered_starts = {}
         self.doubted_s = None
         self.silent = False
         self.in_leased_workers = False
@@ -155,6 +162,25 @@
         if not is_same:
             self.doubted_s = now_s
 
+    def note_start_unanswered(self, attempt, now_s):
+        """Note that a start has had no answer, and may take effect late."""
+        self._forget_late_starts(now_s)
+        self.unanswered_starts[attempt.task.name] = (attempt.number, now_s)
+
+    def take_late_starts(self, now_s):
+        """Return the task ids and numbers of starts that may take effect; forget them."""
+        self._forget_late_starts(now_s)
+        late = [(name, number) for name, (number, _) in self.unanswered_starts.items()]
+        self.unanswered_starts = {}
+        return late
+
+    def _forget_late_starts(self, now_s):
+        self.unanswered_starts = {
+            name: (number, at_s)
+            for name, (number, at_s) in self.unanswered_starts.items()
+            if now_s - at_s < LATE_START_S
+        }
+
     def occupy(self, attempt):
         """Add an attempt and reserve its resources."""
         self.attempts[attempt.task.name] = attempt
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -200,3 +200,15 @@
     shard.confirm_owner(2.1 + LONGEST_LEASE_S / 0.98 + 0.3)
     assert attempt.task.waiting
     assert shard.grant_lease(worker, 2.01) == 300 + LEASE_S * 1_000
+
+
+def test_a_late_start_is_stopped_at_the_new_incarnation_after_its_task_runs_elsewhere():
+    # The old incarnation had answered the stop; the new one would carry out the start.
+    for age_s, expected in ((5.0, 1), (15.0, 0)):
+        shard = make_shard()
+        worker, attempt = start_first_task(shard)
+        shard.note_start_unanswered(attempt, 1.2)
+        shard.mark_lost(attempt, 1.5, "not there after its stop")
+        shard.drain_commands()
+        restart(shard, 1.2 + age_s)
+        assert shard.drain_commands() == [StopCommand(worker, FIRST, 1)] * expected
