Ignore the answer to a stop by an incarnation that has ended

What callers saw: a task could run twice if a worker restarted between its answer to a stop and the arrival of that answer.

Cause: the owner had noticed the restart first and had asked for the stop anew; the old answer then counted for the new incarnation, which would still carry the start out.

Change: the answer counts only if the worker has the same incarnation as when the stop was sent.

--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -131,17 +131,19 @@
             self._on_lost("a worker has seen a higher token")
 
     async def _stop(self, command):
+        incarnation = command.worker.incarnation
         reply = await self.calls.stop(
             command.worker.listed, command.task, command.number, self.shard.token
         )
-        if isinstance(reply, Success):
-            self.shard.note_stop_answered(
-                command.worker, command.task, command.number, self.clock.monotonic()
+        is_stopped = isinstance(reply, Success)
+        if not is_stopped:
+            error = reply.failure()
+            self._check_fence(error)
+            is_stopped = (
+                isinstance(error, Refused) and error.reason is RefusedReason.SUPERSEDED
             )
-            return
-        error = reply.failure()
-        self._check_fence(error)
-        if isinstance(error, Refused) and error.reason is RefusedReason.SUPERSEDED:
+        # An incarnation that has started since knows nothing of the stop.
+        if is_stopped and command.worker.incarnation == incarnation:
             self.shard.note_stop_answered(
                 command.worker, command.task, command.number, self.clock.monotonic()
             )
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -168,7 +168,7 @@
         self.unanswered_starts[attempt.task.name] = (attempt.number, now_s)
 
     def take_late_starts(self, now_s):
-        """Return the task ids and numbers of starts that may take effect; forget them."""
+        """Return the starts that may still take effect, and forget them."""
         self._forget_late_starts(now_s)
         late = [(name, number) for name, (number, _) in self.unanswered_starts.items()]
         self.unanswered_starts = {}
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -8,14 +8,17 @@
 
 import asyncio
 
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from fuchsiascale.jobs import (
+    AttemptPhase,
+    Executed,
     Inventory,
     NoAnswer,
     Refused,
     RefusedReason,
     RunningAttempt,
+    StopCommand,
 )
 from fuchsiascale.jobs.tests.test_owner import (
     JOB,
@@ -187,3 +190,30 @@
     owner.shard.note_worker_unlisted(worker.worker)
     assert not await owner.links._exchange(worker)
     assert not owner.shard.workers
+
+
+class StoppingCalls:
+    """Calls to workers that carry out stops, during which something happens."""
+
+    def __init__(self, happen):
+        self.happen = happen
+
+    async def stop(self, *arguments):
+        self.happen()
+        return Success(Executed(clock_ms=1_000))
+
+
+async def test_a_stop_that_an_ended_incarnation_has_answered_does_not_count():
+    # The answer arrives after the owner has noticed the restart.
+    for restarts in (False, True):
+        owner, worker, task = make_running_owner(OwnerRowStore())
+        attempt = task.attempt
+        attempt.phase = AttemptPhase.IN_DOUBT
+        owner.links.calls = StoppingCalls(
+            lambda owner=owner, worker=worker, restarts=restarts: (
+                restart_worker(owner, worker) if restarts else None
+            )
+        )
+        await owner.links._stop(StopCommand(worker, task.name, attempt.number))
+        assert (attempt.stop_answered_s is None) is restarts
+        await owner.stop()
