--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -233,11 +233,8 @@
 
 
 def _stop_stalled(shard, worker, now_s):
-    """Stop attempts that make no progress, and suspend their worker.
-
-    Nothing is known of the progress on a worker that doesn't answer.
-    """
-    if now_s < worker.next_stall_check_s or worker.silent:
+    """Stop attempts that make no progress, and suspend their worker."""
+    if now_s < worker.next_stall_check_s:
         return
     worker.next_stall_check_s = now_s + STALL_CHECK_PERIOD_S
     for attempt in list(worker.attempts.values()):
