--- a/fuchsiascale/jobs/_configuration_feed.py
+++ b/fuchsiascale/jobs/_configuration_feed.py
@@ -26,9 +26,6 @@
 """Time within which an owner has to begin its answer."""
 PEER_TIMEOUT_S = 0.4
 """Time within which any other peer has to begin its answer."""
-MAX_REPLY_DELAY_S = 0.5
-"""Delay up to which an answer to a ping counts for the configuration. A peer that takes
-longer has a full link or no processor time, and should not be asked for a version."""
 MAX_PEERS = 2
 """Maximum number of peers asked concurrently when the owner doesn't answer."""
 RANK_DELAY_S = 0.2
@@ -155,10 +152,7 @@
 
     def apply_freshness(self, address, freshness, asked_s):
         """Process the freshness of a peer's configuration, asked for at ``asked_s``."""
-        delay_s = self.clock.monotonic() - asked_s
-        if freshness is None or delay_s > MAX_REPLY_DELAY_S:
-            return
-        if self._confirm_version(freshness, asked_s):
+        if freshness is None or self._confirm_version(freshness, asked_s):
             return
         if freshness.version > self.watch.version and self._fetch_task is None:
             self._fetch_task = asyncio.create_task(self._fetch(address))
