Confirm the owner in the test of a rejected job, as its rounds do

The test plans rounds on the owner's shard directly. Since that shard knows the time of the claim as its last confirmation, so the worker, which answered at the same time, was not used, and the test failed. With a confirmation before the first round the rejected row alone keeps the job from being started there, as the test is meant to show.

--- a/fuchsiascale/jobs/tests/test_row_bounds.py
+++ b/fuchsiascale/jobs/tests/test_row_bounds.py
@@ -282,6 +282,7 @@
     end_attempts(owner, job, [job.find_task(0, 0, 0)], EndKind.DONE)
     while not await owner.recorder.flush():
         pass
+    owner.shard.confirm_owner(0.5)
     plan_round(owner.shard, 1.0)
     assert not owner.shard.drain_commands()
     store.rejected_keys.clear()
