Move what an owner concludes by itself into a module of its own

The functions that mark attempts as lost, end the wait for workers and apply a confirmation are now in `_conclusions`, with the rule that they share. No behaviour changes; tests call the functions by their new place.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -4,6 +4,11 @@
 task from running twice are in docs/design/platform.md.
 """
 
+from fuchsiascale.jobs._conclusions import (
+    end_wait_for_worker,
+    forget_orphans,
+    mark_lost,
+)
 from fuchsiascale.jobs._model import JobState
 from fuchsiascale.jobs._ports import EndKind
 from fuchsiascale.jobs._run_state import Attempt, AttemptPhase
@@ -54,7 +59,7 @@
         if reported.get(attempt.task.name) != attempt.number
     ]
     if inventory.lists_all_ends:
-        shard.note_located(worker, now_s)
+        end_wait_for_worker(shard, worker, now_s)
         for attempt in absent:
             _handle_absence(shard, attempt, sent_s, now_s)
     else:
@@ -103,8 +108,8 @@
         )
     worker.incarnation = inventory.incarnation
     for attempt in lost:
-        shard.mark_lost(attempt, now_s, "worker restarted")
-    shard.forget_orphans(worker, now_s)
+        mark_lost(shard, attempt, now_s, "worker restarted")
+    forget_orphans(shard, worker, now_s)
     for name, number in worker.take_late_starts(now_s):
         if name not in worker.attempts:
             shard.stop_orphan(worker, name, number)
@@ -159,7 +164,7 @@
         return None
     if task.attempt is not None:
         # The earlier owner started this one after the other had ended.
-        shard.mark_lost(task.attempt, now_s, "a later attempt runs")
+        mark_lost(shard, task.attempt, now_s, "a later attempt runs")
     attempt = Attempt(task, worker, running.attempt, AttemptPhase.RUNNING, now_s)
     task.attempt = attempt
     task.latest_number = running.attempt
@@ -191,7 +196,7 @@
         return
     if attempt.stop_answered_s is not None:
         if sent_s > attempt.stop_answered_s:
-            shard.mark_lost(attempt, now_s, "not there after its stop")
+            mark_lost(shard, attempt, now_s, "not there after its stop")
         return
     is_due = attempt.stop_sent_s is None or now_s - attempt.stop_sent_s > STOP_RETRY_S
     if is_due:
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -6,6 +6,7 @@
 import logbook
 from returns.result import Failure, Success
 
+from fuchsiascale.jobs._conclusions import confirm_owner, needs_confirmation
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
 from fuchsiascale.jobs._job_order import compute_objective_s
 from fuchsiascale.jobs._ownership_evidence import OwnershipEvidence
@@ -105,7 +106,7 @@
         self.lost = False
         self.handing_over = False
         self.evidence = OwnershipEvidence(clock)
-        self.shard.confirm_owner(self.evidence.confirmed_s)
+        confirm_owner(self.shard, self.evidence.confirmed_s)
         self.feed_version = version
         self.recorder = Recorder(
             self.shard,
@@ -385,8 +386,8 @@
 
     def _apply_confirmation(self, now_s):
         """Conclude what the last confirmation allows; ask for another if one is due."""
-        self.shard.confirm_owner(self.evidence.confirmed_s)
-        if self.shard.needs_confirmation(now_s) and self._confirmation is None:
+        confirm_owner(self.shard, self.evidence.confirmed_s)
+        if needs_confirmation(self.shard, now_s) and self._confirmation is None:
             self._confirmation = self._spawn(self._confirm_ownership())
 
     async def _confirm_ownership(self):
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -177,20 +177,6 @@
         """Forget a worker that has no attempts left and is not listed."""
         self.workers.pop(worker_id, None)
 
-    def note_located(self, worker, now_s):
-        """Note that it is known what earlier owners started on a worker.
-
-        That holds once the owner is confirmed later than ``now_s``: what a later owner
-        has seen there may be gone with an incarnation of the worker.
-        """
-        until_s = self.unconfirmed_workers.get(worker.worker)
-        if until_s is None:
-            return
-        if now_s < self.confirmed_s:
-            del self.unconfirmed_workers[worker.worker]
-        else:
-            self.unconfirmed_workers[worker.worker] = min(until_s, now_s)
-
     def all_workers_confirmed(self):
         """Return whether all attempts of earlier owners are known or have expired."""
         return not self.unconfirmed_workers
@@ -262,101 +248,12 @@
             "worker suspended", extra={"worker": worker.worker, "for_s": pause_s}
         )
 
-    def mark_all_lost(self, worker, now_s, why):
-        """Mark all attempts on a worker as lost, with those that are being stopped."""
-        for attempt in list(worker.attempts.values()):
-            self.mark_lost(attempt, now_s, why)
-        self.forget_orphans(worker, now_s)
-
-    def forget_orphans(self, worker, now_s):
-        """Note that attempts that were being stopped on a worker are lost."""
-        for name in worker.orphans:
-            task = self.find_task(name)
-            if task is not None:
-                self._note_lost(task, now_s)
-        worker.orphans.clear()
-
     def find_task(self, name):
         """Return the task of a name; None if it is unknown."""
         parts = split_task(name)
         job = self.jobs.get(parts[0]) if parts else None
         return job.find_task(*parts[1:]) if job else None
 
-    def _note_lost(self, task, now_s):
-        """Note that a task has lost an attempt whose end nobody has reported."""
-        task.lost_s = max(task.lost_s, now_s)
-        self.concluded_s = max(self.concluded_s, now_s)
-
-    def mark_lost(self, attempt, now_s, why):
-        """Mark an attempt as ended without a reported end; its task waits again.
-
-        ``now_s`` is the monotonic time at which this was known. The task may start
-        again once the owner has been confirmed later than that.
-        """
-        self.events[f"lost: {why}"] += 1
-        attempt.worker.release(attempt)
-        task = attempt.task
-        self._note_lost(task, now_s)
-        if task.attempt is attempt:
-            task.attempt = None
-            task.checkpoint = attempt.checkpoint or task.checkpoint
-        self.log.info(
-            "attempt lost",
-            extra={
-                "task": task.name,
-                "attempt": attempt.number,
-                "worker": attempt.worker.worker,
-                "why": why,
-                "token": self.token,
-                "awaits_confirmation": task.lost_s >= self.confirmed_s,
-            },
-        )
-
-    def needs_confirmation(self, now_s):
-        """Return whether something waits until the store confirms the owner.
-
-        That is a conclusion since the last confirmation, or the end of a lease that
-        matters.
-        """
-        then_s = self.confirmed_s
-        if self.concluded_s >= then_s:
-            return True
-        expiries_s = [
-            worker.lease_expiry_s
-            for worker in self.workers.values()
-            if (worker.attempts or worker.orphans) and worker.lease_expiry_s is not None
-        ]
-        expiries_s += self.unconfirmed_workers.values()
-        return any(then_s <= expiry_s < now_s for expiry_s in expiries_s)
-
-    def confirm_owner(self, confirmed_s):
-        """Note that this was the owner at a time, and conclude what follows from it.
-
-        Attempts are lost on workers whose lease has expired; a later owner may have
-        extended the leases that end after that time. Unconfirmed workers whose last
-        lease from an earlier owner has expired count as confirmed.
-        """
-        self.confirmed_s = confirmed_s
-        for worker in self.workers.values():
-            expired = (
-                worker.lease_expiry_s is not None
-                and confirmed_s > worker.lease_expiry_s
-            )
-            if expired and (worker.attempts or worker.orphans):
-                self.mark_all_lost(worker, worker.lease_expiry_s, "lease over")
-        for worker_id, until_s in list(self.unconfirmed_workers.items()):
-            if confirmed_s > until_s:
-                self._log_unreached(worker_id)
-                del self.unconfirmed_workers[worker_id]
-
-    def _log_unreached(self, worker_id):
-        worker = self.workers.get(worker_id)
-        if worker is not None and not worker.claimed:
-            self.log.warning(
-                "worker not reached before its last lease expired",
-                extra={"worker": worker_id},
-            )
-
     def note_orphans(self):
         """Note which tasks have attempts that are still being stopped."""
         self.orphans = frozenset().union(
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from fuchsiascale.jobs._commands import PaceCommand, StartCommand, StopCommand
+from fuchsiascale.jobs._conclusions import end_wait_for_worker, mark_all_lost
 from fuchsiascale.jobs._pacing import observe_tail_latencies
 from fuchsiascale.jobs._ports import (
     Absent,
@@ -220,8 +221,8 @@
             and error.reason is RefusedReason.OTHER_INCARNATION
         )
         if gone:
-            shard.mark_all_lost(worker, now_s, "another worker has its address")
-            shard.note_located(worker, now_s)
+            mark_all_lost(shard, worker, now_s, "another worker has its address")
+            end_wait_for_worker(shard, worker, now_s)
         if self._has_left(worker, gone, now_s):
             shard.drop_worker(worker.worker)
             return False
--- a/fuchsiascale/jobs/tests/test_inherited_tasks.py
+++ b/fuchsiascale/jobs/tests/test_inherited_tasks.py
@@ -11,6 +11,7 @@
     RunningAttempt,
     plan_round,
 )
+from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs._inventories import PENDING_EXCHANGE_S
 from fuchsiascale.jobs.tests.test_rounds import (
     drain_starts,
@@ -164,7 +165,7 @@
     task = job.find_task(0, 0, 0)
     report_on_second_worker(shard, running=(RunningAttempt(task.name, 4),))
     report(shard, 1.2, ended=(EndedAttempt(1, task.name, 5, EndKind.FAILED),))
-    shard.confirm_owner(6.4)
+    confirm_owner(shard, 6.4)
     assert list_started(shard, 6.4) == []
-    shard.confirm_owner(6.5)
+    confirm_owner(shard, 6.5)
     assert list_started(shard, 6.5) == [task.name]
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -20,6 +20,7 @@
     RunningAttempt,
     StopCommand,
 )
+from fuchsiascale.jobs._conclusions import mark_all_lost
 from fuchsiascale.jobs.tests.test_owner import (
     JOB,
     OwnerRowStore,
@@ -156,7 +157,7 @@
 
 def mark_gone(owner, worker):
     """Let another worker answer at the worker's address."""
-    owner.shard.mark_all_lost(worker, owner.clock.monotonic(), "gone")
+    mark_all_lost(owner.shard, worker, owner.clock.monotonic(), "gone")
 
 
 async def test_inherited_tasks_wait_for_confirmation_after_the_last_worker_is_reached():
--- a/fuchsiascale/jobs/tests/test_rounds.py
+++ b/fuchsiascale/jobs/tests/test_rounds.py
@@ -18,6 +18,7 @@
     observe_tail_latencies,
     plan_round,
 )
+from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -154,7 +155,7 @@
     submit_job(shard, make_step(), job="1" * 16, token=1)
     plan_round(shard, 1.0)
     assert [attempt.task.step.job.job for attempt in drain_starts(shard)] == ["1" * 16]
-    shard.confirm_owner(9.1)
+    confirm_owner(shard, 9.1)
     plan_round(shard, 9.2)
     assert JOB in {attempt.task.step.job.job for attempt in drain_starts(shard)}
 
--- a/fuchsiascale/jobs/tests/test_row_bounds.py
+++ b/fuchsiascale/jobs/tests/test_row_bounds.py
@@ -41,6 +41,7 @@
     leased_workers_row_key,
     plan_round,
 )
+from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs._model import MAX_TASKS_PER_JOB
 from fuchsiascale.jobs._record_batches import limit_estimates
 from fuchsiascale.jobs._recorder import MAX_REJECTIONS, UNSTORABLE_RETRY_S
@@ -282,7 +283,7 @@
     end_attempts(owner, job, [job.find_task(0, 0, 0)], EndKind.DONE)
     while not await owner.recorder.flush():
         pass
-    owner.shard.confirm_owner(0.5)
+    confirm_owner(owner.shard, 0.5)
     plan_round(owner.shard, 1.0)
     assert not owner.shard.drain_commands()
     store.rejected_keys.clear()
--- a/fuchsiascale/jobs/tests/test_shard.py
+++ b/fuchsiascale/jobs/tests/test_shard.py
@@ -21,6 +21,7 @@
     StepSpec,
     StopCommand,
 )
+from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs._recorded_ends import note_recorded, snapshot_ends
 from fuchsiascale.testing import collect_functions, fixture
 
@@ -162,9 +163,9 @@
     shard.note_started(attempt, 1.1)
     assert shard.grant_lease(worker, 0.1) == 7_000
     # 6 s on the worker's clock, which was read at 0.1 s and may be 2 % slow
-    shard.confirm_owner(0.1 + 6.0 / 0.98)
+    confirm_owner(shard, 0.1 + 6.0 / 0.98)
     assert not attempt.task.waiting
-    shard.confirm_owner(0.1 + 6.0 / 0.98 + 0.3)
+    confirm_owner(shard, 0.1 + 6.0 / 0.98 + 0.3)
     assert attempt.task.waiting
 
 
@@ -176,7 +177,7 @@
     assert not worker.is_usable(1.2)
     for second in range(2, 10):
         assert shard.grant_lease(worker, second) is None
-        shard.confirm_owner(second)
+        confirm_owner(shard, second)
     assert attempt.task.waiting
     shard.observe(worker, make_inventory(9_000), 9.0, 9.1)
     assert shard.grant_lease(worker, 9.1) == 15_000
@@ -231,9 +232,9 @@
     job = shard.add_job(make_record(), 1, 0.0, 0)
     running = (RunningAttempt(FIRST, 1),)
     shard.observe(worker, make_inventory(1_000, running=running), 0.9, 1.0)
-    shard.confirm_owner(1.0 + 6.0)
+    confirm_owner(shard, 1.0 + 6.0)
     assert not job.find_task(0, 0, 0).waiting
-    shard.confirm_owner(1.0 + 6.0 / 0.98 + 0.3)
+    confirm_owner(shard, 1.0 + 6.0 / 0.98 + 0.3)
     assert job.find_task(0, 0, 0).waiting
 
 
@@ -351,13 +352,13 @@
     shard.unconfirmed_workers["w1"] = 9.0
     crowded = msgspec.structs.replace(make_inventory(1_000), lists_all_ends=False)
     shard.observe(worker, crowded, 8.0, 8.1)
-    shard.confirm_owner(9.5)
+    confirm_owner(shard, 9.5)
     assert not shard.all_workers_confirmed()
     shard.observe(worker, make_inventory(3_000), 10.0, 10.1)
     assert not shard.all_workers_confirmed()
-    shard.confirm_owner(10.2)
+    confirm_owner(shard, 10.2)
     assert shard.all_workers_confirmed()
     shard.unconfirmed_workers["w1"] = 9.0
     shard.observe(worker, crowded, 11.0, 11.1)
-    shard.confirm_owner(20.0)
+    confirm_owner(shard, 20.0)
     assert shard.all_workers_confirmed()
--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from fuchsiascale.jobs import Owner
+from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs.tests._simulation import play
 from fuchsiascale.jobs.tests._simulation_record import Rule
 from fuchsiascale.testing import collect_functions
@@ -24,7 +25,7 @@
 
 def conclude_without_confirmation(owner, now_s):
     """Take the owner for confirmed at any time, as before commit 77f2a12."""
-    owner.shard.confirm_owner(now_s)
+    confirm_owner(owner.shard, now_s)
 
 
 def add_any_job(owner, accepted):
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -16,6 +16,7 @@
     Shard,
     StopCommand,
 )
+from fuchsiascale.jobs._conclusions import confirm_owner, mark_lost
 from fuchsiascale.jobs._recorded_ends import note_recorded, snapshot_ends
 from fuchsiascale.jobs.tests.test_shard import (
     JOB,
@@ -195,9 +196,9 @@
     worker = restart(shard, 2.0)
     attempt = start_first_task(shard, now_s=2.0)[1]
     shard.note_started(attempt, 2.0)
-    shard.confirm_owner(2.0 + LEASE_S + 1.0)
+    confirm_owner(shard, 2.0 + LEASE_S + 1.0)
     assert not attempt.task.waiting
-    shard.confirm_owner(2.1 + LONGEST_LEASE_S / 0.98 + 0.3)
+    confirm_owner(shard, 2.1 + LONGEST_LEASE_S / 0.98 + 0.3)
     assert attempt.task.waiting
     assert shard.grant_lease(worker, 2.01) == 300 + LEASE_S * 1_000
 
@@ -208,7 +209,7 @@
         shard = make_shard()
         worker, attempt = start_first_task(shard)
         shard.note_start_unanswered(attempt, 1.2)
-        shard.mark_lost(attempt, 1.5, "not there after its stop")
+        mark_lost(shard, attempt, 1.5, "not there after its stop")
         shard.drain_commands()
         restart(shard, 1.2 + age_s)
         assert shard.drain_commands() == [StopCommand(worker, FIRST, 1)] * expected
