--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -65,7 +65,7 @@
         self.seed = seed
         self.rng = random.Random(f"simulation {seed}")
         self.clock = LoopClock()
-        self.record = Record(self.clock, self.is_in_touch)
+        self.record = Record(self.clock, self.is_undisturbed)
         self.store = Store()
         self.network = Network(random.Random(f"network {seed}"))
         self.network.bind(contextvars.copy_context())
@@ -115,7 +115,7 @@
         )
         self._tasks.append(asyncio.create_task(worker.run_heartbeats()))
 
-    def is_in_touch(self, address):
+    def is_undisturbed(self, address):
         """Return whether an instance and the store have long been undisturbed."""
         instance = self.instances.get(address)
         return (
--- a/fuchsiascale/jobs/tests/_simulation_network.py
+++ b/fuchsiascale/jobs/tests/_simulation_network.py
@@ -12,7 +12,7 @@
 LATE_DELAY_S = (0.8, 8.0)
 """Delay of a call that is carried out after its caller has given up."""
 CONTACT_S = 5.0
-"""Time without a disturbance after which the platform holds a machine to all rules."""
+"""Time without a disturbance after which an instance has to keep all rules."""
 
 
 class LinkFaults(msgspec.Struct):
--- a/fuchsiascale/jobs/tests/_simulation_record.py
+++ b/fuchsiascale/jobs/tests/_simulation_record.py
@@ -1,5 +1,6 @@
 """What workers and callers of a simulation saw, and the rules that were broken."""
 
+import enum
 import math
 
 import msgspec
@@ -9,11 +10,11 @@
 __all__ = ["Break", "Record", "Rule", "Run"]
 
 VISIBLE_S = 1.0
-"""Time after which a machine in touch has to know that a job was completed."""
+"""Time after which an undisturbed instance has to know that a job was completed."""
 
 
-class Rule:
-    """Names of the rules, as the platform uses them."""
+class Rule(enum.StrEnum):
+    """Rules, by the names that the platform gives them."""
 
     TWICE_AT_ONCE = "TWICE: two runs at once"
     TWICE_AFTER_DONE = "TWICE: a start after an acknowledged end"
@@ -31,7 +32,7 @@
 class Break(msgspec.Struct, frozen=True):
     """A rule that was broken."""
 
-    rule: str
+    rule: Rule
     at_s: float
     text: str
 
@@ -59,13 +60,13 @@
     ----------
     clock : Clock
         Source of time.
-    is_in_touch : callable
-        Returns whether an instance counts as in touch, by its address.
+    is_undisturbed : callable
+        Returns whether an instance has been without disturbances, by its address.
     """
 
-    def __init__(self, clock, is_in_touch):
+    def __init__(self, clock, is_undisturbed):
         self._clock = clock
-        self._is_in_touch = is_in_touch
+        self._is_undisturbed = is_undisturbed
         self.specs = {}
         self.breaks = []
         self.events = []
@@ -125,7 +126,7 @@
         if job in self.refused:
             self.report(Rule.REFUSED, where)
         is_late = run.began_s - self.shown_completed.get(job, math.inf) > VISIBLE_S
-        if is_late and self._is_in_touch(run.sender.partition("/")[0]):
+        if is_late and self._is_undisturbed(run.sender.partition("/")[0]):
             self.report(Rule.TWICE_AFTER_SHOWN, where)
         for before in spec.steps[step].after:
             tasks = [f"{job}.0.{before}.{n}" for n in range(spec.steps[before].count)]
--- a/fuchsiascale/jobs/tests/_simulation_worker.py
+++ b/fuchsiascale/jobs/tests/_simulation_worker.py
@@ -156,7 +156,7 @@
         self.simulation.record.note(f"{self.name} is down")
 
     def answer_down(self):
-        """Return the reply of the machine of a worker that is down; None for none."""
+        """Return the reply for a worker that is down; None if there is none."""
         return None if self._is_silent else Failure(Absent())
 
     def start_again(self):
