Allow 16 commands at a time at a worker

Cause of a loss: with four, starts and speeds of fillers queue behind each other on a busy worker. Three owners' connections still fit into the 64 of a worker.

--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -33,10 +33,10 @@
 """The session's own timeouts would count time in which this process could not run."""
 MAX_LISTED_ENDS = 500
 """Number of ends that a worker returns at most; it lists the earliest ones."""
-MAX_CONCURRENT_COMMANDS = 4
+MAX_CONCURRENT_COMMANDS = 16
 """Commands that one process has open at a worker; each takes a connection. A worker
 resets those beyond its limit, 64 from all processes. Connections of processes that lost
-power or their network stay open there, so several owners' share has to fit in."""
+power or their network stay open there, so the share of three owners has to fit in."""
 NO_LIMIT = contextlib.nullcontext()
 INCARNATION_HEADER = "Target-Instance"
 REFUSAL_REASONS = {
