Start nothing in failure domains that the operator evacuates

Cause: owners did not read evacuations.

Change: where the settings have bounds.evacuate_ms, an owner reads the rows evacuate/DOMAIN of the operator's table twice a second, from before it loads. No worker may be used until they were read once, nor one of an evacuated domain after that. Reads go through the relayed store, so that peers answer where the store turns the owner away, and don't wait for one another. After failed reads the last known set stays in force. A start that was planned before the set changed is withheld at the time of sending, and its task waits again. Without the setting nothing is read and nothing changes.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -7,6 +7,8 @@
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._conclusions import confirm_owner, needs_confirmation
+from fuchsiascale.jobs._evacuation_watch import EvacuationWatch
+from fuchsiascale.jobs._evacuations import Evacuations
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
 from fuchsiascale.jobs._job_order import compute_objective_s
 from fuchsiascale.jobs._ownership_evidence import OwnershipEvidence
@@ -75,10 +77,22 @@
         Source of time.
     on_lost : callable
         Called once with this owner when it relinquishes the service.
+    evacuations : EvacuationListing or None, optional
+        Where evacuations of failure domains are; None if the operator evacuates none.
     """
 
     def __init__(
-        self, service, row, version, store, workers, listing, limits, clock, on_lost
+        self,
+        service,
+        row,
+        version,
+        store,
+        workers,
+        listing,
+        limits,
+        clock,
+        on_lost,
+        evacuations=None,
     ):
         self.service = service
         self.row = row
@@ -101,6 +115,10 @@
             row.token,
             self.lease_s,
             longest_lease_s=limits.longest_lease_s,
+            evacuations=Evacuations(evacuations.decode) if evacuations else None,
+        )
+        self._evacuation_watch = evacuations and EvacuationWatch(
+            store, evacuations, self.shard.evacuations, clock, self._identify()
         )
         self.inherited_leases = InheritedLeases(self.shard, self.lease_s)
         self.lost = False
@@ -148,6 +166,8 @@
         """
         if predecessor_stopped_s is not None:
             self.inherited_leases.mark_stopped(predecessor_stopped_s)
+        if self._evacuation_watch is not None:
+            self._spawn(self._evacuation_watch.run())
         if not await self._load():
             return
         self.shard.loaded = True
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -93,6 +93,8 @@
     connect_relay : callable, optional
         Opens a connection to a peer that relays calls to workers; see `RelayChannel`.
         Without it, all workers are called directly.
+    evacuations : EvacuationListing or None, optional
+        Where evacuations of failure domains are; None if the operator evacuates none.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         limits,
         clock,
         connect_relay=None,
+        evacuations=None,
     ):
         self.identity = identity
         self.store = store
@@ -115,6 +118,7 @@
         self.clock = clock
         self.log = logbook.Logger("offices")
         self._connect_relay = connect_relay
+        self._evacuations = evacuations
         self.owners = {}
         self.stopping = False
         self._views = OwnerViews(clock)
@@ -330,6 +334,7 @@
             self.limits,
             self.clock,
             self._handle_owner_lost,
+            self._evacuations,
         )
         self.owners[service] = owner
         self._spawn(owner.start(stopped_s))
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns.result import Result
 
-from fuchsiascale.ids import ServiceId, TaskId, WorkerId
+from fuchsiascale.ids import FailureDomainId, ServiceId, TaskId, WorkerId
 from fuchsiascale.jobs._model import Resources
 
 __all__ = [
@@ -17,6 +17,7 @@
     "Conflict",
     "EndKind",
     "EndedAttempt",
+    "EvacuationListing",
     "Executed",
     "Expect",
     "HistoryTruncated",
@@ -186,6 +187,20 @@
     decode: Callable[[StoredRow], ListedWorker | None]
 
 
+class EvacuationListing(msgspec.Struct, frozen=True):
+    """Where the operator's evacuations are, and how a row is decoded.
+
+    ``decode`` returns the failure domain, or None for a malformed row. The rows have
+    keys from ``first_key`` up to before ``last_key`` in the partition with the empty
+    name.
+    """
+
+    table: str
+    first_key: str
+    last_key: str
+    decode: Callable[[StoredRow], FailureDomainId | None]
+
+
 class EndKind(Enum):
     """How an attempt ended."""
 
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -53,6 +53,8 @@
         Where decisions are logged.
     longest_lease_s : float, optional
         Longest lease that a worker takes.
+    evacuations : Evacuations or None, optional
+        Failure domains that take no starts; None if the operator evacuates none.
 
     Attributes
     ----------
@@ -63,12 +65,21 @@
         Monotonic time of the last conclusion that needs a later confirmation.
     """
 
-    def __init__(self, service, token, lease_s, log=None, longest_lease_s=None):
+    def __init__(
+        self,
+        service,
+        token,
+        lease_s,
+        log=None,
+        longest_lease_s=None,
+        evacuations=None,
+    ):
         self.service = service
         self.token = token
         self.lease_ms = int(lease_s * 1000)
         self.longest_lease_ms = int((longest_lease_s or lease_s) * 1000)
         self.log = log or logbook.Logger("shard")
+        self.evacuations = evacuations
         self.jobs = {}
         self.finished = {}
         self.workers = {}
@@ -187,7 +198,20 @@
         An incarnation that has not seen a later owner refuses nothing. A later owner
         that is claimed after its first answer will look for attempts there.
         """
-        return worker.claimed_s < self.confirmed_s and worker.is_usable(now_s)
+        return (
+            worker.claimed_s < self.confirmed_s
+            and worker.is_usable(now_s)
+            and not self.is_evacuated(worker)
+        )
+
+    def is_evacuated(self, worker):
+        """Return whether nothing may be started in a worker's failure domain.
+
+        That also holds as long as it is unknown which domains are evacuated.
+        """
+        return self.evacuations is not None and not self.evacuations.allow_starts(
+            worker.listed.domain
+        )
 
     def may_start(self, task):
         """Return whether no other attempt of a waiting task can run or start.
@@ -352,12 +376,7 @@
     def note_start_refused(self, attempt, reason, now_s):
         """Note that a worker has not carried out a start and never will."""
         worker = attempt.worker
-        if attempt.phase is AttemptPhase.STARTING:
-            worker.release(attempt)
-            if attempt.task.attempt is attempt:
-                attempt.task.attempt = None
-        if attempt.task.step.spec.gang:
-            self._stop_gang(attempt.task.step, now_s)
+        self._undo_start(attempt, now_s)
         self.events[f"start refused: {reason.value}"] += 1
         pause_s = NO_ROOM_PAUSE_S
         if reason is RefusedReason.UNHEALTHY:
@@ -374,6 +393,31 @@
             },
         )
 
+    def note_start_withheld(self, attempt, now_s):
+        """Note that a start was not sent because its failure domain is evacuated."""
+        self._undo_start(attempt, now_s)
+        self.events["start withheld: evacuated"] += 1
+        self.log.info(
+            "start withheld",
+            extra={
+                "task": attempt.task.name,
+                "worker": attempt.worker.worker,
+                "domain": attempt.worker.listed.domain,
+            },
+        )
+
+    def _undo_start(self, attempt, now_s):
+        """Let the task of an attempt wait again that was not, and never will be, run.
+
+        The other members of a gang are stopped.
+        """
+        if attempt.phase is AttemptPhase.STARTING:
+            attempt.worker.release(attempt)
+            if attempt.task.attempt is attempt:
+                attempt.task.attempt = None
+        if attempt.task.step.spec.gang:
+            self._stop_gang(attempt.task.step, now_s)
+
     def _stop_gang(self, step, now_s):
         """Stop the members of a gang of which one is missing."""
         for task in step.tasks:
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -89,6 +89,10 @@
         shard = self.shard
         job = attempt.task.step.job
         sent_s = self.clock.monotonic()
+        if shard.is_evacuated(worker):
+            shard.note_start_withheld(attempt, sent_s)
+            self._on_change()
+            return
         until_ms = shard.grant_lease(worker, sent_s) if self._may_grant() else None
         if until_ms is None:
             # The worker stopped answering after the round, or the process was paused
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -159,6 +159,7 @@
             OwnerLimits(settings.longest_lease_s, settings.max_row_bytes),
             self.clock,
             self.relay_connector.connect,
+            self._list_evacuations(),
         )
         self.configuration_watch = ConfigurationWatch(
             user_platform.CONFIGURATION_KEY, user_platform.decode_configuration
@@ -189,6 +190,12 @@
             self.request_handler, self.configuration_watch, self.stop_requested.is_set
         )
 
+    def _list_evacuations(self):
+        """Return where evacuations are; None if the operator evacuates no domain."""
+        if self.settings.evacuation_bound_s is None:
+            return None
+        return user_platform.make_evacuation_listing()
+
     def _open_session(self):
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0),
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -40,6 +40,9 @@
         Whether a transaction of the store may cover several partitions.
     cores, link_mbit_s : float
         Processors available to this process, and its link's bandwidth in Mbit/s.
+    evacuation_bound_s : float or None
+        Time after which a failure domain that an operator evacuates gets no new task,
+        in seconds; None if the operator evacuates none.
     """
 
     instance: str
@@ -56,6 +59,7 @@
     joins_partitions: bool = False
     cores: float = 1.0
     link_mbit_s: float = 1000.0
+    evacuation_bound_s: float | None = None
 
 
 def read_local_settings(path=None) -> Result[LocalSettings, list[str]]:
@@ -119,10 +123,17 @@
         "cores": reader.number("limits.cpu_share", 1)
         * reader.number("limits.cpu_cores", 1),
         "link_mbit_s": reader.number("limits.link_mbps", 1000),
+        "evacuation_bound_s": _convert_to_seconds(
+            reader.number("bounds.evacuate_ms", None)
+        ),
     }
     return None if reader.problems else LocalSettings(**fields)
 
 
+def _convert_to_seconds(milliseconds):
+    return None if milliseconds is None else milliseconds / 1000
+
+
 class _SettingsReader:
     """Converts values by key and collects the problems found."""
 
--- a/fuchsiascale/platform/_operator_rows.py
+++ b/fuchsiascale/platform/_operator_rows.py
@@ -7,9 +7,10 @@
 import msgspec
 from returns.result import Failure
 
-from fuchsiascale.ids import ServiceId, WorkerId
+from fuchsiascale.ids import FailureDomainId, ServiceId, WorkerId
 from fuchsiascale.jobs import (
     Configuration,
+    EvacuationListing,
     ListedWorker,
     Queue,
     QueuePolicy,
@@ -23,16 +24,24 @@
     "OPERATOR_TABLE",
     "WORKERS_TABLE",
     "decode_configuration",
+    "decode_evacuation",
+    "make_evacuation_listing",
     "decode_worker",
 ]
 
 OPERATOR_TABLE = "op"
 WORKERS_TABLE = "servers"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+"""Start of the key of an evacuation; the rest is the name of the failure domain."""
+EVACUATION_END = "evacuate0"
+"""First key after all that start with the prefix."""
 
 
 MAX_NUMBER = 2**53
 """Largest number of an entry; larger ones are not exact in all JSON libraries."""
+MAX_LOGGED_TEXT = 200
+"""Length to which texts of other writers are cut in log lines."""
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 log = logbook.Logger("listing")
@@ -128,6 +137,37 @@
     return Queue(host=route.host, prefix=route.prefix, policy=policy)
 
 
+class _Evacuation(msgspec.Struct):
+    """Value of an evacuation, which has no fields yet."""
+
+
+def make_evacuation_listing() -> EvacuationListing:
+    """Return where the operator's evacuations are, and how they are decoded."""
+    return EvacuationListing(
+        OPERATOR_TABLE, EVACUATION_PREFIX, EVACUATION_END, decode_evacuation
+    )
+
+
+def decode_evacuation(row: StoredRow) -> FailureDomainId | None:
+    """Return the failure domain that a row evacuates, or None if it is malformed."""
+    key = row.place.key
+    decoded = decode_json(row.value, _Evacuation)
+    domain = key.removeprefix(EVACUATION_PREFIX)
+    if isinstance(decoded, Failure) or not domain or domain == key:
+        log.info(
+            "malformed evacuation",
+            extra={
+                "entry": key[:MAX_LOGGED_TEXT],
+                "revision": row.version,
+                "why": decoded.failure()[:MAX_LOGGED_TEXT]
+                if isinstance(decoded, Failure)
+                else "no domain",
+            },
+        )
+        return None
+    return FailureDomainId(domain)
+
+
 def decode_worker(row: StoredRow) -> ListedWorker | None:
     """Return the worker that a row describes, or None if it is unusable.
 
--- a/fuchsiascale/platform/tests/test_local_settings.py
+++ b/fuchsiascale/platform/tests/test_local_settings.py
@@ -29,6 +29,7 @@
     (("listen.front=10.0.0.1:80", "listen.front=80"), "listen.front: '80' is not"),
     (("listen.ready=10.0.0.1:81", "listen.ready=x:y"), "listen.ready: 'x:y' is not"),
     (("hold_max_ms=10000", "hold_max_ms=long"), "bounds.hold_max_ms: 'long' is not"),
+    (("something.new=7", "bounds.evacuate_ms=x"), "bounds.evacuate_ms: 'x' is not"),
     (("region=r", "region"), "line 3: no '='"),
 )
 
@@ -43,6 +44,12 @@
     assert settings.store_address == "10.9.0.1:90"
 
 
+def test_evacuations_are_read_only_where_their_bound_is_set():
+    assert parse_settings(GOOD).unwrap().evacuation_bound_s is None
+    settings = parse_settings(GOOD + "bounds.evacuate_ms=5000\n").unwrap()
+    assert settings.evacuation_bound_s == 5.0
+
+
 def test_each_fault_is_reported_with_its_key():
     for (old, new), problem in FAULTS:
         found = parse_settings(GOOD.replace(old, new))
--- a/fuchsiascale/platform/tests/test_operator_rows.py
+++ b/fuchsiascale/platform/tests/test_operator_rows.py
@@ -1,9 +1,15 @@
 """Tests of decoding the rows that the operator and the workers write."""
 
+import logbook
 import msgspec
 
 from fuchsiascale.jobs import QueueIndex, RowKey, StoredRow
-from fuchsiascale.platform.user_platform import decode_configuration, decode_worker
+from fuchsiascale.platform.user_platform import (
+    decode_configuration,
+    decode_evacuation,
+    decode_worker,
+    make_evacuation_listing,
+)
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -133,3 +139,51 @@
 def test_an_unreadable_configuration_is_none():
     assert decode_configuration(b"{") is None
     assert decode_configuration(b'{"version":"seven"}') is None
+
+
+def make_evacuation(key, value=b"{}"):
+    return StoredRow(RowKey("op", "", key), value, 3)
+
+
+MALFORMED_EVACUATIONS = (
+    ("no value", b""),
+    ("no JSON", b"{"),
+    ("bytes of no text", b"\xff\x00"),
+    ("a list", b"[]"),
+    ("a text", b'"a"'),
+    ("a number", b"7"),
+    ("null", b"null"),
+    ("a nesting that can't be decoded", b'{"a":' + b"[" * DEPTH + b"]" * DEPTH + b"}"),
+)
+
+
+def test_an_evacuation_is_decoded_to_its_domain():
+    for value in (b"{}", b'{"by":"x","until":[1]}'):
+        assert decode_evacuation(make_evacuation("evacuate/south", value)) == "south"
+    assert decode_evacuation(make_evacuation("evacuate/a/b")) == "a/b"
+
+
+def test_a_malformed_evacuation_names_no_domain_and_writes_one_line():
+    rows = [
+        make_evacuation("evacuate/south", value) for _, value in MALFORMED_EVACUATIONS
+    ]
+    rows += [make_evacuation("evacuate/"), make_evacuation("config")]
+    for row in rows:
+        with logbook.TestHandler() as handler:
+            assert decode_evacuation(row) is None, row
+        assert len(handler.records) == 1, row
+
+
+def test_a_line_about_a_malformed_evacuation_is_bounded():
+    row = make_evacuation("evacuate/" + "s" * 60_000, b"{")
+    with logbook.TestHandler() as handler:
+        assert decode_evacuation(row) is None
+    assert len(str(handler.records[0].extra)) < 1_000
+
+
+def test_the_range_of_evacuations_has_all_their_keys_and_no_others():
+    listing = make_evacuation_listing()
+    for key in ("evacuate/", "evacuate/a", "evacuate/\U0010ffff"):
+        assert listing.first_key <= key < listing.last_key, key
+    for key in ("config", "evacuate", "evacuate0", "evacuated/a"):
+        assert not listing.first_key <= key < listing.last_key, key
