Start nothing while evacuations may be unknown for longer than allowed

Cause: the store may fall silent just after it has acknowledged an evacuation, and a domain that is cut from the store may have an owner with peers of its own. Such an owner went on starting tasks in the evacuated domain for 10 s, as long as its ownership held.

Change: what was read counts for the bound less 1 s, the time to send a start; after that no domain takes starts until a read succeeds. A log line tells when the wait begins and ends. Reads don't wait for one another, so that a slow store, or a peer that doesn't answer, doesn't make it too old.

Cost: with a bound of 5 s, starts pause in a silence of the store from 4 s on; before, from 10 s on.

--- a/fuchsiascale/jobs/_evacuation_watch.py
+++ b/fuchsiascale/jobs/_evacuation_watch.py
@@ -21,7 +21,8 @@
 class EvacuationWatch:
     """Keeps the evacuations of an owner up to date.
 
-    After a failed read the last known evacuations stay in force.
+    After a failed read the last known evacuations stay in force, until they are too
+    old; see `Evacuations`.
 
     Parameters
     ----------
@@ -46,6 +47,7 @@
         self._identity = identity
         self._open_reads = 0
         self._is_failing = False
+        self._was_known = True
 
     async def run(self):
         """Read periodically until cancelled."""
@@ -54,6 +56,7 @@
                 if self._open_reads < MAX_OPEN_READS:
                     group.create_task(self.read())
                 await asyncio.sleep(READ_PERIOD_S)
+                self._log_age()
 
     async def read(self):
         """Read the rows once, and log what has changed."""
@@ -79,6 +82,16 @@
         age_s = self.clock.monotonic() - read_s
         return round(age_s, 3) if read_s >= 0 else None
 
+    def _log_age(self):
+        """Log when the last read becomes too old to start tasks by it, or recent."""
+        is_known = self.evacuations.are_known(self.clock.monotonic())
+        if is_known is self._was_known:
+            return
+        self._was_known = is_known
+        text = "evacuations known" if is_known else "evacuations unknown; starts wait"
+        age_s = self._measure_age_s(self.evacuations.read_s)
+        self.log.warning(text, extra={**self._identity, "age_s": age_s})
+
     def _log_failure(self, error, before_s):
         """Log the first of a series of failed reads."""
         if self._is_failing:
--- a/fuchsiascale/jobs/_evacuations.py
+++ b/fuchsiascale/jobs/_evacuations.py
@@ -14,6 +14,12 @@
 
 __all__ = ["EvacuationChange", "Evacuations"]
 
+SEND_TIME_S = 1.0
+"""Time from the decision to send a start until a worker may carry it out: the timeout
+of a command, which is 0.8 s, and the latency of the network."""
+MIN_MAX_AGE_S = 1.0
+"""Least age at which what was read is still used: two periods of the reads."""
+
 
 class EvacuationChange(msgspec.Struct, frozen=True):
     """A failure domain that an operator has begun or ceased to evacuate.
@@ -29,13 +35,17 @@
 class Evacuations:
     """Failure domains that an operator evacuates, as last read from the store.
 
-    Before the first read no domain may take starts, since each may be evacuated.
+    Before the first read no domain may take starts, since each may be evacuated; nor
+    may any once the last read is too old.
 
     Parameters
     ----------
     decode : callable
         Returns the failure domain that a row names, or None for a malformed row. It is
         called once for each version of a row.
+    bound_s : float, optional
+        Time after which an evacuated domain must get no new task. Where the last read
+        is so old that an evacuation since would miss the bound, no domain takes starts.
 
     Attributes
     ----------
@@ -49,18 +59,19 @@
     --------
     >>> from fuchsiascale.jobs import RowKey, StoredRow
     >>> evacuations = Evacuations(lambda row: row.place.key.removeprefix("evacuate/"))
-    >>> evacuations.allow_starts("south")
+    >>> evacuations.allow_starts("south", now_s=1.1)
     False
     >>> row = StoredRow(RowKey("op", "", "evacuate/north"), b"{}", 7)
     >>> [change.domain for change in evacuations.apply((row,), 8, asked_s=1.0)]
     ['north']
-    >>> evacuations.allow_starts("south"), evacuations.allow_starts("north")
-    (True, False)
+    >>> [evacuations.allow_starts(name, now_s=1.1) for name in ("south", "north")]
+    [True, False]
     """
 
-    def __init__(self, decode):
+    def __init__(self, decode, bound_s=math.inf):
         self.domains = frozenset()
         self.read_s = -math.inf
+        self._max_age_s = max(MIN_MAX_AGE_S, bound_s - SEND_TIME_S)
         self._decode = decode
         self._store_version = -1
         self._decoded = {}
@@ -119,6 +130,10 @@
             return domain
         return self._decode(row) or domain
 
-    def allow_starts(self, domain):
+    def are_known(self, now_s):
+        """Return whether the last read is recent enough to start tasks by it."""
+        return now_s - self.read_s < self._max_age_s
+
+    def allow_starts(self, domain, now_s):
         """Return whether tasks may be started in a failure domain."""
-        return self.read_s > -math.inf and domain not in self.domains
+        return self.are_known(now_s) and domain not in self.domains
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -115,7 +115,8 @@
             row.token,
             self.lease_s,
             longest_lease_s=limits.longest_lease_s,
-            evacuations=Evacuations(evacuations.decode) if evacuations else None,
+            evacuations=evacuations
+            and Evacuations(evacuations.decode, evacuations.bound_s),
         )
         self._evacuation_watch = evacuations and EvacuationWatch(
             store, evacuations, self.shard.evacuations, clock, self._identify()
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -192,13 +192,15 @@
 
     ``decode`` returns the failure domain, or None for a malformed row. The rows have
     keys from ``first_key`` up to before ``last_key`` in the partition with the empty
-    name.
+    name. ``bound_s`` is the time after the store's acknowledgement of a row from which
+    its domain must get no new task.
     """
 
     table: str
     first_key: str
     last_key: str
     decode: Callable[[StoredRow], FailureDomainId | None]
+    bound_s: float
 
 
 class EndKind(Enum):
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -201,16 +201,16 @@
         return (
             worker.claimed_s < self.confirmed_s
             and worker.is_usable(now_s)
-            and not self.is_evacuated(worker)
+            and not self.is_evacuated(worker, now_s)
         )
 
-    def is_evacuated(self, worker):
+    def is_evacuated(self, worker, now_s):
         """Return whether nothing may be started in a worker's failure domain.
 
         That also holds as long as it is unknown which domains are evacuated.
         """
         return self.evacuations is not None and not self.evacuations.allow_starts(
-            worker.listed.domain
+            worker.listed.domain, now_s
         )
 
     def may_start(self, task):
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -89,7 +89,7 @@
         shard = self.shard
         job = attempt.task.step.job
         sent_s = self.clock.monotonic()
-        if shard.is_evacuated(worker):
+        if shard.is_evacuated(worker, sent_s):
             shard.note_start_withheld(attempt, sent_s)
             self._on_change()
             return
--- a/fuchsiascale/jobs/tests/test_evacuations.py
+++ b/fuchsiascale/jobs/tests/test_evacuations.py
@@ -47,7 +47,8 @@
     return row.place.key.removeprefix(PREFIX) if row.value == b"{}" else None
 
 
-LISTING = EvacuationListing("op", PREFIX, "evacuate0", decode)
+BOUND_S = 5.0
+LISTING = EvacuationListing("op", PREFIX, "evacuate0", decode, BOUND_S)
 
 
 def make_zoned_shard(*domains, **fields):
@@ -169,6 +170,20 @@
     assert (ended.domain, ended.is_evacuated, ended.revision) == ("a", False, 9)
 
 
+def test_nothing_starts_while_an_evacuation_may_be_unknown_for_longer_than_allowed():
+    # The store may fall silent just after it has acknowledged the operator's request.
+    shard = make_zoned_shard("a", "b")
+    shard.evacuations = Evacuations(decode, bound_s=5.0)
+    shard.evacuations.apply((make_row("b"),), 1, asked_s=1.0)
+    submit_job(shard, make_step())
+    assert list_started_domains(shard, 4.9) == ["a"]
+    submit_job(shard, make_step(), job="1" * 16)
+    assert list_started_domains(shard, 5.1) == []
+    assert shard.evacuations.domains == {"b"}
+    shard.evacuations.apply((make_row("b"),), 1, asked_s=5.2)
+    assert list_started_domains(shard, 5.3) == ["a"]
+
+
 class RecordingWorkers:
     """Workers that carry out each start."""
 
@@ -258,17 +273,20 @@
     async def run():
         store = EvacuationStore(rows=None)
         owner = make_owner(store)
-        owner.shard.loaded = True
+        (worker,) = make_zoned_shard("a").workers.values()
+
+        def is_evacuated():
+            return owner.shard.is_evacuated(worker, owner.clock.monotonic())
+
         starting = asyncio.create_task(owner.start())
         await asyncio.sleep(3.0)
-        (worker,) = make_zoned_shard("a").workers.values()
-        assert owner.shard.is_evacuated(worker)
+        assert is_evacuated()
         store.rows = (make_row("b"),)
         await asyncio.sleep(1.0)
-        assert not owner.shard.is_evacuated(worker)
+        assert not is_evacuated()
         store.rows, store.version = (make_row("a"),), 2
         await asyncio.sleep(0.6)
-        assert owner.shard.is_evacuated(worker)
+        assert is_evacuated()
         await starting
         await owner.stop()
 
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -192,9 +192,10 @@
 
     def _list_evacuations(self):
         """Return where evacuations are; None if the operator evacuates no domain."""
-        if self.settings.evacuation_bound_s is None:
+        bound_s = self.settings.evacuation_bound_s
+        if bound_s is None:
             return None
-        return user_platform.make_evacuation_listing()
+        return user_platform.make_evacuation_listing(bound_s)
 
     def _open_session(self):
         session = aiohttp.ClientSession(
--- a/fuchsiascale/platform/_operator_rows.py
+++ b/fuchsiascale/platform/_operator_rows.py
@@ -141,10 +141,10 @@
     """Value of an evacuation, which has no fields yet."""
 
 
-def make_evacuation_listing() -> EvacuationListing:
+def make_evacuation_listing(bound_s: float) -> EvacuationListing:
     """Return where the operator's evacuations are, and how they are decoded."""
     return EvacuationListing(
-        OPERATOR_TABLE, EVACUATION_PREFIX, EVACUATION_END, decode_evacuation
+        OPERATOR_TABLE, EVACUATION_PREFIX, EVACUATION_END, decode_evacuation, bound_s
     )
 
 
--- a/fuchsiascale/platform/tests/test_operator_rows.py
+++ b/fuchsiascale/platform/tests/test_operator_rows.py
@@ -182,7 +182,7 @@
 
 
 def test_the_range_of_evacuations_has_all_their_keys_and_no_others():
-    listing = make_evacuation_listing()
+    listing = make_evacuation_listing(5.0)
     for key in ("evacuate/", "evacuate/a", "evacuate/\U0010ffff"):
         assert listing.first_key <= key < listing.last_key, key
     for key in ("config", "evacuate", "evacuate0", "evacuated/a"):
