Test the watch of evacuations against failures of the store

Guards against: a store that turns the owner away, answers after 1.5 s, is silent, or has dropped its history; thousands of rows that flood the log; a line at each read.

--- a/fuchsiascale/jobs/tests/test_evacuations.py
+++ b/fuchsiascale/jobs/tests/test_evacuations.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+import logbook
 import msgspec
 from returns.result import Failure, Success
 
@@ -14,9 +15,12 @@
     EvacuationListing,
     Evacuations,
     Executed,
+    HistoryTruncated,
     OwnerLimits,
     OwnerRow,
+    RelayedStore,
     RelayedWorkers,
+    RelayReply,
     RowKey,
     StoredRow,
     VersionedRows,
@@ -305,6 +309,27 @@
     run_in_virtual_time(run())
 
 
+def test_evacuations_are_seen_though_the_store_has_dropped_its_history():
+    class ForgetfulStore(EvacuationStore):
+        """A store that never holds the changes that a feed asks for."""
+
+        async def follow(self, table, after, wait_ms):
+            return Failure(HistoryTruncated())
+
+    async def run():
+        store = ForgetfulStore((make_row("a"),))
+        owner = make_owner(store)
+        await owner.start()
+        await asyncio.sleep(1.0)
+        assert owner.shard.evacuations.domains == {"a"}
+        store.rows, store.version = (make_row("b", 2),), 2
+        await asyncio.sleep(1.0)
+        assert owner.shard.evacuations.domains == {"b"}
+        await owner.stop()
+
+    run_in_virtual_time(run())
+
+
 async def watch_for(store, seconds, evacuations):
     """Run a watch for some time."""
     watch = EvacuationWatch(store, LISTING, evacuations, LoopClock(), {})
@@ -341,3 +366,78 @@
     store = HalfSilentStore((make_row("a"),))
     run_in_virtual_time(watch_for(store, 1.0, evacuations))
     assert evacuations.domains == {"a"}
+
+
+class Peers:
+    """Peers that the store answers; every second one is itself not reached."""
+
+    def __init__(self, *rows):
+        self.rows = rows
+        self.asked = 0
+
+    async def ask(self, address, message, timeout_s):
+        self.asked += 1
+        if self.asked % 2:
+            await asyncio.sleep(timeout_s)
+            return None
+        await asyncio.sleep(0.004)
+        return RelayReply("done", 7, self.rows)
+
+
+def test_a_peer_reads_for_an_owner_that_the_store_turns_away():
+    direct = EvacuationStore(rows=None)
+    peers = Peers(make_row("a"))
+    store = RelayedStore(direct, peers, lambda: ["b", "c", "d"], LoopClock())
+    evacuations = Evacuations(decode)
+    run_in_virtual_time(watch_for(store, 3.0, evacuations))
+    assert evacuations.domains == {"a"}
+
+
+def test_a_slow_store_does_not_make_what_was_read_too_old():
+    class SlowStore(EvacuationStore):
+        """A store that answers after 1.5 s."""
+
+        async def read(self, *key_range):
+            await asyncio.sleep(1.5)
+            return await super().read(*key_range)
+
+    async def run():
+        evacuations, clock = Evacuations(decode, BOUND_S), LoopClock()
+        watching = asyncio.create_task(watch_for(SlowStore(), 20.0, evacuations))
+        await asyncio.sleep(2.0)
+        while not watching.done():
+            assert evacuations.are_known(clock.monotonic())
+            assert clock.monotonic() - evacuations.read_s < 2.1
+            await asyncio.sleep(0.1)
+
+    run_in_virtual_time(run())
+
+
+def watch_and_list_lines(store, seconds, bound_s=BOUND_S):
+    """Run a watch for some time, and return its log lines."""
+    with logbook.TestHandler() as handler:
+        evacuations = Evacuations(decode, bound_s)
+        run_in_virtual_time(watch_for(store, seconds, evacuations))
+    return handler.records
+
+
+def test_each_change_is_logged_once_with_domain_revision_and_age():
+    store = EvacuationStore((make_row("a", 3),))
+    (line,) = watch_and_list_lines(store, 3.0)
+    assert line.message == "domain evacuated"
+    assert line.extra == {"domain": "a", "revision": 3, "age_s": None}
+
+
+def test_a_store_that_is_away_is_logged_once_and_so_is_the_wait_of_starts():
+    lines = watch_and_list_lines(EvacuationStore(rows=None), 9.9)
+    assert [line.message for line in lines] == [
+        "evacuations not read",
+        "evacuations unknown; starts wait",
+    ]
+
+
+def test_thousands_of_rows_are_logged_in_a_bounded_number_of_lines():
+    rows = tuple(make_row(f"z{number}") for number in range(5_000))
+    lines = watch_and_list_lines(EvacuationStore(rows), 3.0)
+    assert len(lines) < 30
+    assert lines[-1].extra == {"changes": 5_000}
