Keep evacuations in force longer while the store is unstable

Starts stopped once the last read of evacuations was evacuate_ms less 1 s old, so a store that was silent for more than 4 s would have held up all known work. The operator can't change an evacuation in such an outage either, and the platform allows max_stretch_ms more then. Tests of fuchsiascale.jobs and fuchsiascale.platform pass (256 and 70).

--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -191,11 +191,17 @@
         )
 
     def _list_evacuations(self):
-        """Return where evacuations are; None if the operator evacuates no domain."""
+        """Return where evacuations are; None if the operator evacuates no domain.
+
+        Evacuations become unknown only after the longer bound of an unstable store.
+        Known work goes on until then, as in any other outage of the store.
+        """
         bound_s = self.settings.evacuation_bound_s
         if bound_s is None:
             return None
-        return user_platform.make_evacuation_listing(bound_s)
+        return user_platform.make_evacuation_listing(
+            bound_s + self.settings.unstable_store_stretch_s
+        )
 
     def _open_session(self):
         session = aiohttp.ClientSession(
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -43,6 +43,8 @@
     evacuation_bound_s : float or None
         Time after which a failure domain that an operator evacuates gets no new task,
         in seconds; None if the operator evacuates none.
+    unstable_store_stretch_s : float
+        How much longer such bounds are while the store is unstable, in seconds.
     """
 
     instance: str
@@ -60,6 +62,7 @@
     cores: float = 1.0
     link_mbit_s: float = 1000.0
     evacuation_bound_s: float | None = None
+    unstable_store_stretch_s: float = 0.0
 
 
 def read_local_settings(path=None) -> Result[LocalSettings, list[str]]:
@@ -126,6 +129,7 @@
         "evacuation_bound_s": _convert_to_seconds(
             reader.number("bounds.evacuate_ms", None)
         ),
+        "unstable_store_stretch_s": reader.number("bounds.max_stretch_ms", 0) / 1000,
     }
     return None if reader.problems else LocalSettings(**fields)
 
