Place tasks on cold workers last, and learn nothing from them

Cause: workers are slow for some seconds after their start. Their entry says for how long (cold_left_ms), which was not decoded: tasks there were stopped as stalled, the worker was suspended, and their run times made all estimates too long.

Change: a worker is cold for that time, counted from when the entry was seen, 60 s at most. It costs more than a warm worker near or far alike, less than a worker outside of the data's rack. Run times of attempts that began while it was cold are not learnt, and the stall check counts no time in which it is cold. A malformed value counts as 0, since the entry was usable before. Without bounds.evacuate_ms all workers count as warm.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -213,7 +213,8 @@
         if end.end_kind is EndKind.DONE:
             worker.failed_jobs.clear()
             worker.suspensions = 0
-        if end.end_kind is EndKind.DONE and attempt.has_full_run_time:
+        was_warm = attempt.phase_since_s >= worker.cold_until_s
+        if end.end_kind is EndKind.DONE and attempt.has_full_run_time and was_warm:
             step = attempt.task.step
             run_s = now_s - attempt.phase_since_s
             shard.run_times.observe(step.job.policy.queue, run_s, step.run_times)
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -164,7 +164,11 @@
 
 
 class ListedWorker(msgspec.Struct, frozen=True, kw_only=True):
-    """A worker as listed by the platform."""
+    """A worker as listed by the platform.
+
+    ``cold_left_ms`` is how much longer it stays slow after its start, as of the time
+    when the entry was written.
+    """
 
     worker: WorkerId
     service: ServiceId
@@ -175,6 +179,7 @@
     draining: bool = False
     remaining_ms: int | None = None
     incarnation: int = 0
+    cold_left_ms: int = 0
 
 
 class WorkerListing(msgspec.Struct, frozen=True):
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -247,7 +247,9 @@
             continue
         if attempt.target_pace < STALL_MIN_PACE_PERCENT:
             attempt.progressed_at_s = now_s
-        idle_s = now_s - max(attempt.progressed_at_s, attempt.phase_since_s)
+        idle_s = now_s - max(
+            attempt.progressed_at_s, attempt.phase_since_s, worker.cold_until_s
+        )
         if idle_s > STALL_TIMEOUT_S * 2**attempt.task.stalls:
             attempt.task.stalls += 1
             shard.log.warning(
--- a/fuchsiascale/jobs/_worker_selection.py
+++ b/fuchsiascale/jobs/_worker_selection.py
@@ -41,6 +41,9 @@
 """Assumed probability that a pair of images with an unknown slope interferes."""
 REMOTE_COST = 10.0
 """Cost of a worker outside the rack of the task's data."""
+COLD_COST = 5.0
+"""Cost of a worker that is slow after its start. It comes after warm ones that are as
+suitable, but before one outside of the rack of the task's data."""
 LONG_RUNNING_USE = 0.5
 """Share of the requested processor time that long-running tasks are expected to use."""
 LEFTOVER_MAX_AGE_S = 0.4
@@ -82,16 +85,16 @@
     def __init__(self, shard, workers, now_s):
         self._shard = shard
         self._workers = workers
-        self._now_s = now_s
+        self.now_s = now_s
         self._max_millis = {}
 
     def find(self, image, worker):
         """Return the `LeftoverCapacity` of a worker."""
         cached = worker.leftovers.get(image)
-        if cached is not None and self._now_s < cached[1]:
+        if cached is not None and self.now_s < cached[1]:
             return cached[0]
         leftover = compute_leftover(self._shard, image, worker)
-        worker.leftovers[image] = (leftover, self._now_s + LEFTOVER_MAX_AGE_S)
+        worker.leftovers[image] = (leftover, self.now_s + LEFTOVER_MAX_AGE_S)
         return leftover
 
     def max_millis(self, image):
@@ -177,7 +180,12 @@
 
     def rank(worker):
         leftover = leftovers.find(image, worker)
-        return -leftover.millis, len(list_filler_shares(worker)), leftover.slope
+        return (
+            -leftover.millis,
+            worker.is_cold(leftovers.now_s),
+            len(list_filler_shares(worker)),
+            leftover.slope,
+        )
 
     fitting = [worker for worker in workers if _can_run(step, worker)]
     return min(fitting, key=rank, default=None)
@@ -202,6 +210,8 @@
     capacity = max(1, worker.listed.capacity.cpu_millis)
     remote = spec.data_rack and spec.data_rack not in worker.listed.labels
     penalty = REMOTE_COST if remote else 0.0
+    if worker.is_cold(leftovers.now_s):
+        penalty += COLD_COST
     if spec.fills:
         leftover = leftovers.find(spec.image, worker)
         rate = leftover.rate(spec)
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -6,6 +6,9 @@
 
 LATE_START_S = 10.0
 """Time in which a start without an answer may still take effect."""
+MAX_COLD_S = 60.0
+"""Longest time for which an entry lets a worker count as cold: attempts on one are not
+checked for progress, whatever another writer has written there."""
 
 
 class WorkerRun:
@@ -55,6 +58,8 @@
         speeds; None after a change.
     leftovers : dict
         Leftover capacity by image, and when it has to be computed anew.
+    cold_until_s : float
+        Monotonic time until which the worker is slow after its start.
     blocked_until_s, suspended_until_s : float
         Monotonic times before which nothing is started, for any reason and because
         attempts failed or stalled.
@@ -98,6 +103,8 @@
         self.cpu_used = 0
         self.memory_used = 0
         self.accelerators_used = 0
+        self.cold_until_s = 0.0
+        self._note_cold(listed, now_s)
 
     @property
     def acknowledgeable_end(self):
@@ -198,9 +205,26 @@
             self._forget_derived()
         if listed.incarnation not in (0, self.incarnation) and self.incarnation:
             self.doubted_s = now_s
+        is_same_start = listed.incarnation == self.listed.incarnation
+        if not is_same_start or listed.cold_left_ms != self.listed.cold_left_ms:
+            self._note_cold(listed, now_s)
         self.listed = listed
         self.is_listed = True
 
+    def _note_cold(self, listed, now_s):
+        """Note from an entry that has just changed how long the worker stays cold.
+
+        An entry is applied again with each change of the list, and must not extend the
+        time then.
+        """
+        cold_s = min(MAX_COLD_S, listed.cold_left_ms / 1000)
+        if cold_s or self.is_cold(now_s):
+            self.cold_until_s = now_s + cold_s
+
+    def is_cold(self, now_s):
+        """Return whether the worker is still slow after its start."""
+        return now_s < self.cold_until_s
+
     def _forget_derived(self):
         self.serving_tasks = self.filler_shares = self.leftover_millis = None
         self.leftovers.clear()
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -155,7 +155,7 @@
             self.store,
             workers,
             self.peers,
-            WorkerListing(user_platform.WORKERS_TABLE, user_platform.decode_worker),
+            WorkerListing(user_platform.WORKERS_TABLE, self._choose_worker_decoder()),
             OwnerLimits(settings.longest_lease_s, settings.max_row_bytes),
             self.clock,
             self.relay_connector.connect,
@@ -197,6 +197,12 @@
             return None
         return user_platform.make_evacuation_listing(bound_s)
 
+    def _choose_worker_decoder(self):
+        """Return the decoder of workers; cold ones differ only with evacuations."""
+        if self.settings.evacuation_bound_s is None:
+            return user_platform.decode_warm_worker
+        return user_platform.decode_worker
+
     def _open_session(self):
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0),
--- a/fuchsiascale/platform/_operator_rows.py
+++ b/fuchsiascale/platform/_operator_rows.py
@@ -25,6 +25,7 @@
     "WORKERS_TABLE",
     "decode_configuration",
     "decode_evacuation",
+    "decode_warm_worker",
     "make_evacuation_listing",
     "decode_worker",
 ]
@@ -43,6 +44,7 @@
 MAX_LOGGED_TEXT = 200
 """Length to which texts of other writers are cut in log lines."""
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 
 log = logbook.Logger("listing")
 
@@ -64,6 +66,7 @@
     labels: list[str] = []
     born: Count = 0
     remaining_ms: Count | None = None
+    cold_left_ms: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _Advice(msgspec.Struct):
@@ -207,9 +210,27 @@
         draining=server.state == "draining",
         remaining_ms=server.remaining_ms,
         incarnation=server.born,
+        cold_left_ms=_decode_cold_left_ms(server.cold_left_ms),
     )
 
 
+def decode_warm_worker(row: StoredRow) -> ListedWorker | None:
+    """Return the worker that a row describes, whether or not it says to be cold."""
+    worker = decode_worker(row)
+    if worker is None or not worker.cold_left_ms:
+        return worker
+    return msgspec.structs.replace(worker, cold_left_ms=0)
+
+
+def _decode_cold_left_ms(value):
+    """Return how much longer a worker stays cold; 0 where the entry doesn't tell.
+
+    A worker whose entry is otherwise sound is used though this field is malformed.
+    """
+    milliseconds = decode_json(value, _Milliseconds).value_or(0)
+    return int(min(MAX_NUMBER, milliseconds))
+
+
 def _is_address(address):
     """Return whether a text is an IPv4 address and a port that can be connected to."""
     host, _, port = address.rpartition(":")
--- a/fuchsiascale/platform/tests/test_operator_rows.py
+++ b/fuchsiascale/platform/tests/test_operator_rows.py
@@ -7,6 +7,7 @@
 from fuchsiascale.platform.user_platform import (
     decode_configuration,
     decode_evacuation,
+    decode_warm_worker,
     decode_worker,
     make_evacuation_listing,
 )
@@ -187,3 +188,30 @@
         assert listing.first_key <= key < listing.last_key, key
     for key in ("config", "evacuate", "evacuate0", "evacuated/a"):
         assert not listing.first_key <= key < listing.last_key, key
+
+
+def test_the_time_that_a_worker_stays_cold_is_decoded():
+    for value, expected in ((1_500, 1_500), (1_500.7, 1_500), (0, 0)):
+        worker = decode_worker(row({**ENTRY, "cold_left_ms": value}))
+        assert worker.cold_left_ms == expected
+    without = {key: value for key, value in ENTRY.items() if key != "cold_left_ms"}
+    assert decode_worker(row(without)).cold_left_ms == 0
+
+
+def test_a_worker_with_a_malformed_cold_time_is_used_as_a_warm_one():
+    # Entries with such a value were usable before the field was decoded.
+    for value in (-1, "long", None, [], {"a": 1}, True):
+        worker = decode_worker(row({**ENTRY, "cold_left_ms": value}))
+        assert worker is not None, value
+        assert worker.cold_left_ms == 0, value
+    raw = msgspec.json.encode(ENTRY)
+    for value in (b"1e400", b"9" * 400):
+        changed = raw.replace(b'"cold_left_ms":0', b'"cold_left_ms":' + value)
+        assert decode_worker(row(changed)) is not None, value
+
+
+def test_a_worker_counts_as_warm_where_the_part_is_off():
+    cold = row({**ENTRY, "cold_left_ms": 1_500})
+    warm = decode_warm_worker(cold)
+    assert warm == decode_worker(row(ENTRY))
+    assert decode_warm_worker(row(b"{")) is None
