Export which failure domains are evacuated

An owner exports fuchsiascale_evacuated_domains by service and domain: 1 or 0 for each domain that has workers.

Tested: unit tests of the metrics and the shard.

--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -213,6 +213,17 @@
             worker.listed.domain, now_s
         )
 
+    def list_evacuations(self):
+        """Return whether each failure domain with workers is evacuated.
+
+        It is empty if the operator evacuates none. Rows that name other domains are
+        left out, as there may be thousands of them.
+        """
+        if self.evacuations is None:
+            return {}
+        domains = sorted({each.listed.domain for each in self.workers.values()})
+        return {domain: domain in self.evacuations.domains for domain in domains}
+
     def may_start(self, task):
         """Return whether no other attempt of a waiting task can run or start.
 
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -129,8 +129,15 @@
             "Duration of the scheduling rounds.",
             labels=["service"],
         )
+        evacuated = GaugeMetricFamily(
+            f"{PREFIX}_evacuated_domains",
+            "1 for each failure domain with workers that is evacuated, 0 for others.",
+            labels=["service", "domain"],
+        )
         for service, owner in self._ownership.owners.items():
             shard = owner.shard
+            for domain, is_evacuated in shard.list_evacuations().items():
+                evacuated.add_metric([service, domain], is_evacuated)
             relays.add_metric([service], owner.workers.count_channels())
             rejected.add_metric([service], owner.recorder.rejected_rows)
             rounds.add_metric([service], owner.round_count, owner.round_seconds)
@@ -141,7 +148,7 @@
                 events.add_metric([service, event], count)
             quiet = sum(worker.silent for worker in shard.workers.values())
             silent.add_metric([service], quiet)
-        yield from (tokens, jobs, silent, events, relays, rejected, rounds)
+        yield from (tokens, jobs, silent, events, relays, rejected, rounds, evacuated)
 
     def render(self):
         """Return all metrics as text."""
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 from fuchsiascale.jobs import Shard, StoreCall
+from fuchsiascale.jobs.tests.test_evacuations import evacuate, make_zoned_shard
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.testing import collect_functions
 
@@ -40,9 +41,10 @@
     assert f"fuchsiascale_store_received_bytes_total{labels} 90000.0" in text
 
 
-def test_the_load_of_an_owner_is_exported_by_service():
+def render_owner(shard):
+    """Return the metrics of an instance that owns one service."""
     owner = SimpleNamespace(
-        shard=Shard("pool", 3, 6.0),
+        shard=shard,
         workers=SimpleNamespace(count_channels=lambda: 6),
         recorder=SimpleNamespace(rejected_rows=2),
         round_count=50,
@@ -53,9 +55,27 @@
         SimpleNamespace(dropped=0),
         lambda: (1, 0.0),
     )
-    text = metrics.render().decode()
+    return metrics.render().decode()
+
+
+def test_the_load_of_an_owner_is_exported_by_service():
+    text = render_owner(Shard("pool", 3, 6.0))
     labels = '{service="pool"}'
     assert f"fuchsiascale_relay_peers{labels} 6.0" in text
     assert f"fuchsiascale_rows_rejected_total{labels} 2.0" in text
     assert f"fuchsiascale_round_duration_seconds_count{labels} 50.0" in text
     assert f"fuchsiascale_round_duration_seconds_sum{labels} 0.4" in text
+
+
+def test_evacuated_domains_are_exported_where_they_have_workers():
+    # Rows of other writers may name thousands of domains, each of them a series.
+    shard = make_zoned_shard("a", "b")
+    evacuate(shard, 2, "b", *(f"z{number}" for number in range(3_000)))
+    text = render_owner(shard)
+    name = "fuchsiascale_evacuated_domains"
+    lines = [line for line in text.splitlines() if line.startswith(name)]
+    assert lines == [
+        f'{name}{{domain="a",service="pool"}} 0.0',
+        f'{name}{{domain="b",service="pool"}} 1.0',
+    ]
+    assert f"\n{name}{{" not in render_owner(Shard("pool", 3, 6.0))
