Let workers refuse starts that arrive after the bound of an evacuation

Cause: a start that was held up on its way (network, relay, a process that was stopped) was carried out within its lease of 6 s, later than a bound of 5 s allows.

Change: the lease that a start grants ends with the bound, counted from the last read of the evacuations. A worker refuses a start whose lease has ended, and an earlier end doesn't shorten its lease, which exchanges renew as before. So 0.5 s are enough for the time to send a start, and starts pause in a silence of the store from 4.5 s on.

--- a/fuchsiascale/jobs/_evacuations.py
+++ b/fuchsiascale/jobs/_evacuations.py
@@ -14,9 +14,9 @@
 
 __all__ = ["EvacuationChange", "Evacuations"]
 
-SEND_TIME_S = 1.0
-"""Time from the decision to send a start until a worker may carry it out: the timeout
-of a command, which is 0.8 s, and the latency of the network."""
+SEND_TIME_S = 0.5
+"""Least time that a start has to reach its worker, which refuses it after the bound. It
+takes some milliseconds, and 0.5 s if a connection to a relay is opened for it."""
 MIN_MAX_AGE_S = 1.0
 """Least age at which what was read is still used: two periods of the reads."""
 
@@ -71,6 +71,7 @@
     def __init__(self, decode, bound_s=math.inf):
         self.domains = frozenset()
         self.read_s = -math.inf
+        self._bound_s = bound_s
         self._max_age_s = max(MIN_MAX_AGE_S, bound_s - SEND_TIME_S)
         self._decode = decode
         self._store_version = -1
@@ -134,6 +135,13 @@
         """Return whether the last read is recent enough to start tasks by it."""
         return now_s - self.read_s < self._max_age_s
 
+    def measure_left_s(self, now_s):
+        """Return how much longer a start that is sent now may be carried out.
+
+        A domain may have been evacuated just after the last read was sent.
+        """
+        return max(0.0, self.read_s + self._bound_s - now_s)
+
     def allow_starts(self, domain, now_s):
         """Return whether tasks may be started in a failure domain."""
         return self.are_known(now_s) and domain not in self.domains
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -22,7 +22,11 @@
     JobRun,
 )
 from fuchsiascale.jobs._urgent_room import UrgentDemand
-from fuchsiascale.jobs._worker_clocks import compute_lease_expiry, estimate_clock_ms
+from fuchsiascale.jobs._worker_clocks import (
+    CLOCK_DRIFT,
+    compute_lease_expiry,
+    estimate_clock_ms,
+)
 from fuchsiascale.jobs._worker_state import WorkerRun
 
 __all__ = ["Shard"]
@@ -252,6 +256,21 @@
         compute_lease_expiry(worker)
         return until_ms
 
+    def grant_start_lease(self, worker, now_s):
+        """Extend a worker's lease with a start; returns its end on the worker's clock.
+
+        It ends before a start may break the bound of an evacuation that is not known
+        yet: a worker refuses a start whose lease has ended, so that one that is held up
+        on its way has no effect. An end that is earlier than that of the present lease
+        doesn't shorten it.
+        """
+        until_ms = self.grant_lease(worker, now_s)
+        if until_ms is None or self.evacuations is None:
+            return until_ms
+        left_ms = 1000 * (1 - CLOCK_DRIFT) * self.evacuations.measure_left_s(now_s)
+        clock_ms = estimate_clock_ms(worker, now_s)
+        return clock_ms + int(min(self.lease_ms, left_ms))
+
     def note_claimed(self, worker, now_s):
         """Note that an incarnation of a worker has answered for the first time."""
         worker.claimed = True
--- a/fuchsiascale/jobs/_worker_clocks.py
+++ b/fuchsiascale/jobs/_worker_clocks.py
@@ -3,7 +3,12 @@
 A lease ends at a time on the worker's own clock, which may be slow.
 """
 
-__all__ = ["estimate_clock_ms", "record_clock_reading", "compute_lease_expiry"]
+__all__ = [
+    "CLOCK_DRIFT",
+    "compute_lease_expiry",
+    "estimate_clock_ms",
+    "record_clock_reading",
+]
 
 CLOCK_DRIFT = 0.02
 """Largest relative slowness of a worker's clock, as the platform documents it."""
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -93,7 +93,9 @@
             shard.note_start_withheld(attempt, sent_s)
             self._on_change()
             return
-        until_ms = shard.grant_lease(worker, sent_s) if self._may_grant() else None
+        until_ms = None
+        if self._may_grant():
+            until_ms = shard.grant_start_lease(worker, sent_s)
         if until_ms is None:
             # The worker stopped answering after the round, or the process was paused
             # and may have been replaced: nothing has been sent.
