Evacuate failure domains in the soak, and check the bound

The pattern "evacuations" evacuates domains, the owner's in most cases, and takes them back after 3 to 15 s, several at a time, beside faults of the other kinds. The check EVACUATED rejects a run that starts in a domain later than 5 s after the store has acknowledged its evacuation, and before it is withdrawn. The processes have the setting in all patterns; the faults that other patterns draw stay the same.

--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -3,7 +3,15 @@
 ``python -m soak --seed 3`` plays one seed.
 """
 
-from soak._checks import Job, check_all
+from soak._checks import Evacuation, Job, check_all, check_evacuations
 from soak._play import PATTERNS, Report, play
 
-__all__ = ["PATTERNS", "Job", "Report", "check_all", "play"]
+__all__ = [
+    "PATTERNS",
+    "Evacuation",
+    "Job",
+    "Report",
+    "check_all",
+    "check_evacuations",
+    "play",
+]
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -1,10 +1,11 @@
 """Checks of what callers and runners have seen, against the promises of the system."""
 
+import math
 from dataclasses import dataclass, field
 
 from review.harness import find_repeated_runs
 
-__all__ = ["Job", "check_all"]
+__all__ = ["Evacuation", "Job", "check_all", "check_evacuations"]
 
 REJECTIONS = (404, 429, 503)
 """Statuses that say that a job was not accepted and never runs."""
@@ -53,6 +54,42 @@
         return any(status and 200 <= status < 300 for status in self.cancels)
 
 
+@dataclass
+class Evacuation:
+    """A domain that the operator evacuates.
+
+    Attributes
+    ----------
+    began_s : float
+        When the store had acknowledged the request.
+    ended_s : float or None
+        When it was withdrawn; None before that.
+    """
+
+    domain: str
+    began_s: float
+    ended_s: float | None = None
+
+    @property
+    def is_open(self):
+        """Whether the request is in force."""
+        return self.ended_s is None
+
+
+def check_evacuations(runners, evacuations, bound_s):
+    """Yield a break for each run that starts in an evacuated domain after the bound."""
+    for each in evacuations:
+        end_s = math.inf if each.is_open else each.ended_s
+        for runner in runners:
+            for run in runner.runs if runner.domain == each.domain else ():
+                if each.began_s + bound_s < run["started_s"] < end_s:
+                    since_s = run["started_s"] - each.began_s
+                    yield (
+                        f"EVACUATED {_tell(run)}, in {each.domain}, evacuated"
+                        f" {since_s:.3f} s before"
+                    )
+
+
 def check_all(runners, jobs):
     """Return the breaks of the promises, one text each.
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 
+from soak._checks import Evacuation
 from soak._processes import DOMAINS
 from soak._relay import STORE, Effect, Rule, pair_both_ways
 
@@ -13,6 +14,8 @@
 """Kinds of faults, with their weight in a draw, by name."""
 OWNER_SHARE = 0.7
 """Share of the faults of one process that hit the owner."""
+EVACUATIONS_S = (3.0, 8.0, 15.0)
+"""Durations of evacuations, in seconds; some end before their bound."""
 CUTS_S = (1.5, 2.5, 4.0, 5.5, 7.0, 9.0, 12.0)
 """Durations of cuts, in seconds."""
 MAX_BUSY = 3
@@ -30,7 +33,7 @@
 
 
 class Stage:
-    """What faults act on.
+    """What faults act on, and which domains they have evacuated.
 
     Parameters
     ----------
@@ -53,6 +56,7 @@
         self.rng = rng
         self.record = record
         self.version = 1
+        self.evacuations = []
 
     @property
     def runners(self):
@@ -373,3 +377,24 @@
         await asyncio.sleep(stage.rng.uniform(2, 10))
     finally:
         node.shift_clock(0)
+
+
+async def evacuate_domain(stage):
+    """Evacuate a domain, the owner's in most cases, and take it back.
+
+    It is no fault to be drawn, so that the faults of other patterns stay the same.
+    """
+    domain = stage.draw_node().domain
+    if any(each.domain == domain and each.is_open for each in stage.evacuations):
+        return
+    key = f"evacuate/{domain}"
+    stage.site.store.put("op", "", key, {})
+    evacuation = Evacuation(domain, stage.record.now_s())
+    stage.evacuations.append(evacuation)
+    stage.note(f"domain {domain} evacuated")
+    try:
+        await asyncio.sleep(stage.rng.choice(EVACUATIONS_S))
+    finally:
+        evacuation.ended_s = stage.record.now_s()
+        stage.site.store.drop("op", "", key)
+        stage.note(f"domain {domain} taken back")
--- a/soak/_patterns.py
+++ b/soak/_patterns.py
@@ -106,6 +106,19 @@
 async def domain_cuts_and_faults(stage, group):
     """Cut off domains in series, with faults of other kinds beside."""
     group.create_task(domain_cuts(stage, group))
+    await _bring_faults(stage, group)
+
+
+@pattern
+async def evacuations(stage, group):
+    """Evacuate domains and take them back, with faults of other kinds beside."""
+    group.create_task(_bring_faults(stage, group))
+    while True:
+        group.create_task(_faults.evacuate_domain(stage))
+        await asyncio.sleep(stage.rng.choice((1.0, 4.0, 9.0)))
+
+
+async def _bring_faults(stage, group):
     while True:
         await asyncio.sleep(stage.rng.uniform(1, 4))
         group.create_task(_draw_fault(stage)(stage))
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -7,11 +7,16 @@
 from dataclasses import dataclass
 
 from review.harness import Client, Record, Site
-from soak._checks import check_all
+from soak._checks import check_all, check_evacuations
 from soak._faults import Stage
 from soak._load import Load
 from soak._patterns import PATTERNS
-from soak._processes import DOMAINS, Processes, ZonedRunner
+from soak._processes import (
+    DOMAINS,
+    EVACUATION_BOUND_S,
+    Processes,
+    ZonedRunner,
+)
 from soak._relay import STORE, Relay
 
 __all__ = ["PATTERNS", "Report", "play", "select_pattern"]
@@ -145,6 +150,7 @@
 
 def _report(seed, pattern, stage, load):
     breaks = check_all(stage.runners, load.jobs)
+    breaks += check_evacuations(stage.runners, stage.evacuations, EVACUATION_BOUND_S)
     for each in breaks:
         stage.record.note(f"BROKEN {each}")
     accepted = [job for job in load.jobs.values() if job.accepted]
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -12,10 +12,12 @@
 from review.harness import Node, Nodes, Runner, find_ports
 from review.harness._nodes import PASSED_ON, ROOT, read_command
 
-__all__ = ["DOMAINS", "Processes", "ZonedRunner"]
+__all__ = ["DOMAINS", "EVACUATION_BOUND_S", "Processes", "ZonedRunner"]
 
 DOMAINS = "abc"
 """Names of the failure domains."""
+EVACUATION_BOUND_S = 5.0
+"""Time after which an evacuated domain must get no new task."""
 HOOKS = Path(__file__).resolve().parent / "hooks"
 GRACE_S = 6.0
 """Time from SIGTERM to SIGKILL, as on the platform."""
@@ -43,7 +45,9 @@
         text = text.replace(
             "zones.a=north\n", "zones.a=north\nzones.b=south\nzones.c=north\n"
         )
-        self.settings.write_text(text.replace("tolerate.zones=0", "tolerate.zones=1"))
+        text = text.replace("tolerate.zones=0", "tolerate.zones=1")
+        bound_ms = round(EVACUATION_BOUND_S * 1000)
+        self.settings.write_text(f"{text}bounds.evacuate_ms={bound_ms}\n")
 
     def shift_clock(self, offset_ms):
         """Set how far the time of day of the process is off."""
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from fuchsiascale.testing import collect_functions
-from soak import Job, check_all
+from soak import Evacuation, Job, check_all, check_evacuations
 
 load_tests = collect_functions(__name__)
 
@@ -111,3 +111,18 @@
     job = make_job(shown=[(5.0, 200, "completed")], final=(200, "completed"))
     assert find_breaks(job, make_run(1, 1, 2), make_run(1, 3, 6, step=1)) == ["MIXED"]
     assert find_breaks(job, make_run(1, 1, 2)) == ["MIXED"]
+
+
+def test_a_start_in_an_evacuated_domain_is_a_break_between_bound_and_return():
+    starts_s = (9.0, 14.9, 15.1, 19.9, 20.1)
+    runs = [make_run(number, at_s, None) for number, at_s in enumerate(starts_s)]
+    runners = [
+        SimpleNamespace(domain="a", runs=runs),
+        SimpleNamespace(domain="b", runs=runs),
+    ]
+    for ended_s, expected in ((20.0, [2, 3]), (None, [2, 3, 4]), (14.0, [])):
+        evacuation = Evacuation("a", 10.0, ended_s)
+        breaks = list(check_evacuations(runners, [evacuation], 5.0))
+        assert len(breaks) == len(expected), ended_s
+        for number, text in zip(expected, breaks, strict=True):
+            assert text.startswith(f"EVACUATED {NAME}.0.0.0 run {number} "), text
