Read no evacuations for an owner that was replaced before it started

Cause: an owner that relinquished its service between the claim and its start would have read evacuations until the process ended, since its tasks were cancelled before.

Tested: a unit test that fails without the change.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -167,7 +167,7 @@
         """
         if predecessor_stopped_s is not None:
             self.inherited_leases.mark_stopped(predecessor_stopped_s)
-        if self._evacuation_watch is not None:
+        if self._evacuation_watch is not None and not self.lost:
             self._spawn(self._evacuation_watch.run())
         if not await self._load():
             return
--- a/fuchsiascale/jobs/tests/test_evacuations.py
+++ b/fuchsiascale/jobs/tests/test_evacuations.py
@@ -361,6 +361,18 @@
     run_in_virtual_time(run())
 
 
+def test_an_owner_that_is_replaced_before_it_starts_reads_nothing():
+    async def run():
+        store = EvacuationStore()
+        owner = make_owner(store)
+        owner.relinquish("the owner row has changed")
+        await owner.start()
+        await asyncio.sleep(3.0)
+        assert store.reads == []
+
+    run_in_virtual_time(run())
+
+
 async def watch_for(store, seconds, evacuations):
     """Run a watch for some time."""
     watch = EvacuationWatch(store, LISTING, evacuations, LoopClock(), {})
