Judge by own calls and by peers whether the store is silent

Cause: a store that accepted connections and answered nothing for 4.2 s was found out only after two read timeouts and a relayed call, 3 s or more.

Change: StoreSilence notes every direct call, every part of an answer and the reports of peers (field `store` of Ping and Pong, with a default). A commit without an answer isn't relayed to peers while the store is silent for them too. A relayed call that fails after the store was reached directly again no longer marks it unavailable.

--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -18,7 +18,9 @@
 from fuchsiascale.jobs._rounds import *  # noqa: F403
 from fuchsiascale.jobs._run_state import *  # noqa: F403
 from fuchsiascale.jobs._shard import *  # noqa: F403
+from fuchsiascale.jobs._silence_watch import *  # noqa: F403
 from fuchsiascale.jobs._store_relay import *  # noqa: F403
+from fuchsiascale.jobs._store_silence import *  # noqa: F403
 from fuchsiascale.jobs._table_watch import *  # noqa: F403
 from fuchsiascale.jobs._worker_calls import *  # noqa: F403
 from fuchsiascale.jobs._worker_relay import *  # noqa: F403
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -41,6 +41,7 @@
 )
 from fuchsiascale.jobs._relayed_workers import RelayedWorkers
 from fuchsiascale.jobs._store_relay import decode_commit_result
+from fuchsiascale.jobs._store_silence import StoreSilence
 
 __all__ = ["OwnershipManager"]
 
@@ -93,6 +94,8 @@
     connect_relay : callable, optional
         Opens a connection to a peer that relays calls to workers; see `RelayChannel`.
         Without it, all workers are called directly.
+    silence : StoreSilence, optional
+        What this instance and its peers have seen of the store.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         limits,
         clock,
         connect_relay=None,
+        silence=None,
     ):
         self.identity = identity
         self.store = store
@@ -115,6 +119,7 @@
         self.clock = clock
         self.log = logbook.Logger("offices")
         self._connect_relay = connect_relay
+        self.silence = silence or StoreSilence(clock)
         self.owners = {}
         self.stopping = False
         self._views = OwnerViews(clock)
@@ -237,9 +242,15 @@
 
     async def _ping(self, address, timeout_s):
         ping = msgspec.structs.replace(
-            self.identity, known_members=self.known_members.reported_digest
+            self.identity,
+            known_members=self.known_members.reported_digest,
+            store=self.silence.testify(),
         )
-        return await self.peers.ask(address, ping, timeout_s)
+        asked_s = self.clock.monotonic()
+        reply = await self.peers.ask(address, ping, timeout_s)
+        if isinstance(reply, Pong):
+            self.silence.note_testimony(address, reply.store, asked_s)
+        return reply
 
     async def _refresh_and_claim(self, suspected, stopped_s):
         """Claim a service unless the store shows another owner than the suspected one.
@@ -455,6 +466,7 @@
         self.known_members.observe(
             Member(ping.address, ping.domain, ping.region, ping.strength)
         )
+        self.silence.note_testimony(ping.address, ping.store, now_s)
         members, digest = self.known_members.report(ping.known_members)
         return Pong(
             instance=self.identity.instance,
@@ -463,6 +475,7 @@
             heard_ago_s=self._views.export_silences_s(now_s),
             live_members=members,
             members_digest=digest,
+            store=self.silence.testify(),
         )
 
     async def accept_handover(self, message):
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -7,6 +7,7 @@
 from fuchsiascale.jobs._model import JobState
 from fuchsiascale.jobs._ports import Change, Expect, StoredRow
 from fuchsiascale.jobs._records import AcceptedRow, OwnerRow
+from fuchsiascale.jobs._store_silence import StoreTestimony
 
 __all__ = [
     "PING_PERIOD_S",
@@ -46,7 +47,8 @@
     """Heartbeat of an instance to an owner or another instance.
 
     See `Member` for the location and strength. ``known_members`` is the digest of the
-    members that the instance knows already.
+    members that the instance knows already. ``store`` is what the instance has seen of
+    the store; None from one of an earlier version.
     """
 
     instance: str
@@ -56,6 +58,7 @@
     region: str = ""
     domain: FailureDomainId = FailureDomainId("")
     known_members: str = ""
+    store: StoreTestimony | None = None
 
 
 class ConfigurationFreshness(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,7 +86,8 @@
     ``heard_ago_s`` is the time since the owner of each other service last answered this
     instance. ``live_members`` are all live instances; None if the instance that sent
     the ping knows them already, by their digest. ``configuration`` is None before the
-    first version.
+    first version. ``store`` is what this instance has seen of the store; None from one
+    of an earlier version.
     """
 
     instance: str
@@ -93,6 +97,7 @@
     live_members: tuple[Member, ...] | None = None
     members_digest: str = ""
     configuration: ConfigurationFreshness | None = None
+    store: StoreTestimony | None = None
 
 
 class ConfigurationQuery(msgspec.Struct, frozen=True, tag="configuration"):
--- a/fuchsiascale/jobs/_store_relay.py
+++ b/fuchsiascale/jobs/_store_relay.py
@@ -9,6 +9,7 @@
 
 from fuchsiascale.jobs._peer_messages import RelayCommit, RelayRead, RelayReply
 from fuchsiascale.jobs._ports import Busy, Conflict, NoAnswer, Rejected, VersionedRows
+from fuchsiascale.jobs._store_silence import StoreSilence
 
 __all__ = [
     "DirectReads",
@@ -78,13 +79,16 @@
         Returns the addresses of live peers.
     clock : Clock
         Source of time.
+    silence : StoreSilence, optional
+        What this instance and its peers have seen of the store.
     """
 
-    def __init__(self, direct, peers, members, clock):
+    def __init__(self, direct, peers, members, clock, silence=None):
         self.direct = direct
         self.peers = peers
         self.members = members
         self.clock = clock
+        self.silence = silence or StoreSilence(clock)
         self.log = logbook.Logger("store")
         self.reachable = True
         self._failures = 0
@@ -97,13 +101,16 @@
         """Apply all changes or none; see `StorePort.commit`.
 
         A commit without an answer is sent again through a peer. Its conditions ensure
-        that only one of the two is applied.
+        that only one of the two is applied. It isn't while the store is silent for the
+        peers too.
         """
         first = None
         if self.reachable:
             first = self._record_reply(await self._commit_directly(expected, changes))
             if not _is_store_error(first) or self.reachable:
                 return first
+        if self.silence.is_silent:
+            return first or Failure(Busy("the store is silent"))
         result = await self._relay(RelayCommit(expected, changes))
         if result.reply is not None:
             return decode_commit_result(result.reply)
@@ -159,6 +166,12 @@
         """Read rows, without peers."""
         return self._record_reply(await self.direct.read(table, partition, first, last))
 
+    async def probe(self, table):
+        """Read from the store directly; only an answer updates its reachability."""
+        reply = await self.direct.read(table, "", UNUSED_KEY, UNUSED_KEY + "\0")
+        if not _is_store_error(reply):
+            self._record_reply(reply)
+
     async def follow(self, table, after, wait_ms):
         """Wait for changes; see `StorePort.follow`.
 
@@ -216,13 +229,16 @@
         random.shuffle(members)
         uncertain = False
         for address in members[:MAX_PEERS]:
+            asked_s = self.clock.monotonic()
             found = await self.peers.ask(address, message, RELAY_TIMEOUT_S)
             if isinstance(found, RelayReply) and found.status in ANSWERED:
+                self.silence.note_relayed_answer(address, asked_s)
                 self._unavailable_since_s = None
                 return _RelayResult(found)
             # A peer that doesn't answer may have forwarded the call.
             uncertain |= not isinstance(found, RelayReply) or found.status != "busy"
-        if self._unavailable_since_s is None:
+        # The store may have answered directly while peers were asked.
+        if self._unavailable_since_s is None and not self.reachable:
             self._unavailable_since_s = self.clock.monotonic()
             self.log.warning(
                 "store unreachable through peers too", extra={"unsure": uncertain}
--- a/fuchsiascale/platform/_row_store.py
+++ b/fuchsiascale/platform/_row_store.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from fuchsiascale.clock import BootClock
 from fuchsiascale.jobs import (
     Busy,
     Change,
@@ -21,6 +22,7 @@
     StoreCall,
     StoredRow,
     StoreError,
+    StoreSilence,
     VersionedRows,
 )
 from fuchsiascale.json_decoding import decode_json
@@ -89,6 +91,8 @@
         ``host:port`` of the store.
     record_call : callable, optional
         Called with a `StoreCall` after each call.
+    silence : StoreSilence, optional
+        Told of each call, of each part of an answer, and of the end.
     """
 
     def __init__(
@@ -96,10 +100,12 @@
         session: aiohttp.ClientSession,
         address: str,
         record_call: Callable[[StoreCall], None] | None = None,
+        silence: StoreSilence | None = None,
     ):
         self._session = session
         self._base = f"http://{address}/fuchsiascale"
         self._record_call = record_call or (lambda call: None)
+        self._silence = silence or StoreSilence(BootClock())
         self._read_timeout_s = MIN_READ_TIMEOUT_S
 
     async def commit(
@@ -141,6 +147,7 @@
             msgspec.json.encode(body),
             read_timeout_s=COMMIT_TIMEOUT_S,
             total_s=COMMIT_TIMEOUT_S,
+            is_judged=False,
         )
         if isinstance(result, Failure):
             return result
@@ -182,6 +189,7 @@
             "/rows-feed",
             params=params,
             read_timeout_s=wait_ms / 1000 + FOLLOW_TIMEOUT_MARGIN_S,
+            held_s=wait_ms / 1000,
         )
         if isinstance(result, Failure):
             return result
@@ -201,6 +209,8 @@
         params=None,
         read_timeout_s=None,
         total_s=TRANSFER_TIMEOUT_S,
+        held_s=0.0,
+        is_judged=True,
     ):
         started_s, content = time.monotonic(), bytearray()
         timeout = aiohttp.ClientTimeout(
@@ -208,7 +218,13 @@
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=read_timeout_s or self._read_timeout_s,
         )
-        reply = await self._exchange(method, path, body, params, timeout, content)
+        call = self._silence.note_call(held_s, is_judged)
+        try:
+            reply = await self._exchange(
+                method, path, body, params, timeout, content, call
+            )
+        finally:
+            self._silence.note_end(call)
         self._record_call(
             StoreCall(
                 name=path.removeprefix("/rows-"),
@@ -219,7 +235,7 @@
         )
         return reply
 
-    async def _exchange(self, method, path, body, params, timeout, content):
+    async def _exchange(self, method, path, body, params, timeout, content, call):
         """Make a call and append the bytes received to ``content``."""
         headers = {"Content-Type": "application/json"} if body else None
         try:
@@ -231,7 +247,9 @@
                 timeout=timeout,
                 headers=headers,
             ) as response:
+                self._silence.note_answer(call)
                 async for chunk in response.content.iter_any():
+                    self._silence.note_answer(call)
                     content += chunk
         except aiohttp.ClientConnectorError as error:
             return Failure(Busy(f"connection failed: {error}"))
--- a/fuchsiascale/platform/tests/test_row_store.py
+++ b/fuchsiascale/platform/tests/test_row_store.py
@@ -4,6 +4,7 @@
 from aiohttp.test_utils import TestServer
 from returns.result import Failure, Success
 
+from fuchsiascale.clock import SystemClock
 from fuchsiascale.jobs import (
     Busy,
     Change,
@@ -13,6 +14,7 @@
     NoAnswer,
     Rejected,
     RowKey,
+    StoreSilence,
 )
 from fuchsiascale.platform.user_platform import HttpRowStore
 from fuchsiascale.testing import collect_functions
@@ -47,7 +49,10 @@
         self.session = aiohttp.ClientSession()
         address = f"{self.server.host}:{self.server.port}"
         self.calls = []
-        self.store = HttpRowStore(self.session, address, self.calls.append)
+        self.silence = StoreSilence(SystemClock())
+        self.store = HttpRowStore(
+            self.session, address, self.calls.append, self.silence
+        )
         return self
 
     async def __aexit__(self, *exc_info):
@@ -195,3 +200,16 @@
         assert (call, classify_result(reply)) == (call, Success)
         (row,) = reply.unwrap().rows
         assert row.value == b"x" * 3000
+
+
+async def test_any_answer_of_the_store_is_evidence_that_it_is_not_silent():
+    # A status that refuses the call is an answer; a connection that fails is none.
+    async with Served() as served:
+        await served.server.close()
+        await served.store.read("jobs", "pool")
+        assert served.silence.testify().answered_ago_s is None
+    for attribute, value in (("refuse", 503), ("delay_writes", 0)):
+        async with Served() as served:
+            setattr(served.standin.faults, attribute, value)
+            await served.store.read("jobs", "pool")
+            assert served.silence.testify().answered_ago_s is not None
