Refuse submissions at once while the store is silent, and settle sent writes

Cause: in a silent store 96 submissions were held until their callers' deadline and 80 were answered as unknown, though nothing of 94 was sent.

Change: a new submission is refused while the store is silent, unless its owner knows the job; a queued one as soon as silence is concluded. Queued ones are held while answers are overdue here or at a peer. A peer's submission is refused after 1.0 s in the owner's queue, before the peer gives up after 1.3 s and counts it as sent. A write without an answer is settled by the owner, a read or its withdrawal for 2.7 s instead of 1.6 s. A request that was given up is removed from the queue. An unknown outcome is remembered, so that a repeat isn't answered as not run.

--- a/fuchsiascale/jobs/_group_commit.py
+++ b/fuchsiascale/jobs/_group_commit.py
@@ -7,6 +7,7 @@
 
 from fuchsiascale.jobs._ports import Busy, Change, Conflict, Expect, Rejected
 from fuchsiascale.jobs._records import owner_row_key
+from fuchsiascale.jobs._store_silence import StoreSilence
 
 __all__ = ["GroupCommitter", "PendingWrite"]
 
@@ -17,6 +18,8 @@
 """Duration of a transaction above which the store counts as slow; usual are 10 ms."""
 SLOW_PERIOD_S = 3.0
 """How long the store counts as slow after such a transaction."""
+HOLD_CHECK_S = 0.02
+"""Period at which it is checked whether held submissions can be sent."""
 MAX_GROUP_BYTES = 500_000
 """Bytes of the values in a transaction; the store allows 1 MB, encoded in base64."""
 
@@ -29,6 +32,16 @@
     change: Change
 
 
+class _Entry:
+    """A queued submission, and the future of the store's reply to it."""
+
+    __slots__ = ("reply", "write")
+
+    def __init__(self, write, reply):
+        self.write = write
+        self.reply = reply
+
+
 class GroupCommitter:
     """Writes submissions, one transaction at a time.
 
@@ -42,11 +55,14 @@
         The store.
     clock : Clock
         Source of time.
+    silence : StoreSilence, optional
+        Whether the store is silent.
     """
 
-    def __init__(self, store, clock):
+    def __init__(self, store, clock, silence=None):
         self._store = store
         self._clock = clock
+        self._silence = silence or StoreSilence(clock)
         self._slow_until_s = None
         self._started_s = None
         self._queue = []
@@ -59,38 +75,60 @@
             return True
         return self._slow_until_s is not None and now_s < self._slow_until_s
 
-    def withdraw(self, write):
-        """Withdraw a queued submission; return False if it has been sent already."""
-        for entry in self._queue:
-            if entry[0] is write:
-                self._queue.remove(entry)
-                return True
-        return False
-
-    async def commit(self, write):
-        """Write one submission, and return the store's reply."""
-        future = asyncio.get_running_loop().create_future()
-        self._queue.append((write, future))
+    def refuse_queued(self, why):
+        """Refuse all submissions that are queued and not sent."""
+        refused, self._queue = self._queue, []
+        for entry in refused:
+            _resolve(entry.reply, Failure(Busy(why)))
+        return len(refused)
+
+    def _refuse(self, entry, why):
+        """Refuse a submission unless it has been sent."""
+        if entry in self._queue:
+            self._queue.remove(entry)
+            _resolve(entry.reply, Failure(Busy(why)))
+
+    async def commit(self, write, max_queued_s=None):
+        """Write one submission, and return the store's reply.
+
+        The reply is `Busy` if the submission is still queued after ``max_queued_s``, or
+        once the store is taken for silent; it has not been sent then and never will be.
+        """
+        loop = asyncio.get_running_loop()
+        entry = _Entry(write, loop.create_future())
+        self._queue.append(entry)
         if self._task is None:
             self._task = asyncio.create_task(self._drain())
-        return await future
+        if max_queued_s is None:
+            return await entry.reply
+        timer = loop.call_later(max_queued_s, self._refuse, entry, "slow")
+        try:
+            return await entry.reply
+        finally:
+            timer.cancel()
+            # A request that was given up must not be sent later.
+            if entry in self._queue:
+                self._queue.remove(entry)
 
     async def _drain(self):
         try:
             while self._queue:
-                await self._write_group(self._pop_group())
+                if self._silence.is_silent:
+                    self.refuse_queued("silent")
+                elif self._silence.is_suspect():
+                    await asyncio.sleep(HOLD_CHECK_S)
+                else:
+                    await self._write_group(self._pop_group())
         finally:
             self._task = None
-            for _, future in self._queue:
-                _resolve(future, Failure(Busy("the writer stopped")))
-            self._queue = []
+            self.refuse_queued("the writer stopped")
 
     def _pop_group(self):
         """Remove and return queued submissions of one owner row, within the limits."""
-        view = self._queue[0][0].view
+        view = self._queue[0].write.view
         group, size, entries = [], 0, 0
         for queued in self._queue:
-            write = queued[0]
+            write = queued.write
             size += len(write.change.value)
             entries += len(write.expected) + 1
             is_full = size > MAX_GROUP_BYTES or entries > MAX_GROUP_ENTRIES
@@ -101,18 +139,18 @@
         return group
 
     async def _write_group(self, group):
-        reply = await self._commit([write for write, _ in group])
+        reply = await self._commit([entry.write for entry in group])
         is_individual = not isinstance(reply, Success) and isinstance(
             reply.failure(), Conflict | Rejected
         )
         if is_individual and len(group) > 1:
             # Some submission's condition failed, or its row was rejected: commit each
             # on its own, so that the failure is reported only for that one.
-            for write, future in group:
-                _resolve(future, await self._commit([write]))
+            for entry in group:
+                _resolve(entry.reply, await self._commit([entry.write]))
             return
-        for _, future in group:
-            _resolve(future, reply)
+        for entry in group:
+            _resolve(entry.reply, reply)
 
     async def _commit(self, writes):
         view = writes[0].view
--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections import Counter
 from enum import Enum
 from typing import NamedTuple
 
@@ -26,6 +27,7 @@
     owner_row_key,
 )
 from fuchsiascale.jobs._store_relay import encode_commit_result
+from fuchsiascale.jobs._store_silence import StoreSilence
 from fuchsiascale.jobs._stored_jobs import inspect_job_rows, make_submission
 
 __all__ = ["JobRequestHandler", "Outcome", "Reply"]
@@ -33,6 +35,16 @@
 REPLY_TIMEOUT_S = 1.6
 """Time within which a request is answered even if the store does not reply. Callers
 wait for 3 s and can ask another instance in the rest. Two slow commits take 1.4 s."""
+SETTLE_TIMEOUT_S = 2.7
+"""The same for a submission whose write was sent: the outcome is settled if an answer
+comes by then. A caller that is told an unknown outcome may not be able to repeat."""
+PEER_QUEUE_S = 1.0
+"""Time after which a peer's submission that is not sent yet is refused; the peer waits
+for 1.3 s, and could not tell a queued submission from one that was sent."""
+SETTLE_PAUSE_S = 0.1
+"""Pause between two attempts to settle the outcome of a write."""
+MAX_UNSETTLED = 1000
+"""Jobs with an unknown outcome that are remembered."""
 MAX_SUBMIT_TRIES = 4
 """Commits tried for one submission while its conditions keep changing."""
 
@@ -80,38 +92,90 @@
         Source of time.
     joins_partitions : bool, optional
         Whether a transaction of the store may cover several partitions.
+    silence : StoreSilence, optional
+        Whether the store is silent.
+
+    Attributes
+    ----------
+    refusals : Counter
+        Number of submissions that were not accepted, by reason.
     """
 
-    def __init__(self, store, ownership, clock, joins_partitions=True):
+    def __init__(self, store, ownership, clock, joins_partitions=True, silence=None):
         self.store = store
+        self.silence = silence or StoreSilence(clock)
+        self.refusals = Counter()
         self.clock = clock
         self.ownership = ownership
         self._joins_partitions = joins_partitions
         self.log = logbook.Logger("entry")
-        self._committer = GroupCommitter(store, clock)
+        self._committer = GroupCommitter(store, clock, self.silence)
         self._final_states = {}
+        self._unsettled = {}
 
     # Submission ----------------------------------------------------------------
 
     async def submit(self, policy, job, spec):
         """Accept a job, or reply that it was not accepted and will never run."""
-        writes = []
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
-                return await self._submit(policy, job, spec, writes)
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                reply = await self._submit(policy, job, spec)
         except TimeoutError:
-            if writes and self._committer.withdraw(writes[-1]):
-                self.log.info("refused", extra={"job": job, "why": "store: slow"})
-                return NOT_RUN
-            self.log.warning("outcome unknown", extra={"job": job, "why": "store slow"})
-            return UNKNOWN
-
-    async def _submit(self, policy, job, spec, writes):
-        """Accept or refuse a job; each write is appended to ``writes`` when made."""
+            reply = self._report_unknown(job, "store slow")
+        if reply.outcome is Outcome.UNKNOWN:
+            self._remember_unsettled(job)
+        else:
+            self._unsettled.pop(job, None)
+        return reply
+
+    def refuse_queued(self):
+        """Refuse all submissions that are not sent, as the store is silent."""
+        return self._committer.refuse_queued("silent")
+
+    def _remember_unsettled(self, job):
+        self._unsettled.pop(job, None)
+        self._unsettled[job] = None
+        if len(self._unsettled) > MAX_UNSETTLED:
+            del self._unsettled[next(iter(self._unsettled))]
+
+    def _refuse(self, job, why, **details):
+        self.refusals[why.partition(":")[0]] += 1
+        self.log.info("refused", extra={"job": job, "why": why, **details})
+        return NOT_RUN
+
+    def _report_unknown(self, job, why):
+        self.refusals["unknown"] += 1
+        self.log.warning("outcome unknown", extra={"job": job, "why": why})
+        return UNKNOWN
+
+    async def _refuse_unsent(self, service, job):
+        """Answer a submission that can't be written now; a stored job is accepted."""
+        states = await asyncio.gather(
+            *(
+                self.ownership.ask_state(each, job)
+                for each in self._list_services(service)
+            )
+        )
+        if any(states):
+            return self._accept(service, None, "known to the owner", job)
+        if job in self._unsettled:
+            # An earlier write of this job may still be applied.
+            return self._report_unknown(job, "store silent after an earlier write")
+        if not self.silence.is_silent:
+            return self._refuse(job, "store unreachable")
+        return self._refuse(
+            job,
+            "store silent",
+            silent_s=round(self.silence.silent_for_s(), 3),
+            evidence=self.silence.evidence,
+        )
+
+    async def _submit(self, policy, job, spec):
+        """Accept or refuse a job."""
         service = policy.service
-        if self.store.is_unavailable():
-            self.log.info("refused", extra={"job": job, "why": "store unreachable"})
-            return NOT_RUN
+        unsent_until_s = asyncio.get_running_loop().time() + REPLY_TIMEOUT_S
+        if self.silence.is_silent or self.store.is_unavailable():
+            return await self._refuse_unsent(service, job)
         if self._committer.is_slow() and await self.ownership.ask_state(service, job):
             # The owner knows only stored jobs; another write would delay the others.
             return self._accept(service, None, "known to the owner", job)
@@ -124,9 +188,9 @@
         record = JobRecord(
             job=job, spec=spec, policy=policy, accepted_ms=self.clock.wall_ms()
         )
-        return await self._write_submission(record, others, writes)
+        return await self._write_submission(record, others, unsent_until_s)
 
-    async def _write_submission(self, record, others, writes):
+    async def _write_submission(self, record, others, unsent_until_s):
         """Write a job's row unless some service holds the job already."""
         service, job = record.policy.service, record.job
         write_id = uuid.uuid4().hex[:12]
@@ -135,26 +199,23 @@
             view = self.ownership.view(service)
             row = AcceptedRow(token=view.token, write=write_id, record=record)
             write = make_submission(view, row, job, others, versions)
-            writes.append(write)
-            reply = await self._commit(write)
+            reply = await self._commit(write, unsent_until_s)
             if isinstance(reply, Success):
                 return self._accept(service, row, "stored", job)
             error = reply.failure()
+            if isinstance(error, Busy) and job in self._unsettled:
+                return self._report_unknown(job, "refused after an earlier write")
             if isinstance(error, Busy):
-                self.log.info(
-                    "refused", extra={"job": job, "why": f"store: {error.detail}"}
-                )
-                return NOT_RUN
+                return self._refuse(job, f"store: {error.detail}")
             if isinstance(error, NoAnswer):
                 return await self._resolve_unanswered(job, row, others, versions, view)
             found = self._inspect_rows(service, job, error.rows)
             if found.known:
                 return self._accept(found.service, found.row, "already stored", job)
             versions = found.withdrawn_versions
-        self.log.info("refused", extra={"job": job, "why": "conditions changed"})
-        return NOT_RUN
+        return self._refuse(job, "conditions changed")
 
-    async def _commit(self, write):
+    async def _commit(self, write, unsent_until_s):
         """Commit a submission; while the store is slow, through the owner.
 
         A partition executes its transactions one by one: the fewer writers there
@@ -164,13 +225,15 @@
             reply = await self.ownership.write_through_owner(write)
             if reply is not None:
                 return reply
-        return await self._committer.commit(write)
+        left_s = unsent_until_s - asyncio.get_running_loop().time()
+        return await self._committer.commit(write, max(0.0, left_s))
 
     async def commit_for_peer(self, message):
         """Commit a submission for a peer, and return the reply to send."""
         view = OwnerView(message.service, message.row, message.version)
         write = PendingWrite(view, message.expected, message.change)
-        return encode_commit_result(await self._committer.commit(write))
+        reply = await self._committer.commit(write, PEER_QUEUE_S)
+        return encode_commit_result(reply)
 
     def _inspect_rows(self, service, job, rows):
         """Return what the rows of a submission's conditions show of a job.
@@ -187,8 +250,7 @@
         """Return the reply to a submission whose job was looked up beforehand."""
         if found.reply.outcome is Outcome.DONE:
             return self._accept(found.service, None, "found in another service", job)
-        self.log.warning("outcome unknown", extra={"job": job, "why": "lookup failed"})
-        return UNKNOWN
+        return self._report_unknown(job, "lookup failed")
 
     def _accept(self, service, row, how, job):
         self.log.info("accepted", extra={"job": job, "how": how})
@@ -199,6 +261,27 @@
     async def _resolve_unanswered(self, job, row, others, versions, view):
         """Find out whether an unanswered write was applied, or withdraw it.
 
+        It is tried until the caller's time is over, since the store may answer again at
+        any moment. While it is silent, only the owner is asked.
+        """
+        while True:
+            if self.silence.is_suspect():
+                reply = await self._ask_owner(view.service, job)
+            else:
+                reply = await self._settle(job, row, others, versions, view)
+            if reply is not None:
+                return reply
+            await asyncio.sleep(SETTLE_PAUSE_S)
+
+    async def _ask_owner(self, service, job):
+        """Accept a job that its owner knows, as it only knows stored jobs."""
+        if await self.ownership.ask_state(service, job):
+            return self._accept(service, None, "known to the owner", job)
+        return None
+
+    async def _settle(self, job, row, others, versions, view):
+        """Try once to settle an unanswered write; return None if that failed.
+
         The write expects one of ``versions`` of the job's row. It is blocked
         permanently once that row has another version.
         """
@@ -224,14 +307,11 @@
             version = found.withdrawn_versions.get(service, 0)
             if version not in (0, versions.get(service, 0)):
                 return self._refuse_withdrawn(job, "another submission")
-        self.log.warning("outcome unknown", extra={"job": job, "why": repr(error)})
-        return UNKNOWN
+        self.log.info("outcome not settled", extra={"job": job, "why": repr(error)})
+        return None
 
     def _refuse_withdrawn(self, job, whose):
-        self.log.info(
-            "refused", extra={"job": job, "why": "store: withdrawn", "by": whose}
-        )
-        return NOT_RUN
+        return self._refuse(job, "store: withdrawn", by=whose)
 
     # State ---------------------------------------------------------------------
 
--- a/fuchsiascale/jobs/tests/_simulation_instance.py
+++ b/fuchsiascale/jobs/tests/_simulation_instance.py
@@ -13,6 +13,8 @@
     RelayedStore,
     RelayRead,
     RelayWrite,
+    SilenceWatch,
+    StoreSilence,
     WorkerListing,
     answer_relay,
     decode_row,
@@ -70,10 +72,11 @@
         clock = LoopClock()
         name = f"{address}/{simulation.count_starts()}"
         network = simulation.network
-        self.direct = StoreClient(network, address, simulation.store)
+        silence = StoreSilence(clock)
+        self.direct = StoreClient(network, address, simulation.store, silence)
         peers = _Peers(simulation, address)
         self.store = RelayedStore(
-            self.direct, peers, lambda: self.ownership.members(), clock
+            self.direct, peers, lambda: self.ownership.members(), clock, silence
         )
         self.ownership = OwnershipManager(
             Ping(instance=address, incarnation=name, address=address, domain=domain),
@@ -83,8 +86,15 @@
             WorkerListing(SERVERS, lambda row: decode_row(row.value, ListedWorker)),
             OwnerLimits(),
             clock,
+            silence=silence,
         )
-        self.request_handler = JobRequestHandler(self.store, self.ownership, clock)
+        self.request_handler = JobRequestHandler(
+            self.store, self.ownership, clock, silence=silence
+        )
+        self.silence_watch = SilenceWatch(
+            self.store, silence, "op", self.request_handler.refuse_queued
+        )
+        self.process.spawn(self.silence_watch.run())
         self.process.spawn(self._run())
 
     async def _run(self):
--- a/fuchsiascale/jobs/tests/_simulation_store.py
+++ b/fuchsiascale/jobs/tests/_simulation_store.py
@@ -143,7 +143,8 @@
 class StoreClient:
     """The store as called by one process; see `StorePort`."""
 
-    def __init__(self, network, name, store):
+    def __init__(self, network, name, store, silence):
+        self._silence = silence
         self._network = network
         self._name = name
         self._store = store
@@ -152,7 +153,9 @@
     async def commit(self, expected, changes):
         """See `StorePort.commit`."""
         return await self._call(
-            lambda: self._store.commit(expected, changes), COMMIT_TIMEOUT_S
+            lambda: self._store.commit(expected, changes),
+            COMMIT_TIMEOUT_S,
+            is_judged=False,
         )
 
     async def read(self, table, partition, first="", last=""):
@@ -172,9 +175,17 @@
         return await self._call(
             lambda: self._store.follow(table, after, wait_ms),
             wait_ms / 1000 + FOLLOW_MARGIN_S,
+            held_s=wait_ms / 1000,
         )
 
-    async def _call(self, execute, timeout_s):
+    async def _call(self, execute, timeout_s, held_s=0.0, is_judged=True):
+        call = self._silence.note_call(held_s, is_judged)
+        try:
+            return await self._exchange(execute, timeout_s, call)
+        finally:
+            self._silence.note_end(call)
+
+    async def _exchange(self, execute, timeout_s, call):
         is_new = self._network.is_likely(0.5)
         if is_new and not self._network.connects(self._name, STORE):
             await asyncio.sleep(CONNECT_TIMEOUT_S)
@@ -188,4 +199,7 @@
             return None if is_silent else reply
 
         reply = await self._network.call(self._name, STORE, answer, timeout_s)
-        return Failure(NoAnswer("no answer")) if reply is None else reply
+        if reply is None:
+            return Failure(NoAnswer("no answer"))
+        self._silence.note_answer(call)
+        return reply
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -28,6 +28,8 @@
     RelayedStore,
     RelayRead,
     RelayWrite,
+    SilenceWatch,
+    StoreSilence,
     TableWatch,
     WorkerListing,
     WorkerRelay,
@@ -113,6 +115,7 @@
         await self._start_servers()
         self._spawn(self.configuration_feed.run())
         self._spawn(self.store.run_checks(user_platform.OPERATOR_TABLE))
+        self._spawn(self.silence_watch.run())
         self._spawn(self._write_logs())
         self._spawn(self.worker_relay.run())
         self.log.info(
@@ -137,15 +140,21 @@
             domain=settings.failure_domain,
         )
         self.clock = BootClock()
+        self.silence = StoreSilence(self.clock)
         self.peers = PeerClient(self._open_session(), self._handle_reply, self.clock)
         direct = user_platform.HttpRowStore(
             self._open_session(),
             settings.store_address,
             lambda call: self.metrics.count_store_call(call),
+            self.silence,
         )
         self.direct = direct
         self.store = RelayedStore(
-            direct, self.peers, lambda: self.ownership.members(), self.clock
+            direct,
+            self.peers,
+            lambda: self.ownership.members(),
+            self.clock,
+            self.silence,
         )
         workers = user_platform.HttpTaskWorkers(self._open_session())
         self.worker_relay = WorkerRelay(workers, self.clock)
@@ -159,6 +168,7 @@
             OwnerLimits(settings.longest_lease_s, settings.max_row_bytes),
             self.clock,
             self.relay_connector.connect,
+            self.silence,
         )
         self.configuration_watch = ConfigurationWatch(
             user_platform.CONFIGURATION_KEY, user_platform.decode_configuration
@@ -180,10 +190,24 @@
             self._watch_services,
         )
         self.request_handler = JobRequestHandler(
-            self.store, self.ownership, self.clock, settings.joins_partitions
+            self.store,
+            self.ownership,
+            self.clock,
+            settings.joins_partitions,
+            self.silence,
+        )
+        self.silence_watch = SilenceWatch(
+            self.store,
+            self.silence,
+            user_platform.OPERATOR_TABLE,
+            self.request_handler.refuse_queued,
         )
         self.metrics = NodeMetrics(
-            self.ownership, self.log_buffer, self._describe_configuration
+            self.ownership,
+            self.log_buffer,
+            self._describe_configuration,
+            self.silence,
+            self.request_handler.refusals,
         )
         self.front = user_platform.CallerApi(
             self.request_handler, self.configuration_watch, self.stop_requested.is_set
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -27,9 +27,17 @@
     configuration : callable
         Returns the version of the active configuration and its age in seconds; both
         are None before the first configuration.
+    silence : StoreSilence, optional
+        Whether the store is silent.
+    refusals : Counter, optional
+        Submissions that were not accepted, by reason.
     """
 
-    def __init__(self, ownership, log_buffer, configuration):
+    def __init__(
+        self, ownership, log_buffer, configuration, silence=None, refusals=None
+    ):
+        self._silence = silence
+        self._refusals = refusals or {}
         self._ownership = ownership
         self._configuration = configuration
         self._log_buffer = log_buffer
@@ -100,6 +108,7 @@
         )
         dropped.add_metric([], self._log_buffer.dropped)
         yield dropped
+        yield from self._collect_refusals()
         tokens = GaugeMetricFamily(
             f"{PREFIX}_owner_token", "Token of each service owned.", labels=["service"]
         )
@@ -143,6 +152,28 @@
             silent.add_metric([service], quiet)
         yield from (tokens, jobs, silent, events, relays, rejected, rounds)
 
+    def _collect_refusals(self):
+        """Yield the metrics of a silent store and of submissions not accepted."""
+        if self._silence is not None:
+            silent = GaugeMetricFamily(
+                f"{STORE_PREFIX}_silent_seconds",
+                "For how long the store has been taken for silent; 0 if it is not.",
+            )
+            silent.add_metric([], self._silence.silent_for_s())
+            count = CounterMetricFamily(
+                f"{STORE_PREFIX}_silences", "Times the store was taken for silent."
+            )
+            count.add_metric([], self._silence.count)
+            yield from (silent, count)
+        refused = CounterMetricFamily(
+            f"{PREFIX}_submissions_refused",
+            "Submissions that were not accepted, by reason.",
+            labels=["reason"],
+        )
+        for reason, number in self._refusals.items():
+            refused.add_metric([reason], number)
+        yield refused
+
     def render(self):
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -1,8 +1,9 @@
-"""Metrics of the configuration and of calls to the store."""
+"""Metrics of the configuration, of calls to the store and of refused submissions."""
 
 from types import SimpleNamespace
 
-from fuchsiascale.jobs import Shard, StoreCall
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.jobs import Shard, StoreCall, StoreSilence
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.testing import collect_functions
 
@@ -59,3 +60,25 @@
     assert f"fuchsiascale_rows_rejected_total{labels} 2.0" in text
     assert f"fuchsiascale_round_duration_seconds_count{labels} 50.0" in text
     assert f"fuchsiascale_round_duration_seconds_sum{labels} 0.4" in text
+
+
+def test_a_silent_store_and_refused_submissions_are_exported():
+    clock = ManualClock()
+    silence = StoreSilence(clock)
+    metrics = NodeMetrics(
+        SimpleNamespace(owners={}),
+        SimpleNamespace(dropped=0),
+        lambda: (1, 0.0),
+        silence,
+        {"store silent": 3, "unknown": 1},
+    )
+    assert "fuchsiascale_store_silent_seconds 0.0" in metrics.render().decode()
+    for _ in range(2):
+        silence.note_call()
+    for _ in range(60):
+        silence.tick()
+        clock.advance(0.05)
+    text = metrics.render().decode()
+    assert "fuchsiascale_store_silences_total 1.0" in text
+    assert "fuchsiascale_store_silent_seconds 0.0" not in text
+    assert 'fuchsiascale_submissions_refused_total{reason="store silent"} 3.0' in text
