Spread the return of refused callers

Cause: each refusal said Retry-After 1, so that the callers that a silent store had refused returned in one wave, and used up four repeats in 4 s.

Change: a refusal carries a window, and the caller API draws a whole number of seconds from it with its own random source: 1 to 2, and to 3 once a silence has lasted for over 1 s. A 503 without a configuration has a Retry-After too.

--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -15,6 +15,7 @@
 from fuchsiascale.jobs._records import *  # noqa: F403
 from fuchsiascale.jobs._relayed_workers import *  # noqa: F403
 from fuchsiascale.jobs._request_handler import *  # noqa: F403
+from fuchsiascale.jobs._return_window import *  # noqa: F403
 from fuchsiascale.jobs._rounds import *  # noqa: F403
 from fuchsiascale.jobs._run_state import *  # noqa: F403
 from fuchsiascale.jobs._shard import *  # noqa: F403
--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -26,6 +26,7 @@
     job_row_key,
     owner_row_key,
 )
+from fuchsiascale.jobs._return_window import ReturnWindow, window_in_silence
 from fuchsiascale.jobs._store_relay import encode_commit_result
 from fuchsiascale.jobs._store_silence import StoreSilence
 from fuchsiascale.jobs._stored_jobs import inspect_job_rows, make_submission
@@ -59,11 +60,12 @@
 
 
 class Reply(msgspec.Struct, frozen=True):
-    """Reply to a caller."""
+    """Reply to a caller; ``window`` is when to return after a refusal."""
 
     outcome: Outcome
     state: JobState | None = None
     count: int = 0
+    window: ReturnWindow = ReturnWindow()
 
 
 class _Found(NamedTuple):
@@ -140,8 +142,12 @@
 
     def _refuse(self, job, why, **details):
         self.refusals[why.partition(":")[0]] += 1
-        self.log.info("refused", extra={"job": job, "why": why, **details})
-        return NOT_RUN
+        window = window_in_silence(self.silence.silent_for_s())
+        self.log.info(
+            "refused",
+            extra={"job": job, "why": why, "return_s": window.last_s, **details},
+        )
+        return Reply(Outcome.NOT_RUN, window=window)
 
     def _report_unknown(self, job, why):
         self.refusals["unknown"] += 1
--- a/fuchsiascale/platform/_caller_api.py
+++ b/fuchsiascale/platform/_caller_api.py
@@ -1,6 +1,6 @@
 """HTTP API for jobs, as the callers of the users' platform use it."""
 
-import math
+import random
 import re
 
 import logbook
@@ -9,13 +9,19 @@
 from returns.result import Failure
 
 from fuchsiascale.ids import JobId
-from fuchsiascale.jobs import JobSpec, Outcome, Resources, StepSpec, find_problems
+from fuchsiascale.jobs import (
+    JobSpec,
+    Outcome,
+    Resources,
+    ReturnWindow,
+    StepSpec,
+    find_problems,
+    pick_return,
+)
 from fuchsiascale.json_decoding import decode_json
 
 __all__ = ["CallerApi"]
 
-RETRY_AFTER_S = 1
-"""Delay before a retry; outages of the store last some seconds."""
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}\Z")
 
 
@@ -79,12 +85,15 @@
         Holds the configuration in force.
     stopping : callable
         Returns whether this instance is about to stop.
+    rng : random.Random, optional
+        Source of the times after which refused callers return.
     """
 
-    def __init__(self, entry, watch, stopping):
+    def __init__(self, entry, watch, stopping, rng=None):
         self.entry = entry
         self.watch = watch
         self.stopping = stopping
+        self.rng = rng or random.Random()
         self.log = logbook.Logger("caller")
 
     def make_application(self, max_body_bytes=1 << 20):
@@ -103,7 +112,7 @@
     async def _answer(self, request):
         index = self.watch.queue_index
         if index is None:
-            return _build_response(503, _Error("no configuration yet"))
+            return self._refuse("no configuration yet", ReturnWindow())
         path = request.raw_path.partition("?")[0]
         queue = index.find(request.host.partition(":")[0], path)
         if queue is None:
@@ -135,36 +144,39 @@
         if problems:
             return _build_response(400, _Error("; ".join(problems)))
         reply = await self.entry.submit(queue.policy, job, spec)
-        return _build_error_response(reply) or web.Response(status=200)
+        return self._build_error_response(reply) or web.Response(status=200)
 
     async def _state(self, queue, job, request):
         reply = await self.entry.state(queue.policy.service, job)
-        return _build_error_response(reply) or _build_response(
+        return self._build_error_response(reply) or _build_response(
             200, _State(reply.state.value)
         )
 
     async def _cancel(self, queue, job, request):
         reply = await self.entry.cancel(queue.policy.service, job)
-        return _build_error_response(reply) or web.Response(status=200)
+        return self._build_error_response(reply) or web.Response(status=200)
 
     async def _count_waiting(self, queue):
         reply = await self.entry.waiting(queue.policy)
-        return _build_error_response(reply) or _build_response(
+        return self._build_error_response(reply) or _build_response(
             200, _Waiting(reply.count)
         )
 
-
-def _build_error_response(reply):
-    """Return the error response for a reply, or None if the request was executed."""
-    if reply.outcome is Outcome.NOT_RUN:
-        response = _build_response(503, _Error("not run: the store is away"))
-        response.headers["Retry-After"] = str(math.ceil(RETRY_AFTER_S))
+    def _build_error_response(self, reply):
+        """Return the error response for a reply, or None if it was executed."""
+        if reply.outcome is Outcome.NOT_RUN:
+            return self._refuse("not run: the store is away", reply.window)
+        if reply.outcome is Outcome.UNKNOWN:
+            return _build_response(504, _Error("the outcome is unknown"))
+        if reply.outcome is Outcome.ABSENT:
+            return _build_response(410, _Error("no such job"))
+        return None
+
+    def _refuse(self, why, window):
+        """Return the response to a request that had no effect."""
+        response = _build_response(503, _Error(why))
+        response.headers["Retry-After"] = str(pick_return(window, self.rng))
         return response
-    if reply.outcome is Outcome.UNKNOWN:
-        return _build_response(504, _Error("the outcome is unknown"))
-    if reply.outcome is Outcome.ABSENT:
-        return _build_response(410, _Error("no such job"))
-    return None
 
 
 def _convert_job(job):
--- a/fuchsiascale/platform/tests/test_caller_api.py
+++ b/fuchsiascale/platform/tests/test_caller_api.py
@@ -1,5 +1,7 @@
 """Tests of the callers' HTTP API, with tables of requests and responses."""
 
+import random
+
 import msgspec
 from aiohttp.test_utils import TestClient, TestServer
 
@@ -11,6 +13,7 @@
     Queue,
     QueuePolicy,
     Reply,
+    ReturnWindow,
     RowKey,
     StoredRow,
 )
@@ -55,7 +58,7 @@
         if configured:
             row_key = RowKey("op", "", "config")
             watch.apply_rows({"config": StoredRow(row_key, b"", 1)})
-        api = CallerApi(self.entry, watch, lambda: False)
+        api = CallerApi(self.entry, watch, lambda: False, random.Random(3))
         self.client = TestClient(TestServer(api.make_application()))
 
     def configuration(self):
@@ -156,3 +159,17 @@
     async with ServedApi() as served:
         response, content = await served.send("GET", "/lohu930/")
         assert (response.status, content) == (200, b'{"waiting":12}')
+
+
+async def test_refused_callers_are_told_different_times_of_the_window():
+    reply = Reply(Outcome.NOT_RUN, window=ReturnWindow(1, 3))
+    async with ServedApi(reply) as served:
+        body = {"spec": "p", "steps": [STEP]}
+        answers = [(await served.send("POST", body=body))[0] for _ in range(30)]
+    assert {answer.headers["Retry-After"] for answer in answers} == {"1", "2", "3"}
+
+
+async def test_a_refusal_without_a_configuration_tells_when_to_return():
+    async with ServedApi(configured=False) as served:
+        response, _ = await served.send("GET")
+    assert response.headers["Retry-After"] in ("1", "2")
