--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -1,8 +1,9 @@
-"""Metrics of the configuration and of calls to the store."""
+"""Metrics of the configuration, of calls to the store and of refused submissions."""
 
 from types import SimpleNamespace
 
-from fuchsiascale.jobs import Shard, StoreCall
+from fuchsiascale.clock import ManualClock
+from fuchsiascale.jobs import Shard, StoreCall, StoreSilence
 from fuchsiascale.jobs.tests.test_evacuations import evacuate, make_zoned_shard
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.testing import collect_functions
@@ -79,3 +80,25 @@
         f'{name}{{domain="b",service="pool"}} 1.0',
     ]
     assert f"\n{name}{{" not in render_owner(Shard("pool", 3, 6.0))
+
+
+def test_a_silent_store_and_refused_submissions_are_exported():
+    clock = ManualClock()
+    silence = StoreSilence(clock)
+    metrics = NodeMetrics(
+        SimpleNamespace(owners={}),
+        SimpleNamespace(dropped=0),
+        lambda: (1, 0.0),
+        silence,
+        {"store silent": 3, "unknown": 1},
+    )
+    assert "fuchsiascale_store_silent_seconds 0.0" in metrics.render().decode()
+    for _ in range(2):
+        silence.note_call()
+    for _ in range(60):
+        silence.tick()
+        clock.advance(0.05)
+    text = metrics.render().decode()
+    assert "fuchsiascale_store_silences_total 1.0" in text
+    assert "fuchsiascale_store_silent_seconds 0.0" not in text
+    assert 'fuchsiascale_submissions_refused_total{reason="store silent"} 3.0' in text
