Read the remote factor of the settings and pass it to the shard

Cause: the platform states by how much a task is slower away from the rack of its data, and nothing reads it.

Change: bounds.remote_factor, by way of OwnerLimits to Shard.remote_factor; 1 where it is not stated, or below 1 or no number. Nothing uses it yet.

Tests: test_local_settings.py with values and their absence; the 66 tests of fuchsiascale.platform and 24 of fuchsiascale.node pass.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -101,6 +101,7 @@
             row.token,
             self.lease_s,
             longest_lease_s=limits.longest_lease_s,
+            remote_factor=limits.remote_factor,
         )
         self.inherited_leases = InheritedLeases(self.shard, self.lease_s)
         self.lost = False
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -137,10 +137,14 @@
         Longest lease of a worker, in seconds.
     max_row_bytes : int
         Largest value that the store accepts for a row, in bytes.
+    remote_factor : float
+        Multiple of its run time that a task takes away from the rack of its data, and
+        a gang spread over racks; 1 where the platform states none.
     """
 
     longest_lease_s: float = 6.0
     max_row_bytes: int = 65_536
+    remote_factor: float = 1.0
 
 
 class StorePort(Protocol):
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -53,6 +53,8 @@
         Where decisions are logged.
     longest_lease_s : float, optional
         Longest lease that a worker takes.
+    remote_factor : float, optional
+        See `OwnerLimits`.
 
     Attributes
     ----------
@@ -63,11 +65,20 @@
         Monotonic time of the last conclusion that needs a later confirmation.
     """
 
-    def __init__(self, service, token, lease_s, log=None, longest_lease_s=None):
+    def __init__(
+        self,
+        service,
+        token,
+        lease_s,
+        log=None,
+        longest_lease_s=None,
+        remote_factor=1.0,
+    ):
         self.service = service
         self.token = token
         self.lease_ms = int(lease_s * 1000)
         self.longest_lease_ms = int((longest_lease_s or lease_s) * 1000)
+        self.remote_factor = remote_factor
         self.log = log or logbook.Logger("shard")
         self.jobs = {}
         self.finished = {}
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -156,7 +156,11 @@
             workers,
             self.peers,
             WorkerListing(user_platform.WORKERS_TABLE, user_platform.decode_worker),
-            OwnerLimits(settings.longest_lease_s, settings.max_row_bytes),
+            OwnerLimits(
+                settings.longest_lease_s,
+                settings.max_row_bytes,
+                settings.remote_factor,
+            ),
             self.clock,
             self.relay_connector.connect,
         )
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -40,6 +40,8 @@
         Whether a transaction of the store may cover several partitions.
     cores, link_mbit_s : float
         Processors available to this process, and its link's bandwidth in Mbit/s.
+    remote_factor : float
+        Multiple of its run time that a task takes away from its data; 1 if not stated.
     """
 
     instance: str
@@ -56,6 +58,7 @@
     joins_partitions: bool = False
     cores: float = 1.0
     link_mbit_s: float = 1000.0
+    remote_factor: float = 1.0
 
 
 def read_local_settings(path=None) -> Result[LocalSettings, list[str]]:
@@ -119,6 +122,7 @@
         "cores": reader.number("limits.cpu_share", 1)
         * reader.number("limits.cpu_cores", 1),
         "link_mbit_s": reader.number("limits.link_mbps", 1000),
+        "remote_factor": max(1.0, reader.number("bounds.remote_factor", 1)),
     }
     return None if reader.problems else LocalSettings(**fields)
 
--- a/fuchsiascale/platform/tests/test_local_settings.py
+++ b/fuchsiascale/platform/tests/test_local_settings.py
@@ -43,6 +43,14 @@
     assert settings.store_address == "10.9.0.1:90"
 
 
+def test_the_remote_factor_is_one_where_no_settings_state_it():
+    """A factor below 1 would make tasks prefer workers away from their data."""
+    assert parse_settings(GOOD).unwrap().remote_factor == 1.0
+    for text, factor in (("1.5", 1.5), ("3", 3.0), ("0.5", 1.0), ("nan", 1.0)):
+        settings = parse_settings(GOOD + f"bounds.remote_factor={text}\n").unwrap()
+        assert settings.remote_factor == factor
+
+
 def test_each_fault_is_reported_with_its_key():
     for (old, new), problem in FAULTS:
         found = parse_settings(GOOD.replace(old, new))
