Let tasks wait for room near their data where that pays

Cause: away from the rack of its data a task takes remote_factor times as long; a gang does on several racks. A task started far as soon as the rack was full, and a gang was spread at once.

Change: where the settings state a factor above 1, tasks of a step with data_rack, and gangs with data_rack or same_rack, start near if there is room; otherwise those wait that are expected to get room there in time, and the others start far in the same round. A wait counts from when the step became ready, after a takeover from the job's acceptance at the latest. A step that waits doesn't mark its kind as full, and stops no long-running task. Run times far from the data are learnt divided by the factor. Fillers and long-running tasks are placed as before.

REMOTE_COST orders workers as before, so it stays.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -11,6 +11,7 @@
 )
 from fuchsiascale.jobs._model import JobState
 from fuchsiascale.jobs._ports import EndKind
+from fuchsiascale.jobs._rack_forecasts import measure_slowdown
 from fuchsiascale.jobs._run_state import Attempt, AttemptPhase
 from fuchsiascale.jobs._worker_clocks import record_clock_reading
 
@@ -216,6 +217,7 @@
         if end.end_kind is EndKind.DONE and attempt.has_full_run_time:
             step = attempt.task.step
             run_s = now_s - attempt.phase_since_s
+            run_s /= measure_slowdown(shard, attempt)
             shard.run_times.observe(step.job.policy.queue, run_s, step.run_times)
         worker.release(attempt)
         attempt.task.attempt = None
@@ -265,5 +267,7 @@
     members = task.step.tasks if task.step.spec.gang else [task]
     for member in members:
         member.mark_done()
+    if task.step.done:
+        task.step.done_s = now_s
     if job.is_complete() and not job.state.final:
         shard.finish_job(job, JobState.COMPLETED, now_s)
--- a/fuchsiascale/jobs/_job_order.py
+++ b/fuchsiascale/jobs/_job_order.py
@@ -1,6 +1,11 @@
 """Orders the jobs of a shard for starting."""
 
-__all__ = ["can_meet_objective", "compute_objective_s", "order_jobs"]
+__all__ = [
+    "can_meet_objective",
+    "compute_objective_s",
+    "estimate_slack_s",
+    "order_jobs",
+]
 
 ESTIMATE_MAX_AGE_S = 0.5
 """Time after which a job's estimates follow the run times observed since."""
@@ -39,6 +44,12 @@
     return now_s - job.accepted_s + left_s <= due_s
 
 
+def estimate_slack_s(job, now_s, run_times):
+    """Return the time that a job can lose and still meet its objective, in seconds."""
+    due_s, left_s = _estimate(job, now_s, run_times)
+    return due_s - (now_s - job.accepted_s) - left_s
+
+
 def _estimate(job, now_s, run_times):
     """Return a job's objective and the rest of its critical path, in seconds.
 
--- a/fuchsiascale/jobs/_placement_wait.py
+++ b/fuchsiascale/jobs/_placement_wait.py
@@ -9,6 +9,7 @@
 and letting all of them wait for that rack makes most of them late.
 """
 
+import bisect
 import heapq
 import math
 from collections.abc import Mapping
@@ -96,6 +97,10 @@
 def estimate_end_s(now_s, started_s, expected_s, percent=0, progressed_s=0.0):
     """Return the expected end of a running attempt.
 
+    Progress counts only for an attempt that is slower than expected. A new owner
+    doesn't know when an attempt that it found had started, and would take it for a
+    quick one.
+
     Parameters
     ----------
     now_s, started_s : float
@@ -116,11 +121,11 @@
     >>> estimate_end_s(12.0, 10.0, 1.0)
     12.5
     """
-    total_s = expected_s
-    if percent >= MIN_PERCENT and progressed_s > started_s:
-        total_s = (progressed_s - started_s) * 100 / percent
     elapsed_s = now_s - started_s
-    left_s = total_s - elapsed_s
+    left_s = expected_s - elapsed_s
+    if percent >= MIN_PERCENT:
+        total_s = max(expected_s, (progressed_s - started_s) * 100 / percent)
+        left_s = total_s * (100 - percent) / 100 - (now_s - progressed_s)
     return now_s + (left_s if left_s > 0 else OVERDUE_SHARE * elapsed_s)
 
 
@@ -247,23 +252,25 @@
         del self._refusals[:-MAX_REFUSALS]
 
     def _occupy(self, worker, request, start_s):
-        """Take the room of a task from a time on, and free it at its expected end."""
+        """Take the room of a task from a time on, and free it at its expected end.
+
+        What is left of the room until then counts from that time on, which keeps the
+        list short.
+        """
         parcels = self._parcels[worker]
-        left = [
-            request.need.cpu_millis,
-            request.need.memory_mb,
-            request.need.accelerators,
-        ]
-        for index, (time_s, *room) in enumerate(parcels):
-            if time_s > start_s or not any(left):
+        need = request.need
+        cpu_millis, memory_mb = -need.cpu_millis, -need.memory_mb
+        accelerators = -need.accelerators
+        merged = 0
+        for parcel in parcels:
+            if parcel.time_s > start_s:
                 break
-            for each, amount in enumerate(room):
-                taken = max(0, min(amount, left[each]))
-                room[each] -= taken
-                left[each] -= taken
-            parcels[index] = _Parcel(time_s, *room)
-        parcels.append(_make_parcel(start_s + request.run_s, request.need))
-        parcels.sort()
+            cpu_millis += parcel.cpu_millis
+            memory_mb += parcel.memory_mb
+            accelerators += parcel.accelerators
+            merged += 1
+        parcels[:merged] = [_Parcel(start_s, cpu_millis, memory_mb, accelerators)]
+        bisect.insort(parcels, _make_parcel(start_s + request.run_s, need))
 
     def find_gang_time(self, request, count):
         """Return when all members of a gang have room at once; infinity for never."""
--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from fuchsiascale.jobs._consolidation import consolidate_serving_tasks
+from fuchsiascale.jobs._data_locality import DataLocality
 from fuchsiascale.jobs._full_kinds import FullKinds
 from fuchsiascale.jobs._job_order import order_jobs
 from fuchsiascale.jobs._pacing import move_fillers, throttle_fillers
@@ -90,14 +91,15 @@
     workers = reserve_workers(shard, workers, leftovers, now_s)
     pool = _Pool(workers, shard.full_kinds)
     unreserved = _Pool(exclude_urgent_room(shard, workers, now_s), FullKinds())
+    locality = DataLocality(shard, workers, leftovers, now_s)
     budget = _SearchBudget()
     for job in order_jobs(shard, now_s):
         for step in job.find_ready_steps():
             if step.spec.gang:
-                _place_gang(shard, step, workers, leftovers, now_s)
+                _place_gang(shard, step, workers, leftovers, locality, now_s)
             else:
                 allowed = unreserved if _can_wait(step, now_s) else pool
-                _place_step(shard, step, allowed, leftovers, budget, now_s)
+                _place_step(shard, step, allowed, leftovers, locality, budget, now_s)
     make_urgent_room(shard, workers, now_s)
 
 
@@ -108,9 +110,10 @@
     return not any(task.preferred_worker and task.waiting for task in step.tasks)
 
 
-def _place_step(shard, step, pool, leftovers, budget, now_s):
+def _place_step(shard, step, pool, leftovers, locality, budget, now_s):
     """Start the waiting tasks of a step."""
     spec = step.spec
+    step.waits_by_choice = 0
     if not budget.allows(spec):
         return
     is_full = pool.full_kinds.includes(spec, now_s)
@@ -122,10 +125,9 @@
     started = []
     if not is_full:
         budget.spend(spec)
-        started = _start_tasks(
-            Candidates(shard, step, pool.workers, leftovers), waiting, now_s
-        )
-        if len(started) < len(waiting) and not spec.max_per_worker:
+        started = _start_tasks(shard, step, waiting, pool, leftovers, locality, now_s)
+        placed = len(started) + step.waits_by_choice
+        if placed < len(waiting) and not spec.max_per_worker:
             until_s = now_s + FULL_PERIOD_S if spec.fills else now_s
             pool.full_kinds.mark(spec, until_s)
     if (
@@ -155,7 +157,22 @@
     return True
 
 
-def _start_tasks(candidates, waiting, now_s):
+def _start_tasks(shard, step, waiting, pool, leftovers, locality, now_s):
+    """Start the tasks of a step that have room and don't wait for a better place."""
+    is_moving = any(task.preferred_worker for task in waiting)
+    if is_moving or not locality.applies(step):
+        candidates = Candidates(shard, step, pool.workers, leftovers)
+        return _start_while_room(candidates, waiting, now_s)
+    started, left = locality.start_near(step, waiting)
+    if left:
+        candidates = Candidates(shard, step, pool.workers, leftovers)
+        far = _start_while_room(candidates, left, now_s)
+        locality.count_far(step, far)
+        started += far
+    return started
+
+
+def _start_while_room(candidates, waiting, now_s):
     """Start tasks while there is room for them, and return their attempts."""
     started = []
     for task in waiting:
@@ -166,15 +183,31 @@
     return started
 
 
-def _place_gang(shard, step, workers, leftovers, now_s):
+def _place_gang(shard, step, workers, leftovers, locality, now_s):
     """Start all tasks of a gang with the same attempt number, or none of them."""
+    step.waits_by_choice = 0
     if not all(task.waiting and shard.may_start(task) for task in step.tasks):
         return
-    for group in _list_rack_groups(step.spec, workers):
+    if not locality.applies(step):
+        groups = _list_rack_groups(step.spec, workers)
+        _start_gang_on_any(shard, step, groups, leftovers, now_s)
+        return
+    near, others = locality.list_gang_groups(step)
+    started = _start_gang_on_any(shard, step, near, leftovers, now_s)
+    if not started and not locality.is_gang_waiting(step):
+        started = _start_gang_on_any(shard, step, others, leftovers, now_s)
+    if started:
+        locality.note_gang_started(step, started)
+
+
+def _start_gang_on_any(shard, step, groups, leftovers, now_s):
+    """Start a gang on the first group of workers that has room for all its tasks."""
+    for group in groups:
         started = _start_gang(shard, step, group, leftovers, now_s)
         if started:
             _log_started(shard, step, started, len(started))
-            return
+            return started
+    return []
 
 
 def _list_rack_groups(spec, workers):
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -177,6 +177,18 @@
     ----------
     remaining : int
         Number of tasks that are not done.
+    done_s : float or None
+        Monotonic time at which this owner learnt that all tasks are done; None for a
+        step that was done before.
+    is_spread : bool
+        Whether it is a gang that is slow because it runs on several racks.
+    waits_by_choice, most_waits_by_choice : int
+        Number of tasks that wait for a place near their data now, though there may be
+        room elsewhere, and the largest number so far.
+    reservations : Reservations or None
+        What was reserved for them.
+    logged_decisions : frozenset of str
+        Decisions about its place that were logged.
     run_times : StepRunTimes
         Run times of the tasks that are done.
     next_starvation_check_s : float
@@ -188,15 +200,21 @@
 
     __slots__ = (
         "attempts_per_worker",
+        "done_s",
         "is_located",
+        "is_spread",
         "job",
+        "logged_decisions",
+        "most_waits_by_choice",
         "next_starvation_check_s",
         "number",
         "occurrence",
         "remaining",
+        "reservations",
         "run_times",
         "spec",
         "tasks",
+        "waits_by_choice",
     )
 
     def __init__(self, job, occurrence, number, spec, now_s):
@@ -208,6 +226,12 @@
         self.remaining = spec.count
         self.next_starvation_check_s = 0.0
         self.is_located = False
+        self.done_s = None
+        self.is_spread = False
+        self.waits_by_choice = 0
+        self.most_waits_by_choice = 0
+        self.reservations = None
+        self.logged_decisions = frozenset()
         self.run_times = StepRunTimes()
         self.tasks = [
             Task(self, index, job.first_number, now_s) for index in range(spec.count)
@@ -218,6 +242,21 @@
         """Whether all tasks are done."""
         return not self.remaining
 
+    def count_without_room(self):
+        """Return the number of tasks that wait, though not by choice."""
+        return sum(task.waiting for task in self.tasks) - self.waits_by_choice
+
+    def find_ready_s(self):
+        """Return the monotonic time since which the step may run, as far as is known.
+
+        After a takeover the end of the steps before it may be unknown. Its wait then
+        counts from the job's acceptance, so that no takeover starts it anew.
+        """
+        steps = self.job.occurrences[self.occurrence]
+        ends = [steps[before].done_s for before in self.spec.after]
+        known = [end_s for end_s in ends if end_s is not None]
+        return max([self.job.compute_due_s(self.occurrence), *known])
+
     def follows_located_step(self):
         """Return whether a step that this one had to wait for is located."""
         steps = self.job.occurrences[self.occurrence]
@@ -323,6 +362,13 @@
         """Return when an occurrence is due, in milliseconds since the epoch."""
         return self.spec.first_run_ms + occurrence * self.spec.interval_ms
 
+    def compute_due_s(self, occurrence):
+        """Return the monotonic time at which an occurrence is due."""
+        if not self.timed:
+            return self.accepted_s
+        after_ms = self.compute_due_ms(occurrence) - self.record.accepted_ms
+        return self.accepted_s + max(0, after_ms) / 1000
+
     def open_occurrence(self, occurrence, now_s):
         """Create the steps of one occurrence."""
         self.forget_derived()
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -96,6 +96,7 @@
         self.interference = PairInterference()
         self.run_times = RunTimes()
         self.full_kinds = FullKinds()
+        self.rack_forecasts = {}
         self.urgent_demand = UrgentDemand()
         self.next_eviction_s = 0.0
         self.next_move_s = 0.0
--- a/fuchsiascale/jobs/_urgent_room.py
+++ b/fuchsiascale/jobs/_urgent_room.py
@@ -108,7 +108,7 @@
         started = sum(step.attempts_per_worker.values())
         running += need * started
         if need <= largest and can_meet_objective(step.job, now_s, shard.run_times):
-            waiting += need * (step.remaining - started)
+            waiting += need * (step.remaining - started - step.waits_by_choice)
     return running, waiting
 
 
@@ -172,7 +172,7 @@
     }
     stopped = 0
     for step in needy[:MAX_SEARCHES]:
-        waiting = sum(task.waiting for task in step.tasks)
+        waiting = step.count_without_room()
         need_millis = max(1, step.spec.need.cpu_millis)
         covered = min(waiting, pending // need_millis)
         pending -= covered * need_millis
@@ -191,7 +191,7 @@
     return [
         step
         for step in _list_urgent_steps(shard)
-        if any(task.waiting for task in step.tasks)
+        if step.count_without_room()
         and can_meet_objective(step.job, start_s, shard.run_times)
     ]
 
--- a/fuchsiascale/jobs/_worker_selection.py
+++ b/fuchsiascale/jobs/_worker_selection.py
@@ -40,7 +40,9 @@
 UNKNOWN_INTERFERENCE = 0.5
 """Assumed probability that a pair of images with an unknown slope interferes."""
 REMOTE_COST = 10.0
-"""Cost of a worker outside the rack of the task's data."""
+"""Cost of a worker outside the rack of the task's data. It exceeds the other costs, so
+that workers near the data come first; whether a task waits for one is decided by
+`_placement_wait`."""
 LONG_RUNNING_USE = 0.5
 """Share of the requested processor time that long-running tasks are expected to use."""
 LEFTOVER_MAX_AGE_S = 0.4
@@ -150,6 +152,16 @@
                 return entry
         return None
 
+    @property
+    def is_empty(self):
+        """Whether no worker has room."""
+        return not self._heap
+
+    def offers_other_than(self, worker_id):
+        """Return whether a worker has room besides the one of an id."""
+        heap = self._heap
+        return len(heap) > 1 or (bool(heap) and heap[0][2].worker != worker_id)
+
     def start(self, task, now_s):
         """Start a task on the best worker; returns None where none has room."""
         heap = self._heap
--- a/fuchsiascale/jobs/tests/test_placement_wait.py
+++ b/fuchsiascale/jobs/tests/test_placement_wait.py
@@ -158,6 +158,12 @@
     assert estimate_end_s(100.1, 100.0, 0.5, percent=1, progressed_s=100.1) == 100.5
 
 
+def test_an_attempt_found_by_a_new_owner_does_not_count_as_quick():
+    """Its start is unknown: 80 percent in the first 0.1 s would mean an end at once."""
+    found_s = estimate_end_s(100.1, 100.0, 0.5, percent=80, progressed_s=100.1)
+    assert round(found_s, 3) == 100.2
+
+
 def test_an_overdue_attempt_is_not_expected_to_end_at_once():
     """Otherwise each round would expect room at once, and tasks wait to their bound."""
     for elapsed_s in (1.0, 2.0, 4.0):
