Don't count a found attempt as a task that waits by choice

Cause: a task that waited by choice and was then found running still counted as waiting until the next round, so that its step seemed to lack room for -1 tasks.

Change: both counts end at zero.

Tests: one in test_data_locality.py; all of fuchsiascale.jobs pass.

--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -244,7 +244,8 @@
 
     def count_without_room(self):
         """Return the number of tasks that wait, though not by choice."""
-        return sum(task.waiting for task in self.tasks) - self.waits_by_choice
+        waiting = sum(task.waiting for task in self.tasks)
+        return max(0, waiting - self.waits_by_choice)
 
     def find_ready_s(self):
         """Return the monotonic time since which the step may run, as far as is known.
--- a/fuchsiascale/jobs/_urgent_room.py
+++ b/fuchsiascale/jobs/_urgent_room.py
@@ -108,7 +108,8 @@
         started = sum(step.attempts_per_worker.values())
         running += need * started
         if need <= largest and can_meet_objective(step.job, now_s, shard.run_times):
-            waiting += need * (step.remaining - started - step.waits_by_choice)
+            left = step.remaining - started - step.waits_by_choice
+            waiting += need * max(0, left)
     return running, waiting
 
 
--- a/fuchsiascale/jobs/tests/test_data_locality.py
+++ b/fuchsiascale/jobs/tests/test_data_locality.py
@@ -222,6 +222,21 @@
     assert shard.events["waited"] == 2
 
 
+def test_a_waiting_task_found_running_does_not_count_as_one_without_room():
+    """The step would seem to lack room for a negative number of tasks."""
+    shard = make_shard()
+    occupy_rack(shard, 8)
+    job = submit_job(shard, "1" * 16, make_local_step())
+    plan_round(shard, 1.0)
+    (task,) = job.find_task(0, 0, 0).step.tasks
+    worker = shard.workers["r1w0"]
+    running = (RunningAttempt(task.name, 1, "", 10),)
+    inventory = Inventory(clock_ms=2_000, incarnation=1, running=running)
+    shard.observe(worker, inventory, 1.01, 1.02)
+    assert task.attempt is not None
+    assert task.step.count_without_room() == 0
+
+
 def lose_workers(shard, change):
     for worker in shard.workers.values():
         if "r0" in worker.listed.labels:
