Explain where a job would start now, without handing it in

Cause: why tasks wait, start far or find no room could only be told from the logs of jobs that were handed in.

It tells service and queue, whether the instance accepts jobs, and for each of the first five steps how many tasks start, wait or start far, expected waits and run times, and how many workers are ruled out for which reason. Admission knows only a store that is unreachable, since jobs are not refused for lack of capacity yet. One request at a time at an instance, two a second at an owner; the owner checks the size of the job, which peers send.

--- a/fuchsiascale/cli/_application.py
+++ b/fuchsiascale/cli/_application.py
@@ -6,7 +6,7 @@
 from cleo.exceptions import CleoError
 
 import fuchsiascale
-from fuchsiascale.cli import _config, _fleet, _jobs, _logs  # noqa: F401
+from fuchsiascale.cli import _config, _fleet, _jobs, _logs, _placements  # noqa: F401
 from fuchsiascale.cli._command import COMMANDS
 from fuchsiascale.cli._exits import Exit
 
--- a/fuchsiascale/cli/_client.py
+++ b/fuchsiascale/cli/_client.py
@@ -66,6 +66,11 @@
             "caller", base, method, path, reply_type, message, query
         )
 
+    async def call_instance(self, address, path, reply_type, message):
+        """Post to an instance on the users' platform, which takes no token."""
+        url = f"http://{address}{path}"
+        return await self._send(url, "POST", reply_type, message, None, {})
+
     async def _call_at(self, option, base, method, path, reply_type, message, query):
         if not base:
             detail = (
@@ -84,6 +89,9 @@
             The reply, or a `ClientError`.
         """
         headers = {"Authorization": f"Bearer {self._profile.token}"}
+        return await self._send(url, method, reply_type, message, query, headers)
+
+    async def _send(self, url, method, reply_type, message, query, headers):
         body = None if message is None else msgspec.json.encode(message)
         if body is not None:
             headers["Content-Type"] = "application/json"
--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -11,6 +11,7 @@
 from fuchsiascale.jobs._ownership import *  # noqa: F403
 from fuchsiascale.jobs._pacing import *  # noqa: F403
 from fuchsiascale.jobs._peer_messages import *  # noqa: F403
+from fuchsiascale.jobs._placement_explanation import *  # noqa: F403
 from fuchsiascale.jobs._ports import *  # noqa: F403
 from fuchsiascale.jobs._records import *  # noqa: F403
 from fuchsiascale.jobs._relayed_workers import *  # noqa: F403
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -9,7 +9,9 @@
 from fuchsiascale.jobs._conclusions import confirm_owner, needs_confirmation
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
 from fuchsiascale.jobs._job_order import compute_objective_s
+from fuchsiascale.jobs._model import find_problems
 from fuchsiascale.jobs._ownership_evidence import OwnershipEvidence
+from fuchsiascale.jobs._placement_explanation import explain_placement
 from fuchsiascale.jobs._pool_rows import restore_pool_rows
 from fuchsiascale.jobs._recorder import Recorder
 from fuchsiascale.jobs._records import (
@@ -48,6 +50,8 @@
 """Delay after a failed store call."""
 LISTING_POLL_INTERVAL_S = 0.3
 """Minimum time between two polls of the worker list."""
+EXPLANATION_PERIOD_S = 0.5
+"""Minimum time between two explanations; each may take as long as a round."""
 FINISHED_RETENTION_S = 150.0
 """How long final states are kept; the platform requires 120 s."""
 
@@ -131,6 +135,7 @@
         self.round_count = 0
         self.round_seconds = 0.0
         self._relays_due_s = 0.0
+        self._next_explanation_s = 0.0
         self._confirmation = None
         self._round_requested = asyncio.Event()
         self._tasks = set()
@@ -334,6 +339,20 @@
         """Return the number of unstarted jobs by queue; None until loaded."""
         return self.shard.count_waiting() if self._loaded.is_set() else None
 
+    def explain_placement(self, record):
+        """Return where a job would start; None until loaded, or if asked too often.
+
+        Peers send the job, so that its size has to be checked here too.
+        """
+        now_s = self.clock.monotonic()
+        if not self._loaded.is_set() or now_s < self._next_explanation_s:
+            return None
+        if find_problems(record.spec):
+            return None
+        self._next_explanation_s = now_s + EXPLANATION_PERIOD_S
+        age_s = self.evidence.measure_age_s()
+        return explain_placement(self.shard, record, now_s, self.clock.wall_ms(), age_s)
+
     async def prepare_handover(self):
         """Stop starting tasks, and record the attempts that have ended."""
         self.handing_over = True
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -23,6 +23,8 @@
     CancelNotice,
     Handover,
     JobNotice,
+    PlacementQuery,
+    PlacementReply,
     Pong,
     RelayWrite,
     StateQuery,
@@ -426,6 +428,14 @@
         reply = await self._ask_owner(service, WaitingQuery(service))
         return reply.counts if isinstance(reply, WaitingReply) else None
 
+    async def ask_placement(self, record):
+        """Return where a job would start; None if the owner gave no explanation."""
+        service = record.policy.service
+        if service in self.owners:
+            return self.owners[service].explain_placement(record)
+        reply = await self._ask_owner(service, PlacementQuery(record))
+        return reply.explanation if isinstance(reply, PlacementReply) else None
+
     async def write_through_owner(self, write):
         """Have the owner commit a submission; None if this instance has to do it."""
         view = write.view
--- a/fuchsiascale/jobs/_peer_answers.py
+++ b/fuchsiascale/jobs/_peer_answers.py
@@ -11,6 +11,8 @@
     OwnerQuery,
     OwnerReply,
     Ping,
+    PlacementQuery,
+    PlacementReply,
     StateQuery,
     StateReply,
     WaitingQuery,
@@ -67,6 +69,12 @@
     return WaitingReply(owner.count_waiting() if owner else None)
 
 
+@answer_message.register
+async def _(message: PlacementQuery, ownership):
+    owner = ownership.owners.get(message.record.policy.service)
+    return PlacementReply(owner.explain_placement(message.record) if owner else None)
+
+
 @answer_message.register
 async def _(message: Handover, ownership):
     return await ownership.accept_handover(message)
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -4,7 +4,8 @@
 
 from fuchsiascale.ids import FailureDomainId
 from fuchsiascale.jobs._members import Member
-from fuchsiascale.jobs._model import JobState
+from fuchsiascale.jobs._model import JobRecord, JobState
+from fuchsiascale.jobs._placement_explanation import PlacementExplanation
 from fuchsiascale.jobs._ports import Change, Expect, StoredRow
 from fuchsiascale.jobs._records import AcceptedRow, OwnerRow
 
@@ -24,6 +25,8 @@
     "PeerMessage",
     "PeerReply",
     "Ping",
+    "PlacementQuery",
+    "PlacementReply",
     "Pong",
     "RelayCommit",
     "RelayRead",
@@ -151,6 +154,22 @@
     counts: dict[str, int] | None
 
 
+class PlacementQuery(msgspec.Struct, frozen=True, tag="placement"):
+    """Asks an owner where a job that is not handed in would start."""
+
+    record: JobRecord
+
+
+class PlacementReply(msgspec.Struct, frozen=True, tag="placement_reply"):
+    """Where a job would start.
+
+    ``explanation`` is None if this instance doesn't own the service, has not loaded it,
+    or has explained another job a moment ago.
+    """
+
+    explanation: PlacementExplanation | None
+
+
 class Handover(msgspec.Struct, frozen=True, tag="handover"):
     """Asks a peer to take over a service from its owner, which is stopping."""
 
@@ -234,6 +253,7 @@
     | CancelNotice
     | StateQuery
     | WaitingQuery
+    | PlacementQuery
     | Handover
     | OwnerNotice
     | OwnerQuery
@@ -246,6 +266,7 @@
     | ConfigurationReply
     | StateReply
     | WaitingReply
+    | PlacementReply
     | OwnerReply
     | RelayReply
     | Acknowledgement
--- a/fuchsiascale/jobs/_rack_forecasts.py
+++ b/fuchsiascale/jobs/_rack_forecasts.py
@@ -96,9 +96,16 @@
                 kept.forecast.take(worker.worker, _subtract(kept.used[worker], before))
         return kept.forecast
 
+    def make_forecast(self, rack):
+        """Return a new forecast that is not kept."""
+        return self._make_forecast(self._find_warm(rack)).forecast
+
+    def _find_warm(self, rack):
+        return [each for each in self.find_workers(rack) if not _is_cold(each)]
+
     def _find_kept(self, rack):
         """Return the forecast of an earlier round, or a new one."""
-        workers = [each for each in self.find_workers(rack) if not _is_cold(each)]
+        workers = self._find_warm(rack)
         kept = self._shard.rack_forecasts.get(rack)
         if kept is None or list(kept.used) != workers or self._renews(kept):
             kept = self._make_forecast(workers)
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -33,6 +33,7 @@
     WorkerRelay,
     answer_relay,
 )
+from fuchsiascale.node._explain_http import EXPLAIN_PATH, PlacementExplainer
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.node._peer_http import PeerClient, make_peer_application
 from fuchsiascale.node._relay_websocket import (
@@ -189,6 +190,13 @@
         self.metrics = NodeMetrics(
             self.ownership, self.log_buffer, self._describe_configuration
         )
+        self.explainer = PlacementExplainer(
+            self.ownership,
+            self.store,
+            self.configuration_watch,
+            self.configuration_feed.age_s,
+            self.clock,
+        )
         self.front = user_platform.CallerApi(
             self.request_handler, self.configuration_watch, self.stop_requested.is_set
         )
@@ -263,6 +271,7 @@
         if settings.ready_listen is not None:
             ready = web.Application()
             ready.router.add_get("/metrics", self._answer_metrics)
+            ready.router.add_post(EXPLAIN_PATH, self.explainer.handle)
             ready.router.add_get("/{path:.*}", self._answer_ready)
             await self._start_server(ready, settings.ready_listen)
 
--- a/fuchsiascale/platform/_caller_api.py
+++ b/fuchsiascale/platform/_caller_api.py
@@ -6,13 +6,13 @@
 import logbook
 import msgspec
 from aiohttp import web
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
 from fuchsiascale.ids import JobId
 from fuchsiascale.jobs import JobSpec, Outcome, Resources, StepSpec, find_problems
 from fuchsiascale.json_decoding import decode_json
 
-__all__ = ["CallerApi"]
+__all__ = ["RETRY_AFTER_S", "CallerApi", "decode_job"]
 
 RETRY_AFTER_S = 1
 """Delay before a retry; outages of the store last some seconds."""
@@ -127,14 +127,10 @@
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
             return _build_response(413, _Error("the body is too large"))
-        decoded = decode_json(body, _Job)
+        decoded = decode_job(body)
         if isinstance(decoded, Failure):
-            return _build_response(400, _Error(f"body: {decoded.failure()}"))
-        spec = _convert_job(decoded.unwrap())
-        problems = find_problems(spec)
-        if problems:
-            return _build_response(400, _Error("; ".join(problems)))
-        reply = await self.entry.submit(queue.policy, job, spec)
+            return _build_response(400, _Error(decoded.failure()))
+        reply = await self.entry.submit(queue.policy, job, decoded.unwrap())
         return _build_error_response(reply) or web.Response(status=200)
 
     async def _state(self, queue, job, request):
@@ -167,6 +163,16 @@
     return None
 
 
+def decode_job(body) -> Result[JobSpec, str]:
+    """Decode a job that a caller hands in; a failure is the text for the caller."""
+    decoded = decode_json(body, _Job)
+    if isinstance(decoded, Failure):
+        return Failure(f"body: {decoded.failure()}")
+    spec = _convert_job(decoded.unwrap())
+    problems = find_problems(spec)
+    return Failure("; ".join(problems)) if problems else Success(spec)
+
+
 def _convert_job(job):
     return JobSpec(
         payload=job.spec,
