--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -59,6 +59,8 @@
         Longest lease that a worker takes.
     evacuations : Evacuations or None, optional
         Failure domains that take no starts; None if the operator evacuates none.
+    remote_factor : float, optional
+        See `OwnerLimits`.
 
     Attributes
     ----------
@@ -77,11 +79,13 @@
         log=None,
         longest_lease_s=None,
         evacuations=None,
+        remote_factor=1.0,
     ):
         self.service = service
         self.token = token
         self.lease_ms = int(lease_s * 1000)
         self.longest_lease_ms = int((longest_lease_s or lease_s) * 1000)
+        self.remote_factor = remote_factor
         self.log = log or logbook.Logger("shard")
         self.evacuations = evacuations
         self.jobs = {}
@@ -100,6 +104,7 @@
         self.interference = PairInterference()
         self.run_times = RunTimes()
         self.full_kinds = FullKinds()
+        self.rack_forecasts = {}
         self.urgent_demand = UrgentDemand()
         self.next_eviction_s = 0.0
         self.next_move_s = 0.0
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -45,6 +45,8 @@
         in seconds; None if the operator evacuates none.
     unstable_store_stretch_s : float
         How much longer such bounds are while the store is unstable, in seconds.
+    remote_factor : float
+        Multiple of its run time that a task takes away from its data; 1 if not stated.
     """
 
     instance: str
@@ -63,6 +65,7 @@
     link_mbit_s: float = 1000.0
     evacuation_bound_s: float | None = None
     unstable_store_stretch_s: float = 0.0
+    remote_factor: float = 1.0
 
 
 def read_local_settings(path=None) -> Result[LocalSettings, list[str]]:
@@ -130,6 +133,7 @@
             reader.number("bounds.evacuate_ms", None)
         ),
         "unstable_store_stretch_s": reader.number("bounds.max_stretch_ms", 0) / 1000,
+        "remote_factor": max(1.0, reader.number("bounds.remote_factor", 1)),
     }
     return None if reader.problems else LocalSettings(**fields)
 
