Bound the body of a request to explain a job, and test it between instances

Cause: a body without a declared length passed the limit, and a slow one kept others from being answered.

Change: the body is read before the request takes its turn, and its length checked.

Tests: a body in pieces; an instance that asks the owner, with stand-ins of store and workers; query and reply over the peers' HTTP interface.

--- a/fuchsiascale/node/_explain_http.py
+++ b/fuchsiascale/node/_explain_http.py
@@ -49,13 +49,16 @@
 
     async def handle(self, request):
         """Answer one request."""
-        if self._is_busy:
-            return _build_error(429, "another job is being explained")
         if (request.content_length or 0) > MAX_BODY_BYTES:
             return _build_error(413, "the body is too large")
+        body = await request.read()
+        if len(body) > MAX_BODY_BYTES:
+            return _build_error(413, "the body is too large")
+        if self._is_busy:
+            return _build_error(429, "another job is being explained")
         self._is_busy = True
         try:
-            return await self._answer(await request.read())
+            return await self._answer(body)
         finally:
             self._is_busy = False
 
--- a/fuchsiascale/node/tests/test_explain_http.py
+++ b/fuchsiascale/node/tests/test_explain_http.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import aiohttp
 import msgspec
 from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
@@ -11,12 +12,22 @@
 from fuchsiascale.jobs import (
     Configuration,
     JobExplanation,
+    JobRecord,
+    PlacementQuery,
+    PlacementReply,
     Queue,
     QueuePolicy,
     explain_placement,
 )
 from fuchsiascale.jobs.tests.test_data_locality import make_shard
 from fuchsiascale.node._explain_http import EXPLAIN_PATH, PlacementExplainer
+from fuchsiascale.node._peer_http import PeerClient, make_peer_application
+from fuchsiascale.node.tests._deployment import (
+    POLICY,
+    Deployment,
+    make_spec,
+    wait_until,
+)
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -101,6 +112,13 @@
         ):
             assert (await served.send(**fields))[0] == status, fields
         assert served.asked == []
+
+        async def send_pieces():
+            for _ in range(30):
+                yield b" " * 10_000
+
+        response = await served.client.post(EXPLAIN_PATH, data=send_pieces())
+        assert response.status == 413
     async with Served(is_configured=False) as served:
         assert (await served.send())[0] == 503
 
@@ -116,3 +134,46 @@
         assert (await first)[0] == 200
         assert (await served.send())[0] == 200
         assert len(served.asked) == 2
+
+
+def make_record():
+    return JobRecord(job="0" * 16, spec=make_spec(), policy=POLICY, accepted_ms=0)
+
+
+async def test_any_instance_asks_the_owner_and_starts_nothing():
+    async with Deployment() as deployment:
+        await wait_until(deployment.find_owner, "an owner")
+        entry = deployment.others(deployment.find_owner())[0]
+        shard = deployment.find_owner().owner.shard
+        await wait_until(
+            lambda: (
+                all(each.in_leased_workers for each in shard.workers.values())
+                and len(shard.workers) == len(deployment.workers)
+            ),
+            "workers",
+        )
+        found = await entry.ownership.ask_placement(make_record())
+        assert found.token == shard.token
+        assert found.steps[0].workers == len(deployment.workers)
+        assert not shard.jobs
+        assert deployment.running() == []
+
+
+async def test_an_explanation_travels_between_instances():
+    """Query and reply are messages of their own, which peers must decode."""
+    found = explain_placement(make_shard(), make_record(), 1.0, 0)
+    asked = []
+
+    async def answer(message):
+        asked.append(message)
+        return PlacementReply(found)
+
+    server = TestServer(make_peer_application(answer))
+    await server.start_server()
+    async with aiohttp.ClientSession() as session:
+        query = PlacementQuery(make_record())
+        address = f"{server.host}:{server.port}"
+        reply = await PeerClient(session).ask(address, query, 2.0)
+    await server.close()
+    assert reply.explanation == found
+    assert asked == [query]
