Evacuate failure domains in the simulated takeovers

An operator with a random source of its own evacuates up to two domains at a time, so that the faults of a seed stay those that are played without it. A start in a domain later than 5 s after the store has taken the request is a break.

--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -26,6 +26,7 @@
 from fuchsiascale.jobs.tests._simulation_instance import Instance
 from fuchsiascale.jobs.tests._simulation_loop import ProcessLoop
 from fuchsiascale.jobs.tests._simulation_network import LinkFaults, Network
+from fuchsiascale.jobs.tests._simulation_operator import Operator
 from fuchsiascale.jobs.tests._simulation_record import Record, Rule
 from fuchsiascale.jobs.tests._simulation_store import STORE, Store, StoreState
 from fuchsiascale.jobs.tests._simulation_worker import Gangs, Worker
@@ -57,12 +58,15 @@
     ----------
     seed : int
         What all is drawn from.
+    evacuates : bool
+        Whether the operator evacuates domains.
     """
 
     service = "pool"
 
-    def __init__(self, seed):
+    def __init__(self, seed, evacuates):
         self.seed = seed
+        self.evacuates = evacuates
         self.rng = random.Random(f"simulation {seed}")
         self.clock = LoopClock()
         self.record = Record(self.clock, self.is_undisturbed)
@@ -255,6 +259,9 @@
         self._tasks.append(asyncio.create_task(self._hand_in(until_s)))
         self._tasks.append(asyncio.create_task(self._ask_states()))
         await asyncio.sleep(until_s - FAULTY_S)
+        if self.evacuates:
+            operator = Operator(self, DOMAINS)
+            self._tasks.append(asyncio.create_task(operator.run(until_s)))
         await Faults(self).run(until_s)
         self.record.note("--- no further faults")
         self.network.faults.clear()
@@ -311,7 +318,7 @@
             self._record.report(Rule.ERROR, text + error)
 
 
-def play(seed, log_level=logbook.ERROR):
+def play(seed, log_level=logbook.ERROR, evacuates=False):
     """Play the simulation of a seed.
 
     Parameters
@@ -320,6 +327,8 @@
         What all is drawn from.
     log_level : int, optional
         Level from which the product's log lines are kept in the record.
+    evacuates : bool, optional
+        Whether the operator evacuates domains, which leaves load and faults the same.
 
     Returns
     -------
@@ -331,7 +340,7 @@
     simulations = []
 
     async def run():
-        simulation = Simulation(seed)
+        simulation = Simulation(seed, evacuates)
         simulations.append(simulation)
         handler = _LogHandler(simulation.record, log_level)
         with logbook.NullHandler().applicationbound(), handler.applicationbound():
--- a/fuchsiascale/jobs/tests/_simulation_instance.py
+++ b/fuchsiascale/jobs/tests/_simulation_instance.py
@@ -18,6 +18,7 @@
     decode_row,
 )
 from fuchsiascale.jobs.tests._simulation_loop import Process
+from fuchsiascale.jobs.tests._simulation_operator import EVACUATIONS
 from fuchsiascale.jobs.tests._simulation_store import StoreClient
 from fuchsiascale.jobs.tests._simulation_worker import SERVERS, WorkerClient
 from fuchsiascale.testing import LoopClock
@@ -83,6 +84,7 @@
             WorkerListing(SERVERS, lambda row: decode_row(row.value, ListedWorker)),
             OwnerLimits(),
             clock,
+            evacuations=EVACUATIONS if simulation.evacuates else None,
         )
         self.request_handler = JobRequestHandler(self.store, self.ownership, clock)
         self.process.spawn(self._run())
--- a/fuchsiascale/jobs/tests/_simulation_record.py
+++ b/fuchsiascale/jobs/tests/_simulation_record.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fuchsiascale.jobs import EndKind, JobState, split_task
+from fuchsiascale.jobs.tests._simulation_operator import EVACUATION_BOUND_S
 
 __all__ = ["Break", "Record", "Rule", "Run"]
 
@@ -26,6 +27,7 @@
     REFUSED = "REFUSED: a start of a job that was refused"
     MIXED = "MIXED: a job shown as completed before all its tasks were done"
     LOST = "LOST: an accepted job that is unknown or has not ended"
+    EVACUATED = "EVACUATED: a start in an evacuated domain after the bound"
     ERROR = "ERROR: a component of the product failed"
 
 
@@ -73,6 +75,7 @@
         self.refused = set()
         self.shown_completed = {}
         self.changed_s = clock.monotonic()
+        self.evacuated_s = {}
         self._runs = {}
 
     def note(self, text):
@@ -110,6 +113,7 @@
                 self.report(Rule.TWICE_AFTER_DONE, f"{of} ended {other.end_s:.3f}")
         earlier.append(run)
         self._check_job(run, where)
+        self._check_domain(run, where)
         of_task = checkpoint.partition("/")[2]
         if checkpoint and self.name_work(of_task) != self.name_work(run.task):
             self.report(Rule.UNASKED, f"{where}: {checkpoint}")
@@ -140,6 +144,23 @@
         if len(failures) >= policy.max_attempts and not spec.steps[step].lasting:
             self.report(Rule.BUDGET, where)
 
+    def _check_domain(self, run, where):
+        """Check a start against evacuations; a worker's id ends with its domain."""
+        domain = run.worker.rpartition("-")[2]
+        since_s = run.began_s - self.evacuated_s.get(domain, math.inf)
+        if since_s > EVACUATION_BOUND_S:
+            self.report(Rule.EVACUATED, f"{where}, {since_s:.3f} s after the request")
+
+    def note_evacuated(self, domain):
+        """Keep that the store has taken the evacuation of a domain."""
+        self.evacuated_s[domain] = self._clock.monotonic()
+        self.note(f"--- {domain} evacuated")
+
+    def note_taken_back(self, domain):
+        """Keep that the evacuation of a domain is being withdrawn."""
+        self.evacuated_s.pop(domain, None)
+        self.note(f"--- {domain} taken back")
+
     def end(self, run, end_kind):
         """Keep the end of a run."""
         run.end_s = self.changed_s = self._clock.monotonic()
--- a/fuchsiascale/jobs/tests/play_takeovers.py
+++ b/fuchsiascale/jobs/tests/play_takeovers.py
@@ -16,12 +16,12 @@
 """Breaks of a seed that are printed."""
 
 
-def play_seeds(seeds):
+def play_seeds(seeds, evacuates):
     """Play seeds, print the breaks of each and a summary; return whether any broke."""
     began_s = time.process_time()
     breaks, broken, runs = Counter(), [], 0
     for seed in seeds:
-        record = play(seed)
+        record = play(seed, evacuates=evacuates)
         runs += record.count_runs()
         breaks.update(each.rule for each in record.breaks)
         if record.breaks:
@@ -35,9 +35,9 @@
     return bool(broken)
 
 
-def print_trace(seed):
+def print_trace(seed, evacuates):
     """Print all that happened with a seed, with the product's log."""
-    record = play(seed, logbook.INFO)
+    record = play(seed, logbook.INFO, evacuates)
     for at_s, text in record.events:
         print(f"{at_s:9.3f} {text}")
 
@@ -48,11 +48,13 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=2_000)
     parser.add_argument("--trace", type=int, help="seed whose course is printed")
+    parser.add_argument("--evacuate", action="store_true", help="evacuate domains")
     options = parser.parse_args()
     if options.trace is not None:
-        print_trace(options.trace)
+        print_trace(options.trace, options.evacuate)
         return
-    sys.exit(play_seeds(range(options.first, options.first + options.count)))
+    seeds = range(options.first, options.first + options.count)
+    sys.exit(play_seeds(seeds, options.evacuate))
 
 
 if __name__ == "__main__":
--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -7,7 +7,7 @@
 
 from unittest import mock
 
-from fuchsiascale.jobs import Owner
+from fuchsiascale.jobs import Owner, Shard
 from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs.tests._simulation import play
 from fuchsiascale.jobs.tests._simulation_record import Rule
@@ -23,6 +23,11 @@
 """Seeds that broke a rule once, and the cause."""
 
 
+EVACUATION_SEEDS = (*range(2_000, 2_005), 37, 97)
+"""Seeds with evacuations. The last two break the bound if a read of the evacuations
+counts for ever and starts grant whole leases."""
+
+
 def conclude_without_confirmation(owner, now_s):
     """Take the owner for confirmed at any time, as before commit 77f2a12."""
     confirm_owner(owner.shard, now_s)
@@ -64,3 +69,14 @@
     with mock.patch.object(Owner, "add_job", add_any_job):
         rules = {each.rule for each in play(3_042).breaks}
     assert Rule.TWICE_AFTER_DONE in rules
+
+
+def test_no_task_starts_in_an_evacuated_domain_after_the_bound():
+    for seed in EVACUATION_SEEDS:
+        assert play(seed, evacuates=True).breaks == [], seed
+
+
+def test_the_simulation_finds_owners_that_ignore_evacuations():
+    with mock.patch.object(Shard, "is_evacuated", lambda *arguments: False):
+        rules = {each.rule for each in play(3, evacuates=True).breaks}
+    assert Rule.EVACUATED in rules
