--- a/fuchsiascale/jobs/tests/_simulation_instance.py
+++ b/fuchsiascale/jobs/tests/_simulation_instance.py
@@ -20,6 +20,7 @@
     decode_row,
 )
 from fuchsiascale.jobs.tests._simulation_loop import Process
+from fuchsiascale.jobs.tests._simulation_operator import EVACUATIONS
 from fuchsiascale.jobs.tests._simulation_store import StoreClient
 from fuchsiascale.jobs.tests._simulation_worker import SERVERS, WorkerClient
 from fuchsiascale.testing import LoopClock
@@ -87,6 +88,7 @@
             OwnerLimits(),
             clock,
             silence=silence,
+            evacuations=EVACUATIONS if simulation.evacuates else None,
         )
         self.request_handler = JobRequestHandler(
             self.store, self.ownership, clock, silence=silence
