Estimate at the owner which jobs would end too late, and send it to peers

Cause: a job that can only end after three times its objective is worth nothing, but it is accepted like any other.

LoadBook keeps those of the latest owner.

--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs as graphs of tasks, from submission to the stored final state."""
 
+from fuchsiascale.jobs._admission import *  # noqa: F403
 from fuchsiascale.jobs._commands import *  # noqa: F403
 from fuchsiascale.jobs._configuration import *  # noqa: F403
 from fuchsiascale.jobs._configuration_feed import *  # noqa: F403
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from fuchsiascale.jobs._admission import LoadBook, ServiceLoad, estimate_queues
 from fuchsiascale.jobs._members import Member, Members
 from fuchsiascale.jobs._owner import Owner
 from fuchsiascale.jobs._owner_succession import (
@@ -120,6 +121,8 @@
         self.log = logbook.Logger("offices")
         self._connect_relay = connect_relay
         self.silence = silence or StoreSilence(clock)
+        self.loads = LoadBook(clock)
+        self._own_loads = {}
         self.owners = {}
         self.stopping = False
         self._views = OwnerViews(clock)
@@ -187,12 +190,14 @@
     async def _watch_service(self, service):
         while not self.stopping:
             started_s = self.clock.monotonic()
-            if service not in self.owners:
-                try:
+            try:
+                if service in self.owners:
+                    self._measure_load(service)
+                else:
                     await self._check_service(service)
-                except Exception as error:
-                    # Keep watching: an unwatched service would never get a new owner.
-                    self.log.error("owner check failed: {!r}", error, exc_info=error)
+            except Exception as error:
+                # Keep watching: an unwatched service would never get a new owner.
+                self.log.error("owner check failed: {!r}", error, exc_info=error)
             elapsed_s = self.clock.monotonic() - started_s
             await asyncio.sleep(max(0.02, PING_PERIOD_S - elapsed_s))
 
@@ -250,8 +255,36 @@
         reply = await self.peers.ask(address, ping, timeout_s)
         if isinstance(reply, Pong):
             self.silence.note_testimony(address, reply.store, asked_s)
+            self._note_loads(reply, asked_s)
         return reply
 
+    def _note_loads(self, reply, asked_s):
+        """Note the estimates of an owner; a service without any has capacity."""
+        loads = {load.service: load for load in reply.loads}
+        for service, token in reply.owned.items():
+            load = loads.get(service)
+            if load is None:
+                self.loads.note(service, token, {}, asked_s)
+            else:
+                self.loads.note(service, token, load.queues, asked_s - load.age_s)
+
+    def _measure_load(self, service):
+        """Estimate how long jobs of a service wait that is owned here."""
+        owner, now_s = self.owners[service], self.clock.monotonic()
+        queues = {}
+        if owner.is_takeover_complete:
+            queues = estimate_queues(owner.shard, now_s)
+        self._own_loads[service] = (owner, queues, now_s)
+        self.loads.note(service, owner.row.token, queues, now_s)
+
+    def _export_loads(self, now_s):
+        """Return the estimates of the services owned here in which jobs wait."""
+        return tuple(
+            ServiceLoad(service, round(now_s - as_of_s, 3), queues)
+            for service, (owner, queues, as_of_s) in self._own_loads.items()
+            if queues and self.owners.get(service) is owner
+        )
+
     async def _refresh_and_claim(self, suspected, stopped_s):
         """Claim a service unless the store shows another owner than the suspected one.
 
@@ -476,6 +509,7 @@
             live_members=members,
             members_digest=digest,
             store=self.silence.testify(),
+            loads=self._export_loads(now_s),
         )
 
     async def accept_handover(self, message):
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from fuchsiascale.ids import FailureDomainId
+from fuchsiascale.jobs._admission import ServiceLoad
 from fuchsiascale.jobs._members import Member
 from fuchsiascale.jobs._model import JobState
 from fuchsiascale.jobs._ports import Change, Expect, StoredRow
@@ -87,7 +88,7 @@
     instance. ``live_members`` are all live instances; None if the instance that sent
     the ping knows them already, by their digest. ``configuration`` is None before the
     first version. ``store`` is what this instance has seen of the store; None from one
-    of an earlier version.
+    of an earlier version. ``loads`` are the services that it owns in which jobs wait.
     """
 
     instance: str
@@ -98,6 +99,7 @@
     members_digest: str = ""
     configuration: ConfigurationFreshness | None = None
     store: StoreTestimony | None = None
+    loads: tuple[ServiceLoad, ...] = ()
 
 
 class ConfigurationQuery(msgspec.Struct, frozen=True, tag="configuration"):
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -138,8 +138,14 @@
             "Duration of the scheduling rounds.",
             labels=["service"],
         )
+        waits = GaugeMetricFamily(
+            f"{PREFIX}_expected_wait_seconds",
+            "Longest least time until the first start of a new job of any queue.",
+            labels=["service"],
+        )
         for service, owner in self._ownership.owners.items():
             shard = owner.shard
+            waits.add_metric([service], self._ownership.loads.find_longest_s(service))
             relays.add_metric([service], owner.workers.count_channels())
             rejected.add_metric([service], owner.recorder.rejected_rows)
             rounds.add_metric([service], owner.round_count, owner.round_seconds)
@@ -150,7 +156,7 @@
                 events.add_metric([service, event], count)
             quiet = sum(worker.silent for worker in shard.workers.values())
             silent.add_metric([service], quiet)
-        yield from (tokens, jobs, silent, events, relays, rejected, rounds)
+        yield from (tokens, jobs, silent, events, relays, rejected, rounds, waits)
 
     def _collect_refusals(self):
         """Yield the metrics of a silent store and of submissions not accepted."""
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -3,7 +3,13 @@
 from types import SimpleNamespace
 
 from fuchsiascale.clock import ManualClock
-from fuchsiascale.jobs import Shard, StoreCall, StoreSilence
+from fuchsiascale.jobs import (
+    LoadBook,
+    QueueEstimate,
+    Shard,
+    StoreCall,
+    StoreSilence,
+)
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.testing import collect_functions
 
@@ -49,14 +55,17 @@
         round_count=50,
         round_seconds=0.4,
     )
+    loads = LoadBook(ManualClock())
+    loads.note("pool", 3, {"q": QueueEstimate(7.5, 1.0, 1.0)}, 0.0)
     metrics = NodeMetrics(
-        SimpleNamespace(owners={"pool": owner}),
+        SimpleNamespace(owners={"pool": owner}, loads=loads),
         SimpleNamespace(dropped=0),
         lambda: (1, 0.0),
     )
     text = metrics.render().decode()
     labels = '{service="pool"}'
     assert f"fuchsiascale_relay_peers{labels} 6.0" in text
+    assert f"fuchsiascale_expected_wait_seconds{labels} 7.5" in text
     assert f"fuchsiascale_rows_rejected_total{labels} 2.0" in text
     assert f"fuchsiascale_round_duration_seconds_count{labels} 50.0" in text
     assert f"fuchsiascale_round_duration_seconds_sum{labels} 0.4" in text
