Refuse jobs that would be worth nothing, before anything is written

An entry instance refuses a job by the owner's estimate of its queue: 503 with a Retry-After spread over the time in which enough work is done, 4 s at most. It isn't refused on an estimate older than 2 s, if it is long-running or scheduled, if it is stored already, if the look-up has no result, or if an earlier outcome is unknown here. The body of a 503 names the reason.

--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from fuchsiascale.jobs._admission import LoadBook, decide_admission
 from fuchsiascale.jobs._group_commit import GroupCommitter, PendingWrite
 from fuchsiascale.jobs._model import JobRecord, JobState
 from fuchsiascale.jobs._owner_views import OwnerView
@@ -60,12 +61,13 @@
 
 
 class Reply(msgspec.Struct, frozen=True):
-    """Reply to a caller; ``window`` is when to return after a refusal."""
+    """Reply to a caller; a refusal has a reason, and when to return."""
 
     outcome: Outcome
     state: JobState | None = None
     count: int = 0
     window: ReturnWindow = ReturnWindow()
+    why: str = "the store is away"
 
 
 class _Found(NamedTuple):
@@ -96,6 +98,8 @@
         Whether a transaction of the store may cover several partitions.
     silence : StoreSilence, optional
         Whether the store is silent.
+    loads : LoadBook, optional
+        How long jobs would have to wait, by the owners of services.
 
     Attributes
     ----------
@@ -103,9 +107,18 @@
         Number of submissions that were not accepted, by reason.
     """
 
-    def __init__(self, store, ownership, clock, joins_partitions=True, silence=None):
+    def __init__(
+        self,
+        store,
+        ownership,
+        clock,
+        joins_partitions=True,
+        silence=None,
+        loads=None,
+    ):
         self.store = store
         self.silence = silence or StoreSilence(clock)
+        self.loads = loads or LoadBook(clock)
         self.refusals = Counter()
         self.clock = clock
         self.ownership = ownership
@@ -140,14 +153,14 @@
         if len(self._unsettled) > MAX_UNSETTLED:
             del self._unsettled[next(iter(self._unsettled))]
 
-    def _refuse(self, job, why, **details):
+    def _refuse(self, job, why, window=None, **details):
         self.refusals[why.partition(":")[0]] += 1
-        window = window_in_silence(self.silence.silent_for_s())
+        window = window or window_in_silence(self.silence.silent_for_s())
         self.log.info(
             "refused",
             extra={"job": job, "why": why, "return_s": window.last_s, **details},
         )
-        return Reply(Outcome.NOT_RUN, window=window)
+        return Reply(Outcome.NOT_RUN, window=window, why=why)
 
     def _report_unknown(self, job, why):
         self.refusals["unknown"] += 1
@@ -185,6 +198,11 @@
         if self._committer.is_slow() and await self.ownership.ask_state(service, job):
             # The owner knows only stored jobs; another write would delay the others.
             return self._accept(service, None, "known to the owner", job)
+        refusal = decide_admission(self.loads.find(service, policy.queue), policy, spec)
+        if refusal is not None and job not in self._unsettled:
+            reply = await self._refuse_worthless(policy, job, refusal)
+            if reply is not None:
+                return reply
         others = self.ownership.other_services(service)
         if others and not self._joins_partitions:
             found = await self._find_job(others, job)
@@ -196,6 +214,28 @@
         )
         return await self._write_submission(record, others, unsent_until_s)
 
+    async def _refuse_worthless(self, policy, job, refusal):
+        """Refuse a job that would end too late; return None if it may be stored.
+
+        A repeat of a stored job is accepted. If that can't be found out, the job is
+        written like any other.
+        """
+        found = await self._find_job(self._list_services(policy.service), job)
+        if found.reply.outcome is Outcome.DONE:
+            return self._accept(found.service, None, "found stored", job)
+        if found.reply.outcome is not Outcome.ABSENT:
+            return None
+        return self._refuse(
+            job,
+            "no capacity in time",
+            refusal.window,
+            queue=policy.queue,
+            start_s=refusal.start_s,
+            path_s=refusal.path_s,
+            objective_s=refusal.objective_s,
+            age_s=refusal.age_s,
+        )
+
     async def _write_submission(self, record, others, unsent_until_s):
         """Write a job's row unless some service holds the job already."""
         service, job = record.policy.service, record.job
--- a/fuchsiascale/jobs/tests/_simulation_instance.py
+++ b/fuchsiascale/jobs/tests/_simulation_instance.py
@@ -89,7 +89,11 @@
             silence=silence,
         )
         self.request_handler = JobRequestHandler(
-            self.store, self.ownership, clock, silence=silence
+            self.store,
+            self.ownership,
+            clock,
+            silence=silence,
+            loads=self.ownership.loads,
         )
         self.silence_watch = SilenceWatch(
             self.store, silence, "op", self.request_handler.refuse_queued
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -195,6 +195,7 @@
             self.clock,
             settings.joins_partitions,
             self.silence,
+            self.ownership.loads,
         )
         self.silence_watch = SilenceWatch(
             self.store,
--- a/fuchsiascale/platform/_caller_api.py
+++ b/fuchsiascale/platform/_caller_api.py
@@ -165,7 +165,7 @@
     def _build_error_response(self, reply):
         """Return the error response for a reply, or None if it was executed."""
         if reply.outcome is Outcome.NOT_RUN:
-            return self._refuse("not run: the store is away", reply.window)
+            return self._refuse(f"not run: {reply.why}", reply.window)
         if reply.outcome is Outcome.UNKNOWN:
             return _build_response(504, _Error("the outcome is unknown"))
         if reply.outcome is Outcome.ABSENT:
