Test a silent store over HTTP, with the parts wired as in the application

The instances of the node tests now have the judgement of the store and the owner's estimates, as NodeApplication has. The test guards against a write sent to a silent store, and against one that stays refused after its first answer.

--- a/fuchsiascale/node/tests/_deployment.py
+++ b/fuchsiascale/node/tests/_deployment.py
@@ -18,7 +18,9 @@
     RelayRead,
     RelayWrite,
     Resources,
+    SilenceWatch,
     StepSpec,
+    StoreSilence,
     WorkerListing,
     answer_relay,
 )
@@ -78,9 +80,12 @@
         self.isolated = False
         clock = BootClock()
         peers = Peers(deployment)
-        self.direct = HttpRowStore(deployment.session, deployment.store_address)
+        self.silence = StoreSilence(clock)
+        self.direct = HttpRowStore(
+            deployment.session, deployment.store_address, silence=self.silence
+        )
         self.store = RelayedStore(
-            self.direct, peers, lambda: self.ownership.members(), clock
+            self.direct, peers, lambda: self.ownership.members(), clock, self.silence
         )
         identity = Ping(
             instance=f"entry-{number}",
@@ -95,9 +100,25 @@
             WorkerListing("servers", decode_worker),
             OwnerLimits(),
             clock,
+            silence=self.silence,
+        )
+        self.request_handler = JobRequestHandler(
+            self.store,
+            self.ownership,
+            clock,
+            silence=self.silence,
+            loads=self.ownership.loads,
         )
-        self.request_handler = JobRequestHandler(self.store, self.ownership, clock)
         self.ownership.watch([SERVICE])
+        watch = SilenceWatch(
+            self.store, self.silence, "op", self.request_handler.refuse_queued
+        )
+        self._watching = asyncio.create_task(watch.run())
+
+    async def stop(self):
+        """Stop without a handover."""
+        self._watching.cancel()
+        await self.ownership.stop()
 
     @property
     def owner(self):
@@ -129,7 +150,7 @@
 
     async def __aexit__(self, *exc_info):
         for instance in self.instances.values():
-            await instance.ownership.stop()
+            await instance.stop()
         await self.session.close()
         for server in self.servers:
             await server.close()
@@ -165,7 +186,7 @@
     async def kill(self, instance):
         """Stop an instance without a handover."""
         del self.instances[instance.address]
-        await instance.ownership.stop()
+        await instance.stop()
 
     def find_owner(self):
         """Return the instance whose owner has loaded the service; None if none has."""
--- a/fuchsiascale/node/tests/test_takeover.py
+++ b/fuchsiascale/node/tests/test_takeover.py
@@ -19,6 +19,7 @@
 load_tests = collect_functions(__name__)
 
 JOB = "5c0e7a21d94b36f8"
+OTHER_JOB = "77f3a9c04be1d265"
 TASK = f"{JOB}.0.0.0"
 
 
@@ -215,6 +216,27 @@
         assert await get_state(entry) is Outcome.ABSENT
 
 
+async def test_a_submission_is_refused_unsent_while_the_store_is_silent():
+    async with Deployment() as deployment:
+        await wait_until(deployment.find_owner, "an owner")
+        entry = deployment.others(deployment.find_owner())[0]
+        await wait_until(lambda: entry.ownership.view(SERVICE).row, "a known owner")
+        await submit(entry)
+        deployment.store.faults.silent = True
+        for instance in deployment.instances.values():
+            await wait_until(lambda each=instance: each.silence.is_silent, "silence")
+        commit = mock.AsyncMock(side_effect=AssertionError("a write was sent"))
+        with mock.patch.object(entry.direct, "commit", commit):
+            reply = await entry.request_handler.submit(POLICY, OTHER_JOB, make_spec())
+        assert reply.outcome is Outcome.NOT_RUN
+        # A repeat of a job that the owner knows is accepted.
+        await submit(entry)
+        deployment.store.faults.silent = False
+        await wait_until(lambda: not entry.silence.is_silent, "an answer")
+        reply = await entry.request_handler.submit(POLICY, OTHER_JOB, make_spec())
+        assert reply.outcome is Outcome.DONE
+
+
 async def test_a_refused_job_can_be_submitted_again():
     async with Deployment(instances=1) as deployment:
         await wait_until(deployment.find_owner, "an owner")
