Hold submissions only if nobody has had an answer since

Cause: submissions were held while answers were overdue here or at a peer. An instance that the store turns away, or whose owner it does, has such calls all the time, though submissions go through peers or directly.

Change: they are held only if no answer to any instance is known since the overdue call began, and a peer's report has the store probed.

Tested: with an instance or the owner turned away nothing is held in 10 s; both tests fail without the change.

--- a/fuchsiascale/jobs/_store_silence.py
+++ b/fuchsiascale/jobs/_store_silence.py
@@ -49,6 +49,8 @@
 """Time without an answer to any call after which the store is probed."""
 PROBE_PERIOD_S = 0.3
 """Minimum time between two probes."""
+CLOCK_MARGIN_S = TICK_S
+"""Accuracy of the times of calls, which are those of the last tick."""
 HALF_LIFE_S = 3.0
 """Time in which the slowest recent answer loses half its weight."""
 
@@ -226,16 +228,24 @@
     def is_suspect(self):
         """Return whether answers are overdue here or at a peer, and none has come.
 
-        What is not sent yet is then held, as it may have to be refused.
+        What is not sent yet is then held, as it may have to be refused. An instance
+        that the store turns away, or whose link fails, has no answer either, but others
+        have had some since.
         """
         if self.is_silent:
             return True
         now_s = self.clock.monotonic()
+        waits = [(now_s, self.unanswered_s())]
+        waits += [
+            (report.received_s, report.unanswered_s)
+            for report in self._recent_reports(now_s)
+        ]
         threshold_s = max(SUSPICION_S, SUSPICION_FACTOR * self._slowest_s)
-        if now_s - self._last_answer_s() < threshold_s:
-            return False
-        return self.unanswered_s() >= threshold_s or any(
-            report.unanswered_s >= threshold_s for report in self._recent_reports(now_s)
+        answered_s = self._last_answer_s()
+        return now_s - answered_s >= threshold_s and any(
+            unanswered_s >= threshold_s
+            and seen_s - unanswered_s >= answered_s - CLOCK_MARGIN_S
+            for seen_s, unanswered_s in waits
         )
 
     def is_probe_due(self):
@@ -246,7 +256,7 @@
             for call in self._calls
         )
         if (
-            not (is_overdue or self._failed_dues)
+            not (is_overdue or self._failed_dues or self.is_suspect())
             or now_s - self._probed_s < PROBE_PERIOD_S
         ):
             return False
--- a/fuchsiascale/jobs/tests/test_store_silence.py
+++ b/fuchsiascale/jobs/tests/test_store_silence.py
@@ -245,6 +245,30 @@
     assert not any(fleet.conclusions())
 
 
+def count_held(fleet, number, seconds=10.0):
+    """Return for which share of a time submissions of an instance would be held."""
+    held = 0
+    for _ in range(int(seconds / STEP_S)):
+        fleet.run(fleet.clock.monotonic() + STEP_S)
+        held += fleet.instances[number].silence.is_suspect()
+    return held * STEP_S / seconds
+
+
+def test_an_instance_that_the_store_turns_away_holds_nothing_back_for_long():
+    # Its submissions go through peers.
+    fleet = Fleet()
+    fleet.instances[3].turned_away = lambda now_s: now_s > 18.0
+    fleet.run(20.0)
+    assert count_held(fleet, 3) == 0.0
+
+
+def test_an_owner_that_the_store_turns_away_holds_up_no_other_instance():
+    fleet = Fleet()
+    fleet.instances[0].turned_away = lambda now_s: now_s > 18.0
+    fleet.run(20.0)
+    assert count_held(fleet, 3) <= 0.05
+
+
 def test_an_instance_without_peers_needs_longer():
     fleet = Fleet(size=1, answer_s=answer_unless_silent)
     fleet.run(SILENT_UNTIL_S)
