--- a/fuchsiascale/jobs/tests/_simulation_instance.py
+++ b/fuchsiascale/jobs/tests/_simulation_instance.py
@@ -91,7 +91,11 @@
             evacuations=EVACUATIONS if simulation.evacuates else None,
         )
         self.request_handler = JobRequestHandler(
-            self.store, self.ownership, clock, silence=silence
+            self.store,
+            self.ownership,
+            clock,
+            silence=silence,
+            loads=self.ownership.loads,
         )
         self.silence_watch = SilenceWatch(
             self.store, silence, "op", self.request_handler.refuse_queued
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -143,10 +143,16 @@
             "1 for each failure domain with workers that is evacuated, 0 for others.",
             labels=["service", "domain"],
         )
+        waits = GaugeMetricFamily(
+            f"{PREFIX}_expected_wait_seconds",
+            "Longest least time until the first start of a new job of any queue.",
+            labels=["service"],
+        )
         for service, owner in self._ownership.owners.items():
             shard = owner.shard
             for domain, is_evacuated in shard.list_evacuations().items():
                 evacuated.add_metric([service, domain], is_evacuated)
+            waits.add_metric([service], self._ownership.loads.find_longest_s(service))
             relays.add_metric([service], owner.workers.count_channels())
             rejected.add_metric([service], owner.recorder.rejected_rows)
             rounds.add_metric([service], owner.round_count, owner.round_seconds)
@@ -157,7 +163,8 @@
                 events.add_metric([service, event], count)
             quiet = sum(worker.silent for worker in shard.workers.values())
             silent.add_metric([service], quiet)
-        yield from (tokens, jobs, silent, events, relays, rejected, rounds, evacuated)
+        yield from (tokens, jobs, silent, events, relays, rejected, rounds)
+        yield from (evacuated, waits)
 
     def _collect_refusals(self):
         """Yield the metrics of a silent store and of submissions not accepted."""
