Keep the last reported answers of the store as running values

Cause: each ping and each tick went through the reports of all peers, which grows with the square of the number of instances.

Change: the times of the last answers only grow, so their greatest values are kept.

--- a/fuchsiascale/jobs/_store_silence.py
+++ b/fuchsiascale/jobs/_store_silence.py
@@ -86,11 +86,9 @@
 
 
 class _Report(msgspec.Struct, frozen=True):
-    """A peer's testimony; times are those of this instance's clock."""
+    """The calls of a peer without an answer, and when it reported them."""
 
     received_s: float
-    answered_s: float
-    heard_s: float
     unanswered_s: float
 
 
@@ -124,6 +122,9 @@
         self._calls = set()
         self._answered_s = -math.inf
         self._answered_running_s = 0.0
+        # Last answers to peers: as they reported themselves, and by others.
+        self._heard_s = -math.inf
+        self._told_s = -math.inf
         self._failed_dues = []
         self._slowest_s = 0.0
         self._probed_s = -math.inf
@@ -180,13 +181,12 @@
         if testimony is None:
             return
         now_s = self.clock.monotonic()
-        self._reports[address] = _Report(
-            now_s,
-            _subtract_age(earliest_s, testimony.answered_ago_s),
-            _subtract_age(earliest_s, testimony.heard_ago_s),
-            testimony.unanswered_s,
-        )
-        self._end_if_answered(now_s)
+        answered_s = _subtract_age(earliest_s, testimony.answered_ago_s)
+        told_s = _subtract_age(earliest_s, testimony.heard_ago_s)
+        self._heard_s = max(self._heard_s, answered_s)
+        self._told_s = max(self._told_s, told_s)
+        self._reports[address] = _Report(now_s, testimony.unanswered_s)
+        self._end_if_answered()
 
     def note_relayed_answer(self, address, asked_s):
         """Note that a peer has passed on an answer of the store to a call."""
@@ -203,7 +203,7 @@
         for address, report in list(self._reports.items()):
             if now_s - report.received_s > PEER_MEMORY_S:
                 del self._reports[address]
-        self._end_if_answered(now_s)
+        self._end_if_answered()
         if self.is_silent or not self._is_proven(now_s):
             return False
         self.is_silent = True
@@ -234,15 +234,16 @@
         """
         if self.is_silent:
             return True
-        now_s = self.clock.monotonic()
+        now_s, answered_s = self.clock.monotonic(), self._last_answer_s()
+        threshold_s = max(SUSPICION_S, SUSPICION_FACTOR * self._slowest_s)
+        if now_s - answered_s < threshold_s:
+            return False
         waits = [(now_s, self.unanswered_s())]
         waits += [
             (report.received_s, report.unanswered_s)
             for report in self._recent_reports(now_s)
         ]
-        threshold_s = max(SUSPICION_S, SUSPICION_FACTOR * self._slowest_s)
-        answered_s = self._last_answer_s()
-        return now_s - answered_s >= threshold_s and any(
+        return any(
             unanswered_s >= threshold_s
             and seen_s - unanswered_s >= answered_s - CLOCK_MARGIN_S
             for seen_s, unanswered_s in waits
@@ -266,10 +267,9 @@
     def testify(self):
         """Return what this instance has seen and was told first-hand, for its peers."""
         now_s = self.clock.monotonic()
-        reported_s = (report.answered_s for report in self._reports.values())
         return StoreTestimony(
             answered_ago_s=_measure_age(now_s, self._answered_s),
-            heard_ago_s=_measure_age(now_s, max(reported_s, default=-math.inf)),
+            heard_ago_s=_measure_age(now_s, self._heard_s),
             unanswered_s=round(self.unanswered_s(), 3),
         )
 
@@ -288,10 +288,7 @@
 
     def _last_answer_s(self):
         """Return when the store last answered this instance or a peer."""
-        reported_s = (
-            max(report.answered_s, report.heard_s) for report in self._reports.values()
-        )
-        return max(self._answered_s, max(reported_s, default=-math.inf))
+        return max(self._answered_s, self._heard_s, self._told_s)
 
     def _recent_reports(self, now_s):
         return [
@@ -316,7 +313,7 @@
             for report in self._recent_reports(now_s)
         )
 
-    def _end_if_answered(self, now_s):
+    def _end_if_answered(self):
         """End the silence once a peer reports an answer that came after it began."""
         if self.is_silent and self._last_answer_s() > self._silent_since_s:
             self.is_silent = False
