Bound what untrusted callers can take of a process

Cause: aiohttp bounds each connection, not the process. Its parser takes up to 128 header fields of 8 KB, keeps the input of each further read of a malformed head with its error, buffers up to 512 KB of a body that nobody has asked for, inflates bodies by itself, and keeps 32 pipelined requests a connection. asyncio reads up to 256 KB at a time.

Change: fuchsiascale/ingress stands between the sockets and aiohttp. It ends heads, bodies and chunks itself, reads a body only when a handler asks for it, charges heads and bodies to a budget derived from the machine's memory, makes room by giving up slow requests, caps connections, and ends slow heads, slow bodies and unread answers. Small chunks are joined before aiohttp sees them. The node's listeners use it; the callers' body limit is that of the configuration in force.

--- /dev/null
+++ b/fuchsiascale/ingress/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits for callers."""
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import signal
+import socket
 import time
 import uuid
 
@@ -13,6 +14,7 @@
 from aiohttp import web
 
 from fuchsiascale.clock import BootClock
+from fuchsiascale.ingress import Gate, IngressSite, derive_limits
 from fuchsiascale.jobs import (
     Acknowledgement,
     ConfigurationFeed,
@@ -101,6 +103,7 @@
         self.in_flight = 0
         self._tasks = []
         self._runners = []
+        self._gates = []
         self._sessions = []
 
     async def run(self):
@@ -183,7 +186,7 @@
             self.store, self.ownership, self.clock, settings.joins_partitions
         )
         self.metrics = NodeMetrics(
-            self.ownership, self.log_buffer, self._describe_configuration
+            self.ownership, self.log_buffer, self._describe_configuration, self._gates
         )
         self.front = user_platform.CallerApi(
             self.request_handler, self.configuration_watch, self.stop_requested.is_set
@@ -251,8 +254,9 @@
         peer_application.router.add_get(
             RELAY_PATH, make_relay_handler(self.worker_relay)
         )
-        await self._start_server(peer_application, settings.peer_listen)
+        await self._start_server("peer", peer_application, settings.peer_listen)
         await self._start_server(
+            "caller",
             self._count_requests(self.front.make_application()),
             settings.caller_listen,
         )
@@ -260,7 +264,7 @@
             ready = web.Application()
             ready.router.add_get("/metrics", self._answer_metrics)
             ready.router.add_get("/{path:.*}", self._answer_ready)
-            await self._start_server(ready, settings.ready_listen)
+            await self._start_server("operator", ready, settings.ready_listen)
 
     def _count_requests(self, application):
         @web.middleware
@@ -280,13 +284,22 @@
         application.middlewares.append(count)
         return application
 
-    async def _start_server(self, application, address):
-        runner = web.AppRunner(
-            application, access_log=None, handle_signals=False, keepalive_timeout=30.0
+    async def _start_server(self, name, application, address):
+        settings = self.settings
+        limits = derive_limits(
+            settings.ingress, settings.memory_mb, settings.max_fds, name
+        )
+        gate = Gate(name, limits)
+        runner = gate.make_runner(
+            application,
+            upgrades=name == "peer",
+            handle_signals=False,
+            keepalive_timeout=limits.idle_timeout_s,
         )
         await runner.setup()
-        site = web.TCPSite(runner, *address, backlog=LISTEN_BACKLOG)
-        await site.start()
+        listener = socket.create_server(address, backlog=LISTEN_BACKLOG)
+        await IngressSite(gate, runner, listener, backlog=LISTEN_BACKLOG).start()
+        self._gates.append(gate)
         self._runners.append(runner)
 
     async def _write_logs(self):
--- a/fuchsiascale/node/_peer_http.py
+++ b/fuchsiascale/node/_peer_http.py
@@ -4,8 +4,10 @@
 import logbook
 import msgspec
 from aiohttp import web
+from returns.result import Failure
 
 from fuchsiascale.clock import BootClock
+from fuchsiascale.ingress import Refusal, read_body
 from fuchsiascale.jobs import (
     ConfigurationQuery,
     PeerMessage,
@@ -16,6 +18,7 @@
 __all__ = ["PeerClient", "make_peer_application"]
 
 PATH = "/peer/v2"
+MAX_BODY_BYTES = 4 << 20
 CONNECT_TIMEOUT_S = 0.4
 LONG_ANSWERS = (ConfigurationQuery, RelayRead)
 """Messages whose replies may take long to transfer."""
@@ -104,8 +107,12 @@
     decoder = msgspec.json.Decoder(PeerMessage)
 
     async def handle(request):
+        read = await read_body(request, MAX_BODY_BYTES)
+        if isinstance(read, Failure):
+            status = 413 if read.failure() is Refusal.BODY_SIZE else 503
+            return web.Response(status=status, text=read.failure().value)
         try:
-            message = decoder.decode(await request.read())
+            message = decoder.decode(read.unwrap())
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return web.Response(status=400, text=str(error))
         reply = await answer(message)
@@ -113,6 +120,6 @@
             body=msgspec.json.encode(reply), content_type="application/json"
         )
 
-    application = web.Application(client_max_size=4 << 20)
+    application = web.Application()
     application.router.add_post(PATH, handle)
     return application
--- a/fuchsiascale/platform/_caller_api.py
+++ b/fuchsiascale/platform/_caller_api.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from fuchsiascale.ids import JobId
+from fuchsiascale.ingress import Refusal, read_body
 from fuchsiascale.jobs import JobSpec, Outcome, Resources, StepSpec, find_problems
 from fuchsiascale.json_decoding import decode_json
 
@@ -16,6 +17,11 @@
 
 RETRY_AFTER_S = 1
 """Delay before a retry; outages of the store last some seconds."""
+REFUSED_BODIES = {
+    Refusal.BODY_SIZE: (413, "the body is too large"),
+    Refusal.SLOW_BODY: (408, "the body arrives too slowly"),
+    Refusal.FRAMING: (400, "the body is malformed"),
+}
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}\Z")
 
 
@@ -87,9 +93,9 @@
         self.stopping = stopping
         self.log = logbook.Logger("caller")
 
-    def make_application(self, max_body_bytes=1 << 20):
+    def make_application(self):
         """Return the aiohttp application for the listener."""
-        application = web.Application(client_max_size=max_body_bytes)
+        application = web.Application()
         application.router.add_route("*", "/{path:.*}", self.handle)
         return application
 
@@ -123,11 +129,10 @@
         return await handler(queue, JobId(name), request)
 
     async def _submit(self, queue, job, request):
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return _build_response(413, _Error("the body is too large"))
-        decoded = decode_json(body, _Job)
+        read = await read_body(request, self.watch.configuration.max_body_bytes)
+        if isinstance(read, Failure):
+            return _build_body_refusal(read.failure())
+        decoded = decode_json(read.unwrap(), _Job)
         if isinstance(decoded, Failure):
             return _build_response(400, _Error(f"body: {decoded.failure()}"))
         spec = _convert_job(decoded.unwrap())
@@ -154,6 +159,15 @@
         )
 
 
+def _build_body_refusal(refusal):
+    if refusal in REFUSED_BODIES:
+        status, text = REFUSED_BODIES[refusal]
+        return _build_response(status, _Error(text))
+    response = _build_response(503, _Error("not run: too many requests"))
+    response.headers["Retry-After"] = str(math.ceil(RETRY_AFTER_S))
+    return response
+
+
 def _build_error_response(reply):
     """Return the error response for a reply, or None if the request was executed."""
     if reply.outcome is Outcome.NOT_RUN:
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -1,11 +1,14 @@
 """Reader of the settings file that the users' platform writes for each process."""
 
+import math
 import os
 from pathlib import Path
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from fuchsiascale.ingress import IngressSettings, find_limit_problems
+
 __all__ = [
     "SETTINGS_VARIABLE",
     "LocalSettings",
@@ -40,6 +43,12 @@
         Whether a transaction of the store may cover several partitions.
     cores, link_mbit_s : float
         Processors available to this process, and its link's bandwidth in Mbit/s.
+    memory_mb : float
+        Memory of the machine.
+    max_fds : int
+        Descriptors that the process may have.
+    ingress : IngressSettings
+        Limits for callers, from optional keys ``ingress.NAME``.
     """
 
     instance: str
@@ -56,6 +65,9 @@
     joins_partitions: bool = False
     cores: float = 1.0
     link_mbit_s: float = 1000.0
+    memory_mb: float = 512.0
+    max_fds: int = 4_096
+    ingress: IngressSettings = IngressSettings()
 
 
 def read_local_settings(path=None) -> Result[LocalSettings, list[str]]:
@@ -119,10 +131,29 @@
         "cores": reader.number("limits.cpu_share", 1)
         * reader.number("limits.cpu_cores", 1),
         "link_mbit_s": reader.number("limits.link_mbps", 1000),
+        "memory_mb": reader.number("limits.memory_mb", 512),
+        "max_fds": int(reader.number("limits.max_fds", 4_096)),
+        "ingress": _read_ingress(reader),
     }
     return None if reader.problems else LocalSettings(**fields)
 
 
+def _read_ingress(reader):
+    """Return the limits for callers; unknown keys ``ingress.NAME`` are ignored."""
+    defaults = IngressSettings()
+    values = {}
+    for name in IngressSettings.__struct_fields__:
+        default = getattr(defaults, name)
+        value = reader.number(f"ingress.{name}", default)
+        whole = value is not None and name != "memory_mb" and math.isfinite(value)
+        values[name] = int(value) if whole else value
+    settings = IngressSettings(**values)
+    reader.problems += [
+        f"ingress.{problem}" for problem in find_limit_problems(settings)
+    ]
+    return settings
+
+
 class _SettingsReader:
     """Converts values by key and collects the problems found."""
 
