Let a newcomer in before any incomplete request of a full listener

Until now a full listener reset new connections while all others were younger than two ticks, so an ordinary job waited 0.6 to 0.9 s behind 300 connections that arrived together.

--- a/fuchsiascale/ingress/_connection_table.py
+++ b/fuchsiascale/ingress/_connection_table.py
@@ -86,12 +86,16 @@
     def choose_victim(self, address, tick):
         """Return the connection to close for a new one, or None to refuse the new one.
 
-        The oldest slow connection goes first, then the oldest idle one. One that has
-        its request complete is never closed.
+        The oldest slow connection goes first, then the oldest idle one, then the oldest
+        incomplete request: an ordinary request is complete within a round trip, so
+        whoever comes next is more likely to be ordinary. A connection whose request
+        is complete is never closed.
         """
         own = self._counts.get(address, 0) >= self.per_address
         candidates = itertools.chain(
-            self.list_slow(tick), self._phases[Phase.IDLE].keys()
+            self.list_slow(tick),
+            self._phases[Phase.IDLE],
+            self._phases[Phase.RECEIVING],
         )
         for connection in candidates:
             if not own or self._addresses[connection] == address:
