Put the listeners of fuchsiascaled behind the limits for callers

Change: a gate for each of the three listeners, section [ingress] of the settings with checks and defaults from the size of the machine, metrics on the caller listener. Bodies of peers and operators are read only after their token was checked. A refused body is answered as not run, with its reason.

--- a/fuchsiascale/daemon/_application.py
+++ b/fuchsiascale/daemon/_application.py
@@ -18,6 +18,7 @@
 )
 from fuchsiascale.daemon._metrics import make_registry
 from fuchsiascale.daemon._peers import PeerClient
+from fuchsiascale.ingress import GateCollector
 from fuchsiascale.platform import (
     HttpInstanceList,
     HttpObjects,
@@ -84,6 +85,8 @@
         self.failed = False
         self.listeners = []
         self.sockets = []
+        self.gates = []
+        self.registry.register(GateCollector(self.gates))
         self._background_tasks = []
 
     def connect(self):
--- a/fuchsiascale/daemon/_caller.py
+++ b/fuchsiascale/daemon/_caller.py
@@ -21,8 +21,10 @@
     URGENCY_HEADER,
     Failure,
 )
+from fuchsiascale.daemon._http import convert_body_refusal
 from fuchsiascale.daemon._logs import bind_ids
 from fuchsiascale.ids import ServiceId
+from fuchsiascale.ingress import BodyRefused, open_body
 from fuchsiascale.pipelines import BodyError, Call, CallHeaders
 from fuchsiascale.states import Outcome, Refusal
 
@@ -110,6 +112,7 @@
         return _refuse_large(limit)
     body = bytearray()
     try:
+        open_body(request, limit)
         if request.content.is_eof():
             return _check_body(request.content.read_nowait(), declared, limit)
         async with asyncio.timeout(timeout_s):
@@ -117,6 +120,9 @@
                 body += chunk
                 if len(body) > limit:
                     return _refuse_large(limit)
+    except BodyRefused as refused:
+        _, reason, detail = convert_body_refusal(refused.refusal)
+        return Failed(BodyError(refusal=reason, detail=detail))
     except TimeoutError:
         detail = "the body did not arrive before the deadline"
         return Failed(BodyError(refusal=Refusal.DEADLINE, detail=detail))
--- a/fuchsiascale/daemon/_http.py
+++ b/fuchsiascale/daemon/_http.py
@@ -4,7 +4,9 @@
 
 import msgspec
 from aiohttp import web
+from returns.result import Success
 
+from fuchsiascale import ingress
 from fuchsiascale.api import Failure
 from fuchsiascale.platform import Message
 from fuchsiascale.states import Outcome, Refusal
@@ -15,11 +17,19 @@
     "Refused",
     "RouteTable",
     "encode_reply",
+    "convert_body_refusal",
     "read_message",
 ]
 
 APPLICATION_KEY = web.AppKey("application", object)
 JSON_CONTENT_TYPE = "application/json"
+MAX_BODY_BYTES = 16 * 1024 * 1024
+BODY_REFUSALS = {
+    ingress.Refusal.BODY_SIZE: (413, Refusal.TOO_LARGE),
+    ingress.Refusal.SLOW_BODY: (408, Refusal.DEADLINE),
+    ingress.Refusal.FRAMING: (400, Refusal.BAD_REQUEST),
+}
+"""Status and reason of a body that is refused; others lack memory for now."""
 
 
 class Refused(Exception):
@@ -103,13 +113,22 @@
     """Decode a JSON request body; raise Refused if it is malformed."""
     if message_type is None:
         return None
-    body = await request.read()
+    read = await ingress.read_body(request, MAX_BODY_BYTES)
+    if not isinstance(read, Success):
+        status, reason, detail = convert_body_refusal(read.failure())
+        raise Refused(status, reason, detail)
     try:
-        return msgspec.json.decode(body, type=message_type)
+        return msgspec.json.decode(read.unwrap(), type=message_type)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise Refused(400, Refusal.BAD_REQUEST, str(error)) from error
 
 
+def convert_body_refusal(refusal):
+    """Return status, reason and description for a body that a gate has refused."""
+    status, reason = BODY_REFUSALS.get(refusal, (503, Refusal.NO_CAPACITY))
+    return status, reason, f"the body was refused: {refusal.value}"
+
+
 def encode_reply(message, status=200):
     """Return an aiohttp response that carries a message as JSON."""
     return web.Response(
--- a/fuchsiascale/daemon/_listeners.py
+++ b/fuchsiascale/daemon/_listeners.py
@@ -18,12 +18,15 @@
 from fuchsiascale.daemon._lifecycle import Phase, StartError, on_start, on_stop
 from fuchsiascale.daemon._metrics import make_metrics_routes
 from fuchsiascale.daemon._routes import CALLER_ROUTES, OPERATOR_ROUTES, PEER_ROUTES
-from fuchsiascale.daemon._sockets import drop_new_connections, open_listener
+from fuchsiascale.daemon._sockets import (
+    BACKLOG,
+    drop_new_connections,
+    open_listener,
+)
+from fuchsiascale.ingress import Gate, IngressSite, derive_limits
 
 __all__ = ["build_status", "drop_server_headers"]
 
-MAX_PEER_BODY_BYTES = 16 * 1024 * 1024
-MAX_HEADER_BYTES = 16 * 1024
 BACKLOG_ACCEPT_S = 0.1
 """Time to accept the connections that were established before a stop began."""
 LINGER_S = 1.0
@@ -49,12 +52,16 @@
         ("peer", settings.peer, peer),
         ("operator", settings.operator, operator),
     ):
-        runner = web.AppRunner(
+        limits = derive_limits(
+            settings.ingress, settings.machine_memory_mb, settings.machine_fds, name
+        )
+        gate = Gate(name, limits)
+        application.gates.append(gate)
+        runner = gate.make_runner(
             web_application,
-            access_log=None,
             handler_cancellation=True,
             shutdown_timeout=LINGER_S,
-            max_field_size=MAX_HEADER_BYTES,
+            keepalive_timeout=limits.idle_timeout_s,
         )
         await runner.setup()
         application.listeners.append(runner)
@@ -62,7 +69,10 @@
             context = build_server_context(listen.tls)
             listener = open_listener(listen.host, listen.port)
             application.sockets.append(listener)
-            await web.SockSite(runner, listener, ssl_context=context).start()
+            site = IngressSite(
+                gate, runner, listener, ssl_context=context, backlog=BACKLOG
+            )
+            await site.start()
         except OSError as error:
             detail = f"the {name} listener at {listen.address} can't be opened: {error}"
             raise StartError(detail) from error
@@ -104,9 +114,7 @@
     middlewares = [close_when_stopping]
     if check is not None:
         middlewares.append(check)
-    web_application = web.Application(
-        client_max_size=MAX_PEER_BODY_BYTES, middlewares=middlewares
-    )
+    web_application = web.Application(middlewares=middlewares)
     web_application[_http.APPLICATION_KEY] = application
     web_application.on_response_prepare.append(drop_server_headers)
     routes.add_to(web_application)
--- a/fuchsiascale/daemon/_settings.py
+++ b/fuchsiascale/daemon/_settings.py
@@ -13,6 +13,7 @@
     SECTIONS,
 )
 from fuchsiascale.ids import FailureDomainId, InstanceId, RegionId, TeamId
+from fuchsiascale.ingress import IngressSettings
 from fuchsiascale.options import OptionProblem, parse_name, parse_sha256, read_options
 
 __all__ = [
@@ -149,6 +150,9 @@
     seeds: tuple[str, ...]
     access: AccessSettings
     timers: TimerSettings
+    ingress: IngressSettings
+    machine_memory_mb: int
+    machine_fds: int
     traces: TraceSettings
     logs: LogSettings
 
@@ -347,6 +351,9 @@
             operators=access["operators"],
         ),
         timers=TimerSettings(**values["timers"]),
+        ingress=_build_ingress(values["ingress"]),
+        machine_memory_mb=values["ingress"]["machine_memory_mb"],
+        machine_fds=values["ingress"]["machine_fds"],
         traces=TraceSettings(
             exporter=values["traces"]["exporter"].value,
             sample_ratio=values["traces"]["sample_ratio"],
@@ -355,6 +362,13 @@
     )
 
 
+def _build_ingress(values):
+    fields = {name: values[name] for name in IngressSettings.__struct_fields__}
+    for name in ("memory_mb", "connections", "connections_per_address"):
+        fields[name] = fields[name] or None
+    return IngressSettings(**fields)
+
+
 def _build_listener(listen, name):
     host, port = _split_address(listen[name])
     return ListenSettings(host=host, port=port, tls=_build_tls(listen, f"{name}_"))
--- a/fuchsiascale/daemon/_settings_options.py
+++ b/fuchsiascale/daemon/_settings_options.py
@@ -2,6 +2,7 @@
 
 from enum import Enum
 
+from fuchsiascale.ingress import LIMIT_RANGES, IngressSettings
 from fuchsiascale.options import (
     Option,
     choice_option,
@@ -19,6 +20,9 @@
 
 LISTENERS = ("caller", "peer", "operator")
 OPERATOR_PREFIX = "operator."
+DEFAULT_LIMITS = {"idle_timeout_ms": 3_600_000}
+"""Other defaults than on the users' platform: callers may keep idle connections open
+for long, and the oldest gives way when the listener is full."""
 
 
 class TraceExporter(Enum):
@@ -73,6 +77,16 @@
     )
 
 
+def _limit(name, unit, meaning):
+    """Return an option of a limit; 0 stands for the default from the machine's size."""
+    low, high = LIMIT_RANGES[name]
+    default = DEFAULT_LIMITS.get(name, getattr(IngressSettings(), name))
+    derived = default is None
+    return integer_option(
+        name, 0 if derived else default, 0 if derived else low, high, unit, meaning
+    )
+
+
 SECTIONS = {
     "instance": (
         _required_name("id", "Name of this instance, as in the instance list"),
@@ -130,6 +144,34 @@
         _period("lease_ms", 15_000, 500, 300_000, "Lease of a worker"),
         _period("stop_grace_ms", 30_000, 0, 600_000, "Bound of a graceful stop"),
     ),
+    "ingress": (
+        integer_option(
+            "machine_memory_mb", 256, 64, 1_000_000, "MB", "Memory of the machine"
+        ),
+        integer_option(
+            "machine_fds", 4_096, 256, 1_000_000, "", "Descriptors of the process"
+        ),
+        _limit(
+            "memory_mb",
+            "MB",
+            "Memory for heads and bodies; 0 for a fifth of the machine's",
+        ),
+        _limit(
+            "connections",
+            "",
+            "Connections of the caller listener; 0 for a number by the machine's size",
+        ),
+        _limit(
+            "connections_per_address",
+            "",
+            "Those of one source address; 0 for nine tenths of all",
+        ),
+        _limit("max_head_bytes", "bytes", "Longest head of a request"),
+        _limit("head_timeout_ms", "ms", "Time limit of a head, and of a TLS handshake"),
+        _limit("idle_timeout_ms", "ms", "Time limit of a connection without a request"),
+        _limit("body_grace_ms", "ms", "Time before the rate of a body is checked"),
+        _limit("min_body_rate", "bytes/s", "Least average rate of a body after that"),
+    ),
     "traces": (
         choice_option("exporter", TraceExporter.NONE, "Where sampled spans go"),
         number_option(
--- a/fuchsiascale/daemon/_sockets.py
+++ b/fuchsiascale/daemon/_sockets.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-__all__ = ["drop_new_connections", "open_listener"]
+__all__ = ["BACKLOG", "drop_new_connections", "open_listener"]
 
 BACKLOG = 128
 """Connections that may wait to be accepted."""
--- a/fuchsiascale/ingress/__init__.py
+++ b/fuchsiascale/ingress/__init__.py
@@ -10,3 +10,4 @@
 from fuchsiascale.ingress._framing import *  # noqa: F403
 from fuchsiascale.ingress._gate import *  # noqa: F403
 from fuchsiascale.ingress._limits import *  # noqa: F403
+from fuchsiascale.ingress._metrics import *  # noqa: F403
--- a/fuchsiascale/ingress/_gate.py
+++ b/fuchsiascale/ingress/_gate.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 import time
+from asyncio import sslproto
 
 import logbook
 from aiohttp import web
@@ -35,6 +36,9 @@
 """Sizes of the kernel's buffers of a connection. The kernel doubles them. Without a
 bound they grow to megabytes, which count as memory of the process. 16 KB in flight
 carry 21 Mbit/s at a round trip of 6 ms."""
+TLS_BUFFER_BYTES = 32_768
+"""Read buffer of a TLS connection. asyncio takes 256 KB for each by default, idle ones
+included; a TLS record has at most 16 KB."""
 ACCEPTS_AT_ONCE = 64
 """Connections accepted before those are closed that made room for them."""
 
@@ -226,10 +230,15 @@
             (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
         ):
             self._listener.setsockopt(socket.SOL_SOCKET, option, size)
+        handshake_s = None
+        if self._ssl_context is not None:
+            sslproto.SSLProtocol.max_size = TLS_BUFFER_BYTES
+            handshake_s = self._gate.limits.head_timeout_s
         self._server = await asyncio.get_running_loop().create_server(
             lambda: IngressConnection(self._gate),
             sock=self._listener,
             ssl=self._ssl_context,
+            ssl_handshake_timeout=handshake_s,
             backlog=ACCEPTS_AT_ONCE,
         )
         self._listener.listen(self._backlog)
--- a/fuchsiascale/ingress/_limits.py
+++ b/fuchsiascale/ingress/_limits.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-__all__ = ["IngressLimits", "IngressSettings", "derive_limits", "find_limit_problems"]
+__all__ = [
+    "IngressLimits",
+    "IngressSettings",
+    "LIMIT_RANGES",
+    "derive_limits",
+    "find_limit_problems",
+]
 
 MB = 1_000_000
 RESERVED_FDS = 200
@@ -122,7 +128,7 @@
     )
 
 
-RANGES = {
+LIMIT_RANGES = {
     "memory_mb": (1, 1_000_000),
     "connections": (16, 1_000_000),
     "connections_per_address": (1, 1_000_000),
@@ -144,7 +150,7 @@
     ['max_head_bytes: 1 is not from 1024 to 1048576']
     """
     problems = []
-    for name, (low, high) in RANGES.items():
+    for name, (low, high) in LIMIT_RANGES.items():
         value = getattr(settings, name)
         if value is not None and not low <= value <= high:
             problems.append(f"{name}: {value:g} is not from {low} to {high}")
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -8,6 +8,8 @@
 )
 from prometheus_client.exposition import generate_latest
 
+from fuchsiascale.ingress import GateCollector
+
 __all__ = ["NodeMetrics"]
 
 PREFIX = "fuchsiascale"
@@ -15,38 +17,6 @@
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
-def collect_gates(gates):
-    """Return the metrics of the limits for callers, by listener."""
-    connections = GaugeMetricFamily(
-        f"{PREFIX}_ingress_connections",
-        "Open connections, by what they do.",
-        labels=["listener", "phase"],
-    )
-    held = GaugeMetricFamily(
-        f"{PREFIX}_ingress_held_bytes",
-        "Memory charged for heads and bodies.",
-        labels=["listener"],
-    )
-    limits = GaugeMetricFamily(
-        f"{PREFIX}_ingress_budget_bytes",
-        "Memory that heads and bodies may take.",
-        labels=["listener"],
-    )
-    refusals = CounterMetricFamily(
-        f"{PREFIX}_ingress_refusals",
-        "Requests and connections that were refused or given up.",
-        labels=["listener", "reason"],
-    )
-    for gate in gates:
-        for phase, count in gate.count_connections().items():
-            connections.add_metric([gate.name, phase], count)
-        held.add_metric([gate.name], gate.budget.held)
-        limits.add_metric([gate.name], gate.budget.total)
-        for refusal, count in gate.refusals.items():
-            refusals.add_metric([gate.name, refusal.value], count)
-    return connections, held, limits, refusals
-
-
 class NodeMetrics:
     """Metrics of requests, store calls and the services that this instance owns.
 
@@ -67,7 +37,7 @@
         self._ownership = ownership
         self._configuration = configuration
         self._log_buffer = log_buffer
-        self._gates = gates
+        self._gates = GateCollector(gates)
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
         self._requests = Counter(
@@ -135,7 +105,7 @@
         )
         dropped.add_metric([], self._log_buffer.dropped)
         yield dropped
-        yield from collect_gates(self._gates)
+        yield from self._gates.collect()
         tokens = GaugeMetricFamily(
             f"{PREFIX}_owner_token", "Token of each service owned.", labels=["service"]
         )
