Charge unsent answers to the budget of a listener

Cause: answers that nobody reads were bounded for each connection only. An outsider at the peer listener could ask for long answers over 390 connections; and a closed connection with unsent bytes stayed open as long as its caller did not read.

--- a/fuchsiascale/ingress/_connection.py
+++ b/fuchsiascale/ingress/_connection.py
@@ -43,6 +43,8 @@
 """Time in which input is discarded after an answer that ends a connection. Closing at
 once would reset the connection, and the caller could lose the answer."""
 MAX_LINGER_BYTES = 1 << 20
+UNSENT_S = 20.0
+"""Time in which unsent bytes must become few. A link of 5 Mbit/s carries 12 MB then."""
 MAX_VICTIMS = 8
 """Slow bodies that are given up for one new request."""
 REASONS = {
@@ -167,14 +169,23 @@
             handler.connection_lost(exc)
 
     def pause_writing(self):
-        """Note that the caller does not read its answers."""
-        self._write_since = self._gate.tick
+        """Note that the caller does not read its answers, and charge what is unsent."""
+        table, tick = self._gate.table, self._gate.tick
+        self._write_since = tick
+        size = self.transport.get_write_buffer_size()
+        if not self._admit(size, Phase.SENDING):
+            self._give_up_answer()
+        elif not table.move(self, Phase.IDLE, Phase.SENDING, tick):
+            table.move(self, Phase.BUSY, Phase.SENDING, tick)
         if self.handler is not None:
             self.handler.pause_writing()
 
     def resume_writing(self):
         """Go on with the next request once the answers were sent."""
         self._write_since = None
+        self._gate.budget.resize(self._charge, 0)
+        after = Phase.IDLE if self._state is State.HEAD else Phase.BUSY
+        self._gate.table.move(self, Phase.SENDING, after, self._gate.tick)
         if self.handler is not None:
             self.handler.resume_writing()
         if self._state is State.HEAD and self._input_paused:
@@ -280,12 +291,12 @@
         if not table.move(self, Phase.IDLE, Phase.BUSY, tick):
             table.move(self, Phase.RECEIVING, Phase.BUSY, tick)
 
-    def _admit(self, cost):
-        """Charge the connection; give up slow bodies of others if need be."""
+    def _admit(self, cost, phase=Phase.RECEIVING):
+        """Charge the connection; give up others that are slow in a phase if need be."""
         budget = self._gate.budget
         if budget.resize(self._charge, cost):
             return True
-        slow = self._gate.table.list_slow(self._gate.tick)
+        slow = self._gate.table.list_slow(self._gate.tick, phase)
         victims = [each for each, _ in zip(slow, range(MAX_VICTIMS), strict=False)]
         for victim in victims:
             if victim is not self:
@@ -392,9 +403,16 @@
             content.read_nowait()
         content.set_exception(BodyRefused(refusal))
 
+    def _give_up_answer(self):
+        self._gate.count(Refusal.UNREAD_ANSWERS)
+        self.transport.abort()
+
     def shed(self):
         """Give up an incomplete request, so that others get its memory."""
-        if self._state is State.BODY:
+        if self._write_since is not None:
+            self._give_up_answer()
+            self._gate.budget.resize(self._charge, 0)
+        elif self._state is State.BODY:
             self._give_up_body(Refusal.MEMORY)
             self._gate.budget.resize(self._charge, 0)
         elif self._state is State.HEAD and self._tail:
@@ -412,10 +430,12 @@
             self._give_up_body(Refusal.CONNECTIONS)
             return
         self._gate.remove(self)
-        if self._state is State.LINGERING:
-            self.transport.abort()
-        elif self._state is State.HEAD and self._tail:
+        if self._state is State.HEAD and self._tail:
             self._refuse(503, Refusal.CONNECTIONS)
+            return
+        # With unsent bytes, closing would wait for a caller that does not read.
+        if self._state is State.LINGERING or self.transport.get_write_buffer_size():
+            self.transport.abort()
         else:
             self.transport.close()
 
@@ -493,6 +513,8 @@
 
     def close(self):
         """Close after what was written; discard input for a while if more may come."""
+        if not self.transport.is_closing():
+            self._since = self._gate.tick
         if self._state is State.LINGERING or not self._unread:
             self.transport.close()
             return
@@ -514,11 +536,10 @@
         """Close or refuse what has taken too long; called once a tick."""
         limits = self._gate.limits
         seconds = (tick - self._since) * self._gate.tick_s
-        if self._write_since is not None:
-            stalled_s = (tick - self._write_since) * self._gate.tick_s
-            if stalled_s > limits.idle_timeout_s:
-                self._gate.count(Refusal.UNREAD_ANSWERS)
-                self.transport.abort()
+        if self.transport.is_closing() or self._write_since is not None:
+            since = self._since if self._write_since is None else self._write_since
+            if (tick - since) * self._gate.tick_s > UNSENT_S:
+                self._give_up_answer()
             return
         if self._state is State.HEAD:
             self._check_head_time(seconds)
--- a/fuchsiascale/ingress/_connection_table.py
+++ b/fuchsiascale/ingress/_connection_table.py
@@ -22,6 +22,7 @@
     IDLE = "idle"
     RECEIVING = "receiving"
     BUSY = "busy"
+    SENDING = "sending"
 
 
 class ConnectionTable:
@@ -88,23 +89,24 @@
 
         The oldest slow connection goes first, then the oldest idle one, then the oldest
         incomplete request: an ordinary request is complete within a round trip, so
-        whoever comes next is more likely to be ordinary. A connection whose request
-        is complete is never closed.
+        whoever comes next is more likely to be ordinary. Last goes the oldest that
+        has not read its answer for long. One that is being handled is never closed.
         """
         own = self._counts.get(address, 0) >= self.per_address
         candidates = itertools.chain(
             self.list_slow(tick),
             self._phases[Phase.IDLE],
             self._phases[Phase.RECEIVING],
+            self.list_slow(tick, Phase.SENDING),
         )
         for connection in candidates:
             if not own or self._addresses[connection] == address:
                 return connection
         return None
 
-    def list_slow(self, tick):
-        """Yield the connections whose request has been incomplete for long."""
-        for connection, since in self._phases[Phase.RECEIVING].items():
+    def list_slow(self, tick, phase=Phase.RECEIVING):
+        """Yield the connections that have been in a phase for long, oldest first."""
+        for connection, since in self._phases[phase].items():
             if tick - since < SLOW_TICKS:
                 return
             yield connection
--- a/fuchsiascale/ingress/tests/test_gate.py
+++ b/fuchsiascale/ingress/tests/test_gate.py
@@ -38,6 +38,7 @@
         application = web.Application()
         application.router.add_route("*", "/read", self._read)
         application.router.add_route("*", "/ignore", self._ignore)
+        application.router.add_get("/long", self._answer_long)
         application.router.add_get("/socket", self._serve_socket)
         self.runner = self.gate.make_runner(application, upgrades=True)
         await self.runner.setup()
@@ -61,6 +62,9 @@
         self.handled.append(request.path_qs)
         return web.Response(text="ignored")
 
+    async def _answer_long(self, request):
+        return web.Response(body=bytes(2 * LIMIT))
+
     async def _serve_socket(self, request):
         connection = web.WebSocketResponse()
         await connection.prepare(request)
@@ -348,3 +352,48 @@
             await served.pass_ticks(100)
             assert served.gate.refusals[Refusal.UNREAD_ANSWERS] == 1
             await wait_until(lambda: not len(served.gate.table))
+
+
+async def test_long_answers_that_nobody_reads_stay_within_the_budget():
+    request = make_head("/long", close=False, method="GET")
+    async with Served(budget_bytes=3_000_000) as served:
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(20):
+                reader, writer = await stack.enter_async_context(served.connect())
+                reader._transport.pause_reading()
+                writer.write(request)
+            refusals = served.gate.refusals
+            await wait_until(lambda: refusals[Refusal.UNREAD_ANSWERS] >= 10)
+            assert served.gate.budget.held <= 3_000_000
+            small = make_head("/read", "Content-Length: 3") + b"abc"
+            assert (await served.exchange(small)).endswith(b"3 bytes")
+            await served.pass_ticks(50)
+            await wait_until(lambda: not len(served.gate.table))
+        assert served.gate.budget.held == 0
+
+
+async def test_a_caller_that_reads_takes_the_place_of_one_that_does_not():
+    request = make_head("/long", method="GET")
+    async with Served(budget_bytes=800_000) as served, served.connect() as (reader, w):
+        reader._transport.pause_reading()
+        w.write(request)
+        await wait_until(lambda: served.gate.count_connections()["sending"])
+        await served.pass_ticks(2)
+        received = await served.exchange(request)
+        assert len(received) > 2 * LIMIT
+        assert served.gate.refusals[Refusal.UNREAD_ANSWERS] == 1
+
+
+async def test_a_full_listener_does_not_wait_for_a_caller_that_does_not_read():
+    limits = {"connections": 2, "connections_per_address": 2}
+    request = make_head("/long", method="GET")
+    async with Served(**limits) as served, contextlib.AsyncExitStack() as stack:
+        for _ in range(2):
+            reader, writer = await stack.enter_async_context(served.connect())
+            reader._transport.pause_reading()
+            writer.write(request)
+        await wait_until(lambda: served.gate.count_connections()["sending"] == 2)
+        await served.pass_ticks(2)
+        for _ in range(3):
+            assert (await served.exchange(make_head("/read"))).endswith(b"0 bytes")
+        assert len(served.gate.table) <= 2
