Test settings, metrics and log lines of the limits for callers

A size of the machine that makes no sense (0, nan) now stands for the default: the keys were not read before, so they must not keep a process from starting.

--- a/fuchsiascale/daemon/tests/test_settings.py
+++ b/fuchsiascale/daemon/tests/test_settings.py
@@ -53,6 +53,7 @@
     ("[access]", "[traces]\nexporter = paper\n[access]", "traces", "exporter"),
     ("[access]", "[logs]\nlevel = loud\n[access]", "logs", "level"),
     ("[access]", "[peers]\nseeds = hub:1\n[access]", "peers", "seeds"),
+    ("[access]", "[ingress]\nconnections = -1\n[access]", "ingress", "connections"),
     ("[access]", "[peer]\n[access]", "peer", ""),
 )
 
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -2,6 +2,16 @@
 
 from types import SimpleNamespace
 
+import logbook
+from prometheus_client import generate_latest
+
+from fuchsiascale.ingress import (
+    Gate,
+    GateCollector,
+    IngressSettings,
+    Refusal,
+    derive_limits,
+)
 from fuchsiascale.jobs import Shard, StoreCall
 from fuchsiascale.node._metrics import NodeMetrics
 from fuchsiascale.testing import collect_functions
@@ -59,3 +69,30 @@
     assert f"fuchsiascale_rows_rejected_total{labels} 2.0" in text
     assert f"fuchsiascale_round_duration_seconds_count{labels} 50.0" in text
     assert f"fuchsiascale_round_duration_seconds_sum{labels} 0.4" in text
+
+
+def test_the_limits_of_a_listener_are_exported():
+    gate = Gate("caller", derive_limits(IngressSettings(), 200, 4_100, "caller"))
+    gate.count(Refusal.MEMORY)
+    gate.count(Refusal.MEMORY)
+    text = b"\n".join(
+        line
+        for line in generate_latest(GateCollector([gate])).splitlines()
+        if not line.startswith(b"#")
+    ).decode()
+    labels = '{listener="caller",reason="memory"}'
+    assert f"fuchsiascale_ingress_refusals_total{labels} 2.0" in text
+    assert (
+        'fuchsiascale_ingress_connections{listener="caller",phase="idle"} 0.0' in text
+    )
+    assert 'fuchsiascale_ingress_held_bytes{listener="caller"} 0.0' in text
+    assert 'fuchsiascale_ingress_budget_bytes{listener="caller"} 2.4e+07' in text
+
+
+def test_refusals_are_logged_once_for_many():
+    gate = Gate("caller", derive_limits(IngressSettings(), 200, 4_100, "caller"))
+    with logbook.TestHandler().applicationbound() as handler:
+        for _ in range(1_000):
+            gate.count(Refusal.HEAD_SIZE)
+    assert len(handler.records) == 1
+    assert handler.records[0].extra["reason"] == "head-size"
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -131,13 +131,19 @@
         "cores": reader.number("limits.cpu_share", 1)
         * reader.number("limits.cpu_cores", 1),
         "link_mbit_s": reader.number("limits.link_mbps", 1000),
-        "memory_mb": reader.number("limits.memory_mb", 512),
-        "max_fds": int(reader.number("limits.max_fds", 4_096)),
+        "memory_mb": _read_size(reader, "limits.memory_mb", 512),
+        "max_fds": int(_read_size(reader, "limits.max_fds", 4_096)),
         "ingress": _read_ingress(reader),
     }
     return None if reader.problems else LocalSettings(**fields)
 
 
+def _read_size(reader, key, default):
+    """Return a size of the machine; the default stands for one that makes no sense."""
+    size = reader.number(key, default)
+    return size if math.isfinite(size) and size > 0 else default
+
+
 def _read_ingress(reader):
     """Return the limits for callers; unknown keys ``ingress.NAME`` are ignored."""
     defaults = IngressSettings()
--- a/fuchsiascale/platform/tests/test_caller_api.py
+++ b/fuchsiascale/platform/tests/test_caller_api.py
@@ -49,8 +49,9 @@
 class ServedApi:
     """A `CallerApi` behind a test server, with a client of it."""
 
-    def __init__(self, reply=None, configured=True):
+    def __init__(self, reply=None, configured=True, **limits):
         self.entry = FakeEntry(reply)
+        self.limits = limits
         watch = ConfigurationWatch("config", lambda value: self.configuration())
         if configured:
             row_key = RowKey("op", "", "config")
@@ -61,7 +62,7 @@
     def configuration(self):
         policy = QueuePolicy(queue="q", service="pool")
         queue = Queue(host="nony24.example", prefix="/lohu930/", policy=policy)
-        return Configuration(version=1, queues=(queue,))
+        return Configuration(version=1, queues=(queue,), **self.limits)
 
     async def __aenter__(self):
         await self.client.start_server()
@@ -156,3 +157,12 @@
     async with ServedApi() as served:
         response, content = await served.send("GET", "/lohu930/")
         assert (response.status, content) == (200, b'{"waiting":12}')
+
+
+async def test_the_longest_body_is_that_of_the_configuration_in_force():
+    body = msgspec.json.encode({"spec": "p", "steps": [STEP]})
+    for limit, status in ((len(body), 200), (len(body) - 1, 413)):
+        async with ServedApi(max_body_bytes=limit) as served:
+            response, _ = await served.send("POST", body=body)
+            assert response.status == status
+            assert len(served.entry.submitted) == (status == 200)
--- a/fuchsiascale/platform/tests/test_local_settings.py
+++ b/fuchsiascale/platform/tests/test_local_settings.py
@@ -2,6 +2,7 @@
 
 from returns.result import Failure, Success
 
+from fuchsiascale.ingress import IngressSettings
 from fuchsiascale.platform.user_platform import parse_settings, read_local_settings
 from fuchsiascale.testing import collect_functions
 
@@ -30,6 +31,9 @@
     (("listen.ready=10.0.0.1:81", "listen.ready=x:y"), "listen.ready: 'x:y' is not"),
     (("hold_max_ms=10000", "hold_max_ms=long"), "bounds.hold_max_ms: 'long' is not"),
     (("region=r", "region"), "line 3: no '='"),
+    (("something.new=7", "ingress.max_head_bytes=9"), "ingress.max_head_bytes: 9 is"),
+    (("something.new=7", "ingress.connections=many"), "ingress.connections: 'many'"),
+    (("something.new=7", "ingress.memory_mb=inf"), "ingress.memory_mb: inf is not"),
 )
 
 
@@ -43,6 +47,18 @@
     assert settings.store_address == "10.9.0.1:90"
 
 
+def test_limits_for_callers_have_defaults_and_keys_of_their_own():
+    settings = parse_settings(GOOD).unwrap()
+    assert settings.ingress == IngressSettings()
+    text = "limits.memory_mb=0\nlimits.max_fds=nan\ningress.new=1\n"
+    settings = parse_settings(GOOD + text).unwrap()
+    assert (settings.memory_mb, settings.max_fds) == (512, 4_096)
+    text = "limits.memory_mb=200\ningress.connections=70\ningress.memory_mb=12.5\n"
+    settings = parse_settings(GOOD + text).unwrap()
+    assert settings.memory_mb == 200
+    assert settings.ingress == IngressSettings(connections=70, memory_mb=12.5)
+
+
 def test_each_fault_is_reported_with_its_key():
     for (old, new), problem in FAULTS:
         found = parse_settings(GOOD.replace(old, new))
