Charge incomplete WebSocket messages to the budget of a listener

Cause: aiohttp bounds a message at 4 MB, and 390 connections of the peer listener could each hold one that never ends. The frames are followed without a copy, and the bytes of an incomplete message are charged; over the budget the connection is closed, which the relay channel treats as any reset.

--- a/fuchsiascale/ingress/_connection.py
+++ b/fuchsiascale/ingress/_connection.py
@@ -11,6 +11,7 @@
 
 from fuchsiascale.ingress._budget import Charge
 from fuchsiascale.ingress._connection_table import Phase
+from fuchsiascale.ingress._frames import FrameFollower
 from fuchsiascale.ingress._framing import ChunkDecoder, FramingError, read_framing
 from fuchsiascale.ingress._transport import IngressTransport
 
@@ -105,12 +106,14 @@
         "_charge",
         "_decoder",
         "_discarded",
+        "_frames",
         "_framing",
         "_gate",
         "_input_paused",
         "_left",
         "_limit",
         "_lingers",
+        "_message",
         "_received",
         "_request",
         "_since",
@@ -134,7 +137,8 @@
         self._since = gate.tick
         self._input_paused = False
         self._framing = None
-        self._decoder = None
+        self._decoder = self._frames = None
+        self._message = 0
         self._unread = False
         self._request = None
         self._left = self._limit = self._received = self._discarded = 0
@@ -172,7 +176,7 @@
         table, tick = self._gate.table, self._gate.tick
         self._write_since = tick
         size = self.transport.get_write_buffer_size()
-        if not self._admit(size, Phase.SENDING):
+        if not self._admit(size + BODY_COST * self._message, Phase.SENDING):
             self._give_up_answer()
         elif not table.move(self, Phase.IDLE, Phase.SENDING, tick):
             table.move(self, Phase.BUSY, Phase.SENDING, tick)
@@ -182,7 +186,7 @@
     def resume_writing(self):
         """Go on with the next request once the answers were sent."""
         self._write_since = None
-        self._gate.budget.resize(self._charge, 0)
+        self._gate.budget.resize(self._charge, BODY_COST * self._message)
         after = Phase.IDLE if self._state is State.HEAD else Phase.BUSY
         self._gate.table.move(self, Phase.SENDING, after, self._gate.tick)
         if self.handler is not None:
@@ -217,7 +221,7 @@
         elif state is State.BODY:
             self._read_body(data)
         elif state is State.RAW:
-            self.handler.data_received(data)
+            self._forward_raw(data)
         else:
             self._tail += data
             self._input_paused = True
@@ -492,11 +496,22 @@
         """Forward all further input unframed, after a change of the protocol."""
         self._state, self._framing, self._unread = State.RAW, None, False
         self._gate.budget.resize(self._charge, 0)
+        self._frames = FrameFollower()
         tail, self._tail = self._tail, b""
         if tail:
-            self.handler.data_received(tail)
+            self._forward_raw(tail)
         self._set_input_paused(False)
 
+    def _forward_raw(self, data):
+        message = self._frames.feed(data)
+        change, self._message = message - self._message, message
+        size = self._charge.size + BODY_COST * change
+        if not self._admit(size):
+            self._gate.count(Refusal.MEMORY)
+            self.transport.abort()
+            return
+        self.handler.data_received(data)
+
     def _refuse(self, status, refusal):
         """Answer in place of a handler, and close the connection."""
         self._gate.count(refusal)
--- a/fuchsiascale/ingress/tests/test_gate.py
+++ b/fuchsiascale/ingress/tests/test_gate.py
@@ -320,6 +320,43 @@
                 assert await connection.receive_str() == text.upper()
 
 
+async def test_incomplete_messages_of_websockets_stay_within_the_budget():
+    upgrade = make_head(
+        "/socket",
+        "Upgrade: websocket",
+        "Connection: Upgrade",
+        "Sec-WebSocket-Version: 13",
+        "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==",
+        close=False,
+        method="GET",
+    )
+    frame = b"\x81\xff" + (1 << 20).to_bytes(8, "big") + b"mask" + b"p" * 200_000
+    async with Served(budget_bytes=1_000_000) as served:
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(6):
+                reader, writer = await stack.enter_async_context(served.connect())
+                writer.write(upgrade)
+                answer = await reader.readuntil(b"\r\n\r\n")
+                assert answer.startswith(b"HTTP/1.1 101")
+                writer.write(frame)
+            refusals = served.gate.refusals
+            await wait_until(lambda: refusals[Refusal.MEMORY] >= 4)
+            assert served.gate.budget.held <= 1_000_000
+            small = make_head("/read", "Content-Length: 3") + b"abc"
+            assert (await served.exchange(small)).endswith(b"3 bytes")
+        await wait_until(lambda: not len(served.gate.table))
+        assert served.gate.budget.held == 0
+
+
+async def test_a_caller_that_waits_for_100_continue_is_served():
+    head = make_head("/read", "Content-Length: 20000", "Expect: 100-continue")
+    async with Served() as served, served.connect() as (reader, writer):
+        writer.write(head)
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+        writer.write(b"b" * 20_000)
+        assert (await reader.read()).endswith(b"20000 bytes")
+
+
 async def test_a_compressed_body_is_charged_and_limited_by_its_full_size():
     async with Served() as served, ClientSession() as session:
         url = f"http://127.0.0.1:{served.address[1]}/read"
