--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -8,6 +8,8 @@
 )
 from prometheus_client.exposition import generate_latest
 
+from fuchsiascale.ingress import GateCollector
+
 __all__ = ["NodeMetrics"]
 
 PREFIX = "fuchsiascale"
@@ -31,16 +33,25 @@
         Whether the store is silent.
     refusals : Counter, optional
         Submissions that were not accepted, by reason.
+    gates : sequence of Gate
+        Limits of the listeners.
     """
 
     def __init__(
-        self, ownership, log_buffer, configuration, silence=None, refusals=None
+        self,
+        ownership,
+        log_buffer,
+        configuration,
+        silence=None,
+        refusals=None,
+        gates=(),
     ):
         self._silence = silence
         self._refusals = refusals or {}
         self._ownership = ownership
         self._configuration = configuration
         self._log_buffer = log_buffer
+        self._gates = GateCollector(gates)
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
         self._requests = Counter(
@@ -109,6 +120,7 @@
         dropped.add_metric([], self._log_buffer.dropped)
         yield dropped
         yield from self._collect_refusals()
+        yield from self._gates.collect()
         tokens = GaugeMetricFamily(
             f"{PREFIX}_owner_token", "Token of each service owned.", labels=["service"]
         )
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -2,7 +2,17 @@
 
 from types import SimpleNamespace
 
+import logbook
+from prometheus_client import generate_latest
+
 from fuchsiascale.clock import ManualClock
+from fuchsiascale.ingress import (
+    Gate,
+    GateCollector,
+    IngressSettings,
+    Refusal,
+    derive_limits,
+)
 from fuchsiascale.jobs import (
     LoadBook,
     QueueEstimate,
@@ -111,3 +121,30 @@
     assert "fuchsiascale_store_silences_total 1.0" in text
     assert "fuchsiascale_store_silent_seconds 0.0" not in text
     assert 'fuchsiascale_submissions_refused_total{reason="store silent"} 3.0' in text
+
+
+def test_the_limits_of_a_listener_are_exported():
+    gate = Gate("caller", derive_limits(IngressSettings(), 200, 4_100, "caller"))
+    gate.count(Refusal.MEMORY)
+    gate.count(Refusal.MEMORY)
+    text = b"\n".join(
+        line
+        for line in generate_latest(GateCollector([gate])).splitlines()
+        if not line.startswith(b"#")
+    ).decode()
+    labels = '{listener="caller",reason="memory"}'
+    assert f"fuchsiascale_ingress_refusals_total{labels} 2.0" in text
+    assert (
+        'fuchsiascale_ingress_connections{listener="caller",phase="idle"} 0.0' in text
+    )
+    assert 'fuchsiascale_ingress_held_bytes{listener="caller"} 0.0' in text
+    assert 'fuchsiascale_ingress_budget_bytes{listener="caller"} 2.4e+07' in text
+
+
+def test_refusals_are_logged_once_for_many():
+    gate = Gate("caller", derive_limits(IngressSettings(), 200, 4_100, "caller"))
+    with logbook.TestHandler().applicationbound() as handler:
+        for _ in range(1_000):
+            gate.count(Refusal.HEAD_SIZE)
+    assert len(handler.records) == 1
+    assert handler.records[0].extra["reason"] == "head-size"
--- a/fuchsiascale/platform/_caller_api.py
+++ b/fuchsiascale/platform/_caller_api.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiascale.ids import JobId
+from fuchsiascale.ingress import Refusal, read_body
 from fuchsiascale.jobs import (
     JobSpec,
     Outcome,
@@ -22,6 +23,11 @@
 
 __all__ = ["CallerApi", "decode_job"]
 
+REFUSED_BODIES = {
+    Refusal.BODY_SIZE: (413, "the body is too large"),
+    Refusal.SLOW_BODY: (408, "the body arrives too slowly"),
+    Refusal.FRAMING: (400, "the body is malformed"),
+}
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}\Z")
 
 
@@ -96,9 +102,9 @@
         self.rng = rng or random.Random()
         self.log = logbook.Logger("caller")
 
-    def make_application(self, max_body_bytes=1 << 20):
+    def make_application(self):
         """Return the aiohttp application for the listener."""
-        application = web.Application(client_max_size=max_body_bytes)
+        application = web.Application()
         application.router.add_route("*", "/{path:.*}", self.handle)
         return application
 
@@ -132,11 +138,10 @@
         return await handler(queue, JobId(name), request)
 
     async def _submit(self, queue, job, request):
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return _build_response(413, _Error("the body is too large"))
-        decoded = decode_job(body)
+        read = await read_body(request, self.watch.configuration.max_body_bytes)
+        if isinstance(read, Failure):
+            return self._refuse_body(read.failure())
+        decoded = decode_job(read.unwrap())
         if isinstance(decoded, Failure):
             return _build_response(400, _Error(decoded.failure()))
         reply = await self.entry.submit(queue.policy, job, decoded.unwrap())
@@ -174,6 +179,13 @@
         response.headers["Retry-After"] = str(pick_return(window, self.rng))
         return response
 
+    def _refuse_body(self, refusal):
+        """Return the response to a request whose body was not read."""
+        if refusal in REFUSED_BODIES:
+            status, text = REFUSED_BODIES[refusal]
+            return _build_response(status, _Error(text))
+        return self._refuse("not run: too many requests", ReturnWindow())
+
 
 def decode_job(body) -> Result[JobSpec, str]:
     """Decode a job that a caller hands in; a failure is the text for the caller."""
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -1,11 +1,14 @@
 """Reader of the settings file that the users' platform writes for each process."""
 
+import math
 import os
 from pathlib import Path
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from fuchsiascale.ingress import IngressSettings, find_limit_problems
+
 __all__ = [
     "SETTINGS_VARIABLE",
     "LocalSettings",
@@ -47,6 +50,12 @@
         How much longer such bounds are while the store is unstable, in seconds.
     remote_factor : float
         Multiple of its run time that a task takes away from its data; 1 if not stated.
+    memory_mb : float
+        Memory of the machine.
+    max_fds : int
+        Descriptors that the process may have.
+    ingress : IngressSettings
+        Limits for callers, from optional keys ``ingress.NAME``.
     """
 
     instance: str
@@ -66,6 +75,9 @@
     evacuation_bound_s: float | None = None
     unstable_store_stretch_s: float = 0.0
     remote_factor: float = 1.0
+    memory_mb: float = 512.0
+    max_fds: int = 4_096
+    ingress: IngressSettings = IngressSettings()
 
 
 def read_local_settings(path=None) -> Result[LocalSettings, list[str]]:
@@ -134,6 +146,9 @@
         ),
         "unstable_store_stretch_s": reader.number("bounds.max_stretch_ms", 0) / 1000,
         "remote_factor": max(1.0, reader.number("bounds.remote_factor", 1)),
+        "memory_mb": _read_size(reader, "limits.memory_mb", 512),
+        "max_fds": int(_read_size(reader, "limits.max_fds", 4_096)),
+        "ingress": _read_ingress(reader),
     }
     return None if reader.problems else LocalSettings(**fields)
 
@@ -142,6 +157,28 @@
     return None if milliseconds is None else milliseconds / 1000
 
 
+def _read_size(reader, key, default):
+    """Return a size of the machine; the default stands for one that makes no sense."""
+    size = reader.number(key, default)
+    return size if math.isfinite(size) and size > 0 else default
+
+
+def _read_ingress(reader):
+    """Return the limits for callers; unknown keys ``ingress.NAME`` are ignored."""
+    defaults = IngressSettings()
+    values = {}
+    for name in IngressSettings.__struct_fields__:
+        default = getattr(defaults, name)
+        value = reader.number(f"ingress.{name}", default)
+        whole = value is not None and name != "memory_mb" and math.isfinite(value)
+        values[name] = int(value) if whole else value
+    settings = IngressSettings(**values)
+    reader.problems += [
+        f"ingress.{problem}" for problem in find_limit_problems(settings)
+    ]
+    return settings
+
+
 class _SettingsReader:
     """Converts values by key and collects the problems found."""
 
--- a/fuchsiascale/platform/tests/test_caller_api.py
+++ b/fuchsiascale/platform/tests/test_caller_api.py
@@ -52,8 +52,9 @@
 class ServedApi:
     """A `CallerApi` behind a test server, with a client of it."""
 
-    def __init__(self, reply=None, configured=True):
+    def __init__(self, reply=None, configured=True, **limits):
         self.entry = FakeEntry(reply)
+        self.limits = limits
         watch = ConfigurationWatch("config", lambda value: self.configuration())
         if configured:
             row_key = RowKey("op", "", "config")
@@ -64,7 +65,7 @@
     def configuration(self):
         policy = QueuePolicy(queue="q", service="pool")
         queue = Queue(host="nony24.example", prefix="/lohu930/", policy=policy)
-        return Configuration(version=1, queues=(queue,))
+        return Configuration(version=1, queues=(queue,), **self.limits)
 
     async def __aenter__(self):
         await self.client.start_server()
@@ -173,3 +174,12 @@
     async with ServedApi(configured=False) as served:
         response, _ = await served.send("GET")
     assert response.headers["Retry-After"] in ("1", "2")
+
+
+async def test_the_longest_body_is_that_of_the_configuration_in_force():
+    body = msgspec.json.encode({"spec": "p", "steps": [STEP]})
+    for limit, status in ((len(body), 200), (len(body) - 1, 413)):
+        async with ServedApi(max_body_bytes=limit) as served:
+            response, _ = await served.send("POST", body=body)
+            assert response.status == status
+            assert len(served.entry.submitted) == (status == 200)
