--- a/fuchsiascale/ingress/_connection.py
+++ b/fuchsiascale/ingress/_connection.py
@@ -46,6 +46,7 @@
 MAX_LINGER_BYTES = 1 << 20
 UNSENT_S = 20.0
 """Time in which unsent bytes must become few. A link of 5 Mbit/s carries 12 MB then."""
+MAX_RETRY_AFTER_S = 3
 MAX_VICTIMS = 8
 """Slow bodies that are given up for one new request."""
 REASONS = {
@@ -433,12 +434,11 @@
             self._give_up_body(Refusal.CONNECTIONS)
             return
         self._gate.remove(self)
-        if self._state is State.HEAD and self._tail:
-            self._refuse(503, Refusal.CONNECTIONS)
-            return
         # With unsent bytes, closing would wait for a caller that does not read.
         if self._state is State.LINGERING or self.transport.get_write_buffer_size():
             self.transport.abort()
+        elif self._state is State.HEAD and self._tail:
+            self._refuse(503, Refusal.CONNECTIONS)
         else:
             self.transport.close()
 
@@ -517,7 +517,9 @@
         self._gate.count(refusal)
         self._tail = b""
         self._gate.budget.resize(self._charge, 0)
-        retry = "Retry-After: 1\r\n" if status == 503 else ""
+        # Spread, so that refused callers don't return in one wave.
+        retry_s = 1 + self._gate.refusals[refusal] % MAX_RETRY_AFTER_S
+        retry = f"Retry-After: {retry_s}\r\n" if status == 503 else ""
         self.transport.write(
             f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: 0\r\n"
             f"{retry}Connection: close\r\n\r\n".encode()
--- a/fuchsiascale/ingress/_framing.py
+++ b/fuchsiascale/ingress/_framing.py
@@ -72,7 +72,7 @@
     lengths = lower.count(b"content-length")
     # Most heads are settled by these searches, which take a tenth of the expression's
     # time.
-    if b"-encoding" not in lower:
+    if b"transfer-encoding" not in lower and b"content-encoding" not in lower:
         if not lengths:
             return NO_BODY
         _, found, rest = lower.partition(b"\r\ncontent-length:")
--- a/fuchsiascale/ingress/tests/test_framing.py
+++ b/fuchsiascale/ingress/tests/test_framing.py
@@ -19,6 +19,11 @@
         Framing(length=3, encoded=True),
     ),
     ("a name within a value", b"X: content-length: 4\r\n", Framing()),
+    (
+        "encodings of the answer",
+        b"Accept-Encoding: gzip\r\nContent-Length: 3\r\n",
+        Framing(length=3),
+    ),
 )
 AMBIGUOUS = (
     b"Content-Length: 1\r\nContent-Length: 1\r\n",
