Answer a request whose body is given up right after input

Cause: the buffer of the body was emptied after its reader had been woken, so the reader waited once more and did not see the refusal until the connection ended. The buffer is left as it is now; it is released with aiohttp's state when the connection starts to close. The new test hung before.

--- a/fuchsiascale/ingress/_connection.py
+++ b/fuchsiascale/ingress/_connection.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 from enum import Enum
 
 from fuchsiascale.ingress._budget import Charge
@@ -401,11 +400,7 @@
         self._state, self._decoder = State.HANDLING, None
         self._gate.table.move(self, Phase.RECEIVING, Phase.BUSY, self._gate.tick)
         self._set_input_paused(True)
-        content = request.content
-        with contextlib.suppress(RuntimeError):
-            # Drops what is buffered; raises if the handler waits, as nothing is then.
-            content.read_nowait()
-        content.set_exception(BodyRefused(refusal))
+        request.content.set_exception(BodyRefused(refusal))
 
     def _give_up_answer(self):
         self._gate.count(Refusal.UNREAD_ANSWERS)
--- a/fuchsiascale/ingress/tests/test_gate.py
+++ b/fuchsiascale/ingress/tests/test_gate.py
@@ -434,3 +434,16 @@
         for _ in range(3):
             assert (await served.exchange(make_head("/read"))).endswith(b"0 bytes")
         assert len(served.gate.table) <= 2
+
+
+async def test_a_body_given_up_right_after_input_is_answered():
+    head = make_head("/read", "Content-Length: 100000")
+    async with Served() as served, served.connect() as (reader, writer):
+        writer.write(head + b"b" * 10)
+        await wait_until(lambda: served.is_receiving)
+        (connection,) = served.gate.table
+        served.gate.buffer[:10] = b"b" * 10
+        connection.buffer_updated(10)
+        connection.shed()
+        async with asyncio.timeout(60):
+            assert (await reader.read()).endswith(b"memory")
