Tell in an explanation also whether the job would end too late

The explanation knew only a store that is silent or unreachable, so that it could say "admitted" of a job that the same instance refuses. Names of the field for the reports of instances on the store, for estimates of load, and for the time until a job has no value.

--- a/fuchsiascale/jobs/_admission.py
+++ b/fuchsiascale/jobs/_admission.py
@@ -26,7 +26,7 @@
 from fuchsiascale.jobs._return_window import ReturnWindow
 
 __all__ = [
-    "LoadBook",
+    "LoadEstimates",
     "QueueEstimate",
     "Refusal",
     "ServiceLoad",
@@ -99,7 +99,7 @@
 class _Waiting(NamedTuple):
     """A job with waiting tasks.
 
-    ``work`` is in thousandths of core-seconds; ``slack_s`` and ``patience_s`` are the
+    ``work`` is in thousandths of core-seconds; ``slack_s`` and ``value_slack_s`` are the
     times from which it is late, and worth nothing, if it doesn't start.
     """
 
@@ -107,7 +107,7 @@
     work: float
     left_s: float
     slack_s: float
-    patience_s: float
+    value_slack_s: float
 
 
 # The owner's side ----------------------------------------------------------------
@@ -200,14 +200,14 @@
             continue
         _, due_s, left_s = job.estimate
         passed_s = now_s - job.accepted_s + left_s
-        patience_s = WORTHLESS_FACTOR * due_s - passed_s
-        if patience_s <= 0:
+        value_slack_s = WORTHLESS_FACTOR * due_s - passed_s
+        if value_slack_s <= 0:
             continue
         work = _measure_work(shard, job, placeable, run_times)
         if work:
             slack_s = due_s - passed_s
             found.append(
-                _Waiting(job.policy.priority, work, left_s, slack_s, patience_s)
+                _Waiting(job.policy.priority, work, left_s, slack_s, value_slack_s)
             )
     return _WaitingJobs(found)
 
@@ -259,8 +259,8 @@
     if capacity_millis <= 0 or declared_s <= 0:
         return None
     _, due_s, path_s = job.estimate
-    patience_s = WORTHLESS_FACTOR * due_s - path_s
-    if waiting.total_work <= capacity_millis * patience_s:
+    value_slack_s = WORTHLESS_FACTOR * due_s - path_s
+    if waiting.total_work <= capacity_millis * value_slack_s:
         return None
     priority = job.policy.priority
     start_s = waiting.measure_urgent_s(priority, capacity_millis)
@@ -318,7 +318,7 @@
 def _add_late_s(start_s, jobs, capacity_millis):
     """Add the time of jobs that start as long as they may be worth something."""
     for each in jobs:
-        if start_s <= each.patience_s:
+        if start_s <= each.value_slack_s:
             start_s += each.work / capacity_millis
     return start_s
 
@@ -333,7 +333,7 @@
 # The side of the instance that accepts jobs --------------------------------------
 
 
-class LoadBook:
+class LoadEstimates:
     """Estimates of the owners of services, as last received.
 
     Parameters
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns.result import Failure, Success
 
-from fuchsiascale.jobs._admission import LoadBook, ServiceLoad, estimate_queues
+from fuchsiascale.jobs._admission import LoadEstimates, ServiceLoad, estimate_queues
 from fuchsiascale.jobs._members import Member, Members
 from fuchsiascale.jobs._owner import Owner
 from fuchsiascale.jobs._owner_succession import (
@@ -127,7 +127,7 @@
         self._connect_relay = connect_relay
         self._evacuations = evacuations
         self.silence = silence or StoreSilence(clock)
-        self.loads = LoadBook(clock)
+        self.loads = LoadEstimates(clock)
         self._own_loads = {}
         self.owners = {}
         self.stopping = False
@@ -255,12 +255,12 @@
         ping = msgspec.structs.replace(
             self.identity,
             known_members=self.known_members.reported_digest,
-            store=self.silence.testify(),
+            store=self.silence.make_report(),
         )
         asked_s = self.clock.monotonic()
         reply = await self.peers.ask(address, ping, timeout_s)
         if isinstance(reply, Pong):
-            self.silence.note_testimony(address, reply.store, asked_s)
+            self.silence.note_report(address, reply.store, asked_s)
             self._note_loads(reply, asked_s)
         return reply
 
@@ -514,7 +514,7 @@
         self.known_members.observe(
             Member(ping.address, ping.domain, ping.region, ping.strength)
         )
-        self.silence.note_testimony(ping.address, ping.store, now_s)
+        self.silence.note_report(ping.address, ping.store, now_s)
         members, digest = self.known_members.report(ping.known_members)
         return Pong(
             instance=self.identity.instance,
@@ -523,7 +523,7 @@
             heard_ago_s=self._views.export_silences_s(now_s),
             live_members=members,
             members_digest=digest,
-            store=self.silence.testify(),
+            store=self.silence.make_report(),
             loads=self._export_loads(now_s),
         )
 
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -9,7 +9,7 @@
 from fuchsiascale.jobs._placement_explanation import PlacementExplanation
 from fuchsiascale.jobs._ports import Change, Expect, StoredRow
 from fuchsiascale.jobs._records import AcceptedRow, OwnerRow
-from fuchsiascale.jobs._store_silence import StoreTestimony
+from fuchsiascale.jobs._store_silence import StoreReport
 
 __all__ = [
     "PING_PERIOD_S",
@@ -62,7 +62,7 @@
     region: str = ""
     domain: FailureDomainId = FailureDomainId("")
     known_members: str = ""
-    store: StoreTestimony | None = None
+    store: StoreReport | None = None
 
 
 class ConfigurationFreshness(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,7 +101,7 @@
     live_members: tuple[Member, ...] | None = None
     members_digest: str = ""
     configuration: ConfigurationFreshness | None = None
-    store: StoreTestimony | None = None
+    store: StoreReport | None = None
     loads: tuple[ServiceLoad, ...] = ()
 
 
--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Success
 
-from fuchsiascale.jobs._admission import LoadBook, decide_admission
+from fuchsiascale.jobs._admission import LoadEstimates, decide_admission
 from fuchsiascale.jobs._group_commit import GroupCommitter, PendingWrite
 from fuchsiascale.jobs._model import JobRecord, JobState
 from fuchsiascale.jobs._owner_views import OwnerView
@@ -98,7 +98,7 @@
         Whether a transaction of the store may cover several partitions.
     silence : StoreSilence, optional
         Whether the store is silent.
-    loads : LoadBook, optional
+    loads : LoadEstimates, optional
         How long jobs would have to wait, by the owners of services.
 
     Attributes
@@ -118,7 +118,7 @@
     ):
         self.store = store
         self.silence = silence or StoreSilence(clock)
-        self.loads = loads or LoadBook(clock)
+        self.loads = loads or LoadEstimates(clock)
         self.refusals = Counter()
         self.clock = clock
         self.ownership = ownership
--- a/fuchsiascale/jobs/_silence_watch.py
+++ b/fuchsiascale/jobs/_silence_watch.py
@@ -50,10 +50,10 @@
             self._on_silent()
         elif was_logged and not silence.is_silent:
             silence.evidence = {}
-            testimony = silence.testify()
+            report = silence.make_report()
             self.log.warning(
                 "store no longer silent",
-                extra={"answered_ago_s": testimony.answered_ago_s},
+                extra={"answered_ago_s": report.answered_ago_s},
             )
         if silence.is_probe_due():
             probe = asyncio.create_task(self._store.probe(self._table))
--- a/fuchsiascale/jobs/_store_silence.py
+++ b/fuchsiascale/jobs/_store_silence.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-__all__ = ["StoreSilence", "StoreTestimony"]
+__all__ = ["StoreSilence", "StoreReport"]
 
 TICK_S = 0.05
 """Period at which `StoreSilence.tick` is to be called."""
@@ -41,7 +41,7 @@
 """Submissions are held for at least this multiple of the slowest recent answer."""
 CONFIRMATION_S = 0.3
 """Time without an answer at a peer which confirms the silence."""
-TESTIMONY_AGE_S = 1.0
+REPORT_AGE_S = 1.0
 """Age up to which a peer's report counts; pings are sent every 0.3 s."""
 PEER_MEMORY_S = 15.0
 """Time after the last report of a peer during which this instance isn't alone."""
@@ -55,7 +55,7 @@
 """Time in which the slowest recent answer loses half its weight."""
 
 
-class StoreTestimony(msgspec.Struct, frozen=True, kw_only=True):
+class StoreReport(msgspec.Struct, frozen=True, kw_only=True):
     """What an instance itself has seen of the store.
 
     Parameters
@@ -85,7 +85,7 @@
         self.was_answered = False
 
 
-class _Report(msgspec.Struct, frozen=True):
+class _PeerReport(msgspec.Struct, frozen=True):
     """The calls of a peer without an answer, and when it reported them."""
 
     received_s: float
@@ -166,31 +166,31 @@
             # The first is the earliest; more than are needed for a proof aren't kept.
             del self._failed_dues[MIN_CALLS:]
 
-    def note_testimony(self, address, testimony, earliest_s):
+    def note_report(self, address, report, earliest_s):
         """Note what a peer has seen of the store.
 
         Parameters
         ----------
         address : str
             The peer.
-        testimony : StoreTestimony or None
+        report : StoreReport or None
             Its report; None from a peer of an earlier version.
         earliest_s : float
             A time at which the report was not made yet.
         """
-        if testimony is None:
+        if report is None:
             return
         now_s = self.clock.monotonic()
-        answered_s = _subtract_age(earliest_s, testimony.answered_ago_s)
-        told_s = _subtract_age(earliest_s, testimony.heard_ago_s)
+        answered_s = _subtract_age(earliest_s, report.answered_ago_s)
+        told_s = _subtract_age(earliest_s, report.heard_ago_s)
         self._heard_s = max(self._heard_s, answered_s)
         self._told_s = max(self._told_s, told_s)
-        self._reports[address] = _Report(now_s, testimony.unanswered_s)
+        self._reports[address] = _PeerReport(now_s, report.unanswered_s)
         self._end_if_answered()
 
     def note_relayed_answer(self, address, asked_s):
         """Note that a peer has passed on an answer of the store to a call."""
-        self.note_testimony(address, StoreTestimony(answered_ago_s=0.0), asked_s)
+        self.note_report(address, StoreReport(answered_ago_s=0.0), asked_s)
 
     def tick(self):
         """Count the time that has passed, and judge; return whether silence began."""
@@ -264,10 +264,10 @@
         self._probed_s = now_s
         return True
 
-    def testify(self):
+    def make_report(self):
         """Return what this instance has seen and was told first-hand, for its peers."""
         now_s = self.clock.monotonic()
-        return StoreTestimony(
+        return StoreReport(
             answered_ago_s=_measure_age(now_s, self._answered_s),
             heard_ago_s=_measure_age(now_s, self._heard_s),
             unanswered_s=round(self.unanswered_s(), 3),
@@ -294,7 +294,7 @@
         return [
             report
             for report in self._reports.values()
-            if now_s - report.received_s <= TESTIMONY_AGE_S
+            if now_s - report.received_s <= REPORT_AGE_S
         ]
 
     def _bound_s(self):
--- a/fuchsiascale/jobs/tests/test_admission.py
+++ b/fuchsiascale/jobs/tests/test_admission.py
@@ -19,7 +19,7 @@
     JobSpec,
     JobState,
     ListedWorker,
-    LoadBook,
+    LoadEstimates,
     OwnerLimits,
     OwnerRow,
     OwnershipManager,
@@ -92,7 +92,7 @@
         self.repeats = repeats
         self.rng = random.Random(seed)
         self.clock = ManualClock()
-        self.loads = LoadBook(self.clock)
+        self.loads = LoadEstimates(self.clock)
         self.shard = make_shard(WORKERS, CORES * 1_000)
         self._events = []
         self._numbers = itertools.count()
@@ -341,7 +341,7 @@
 
 def test_a_later_owner_replaces_the_estimates_of_an_earlier_one():
     clock = ManualClock(10.0)
-    loads = LoadBook(clock)
+    loads = LoadEstimates(clock)
     estimate = QueueEstimate(9.0, 1.0, 1.0)
     loads.note("pool", 2, {"low": estimate}, 9.5)
     assert loads.find("pool", "low") == (estimate, 0.5)
--- a/fuchsiascale/jobs/tests/test_request_handler.py
+++ b/fuchsiascale/jobs/tests/test_request_handler.py
@@ -10,7 +10,7 @@
     JobRequestHandler,
     JobSpec,
     JobState,
-    LoadBook,
+    LoadEstimates,
     NoAnswer,
     Outcome,
     OwnerView,
@@ -144,7 +144,7 @@
 async def submit_when_full(store, known=(), age_s=0.3):
     """Submit a job to a queue that is far too long; return the reply."""
     clock = ManualClock(10.0)
-    loads = LoadBook(clock)
+    loads = LoadEstimates(clock)
     loads.note("pool", 1, {"q": QueueEstimate(60.0, 1.0, 1.0)}, 10.0 - age_s)
     handler = JobRequestHandler(
         store, OwnershipThatTakesNotices(known), clock, loads=loads
--- a/fuchsiascale/jobs/tests/test_silent_store.py
+++ b/fuchsiascale/jobs/tests/test_silent_store.py
@@ -152,8 +152,8 @@
             await asyncio.sleep(0.3)
             now_s = LoopClock().monotonic()
             for number, silence in enumerate(others):
-                owner.note_testimony(f"i{number}", silence.testify(), now_s)
-                silence.note_testimony("owner", owner.testify(), now_s)
+                owner.note_report(f"i{number}", silence.make_report(), now_s)
+                silence.note_report("owner", owner.make_report(), now_s)
 
     async def submit(self, number, at_s, handler=None):
         """Submit a job at a time; return the outcome and when it was answered."""
--- a/fuchsiascale/jobs/tests/test_store_silence.py
+++ b/fuchsiascale/jobs/tests/test_store_silence.py
@@ -9,7 +9,7 @@
 import itertools
 
 from fuchsiascale.clock import ManualClock
-from fuchsiascale.jobs import StoreSilence, StoreTestimony
+from fuchsiascale.jobs import StoreReport, StoreSilence
 from fuchsiascale.jobs._store_silence import TICK_S
 from fuchsiascale.testing import collect_functions
 
@@ -100,20 +100,20 @@
         self.at(time_s, instance, act)
 
     def ping(self, instance):
-        """Exchange testimonies with the owner."""
+        """Exchange reports with the owner."""
         owner = self.instances[0]
         now_s = self.clock.monotonic()
         if instance is owner or not owner.runs(now_s):
             return
-        owner.silence.note_testimony(
-            f"i{instance.number}", instance.silence.testify(), now_s
+        owner.silence.note_report(
+            f"i{instance.number}", instance.silence.make_report(), now_s
         )
-        reply, delay_s = owner.silence.testify(), instance.delay_s(now_s)
+        reply, delay_s = owner.silence.make_report(), instance.delay_s(now_s)
         if delay_s <= 1.0:
             self.at(
                 now_s + delay_s,
                 instance,
-                lambda: instance.silence.note_testimony("i0", reply, now_s),
+                lambda: instance.silence.note_report("i0", reply, now_s),
             )
 
     def run(self, until_s):
@@ -279,8 +279,8 @@
 
 def test_a_peer_of_an_earlier_version_is_no_evidence():
     silence = StoreSilence(ManualClock())
-    silence.note_testimony("old", None, 0.0)
-    assert silence.testify() == StoreTestimony()
+    silence.note_report("old", None, 0.0)
+    assert silence.make_report() == StoreReport()
 
 
 def test_a_relayed_answer_ends_the_silence():
--- a/fuchsiascale/node/_explain_http.py
+++ b/fuchsiascale/node/_explain_http.py
@@ -10,6 +10,7 @@
     ExplanationRequest,
     JobExplanation,
     JobRecord,
+    decide_admission,
     window_in_silence,
 )
 from fuchsiascale.json_decoding import decode_json
@@ -91,20 +92,28 @@
             prefix=queue.prefix,
             configuration_version=configuration.version,
             configuration_age_s=self._get_age_s(),
-            admission=self._judge_admission(),
+            admission=self._judge_admission(queue.policy, spec.unwrap()),
             placement=await self._ownership.ask_placement(record),
         )
         return web.Response(
             body=msgspec.json.encode(explanation), content_type="application/json"
         )
 
-    def _judge_admission(self):
+    def _judge_admission(self, policy, spec):
         silence = self._store.silence
-        if not silence.is_silent and not self._store.is_unavailable():
-            return Admission(admitted=True)
-        why = "store silent" if silence.is_silent else "store unreachable"
-        window = window_in_silence(silence.silent_for_s())
-        return Admission(admitted=False, why=why, retry_after_s=float(window.last_s))
+        if silence.is_silent or self._store.is_unavailable():
+            why = "store silent" if silence.is_silent else "store unreachable"
+            return _build_refusal(why, window_in_silence(silence.silent_for_s()))
+        found = self._ownership.loads.find(policy.service, policy.queue)
+        refusal = decide_admission(found, policy, spec)
+        if refusal is not None:
+            return _build_refusal("no capacity in time", refusal.window)
+        return Admission(admitted=True)
+
+
+def _build_refusal(why, window):
+    """Return a refusal with the latest time after which the caller should return."""
+    return Admission(admitted=False, why=why, retry_after_s=float(window.last_s))
 
 
 def _is_named(queue, name):
--- a/fuchsiascale/node/tests/test_explain_http.py
+++ b/fuchsiascale/node/tests/test_explain_http.py
@@ -13,9 +13,11 @@
     Configuration,
     JobExplanation,
     JobRecord,
+    LoadEstimates,
     PlacementQuery,
     PlacementReply,
     Queue,
+    QueueEstimate,
     QueuePolicy,
     StoreSilence,
     explain_placement,
@@ -41,6 +43,7 @@
 
     def __init__(self, has_owner=True, is_away=False, is_configured=True):
         self.asked = []
+        self.loads = LoadEstimates(ManualClock())
         self.has_owner = has_owner
         self.answering = asyncio.Event()
         self.answering.set()
@@ -49,7 +52,7 @@
         queue = Queue(host="a.example", prefix="/x/", policy=policy)
         configuration = Configuration(version=7, queues=(queue,))
         explainer = PlacementExplainer(
-            SimpleNamespace(ask_placement=self.ask_placement),
+            SimpleNamespace(ask_placement=self.ask_placement, loads=self.loads),
             SimpleNamespace(
                 is_unavailable=lambda: is_away, silence=StoreSilence(ManualClock())
             ),
@@ -102,6 +105,16 @@
         assert found.placement is None
 
 
+async def test_a_job_that_would_end_too_late_is_said_to_be_refused():
+    """Admission and its explanation must not tell callers different things."""
+    async with Served() as served:
+        served.loads.note("pool", 1, {"scan": QueueEstimate(60.0, 1.0, 1.0)}, 0.0)
+        found = msgspec.json.decode((await served.send())[1], type=JobExplanation)
+        assert not found.admission.admitted
+        assert found.admission.why == "no capacity in time"
+        assert found.admission.retry_after_s > 0
+
+
 async def test_faulty_requests_reach_no_owner():
     async with Served() as served:
         for fields, status in (
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -14,7 +14,7 @@
     derive_limits,
 )
 from fuchsiascale.jobs import (
-    LoadBook,
+    LoadEstimates,
     QueueEstimate,
     Shard,
     StoreCall,
@@ -67,7 +67,7 @@
         round_count=50,
         round_seconds=0.4,
     )
-    loads = LoadBook(ManualClock())
+    loads = LoadEstimates(ManualClock())
     loads.note("pool", 3, {"q": QueueEstimate(7.5, 1.0, 1.0)}, 0.0)
     metrics = NodeMetrics(
         SimpleNamespace(owners={"pool": owner}, loads=loads),
--- a/fuchsiascale/platform/tests/test_row_store.py
+++ b/fuchsiascale/platform/tests/test_row_store.py
@@ -207,9 +207,9 @@
     async with Served() as served:
         await served.server.close()
         await served.store.read("jobs", "pool")
-        assert served.silence.testify().answered_ago_s is None
+        assert served.silence.make_report().answered_ago_s is None
     for attribute, value in (("refuse", 503), ("delay_writes", 0)):
         async with Served() as served:
             setattr(served.standin.faults, attribute, value)
             await served.store.read("jobs", "pool")
-            assert served.silence.testify().answered_ago_s is not None
+            assert served.silence.make_report().answered_ago_s is not None
