--- a/fuchsiascale/jobs/_admission.py
+++ b/fuchsiascale/jobs/_admission.py
@@ -99,7 +99,7 @@
 class _Waiting(NamedTuple):
     """A job with waiting tasks.
 
-    ``work`` is in thousandths of core-seconds; ``slack_s`` and ``value_slack_s`` are the
+    ``work`` is in thousandths of core-seconds; ``slack_s``, ``value_slack_s`` are the
     times from which it is late, and worth nothing, if it doesn't start.
     """
 
