--- a/fuchsiascale/jobs/_conclusions.py
+++ b/fuchsiascale/jobs/_conclusions.py
@@ -97,6 +97,8 @@
             "why": why,
             "token": shard.token,
             "awaits_confirmation": task.lost_s >= shard.confirmed_s,
+            "start_in_doubt": attempt.is_start_in_doubt,
+            "worker_claimed_ago_s": attempt.worker.measure_claimed_s(now_s),
         },
     )
 
@@ -121,5 +123,9 @@
     if worker is not None and not worker.claimed:
         shard.log.warning(
             "worker not reached before its last lease expired",
-            extra={"worker": worker_id},
+            extra={
+                "worker": worker_id,
+                "token": shard.token,
+                "listed_incarnation": worker.listed.incarnation,
+            },
         )
--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -104,8 +104,18 @@
         ):
             lost.append(attempt)
     if worker.incarnation:
+        shard.events["worker restarted"] += 1
         shard.log.warning(
-            "worker restarted", extra={"worker": worker.worker, "lost": len(lost)}
+            "worker restarted",
+            extra={
+                "worker": worker.worker,
+                "lost": len(lost),
+                "in_doubt": sum(
+                    attempt.is_start_in_doubt for attempt in worker.attempts.values()
+                ),
+                "acknowledged_end": worker.last_recorded_end,
+                "token": shard.token,
+            },
         )
     worker.incarnation = inventory.incarnation
     for attempt in lost:
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -112,8 +112,13 @@
         worker.note_start_sent()
         reply = await self.calls.start(worker.listed, request)
         now_s = self.clock.monotonic()
-        worker.note_start_reply(_get_clock_ms(reply), sent_s, now_s)
+        is_other = worker.note_start_reply(_get_clock_ms(reply), sent_s, now_s)
         if isinstance(reply, Success):
+            if is_other:
+                self.log.warning(
+                    "start answered by a clock that is behind",
+                    extra={"task": attempt.task.name, "worker": worker.worker},
+                )
             shard.note_started(attempt, now_s)
             if attempt.task.step.spec.fills:
                 self._on_change()
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -118,6 +118,10 @@
             return 0
         return self.last_recorded_end
 
+    def measure_claimed_s(self, now_s):
+        """Return how long ago this incarnation answered first; None if it never did."""
+        return round(now_s - self.claimed_s, 3) if self.claimed else None
+
     @property
     def draining(self):
         """Whether the platform is draining the worker."""
@@ -159,6 +163,11 @@
             behind is that of a later incarnation.
         sent_s, now_s : float
             Monotonic times of the start and of the reply, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a later incarnation may have carried the start out.
         """
         self.starts_in_flight -= 1
         is_same = (
@@ -168,6 +177,7 @@
         )
         if not is_same:
             self.doubted_s = now_s
+        return not is_same
 
     def note_start_unanswered(self, attempt, now_s):
         """Note that a start has had no answer, and may take effect late."""
