Simulate workers that restart under their ids and are cut off soon after

The simulation of takeovers gets workers that take leases of 10 s, as most deployments do, where owners grant 6 s; that start again in series, with calls to them held back at times past the restart; and that are cut off 0.2 s to 3 s later, with the owner killed in between. Other seeds play as before.

--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -38,6 +38,10 @@
 INSTANCES_PER_DOMAIN = 2
 WORKERS_PER_DOMAIN = 3
 RUN_S = (0.3, 0.3, 1.5, 1.5, 4.0, 9.0, 18.0)
+USUAL_LEASE_S = 6.0
+"""Longest lease that a worker takes, which is the length of those that owners grant."""
+LONG_LEASE_S = 10.0
+"""Longest lease of workers that start again in series."""
 QUIET_S = (3.0, 17.0)
 """Time before the first fault; an instance that has run for 15 s knows its peers."""
 FAULTY_S = 40.0
@@ -60,13 +64,17 @@
         What all is drawn from.
     evacuates : bool
         Whether the operator evacuates domains.
+    restarts : bool
+        Whether workers start again in series, and take longer leases than owners grant.
     """
 
     service = "pool"
 
-    def __init__(self, seed, evacuates):
+    def __init__(self, seed, evacuates, restarts):
         self.seed = seed
         self.evacuates = evacuates
+        self.restarts = restarts
+        self.longest_lease_s = LONG_LEASE_S if restarts else USUAL_LEASE_S
         self.rng = random.Random(f"simulation {seed}")
         self.clock = LoopClock()
         self.record = Record(self.clock, self.is_undisturbed)
@@ -119,6 +127,10 @@
         )
         self._tasks.append(asyncio.create_task(worker.run_heartbeats()))
 
+    def spawn(self, coroutine):
+        """Run a coroutine beside the others."""
+        self._tasks.append(asyncio.create_task(coroutine))
+
     def is_undisturbed(self, address):
         """Return whether an instance and the store have long been undisturbed."""
         instance = self.instances.get(address)
@@ -262,7 +274,10 @@
         if self.evacuates:
             operator = Operator(self, DOMAINS)
             self._tasks.append(asyncio.create_task(operator.run(until_s)))
-        await Faults(self).run(until_s)
+        faults = Faults(self)
+        if self.restarts:
+            self.spawn(faults.restart_workers(until_s))
+        await faults.run(until_s)
         self.record.note("--- no further faults")
         self.network.faults.clear()
         self.network.usual = LinkFaults()
@@ -318,7 +333,7 @@
             self._record.report(Rule.ERROR, text + error)
 
 
-def play(seed, log_level=logbook.ERROR, evacuates=False):
+def play(seed, log_level=logbook.ERROR, evacuates=False, restarts=False):
     """Play the simulation of a seed.
 
     Parameters
@@ -329,6 +344,8 @@
         Level from which the product's log lines are kept in the record.
     evacuates : bool, optional
         Whether the operator evacuates domains, which leaves load and faults the same.
+    restarts : bool, optional
+        Whether workers start again in series, and take longer leases than owners grant.
 
     Returns
     -------
@@ -340,7 +357,7 @@
     simulations = []
 
     async def run():
-        simulation = Simulation(seed, evacuates)
+        simulation = Simulation(seed, evacuates, restarts)
         simulations.append(simulation)
         handler = _LogHandler(simulation.record, log_level)
         with logbook.NullHandler().applicationbound(), handler.applicationbound():
--- a/fuchsiascale/jobs/tests/_simulation_faults.py
+++ b/fuchsiascale/jobs/tests/_simulation_faults.py
@@ -60,6 +60,66 @@
             (kind,) = self._rng.choices(kinds, weights)
             await getattr(self, kind)()
 
+    async def restart_workers(self, until_s):
+        """Restart workers under their ids and cut them off soon after, in series.
+
+        Calls to them may be held back past the restart. The owner is killed in between
+        at times. It draws from a source of its own, so that the other faults of a seed
+        stay the same.
+        """
+        rng = random.Random(f"restarts {self._simulation.seed}")
+        late = rng.choice((0.0, 0.1, 0.4))
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            await asyncio.sleep(rng.uniform(0.5, 6.0))
+            domain = rng.choice(sorted(set(self._simulation.domains.values())))
+            workers = [
+                each
+                for each in self._simulation.workers.values()
+                if each.domain == domain and each.is_up
+            ]
+            if workers:
+                await self._restart_and_cut(rng, workers, late)
+
+    async def _restart_and_cut(self, rng, workers, late):
+        """Restart workers, and cut them off 0.2 s to 3 s later."""
+        network = self._simulation.network
+        names = [each.name for each in workers]
+        if late:
+            network.faults.update(dict.fromkeys(names, LinkFaults(late=late)))
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        for worker in workers:
+            if worker.is_up:
+                worker.crash()
+        await asyncio.sleep(rng.uniform(0.1, 1.2))
+        for worker in workers:
+            if not worker.is_up:
+                worker.start_again()
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        if rng.random() < 0.6:
+            self._simulation.spawn(self._kill_owner(rng))
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        others = [name for name in self._simulation.domains if name not in names]
+        pairs = [(a, b) for a in names for b in (*others, STORE)]
+        pairs += [(b, a) for a, b in pairs]
+        seconds = rng.uniform(4.0, 12.0)
+        self._note(f"cut {names} for {seconds:.1f} s after their restart")
+        network.cut(pairs)
+        for name in names:
+            network.faults.pop(name, None)
+        await asyncio.sleep(seconds)
+        network.heal(pairs)
+        self._note(f"healed {names}")
+
+    async def _kill_owner(self, rng):
+        """Kill the owner, and start the instance again."""
+        for instance in self._simulation.list_owners()[:1]:
+            self._note(f"{instance.address} killed")
+            self._simulation.kill(instance)
+            await asyncio.sleep(rng.choice((0.3, 0.5, 3.0)))
+            if instance.address not in self._simulation.instances:
+                self._simulation.start_instance(instance.address, instance.domain)
+
     def _note(self, text):
         self._simulation.record.note(f"--- {text}")
 
--- a/fuchsiascale/jobs/tests/_simulation_instance.py
+++ b/fuchsiascale/jobs/tests/_simulation_instance.py
@@ -85,7 +85,7 @@
             WorkerClient(simulation, address, name),
             peers,
             WorkerListing(SERVERS, lambda row: decode_row(row.value, ListedWorker)),
-            OwnerLimits(),
+            OwnerLimits(longest_lease_s=simulation.longest_lease_s),
             clock,
             silence=silence,
             evacuations=EVACUATIONS if simulation.evacuates else None,
--- a/fuchsiascale/jobs/tests/_simulation_worker.py
+++ b/fuchsiascale/jobs/tests/_simulation_worker.py
@@ -28,7 +28,6 @@
 
 SERVERS = "servers"
 """The platform's table of workers."""
-LONGEST_LEASE_MS = 6_000
 CAPACITY = Resources(cpu_millis=4_000, memory_mb=16_000)
 CLOCK_RATES = (1.0, 1.0, 0.99, 0.98)
 MAX_STOP_S = 0.6
@@ -357,7 +356,8 @@
     # Lease -------------------------------------------------------------------
 
     def _extend_lease(self, until_ms):
-        until_ms = min(until_ms, self.clock_ms + LONGEST_LEASE_MS)
+        longest_ms = int(self.simulation.longest_lease_s * 1000)
+        until_ms = min(until_ms, self.clock_ms + longest_ms)
         if until_ms <= self._deadline_ms:
             return
         self._deadline_ms = until_ms
--- a/fuchsiascale/jobs/tests/play_takeovers.py
+++ b/fuchsiascale/jobs/tests/play_takeovers.py
@@ -16,12 +16,12 @@
 """Breaks of a seed that are printed."""
 
 
-def play_seeds(seeds, evacuates):
+def play_seeds(seeds, **options):
     """Play seeds, print the breaks of each and a summary; return whether any broke."""
     began_s = time.process_time()
     breaks, broken, runs = Counter(), [], 0
     for seed in seeds:
-        record = play(seed, evacuates=evacuates)
+        record = play(seed, **options)
         runs += record.count_runs()
         breaks.update(each.rule for each in record.breaks)
         if record.breaks:
@@ -35,9 +35,9 @@
     return bool(broken)
 
 
-def print_trace(seed, evacuates):
+def print_trace(seed, **options):
     """Print all that happened with a seed, with the product's log."""
-    record = play(seed, logbook.INFO, evacuates)
+    record = play(seed, logbook.INFO, **options)
     for at_s, text in record.events:
         print(f"{at_s:9.3f} {text}")
 
@@ -49,12 +49,14 @@
     parser.add_argument("--count", type=int, default=2_000)
     parser.add_argument("--trace", type=int, help="seed whose course is printed")
     parser.add_argument("--evacuate", action="store_true", help="evacuate domains")
+    parser.add_argument("--restart", action="store_true", help="restart workers")
     options = parser.parse_args()
+    kinds = {"evacuates": options.evacuate, "restarts": options.restart}
     if options.trace is not None:
-        print_trace(options.trace, options.evacuate)
+        print_trace(options.trace, **kinds)
         return
     seeds = range(options.first, options.first + options.count)
-    sys.exit(play_seeds(seeds, options.evacuate))
+    sys.exit(play_seeds(seeds, **kinds))
 
 
 if __name__ == "__main__":
--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -23,6 +23,13 @@
 """Seeds that broke a rule once, and the cause."""
 
 
+RESTART_SEEDS = {
+    14: "a start that was held back past a restart ran after it was taken for lost",
+    120: "a successor took a worker that it never reached for one with a usual lease",
+    125: "a successor took a worker that it had reached for one with a usual lease",
+    156: "an exchange that was held back past a restart dropped ends of the next one",
+}
+"""Seeds with workers that start again under their ids, and what broke a rule once."""
 EVACUATION_SEEDS = (*range(2_000, 2_005), 37, 97)
 """Seeds with evacuations. The last two break the bound if a read of the evacuations
 counts for ever and starts grant whole leases."""
@@ -52,6 +59,11 @@
         assert play(seed).breaks == [], (seed, cause)
 
 
+def test_no_task_runs_twice_when_workers_restart_and_are_cut_off_soon_after():
+    for seed, cause in RESTART_SEEDS.items():
+        assert play(seed, restarts=True).breaks == [], (seed, cause)
+
+
 def test_a_seed_always_gives_the_same_course():
     events = play(4).events
     assert events
