Wait for the longest lease of a worker that a successor never reached

Callers saw a task run twice at once: its worker had lost power, came back under its id, and was cut off soon after, as the owner was killed. The call that a new incarnation takes first carries the end of a lease on the clock before, so the worker shortens it to its longest lease (10 s), where owners grant 6 s. The successor took the attempt for over 6.5 s after its predecessor had stopped.

The bound is now what a worker may take at most, whatever clock its last call was meant for, so no call that has arrived by the time that the predecessor stopped can outlast it. Inherited tasks wait up to 4.1 s longer where a worker takes 10 s and can't be reached; where it takes 6 s nothing changes.

--- a/fuchsiascale/jobs/_inherited_leases.py
+++ b/fuchsiascale/jobs/_inherited_leases.py
@@ -16,12 +16,16 @@
 class InheritedLeases:
     """Bounds on the leases that earlier owners granted to a shard's workers.
 
+    A worker that has restarted takes the end of a lease on the clock before for a time
+    far away, and shortens it to the longest lease only. A successor that doesn't reach
+    it can't know of that, so it reckons with the longest lease of any worker.
+
     Parameters
     ----------
     shard : Shard
         Its ``unconfirmed_workers`` hold the time at which each lease has expired.
-    lease_s : float
-        Longest lease that any owner grants.
+    longest_lease_s : float
+        Longest lease that a worker takes.
 
     Attributes
     ----------
@@ -29,9 +33,9 @@
         Whether no owner before the previous one can grant a lease any more.
     """
 
-    def __init__(self, shard, lease_s):
+    def __init__(self, shard, longest_lease_s):
         self._shard = shard
-        self._lease_s = lease_s
+        self._longest_lease_s = longest_lease_s
         self.is_chain_settled = False
         self._predecessor_stopped_s = math.inf
         self._all_stopped_s = math.inf
@@ -73,4 +77,4 @@
 
     def _compute_end(self, stopped_s):
         """Return when all leases of owners that stopped by then have expired."""
-        return stopped_s + self._lease_s * LEASE_DRIFT_FACTOR + LEASE_MARGIN_S
+        return stopped_s + self._longest_lease_s * LEASE_DRIFT_FACTOR + LEASE_MARGIN_S
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -111,13 +111,12 @@
             clock,
             LISTING_POLL_INTERVAL_S,
         )
-        self.lease_s = min(LEASE_S, limits.longest_lease_s)
         self.on_lost = on_lost
         self.log = logbook.Logger("owner")
         self.shard = Shard(
             service,
             row.token,
-            self.lease_s,
+            min(LEASE_S, limits.longest_lease_s),
             longest_lease_s=limits.longest_lease_s,
             evacuations=evacuations
             and Evacuations(evacuations.decode, evacuations.bound_s),
@@ -126,7 +125,7 @@
         self._evacuation_watch = evacuations and EvacuationWatch(
             store, evacuations, self.shard.evacuations, clock, self._identify()
         )
-        self.inherited_leases = InheritedLeases(self.shard, self.lease_s)
+        self.inherited_leases = InheritedLeases(self.shard, limits.longest_lease_s)
         self.lost = False
         self.handing_over = False
         self.evidence = OwnershipEvidence(clock)
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -31,6 +31,7 @@
     leased_workers_row_key,
     owner_row_key,
 )
+from fuchsiascale.jobs._worker_clocks import CLOCK_DRIFT
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -55,7 +56,7 @@
     return RelayedWorkers(None, None, None, ManualClock())
 
 
-def make_owner(store, token=1):
+def make_owner(store, token=1, limits=None):
     row = OwnerRow(token=token, instance="a", incarnation="1", address="10.0.0.1:80")
     owner = Owner(
         "pool",
@@ -64,7 +65,7 @@
         store,
         make_workers(),
         WorkerListing("servers", lambda row: None),
-        OwnerLimits(),
+        limits or OwnerLimits(),
         ManualClock(),
         lambda owner: None,
     )
@@ -179,6 +180,16 @@
     assert 8.0 < owner.shard.unconfirmed_workers["w2"] < 9.0
 
 
+async def test_a_successor_waits_for_the_longest_lease_of_a_worker_it_never_reached():
+    # A worker that restarted under the earlier owner took a lease longer than granted.
+    owner, _ = make_owner(BlockingStore(), limits=OwnerLimits(longest_lease_s=10.0))
+    leases = owner.inherited_leases
+    leases.restore_ledger(LedgerRow(token=0, write="", settled=True))
+    leases.add("w2", 0.0)
+    leases.mark_stopped(2.0)
+    assert owner.shard.unconfirmed_workers["w2"] > 2.0 + 10.0 / (1 - CLOCK_DRIFT)
+
+
 async def test_an_earlier_owner_that_may_still_grant_leases_is_waited_for():
     # The previous owner was gone before it had reached all workers of the one before.
     for ledger in (None, LedgerRow(token=0, write=""), LedgerRow(token=-1, write="")):
