Take the first answer of a worker for its longest lease at a successor too

Callers saw a task run twice at once: its worker had restarted under the earlier owner, answered the successor once or for a while, and was cut off.

An owner that knew an earlier incarnation took the lease of the new one for the longest that the worker takes; a successor knew none, and reckoned with the usual 6 s from its first answer. The worker's lease, taken from a call on the clock before, ran for up to 10 s from a moment before that answer.

No worker holds a lease longer than its longest from its last answer on, whoever granted it, so the bound needs no knowledge of earlier incarnations. It matters for the first 4 s after a claim only: grants of 6 s exceed it then.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -78,12 +78,11 @@
         if worker.doubted_s is not None and sent_s > worker.doubted_s:
             worker.doubted_s = None
         return
-    # The previous owner may have granted a lease immediately before. A restarted
-    # worker takes the end of a lease on the clock before for a time far away.
-    lease_ms = shard.longest_lease_ms if worker.incarnation else shard.lease_ms
     if inventory.incarnation != worker.incarnation:
         _handle_restart(shard, worker, inventory, sent_s, now_s)
-    worker.granted_until_ms = inventory.clock_ms + lease_ms
+    # A call on the clock of an earlier incarnation, perhaps by an earlier owner, ends
+    # far away on this one, so that the worker has taken its longest lease.
+    worker.granted_until_ms = inventory.clock_ms + shard.longest_lease_ms
     shard.note_claimed(worker, now_s)
 
 
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -52,7 +52,7 @@
     token : int
         The owner's fencing token.
     lease_s : float
-        Longest lease that any owner grants.
+        Length of the leases that owners grant.
     log : logbook.Logger, optional
         Where decisions are logged.
     longest_lease_s : float, optional
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -21,6 +21,7 @@
 from fuchsiascale.jobs.tests.test_shard import (
     JOB,
     make_end,
+    make_record,
     make_worker,
     start_first_task,
 )
@@ -203,6 +204,21 @@
     assert shard.grant_lease(worker, 2.01) == 300 + LEASE_S * 1_000
 
 
+def test_a_successor_takes_the_first_lease_of_a_worker_for_the_longest():
+    # The successor doesn't know that the worker restarted under the earlier owner.
+    shard = Shard("pool", 2, LEASE_S, longest_lease_s=LONGEST_LEASE_S)
+    shard.loaded = True
+    worker = shard.update_worker(make_worker(), 0.0)
+    job = shard.add_job(make_record(), 1, 0.0, 0)
+    running = (RunningAttempt(FIRST, 1),)
+    shard.observe(worker, make_inventory(2, 541, running), 2.0, 2.0)
+    task = job.find_task(0, 0, 0)
+    confirm_owner(shard, 2.0 + LEASE_S + 1.0)
+    assert not task.waiting
+    confirm_owner(shard, 2.0 + LONGEST_LEASE_S / 0.98 + 0.3)
+    assert task.waiting
+
+
 def test_a_late_start_is_stopped_at_the_new_incarnation_after_its_task_runs_elsewhere():
     # The old incarnation had answered the stop; the new one would carry out the start.
     for age_s, expected in ((5.0, 1), (15.0, 0)):
