Keep a start that a worker's next incarnation may carry out unseen

Callers saw a task start again while it ran: its first start was sent to a worker that had just restarted, was held back or answered by the new incarnation, and the worker was cut off before an exchange told of that. The owner took the attempt for lost when the lease on the clock before had expired; the new incarnation, which shortens that lease to its longest, ran it for longer.

The new test failed with the lease of the worker alone.

Where the list or a clock that is behind shows that the worker has restarted, such a start now counts as running until the longest lease after the last moment at which it may be carried out. Without that sign the usual lease holds, so that tasks of workers that are gone wait no longer than before.

--- a/fuchsiascale/jobs/_conclusions.py
+++ b/fuchsiascale/jobs/_conclusions.py
@@ -5,6 +5,8 @@
 has shown the owner as such. Functions change the shard and do no I/O.
 """
 
+from fuchsiascale.jobs._worker_clocks import measure_lease_s
+
 __all__ = [
     "confirm_owner",
     "end_wait_for_worker",
@@ -24,11 +26,8 @@
     """
     shard.confirmed_s = confirmed_s
     for worker in shard.workers.values():
-        expired = (
-            worker.lease_expiry_s is not None and confirmed_s > worker.lease_expiry_s
-        )
-        if expired and (worker.attempts or worker.orphans):
-            mark_all_lost(shard, worker, worker.lease_expiry_s, "lease over")
+        if worker.lease_expiry_s is not None and confirmed_s > worker.lease_expiry_s:
+            _mark_expired(shard, worker, confirmed_s)
     for worker_id, until_s in list(shard.unconfirmed_workers.items()):
         if confirmed_s > until_s:
             _log_unreached(shard, worker_id)
@@ -44,15 +43,39 @@
     then_s = shard.confirmed_s
     if shard.concluded_s >= then_s:
         return True
-    expiries_s = [
-        worker.lease_expiry_s
-        for worker in shard.workers.values()
-        if (worker.attempts or worker.orphans) and worker.lease_expiry_s is not None
-    ]
+    expiries_s = []
+    for worker in shard.workers.values():
+        if worker.lease_expiry_s is not None and (worker.attempts or worker.orphans):
+            expiries_s.append(worker.lease_expiry_s)
+            if worker.has_restarted:
+                attempts = worker.attempts.values()
+                expiries_s += [_compute_expiry(shard, attempt) for attempt in attempts]
     expiries_s += shard.unconfirmed_workers.values()
     return any(then_s <= expiry_s < now_s for expiry_s in expiries_s)
 
 
+def _mark_expired(shard, worker, confirmed_s):
+    """Mark the attempts on a worker as lost whose lease had expired at a time."""
+    for attempt in list(worker.attempts.values()):
+        expiry_s = _compute_expiry(shard, attempt)
+        if confirmed_s > expiry_s:
+            mark_lost(shard, attempt, expiry_s, "lease over")
+    forget_orphans(shard, worker, worker.lease_expiry_s)
+
+
+def _compute_expiry(shard, attempt):
+    """Return the monotonic time at which an attempt's lease has expired for certain.
+
+    A start that was sent to an earlier incarnation of the worker gives the one that
+    carries it out the longest lease.
+    """
+    worker = attempt.worker
+    if not (attempt.is_start_in_doubt and worker.has_restarted):
+        return worker.lease_expiry_s
+    longest_s = measure_lease_s(shard.longest_lease_ms)
+    return max(worker.lease_expiry_s, attempt.start_until_s + longest_s)
+
+
 def end_wait_for_worker(shard, worker, now_s):
     """Note that it is known what earlier owners started on a worker.
 
--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -136,6 +136,7 @@
     worker.last_seen_end = worker.last_recorded_end = 0
     worker.clock_ms = None
     worker.doubted_s = None
+    worker.saw_later_clock = False
 
 
 def _apply_running(shard, worker, running, is_exclusive, now_s):
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -52,7 +52,10 @@
     has_full_run_time : bool
         Whether the run time is that of the whole task at full speed.
     is_start_in_doubt : bool
-        Whether its start was not answered, and it was not seen running since.
+        Whether its start was not answered by the known incarnation of the worker, and
+        it was not seen running since.
+    start_until_s : float or None
+        Monotonic time until which such a start may be carried out.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         "phase",
         "phase_since_s",
         "progressed_at_s",
+        "start_until_s",
         "stop_answered_s",
         "stop_sent_s",
         "target_pace",
@@ -89,6 +93,12 @@
         self.stop_answered_s = None
         self.has_full_run_time = not task.checkpoint
         self.is_start_in_doubt = False
+        self.start_until_s = None
+
+    def doubt_start(self, until_s):
+        """Note that the start may be carried out unseen until a time."""
+        self.is_start_in_doubt = True
+        self.start_until_s = until_s
 
     def enter_phase(self, phase, now_s):
         """Enter a phase."""
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -27,7 +27,7 @@
     compute_lease_expiry,
     estimate_clock_ms,
 )
-from fuchsiascale.jobs._worker_state import WorkerRun
+from fuchsiascale.jobs._worker_state import LATE_CALL_S, WorkerRun
 
 __all__ = ["Shard"]
 
@@ -385,8 +385,10 @@
             attempt.worker.set_target_pace(attempt, percent)
             self.commands.append(PaceCommand(attempt, percent))
 
-    def note_started(self, attempt, now_s):
-        """Note that a worker has carried out a start."""
+    def note_started(self, attempt, now_s, by_later_incarnation=False):
+        """Note that a worker, perhaps a later incarnation, has carried out a start."""
+        if by_later_incarnation:
+            attempt.doubt_start(now_s)
         if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
             attempt.enter_phase(AttemptPhase.RUNNING, now_s)
         self.events["started"] += 1
@@ -406,7 +408,7 @@
         attempt.worker.note_start_unanswered(attempt, now_s)
         if attempt.phase is AttemptPhase.STARTING:
             attempt.enter_phase(AttemptPhase.IN_DOUBT, now_s)
-            attempt.is_start_in_doubt = True
+            attempt.doubt_start(now_s + LATE_CALL_S)
             attempt.worker.blocked_until_s = now_s + NO_ROOM_PAUSE_S
         self._stop_if_obsolete(attempt, now_s)
 
--- a/fuchsiascale/jobs/_worker_clocks.py
+++ b/fuchsiascale/jobs/_worker_clocks.py
@@ -7,6 +7,7 @@
     "CLOCK_DRIFT",
     "compute_lease_expiry",
     "estimate_clock_ms",
+    "measure_lease_s",
     "record_clock_reading",
 ]
 
@@ -20,10 +21,13 @@
     """Set the monotonic time at which a worker's lease has expired for certain."""
     if worker.clock_ms is None:
         return
-    left_s = max(0, worker.granted_until_ms - worker.clock_ms) / 1000
-    worker.lease_expiry_s = (
-        worker.clock_read_s + left_s / (1 - CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
-    )
+    left_ms = max(0, worker.granted_until_ms - worker.clock_ms)
+    worker.lease_expiry_s = worker.clock_read_s + measure_lease_s(left_ms)
+
+
+def measure_lease_s(length_ms):
+    """Return the time in which a lease of a length has expired on any worker."""
+    return length_ms / 1000 / (1 - CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
 
 
 def record_clock_reading(worker, clock_ms, now_s):
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -120,7 +120,7 @@
                     "start answered by a clock that is behind",
                     extra={"task": attempt.task.name, "worker": worker.worker},
                 )
-            shard.note_started(attempt, now_s)
+            shard.note_started(attempt, now_s, is_other)
             if attempt.task.step.spec.fills:
                 self._on_change()
             return
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -46,6 +46,8 @@
     doubted_s : float or None
         Monotonic time of the last sign that the worker may have restarted; None once
         it has answered an exchange that was sent later.
+    saw_later_clock : bool
+        Whether a start was answered by the clock of a later incarnation.
     silent : bool
         Whether the last exchange returned no inventory.
     in_leased_workers : bool
@@ -88,6 +90,7 @@
         self.starts_in_flight = 0
         self.unanswered_starts = {}
         self.doubted_s = None
+        self.saw_later_clock = False
         self.silent = False
         self.in_leased_workers = False
         self.storable = True
@@ -132,6 +135,12 @@
             return 0
         return self.last_recorded_end
 
+    @property
+    def has_restarted(self):
+        """Whether there is another incarnation than the one that answered last."""
+        is_listed_anew = self.listed.incarnation not in (0, self.incarnation)
+        return bool(self.incarnation) and (is_listed_anew or self.saw_later_clock)
+
     def measure_claimed_s(self, now_s):
         """Return how long ago this incarnation answered first; None if it never did."""
         return round(now_s - self.claimed_s, 3) if self.claimed else None
@@ -207,6 +216,8 @@
         )
         if not is_same:
             self.doubted_s = now_s
+        if clock_ms is not None and not is_same:
+            self.saw_later_clock = True
         return not is_same
 
     def note_start_unanswered(self, attempt, now_s):
@@ -243,12 +254,12 @@
         """Set the worker's entry in the platform's list, which has it at present."""
         if listed.capacity != self.listed.capacity:
             self._forget_derived()
-        if listed.incarnation not in (0, self.incarnation) and self.incarnation:
-            self.doubted_s = now_s
         is_same_start = listed.incarnation == self.listed.incarnation
         if not is_same_start or listed.cold_left_ms != self.listed.cold_left_ms:
             self._note_cold(listed, now_s)
         self.listed = listed
+        if self.has_restarted:
+            self.doubted_s = now_s
         self.is_listed = True
 
     def _note_cold(self, listed, now_s):
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -274,6 +274,32 @@
     assert task.waiting
 
 
+def test_a_start_that_the_next_incarnation_carries_out_is_kept_for_its_longest_lease():
+    # The worker is cut off before the owner learns of that by an exchange.
+    longest_s = LONGEST_LEASE_S / 0.98
+    for is_answered, is_listed_anew, until_s in (
+        (False, False, 0.1 + longest_s),
+        (False, True, 1.2 + LATE_CALL_S + longest_s),
+        (True, False, 1.2 + longest_s),
+    ):
+        shard = make_shard()
+        worker, attempt = start_first_task(shard)
+        worker.note_start_sent()
+        is_other = worker.note_start_reply(300 if is_answered else None, 1.0, 1.2)
+        if is_answered:
+            shard.note_started(attempt, 1.2, is_other)
+        else:
+            shard.note_start_unanswered(attempt, 1.2)
+        if is_listed_anew:
+            entry = msgspec.structs.replace(make_worker(), incarnation=2)
+            shard.update_worker(entry, 1.3)
+        shard.note_silence(worker, 2.0)
+        confirm_owner(shard, until_s)
+        assert not attempt.task.waiting, (is_answered, is_listed_anew)
+        confirm_owner(shard, until_s + 0.3)
+        assert attempt.task.waiting, (is_answered, is_listed_anew)
+
+
 def test_a_late_start_is_stopped_at_the_new_incarnation_after_its_task_runs_elsewhere():
     # The old incarnation had answered the stop; the new one would carry out the start.
     for age_s, expected in ((5.0, 1), (15.0, 0)):
