--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -22,6 +22,7 @@
     job_row_key,
     split_task,
 )
+from fuchsiascale.jobs._inherited_leases import LEASE_DRIFT_FACTOR
 from fuchsiascale.jobs.tests._simulation_faults import Faults
 from fuchsiascale.jobs.tests._simulation_instance import Instance
 from fuchsiascale.jobs.tests._simulation_loop import ProcessLoop
@@ -46,7 +47,8 @@
 """Time before the first fault; an instance that has run for 15 s knows its peers."""
 FAULTY_S = 40.0
 STANDSTILL_S = 25.0
-"""Time after the faults without a start or an end after which open jobs are lost."""
+"""Time after the faults without a start or an end after which open jobs are lost. It is
+longer by what a longer lease adds to the wait for inherited tasks."""
 MAX_SETTLING_S = 90.0
 """Time after the faults in which jobs may end; final states are kept for 150 s."""
 CALLER_TIMEOUT_S = 3.0
@@ -286,13 +288,15 @@
     async def _settle(self):
         """Wait until all jobs have ended, or nothing starts or ends any more."""
         end_s = self.clock.monotonic() + MAX_SETTLING_S
+        longer_s = LEASE_DRIFT_FACTOR * (self.longest_lease_s - USUAL_LEASE_S)
+        standstill_s = STANDSTILL_S + longer_s
         await asyncio.sleep(CALLER_TRIES * CALLER_TIMEOUT_S)
         while open_jobs := self._list_open_jobs():
             now_s = self.clock.monotonic()
-            if now_s - self.record.changed_s > STANDSTILL_S:
+            if now_s - self.record.changed_s > standstill_s:
                 for job in open_jobs:
                     self.record.report(Rule.LOST, f"{job} has not ended")
-            if now_s - self.record.changed_s > STANDSTILL_S or now_s > end_s:
+            if now_s - self.record.changed_s > standstill_s or now_s > end_s:
                 return
             await asyncio.sleep(1.0)
 
