Grant nothing on a worker's old clock once a later one has answered a start

Callers would see a task run twice at once: between the reply to a start that a new incarnation has carried out and its first exchange, the owner went on to grant leases on the clock before and to send starts, and each of them gave the new incarnation its longest lease anew.

A clock that is behind in a reply now stops grants and starts until an exchange that was sent later is answered, by this incarnation or the next one.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -78,6 +78,7 @@
     if inventory.incarnation == worker.incarnation and worker.claimed:
         if worker.doubted_s is not None and sent_s > worker.doubted_s:
             worker.doubted_s = None
+            worker.saw_later_clock = False
         if not worker.is_fenced and sent_s >= worker.claimed_s:
             worker.is_fenced = True
             worker.granted_until_ms = inventory.clock_ms + shard.longest_lease_ms
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -264,10 +264,13 @@
 
         Returns None where no lease may be granted. A worker that did not answer gets
         none: each grant in flight may take effect late, so that its lease could never
-        be assumed to have expired.
+        be assumed to have expired. Nor does one of which a later incarnation has
+        answered a start: the lease would end on the clock of the one before.
         """
         if worker.silent or not worker.claimed or worker.clock_ms is None:
             return None
+        if worker.saw_later_clock:
+            return None
         until_ms = estimate_clock_ms(worker, now_s) + self.lease_ms
         worker.granted_until_ms = max(worker.granted_until_ms, until_ms)
         compute_lease_expiry(worker)
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -165,6 +165,7 @@
         return (
             self.claimed
             and self.is_fenced
+            and not self.saw_later_clock
             and not self.silent
             and self.in_leased_workers
             and self.is_listed
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -300,6 +300,18 @@
         assert attempt.task.waiting, (is_answered, is_listed_anew)
 
 
+def test_nothing_is_granted_on_the_clock_before_once_a_later_one_has_answered(shard):
+    worker = shard.workers["w1"]
+    worker.in_leased_workers = True
+    answer_start(shard, 300)
+    assert shard.grant_lease(worker, 1.0) is None
+    assert not worker.is_usable(1.0)
+    # The reply may have been overtaken: the incarnation is the same.
+    shard.observe(worker, make_inventory(1, CLOCK_MS + 1_100), 1.1, 1.2)
+    assert shard.grant_lease(worker, 1.2) is not None
+    assert worker.is_usable(1.2)
+
+
 def test_a_late_start_is_stopped_at_the_new_incarnation_after_its_task_runs_elsewhere():
     # The old incarnation had answered the stop; the new one would carry out the start.
     for age_s, expected in ((5.0, 1), (15.0, 0)):
