Stop a late start at each incarnation of its worker that may carry it out

Callers would see a task run twice at once: a start without an answer may take effect up to 12 s later. It was stopped at the next incarnation of its worker and then forgotten, so that the incarnation after that, which knows nothing of the stop, carried it out.

Such starts are now forgotten by age alone.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -128,7 +128,7 @@
     for attempt in lost:
         mark_lost(shard, attempt, now_s, "worker restarted")
     forget_orphans(shard, worker, now_s)
-    for name, number in worker.take_late_starts(now_s):
+    for name, number in worker.list_late_starts(now_s):
         if name not in worker.attempts:
             shard.stop_orphan(worker, name, number)
     if worker.claimed:
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -226,12 +226,10 @@
         self._forget_late_starts(now_s)
         self.unanswered_starts[attempt.task.name] = (attempt.number, now_s)
 
-    def take_late_starts(self, now_s):
-        """Return the starts that may still take effect, and forget them."""
+    def list_late_starts(self, now_s):
+        """Return the starts that may still take effect, each with its number."""
         self._forget_late_starts(now_s)
-        late = [(name, number) for name, (number, _) in self.unanswered_starts.items()]
-        self.unanswered_starts = {}
-        return late
+        return [(name, number) for name, (number, _) in self.unanswered_starts.items()]
 
     def _forget_late_starts(self, now_s):
         self.unanswered_starts = {
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -322,3 +322,13 @@
         shard.drain_commands()
         restart(shard, 1.2 + age_s)
         assert shard.drain_commands() == [StopCommand(worker, FIRST, 1)] * expected
+
+
+def test_a_late_start_is_stopped_at_each_incarnation_that_may_carry_it_out(shard):
+    worker, attempt = start_first_task(shard)
+    shard.note_start_unanswered(attempt, 1.2)
+    mark_lost(shard, attempt, 1.5, "not there after its stop")
+    for incarnation, sent_s in ((2, 3.0), (3, 5.0)):
+        shard.drain_commands()
+        shard.observe(worker, make_inventory(incarnation, 300), sent_s, sent_s)
+        assert shard.drain_commands() == [StopCommand(worker, FIRST, 1)], incarnation
