Let the workers of a test answer starts with a clock that goes on

Their replies came from a clock that stood still, which is the sign of a later incarnation, and nothing more is sent after that since 'Grant nothing on a worker's old clock once a later one has answered a start': the test of planned starts in evacuated domains failed from then on. The workers now answer with the time that has passed; what the test checks is unchanged.

--- a/fuchsiascale/jobs/tests/test_evacuations.py
+++ b/fuchsiascale/jobs/tests/test_evacuations.py
@@ -215,7 +215,8 @@
     async def start(self, worker, request):
         self.starts.append(worker.worker)
         self.lease_ends_ms.add(request.lease_until_ms)
-        return Success(Executed(clock_ms=2_000))
+        passed_ms = int(1_000 * LoopClock().monotonic())
+        return Success(Executed(clock_ms=1_000 + passed_ms))
 
 
 async def send_starts(shard, now_evacuated):
