Don't send a planned start to an incarnation that isn't confirmed yet

Callers would see a task run twice at once: a start that was planned for one incarnation of a worker was sent, one pass of the event loop later, to the next, which may have forgotten the token of a successor that has started the task elsewhere.

A start is now sent under the condition under which it is planned: the incarnation is fenced, and the store has confirmed the owner since its first answer.

--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -214,17 +214,21 @@
         return not self.unconfirmed_workers
 
     def may_use(self, worker, now_s):
-        """Return whether new attempts may be started on a worker.
-
-        An incarnation that has not seen a later owner refuses nothing. A later owner
-        that is claimed after its first answer will look for attempts there.
-        """
+        """Return whether new attempts may be started on a worker."""
         return (
-            worker.claimed_s < self.confirmed_s
+            self.may_send_start(worker)
             and worker.is_usable(now_s)
             and not self.is_evacuated(worker, now_s)
         )
 
+    def may_send_start(self, worker):
+        """Return whether no earlier or later owner acts on a worker's incarnation.
+
+        One that has not seen a later owner refuses nothing. A later owner that is
+        claimed after its first answer will look for attempts there.
+        """
+        return worker.is_fenced and worker.claimed_s < self.confirmed_s
+
     def is_evacuated(self, worker, now_s):
         """Return whether nothing may be started in a worker's failure domain.
 
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -94,11 +94,11 @@
             self._on_change()
             return
         until_ms = None
-        if self._may_grant():
+        if self._may_grant() and shard.may_send_start(worker):
             until_ms = shard.grant_start_lease(worker, sent_s)
         if until_ms is None:
-            # The worker stopped answering after the round, or the process was paused
-            # and may have been replaced: nothing has been sent.
+            # The worker stopped answering or restarted after the round, or the process
+            # was paused and may have been replaced: nothing has been sent.
             shard.note_start_refused(attempt, RefusedReason.UNHEALTHY, sent_s)
             return
         worker.note_start_sent()
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -117,6 +117,17 @@
     await owner.stop()
 
 
+async def test_a_start_that_was_planned_is_not_sent_to_a_later_incarnation():
+    # It has forgotten the token of a successor that may have started the task.
+    owner, worker, task = make_running_owner(OwnerRowStore())
+    end_attempt(owner, worker, task)
+    attempt = owner.shard.start_task(task, worker, 0.4)
+    restart_worker(owner, worker)
+    await owner.links._start(attempt)
+    assert task.waiting
+    await owner.stop()
+
+
 class FailingCalls:
     """Calls to workers whose exchanges fail."""
 
