Reckon with late exchanges where a later incarnation has answered a start

Callers would see a task run twice at once: a new incarnation answered a start, took its longest lease anew from an exchange that was held back, and was cut off. The owner freed the task 7.8 s before that lease ended.

--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -55,7 +55,8 @@
         Whether its start was not answered by the known incarnation of the worker, and
         it was not seen running since.
     start_until_s : float or None
-        Monotonic time until which such a start may be carried out.
+        Monotonic time until which such a start, or an earlier call that extends its
+        lease, may be carried out.
     """
 
     __slots__ = (
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -395,7 +395,8 @@
     def note_started(self, attempt, now_s, by_later_incarnation=False):
         """Note that a worker, perhaps a later incarnation, has carried out a start."""
         if by_later_incarnation:
-            attempt.doubt_start(now_s)
+            # An exchange that was sent before may still extend its lease.
+            attempt.doubt_start(now_s + LATE_CALL_S)
         if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.IN_DOUBT):
             attempt.enter_phase(AttemptPhase.RUNNING, now_s)
         self.events["started"] += 1
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -280,7 +280,7 @@
     for is_answered, is_listed_anew, until_s in (
         (False, False, 0.1 + longest_s),
         (False, True, 1.2 + LATE_CALL_S + longest_s),
-        (True, False, 1.2 + longest_s),
+        (True, False, 1.2 + LATE_CALL_S + longest_s),
     ):
         shard = make_shard()
         worker, attempt = start_first_task(shard)
