Raise the fencing token after each call without an answer

What answers the next exchange now refuses it, also an incarnation that this owner hasn't heard of. What arrives before any answer is still carried out.

--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -36,8 +36,8 @@
 UNHEALTHY_PAUSE_S = 1.5
 """Pause of a worker that refused a start because it is unhealthy."""
 FENCING_TOKENS_PER_OWNER = 1_000_000_000
-"""Number of fencing tokens that an owner's calls to a worker may have. A start takes
-one at most, and JSON numbers are exact for up to nine million owners."""
+"""Number of fencing tokens that an owner's calls to a worker may have. It takes one a
+call at most, and JSON numbers are exact for up to nine million owners."""
 SUSPENSION_S = 2.0
 """First suspension of a worker on which attempts fail or stall. Each further one is
 twice as long, until an attempt succeeds there."""
@@ -306,7 +306,12 @@
         apply_inventory(self, worker, inventory, sent_s, now_s)
 
     def note_silence(self, worker, now_s):
-        """Note that a worker did not answer an exchange."""
+        """Note that a worker did not answer an exchange.
+
+        What answers the next one, perhaps a later incarnation, refuses that one and all
+        before it.
+        """
+        worker.advance_fence()
         worker.silent = True
         worker.doubted_s = now_s
 
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -222,7 +222,11 @@
         return not is_same
 
     def note_start_unanswered(self, attempt, now_s):
-        """Note that a start has had no answer, and may take effect late."""
+        """Note that a start has had no answer, and may take effect late.
+
+        What answers a later exchange refuses it.
+        """
+        self.advance_fence()
         self._forget_late_starts(now_s)
         self.unanswered_starts[attempt.task.name] = (attempt.number, now_s)
 
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -244,6 +244,18 @@
         assert not worker.may_acknowledge
 
 
+def test_calls_without_an_answer_are_refused_after_the_next_exchange(shard):
+    # They would be carried out by an incarnation that has forgotten all tokens.
+    worker, attempt = start_first_task(shard)
+    for miss in (
+        lambda: shard.note_start_unanswered(attempt, 1.2),
+        lambda: shard.note_silence(worker, 1.3),
+    ):
+        before = shard.get_fencing_token(worker)
+        miss()
+        assert shard.get_fencing_token(worker) > before
+
+
 def test_a_worker_that_comes_back_refuses_calls_from_before_it_was_dropped(shard):
     before = shard.get_fencing_token(shard.workers["w1"])
     shard.drop_worker("w1")
