Take no refusal by a worker that was added anew for a later owner

An owner gave its service up when a stop was under way to a worker that left the list and came back: the worker had seen the owner's own higher token, which was compared with the token of the entry that was dropped. It cost one needless takeover.

--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -145,6 +145,8 @@
         """
         if not (isinstance(error, Refused) and error.reason is RefusedReason.FENCED):
             return False
+        # The worker may have been dropped and added anew meanwhile.
+        worker = self.shard.workers.get(worker.worker, worker)
         if token < self.shard.get_fencing_token(worker):
             return True
         self._on_lost("a worker has seen a higher token")
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -181,6 +181,27 @@
     await owner.stop()
 
 
+async def test_a_stop_refused_by_a_worker_that_was_added_anew_is_no_loss_of_ownership():
+    owner, worker, task = make_running_owner(OwnerRowStore())
+    owner.links.calls = ReaddingCalls(owner.shard, worker)
+    await owner.links._stop(StopCommand(worker, task.name, 1))
+    assert not owner.lost
+    await owner.stop()
+
+
+class ReaddingCalls:
+    """Calls during which their worker leaves the list and comes back."""
+
+    def __init__(self, shard, worker):
+        self.shard = shard
+        self.listed = worker.listed
+
+    async def stop(self, worker, task, number, token):
+        self.shard.drop_worker(self.listed.worker)
+        self.shard.update_worker(self.listed, 1.0)
+        return Failure(Refused(RefusedReason.FENCED))
+
+
 async def test_a_worker_is_kept_while_it_may_run_an_attempt_that_is_being_stopped():
     # The successor may have adopted that attempt, and extended the worker's lease.
     owner, worker, task = make_running_owner(OwnerRowStore())
