Name a worker's state after a restart by what it does

The old name read as if the worker were shut out, though it means that it may be used again. The reason for a condition at a restart is told. No change in behaviour.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -79,8 +79,8 @@
         if worker.doubted_s is not None and sent_s > worker.doubted_s:
             worker.doubted_s = None
             worker.saw_later_clock = False
-        if not worker.is_fenced and sent_s >= worker.claimed_s:
-            worker.is_fenced = True
+        if not worker.refuses_former_calls and sent_s >= worker.claimed_s:
+            worker.refuses_former_calls = True
             worker.granted_until_ms = inventory.clock_ms + shard.longest_lease_ms
         return
     if inventory.incarnation != worker.incarnation:
@@ -89,7 +89,7 @@
     # far away on this one, so that the worker has taken its longest lease. Until it is
     # fenced, another such call may arrive.
     worker.granted_until_ms = inventory.clock_ms + shard.longest_lease_ms
-    if not worker.is_fenced:
+    if not worker.refuses_former_calls:
         worker.granted_until_ms += int(LATE_CALL_S * 1000)
     shard.note_claimed(worker, now_s)
 
@@ -132,8 +132,9 @@
         if name not in worker.attempts:
             shard.stop_orphan(worker, name, number)
     if worker.claimed:
+        # Before its first answer, this owner has sent it neither starts nor leases.
         worker.advance_fence()
-        worker.is_fenced = False
+        worker.refuses_former_calls = False
     worker.last_seen_end = worker.last_recorded_end = 0
     worker.clock_ms = None
     worker.doubted_s = None
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -227,7 +227,7 @@
         One that has not seen a later owner refuses nothing. A later owner that is
         claimed after its first answer will look for attempts there.
         """
-        return worker.is_fenced and worker.claimed_s < self.confirmed_s
+        return worker.refuses_former_calls and worker.claimed_s < self.confirmed_s
 
     def is_evacuated(self, worker, now_s):
         """Return whether nothing may be started in a worker's failure domain.
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -222,7 +222,7 @@
         until_ms = shard.grant_lease(worker, sent_s) if self._may_grant() else None
         is_urgent = (
             until_ms is None
-            or not worker.is_fenced
+            or not worker.refuses_former_calls
             or worker.last_seen_end > worker.last_recorded_end
         )
         wait_ms = 0 if is_urgent else EXCHANGE_WAIT_MS
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -31,10 +31,11 @@
     claimed_s : float
         Monotonic time of its first answer.
     fencing_epoch : int
-        Part of the fencing token of calls to the worker; see `advance_fence`.
-    is_fenced : bool
+        Lower part of the fencing token of calls to the worker; see `advance_fence`.
+    refuses_former_calls : bool
         Whether this incarnation has answered an exchange that was sent after its first
-        answer, so that it refuses the calls meant for the incarnation before.
+        answer, so that it refuses the calls meant for the incarnation before. It is
+        False from a restart until then.
     may_acknowledge : bool
         Whether an exchange with the present epoch that acknowledges ends is on its way
         or was not answered, so that it may be carried out later.
@@ -85,7 +86,7 @@
         self.claimed = False
         self.claimed_s = 0.0
         self.fencing_epoch = fencing_epoch
-        self.is_fenced = True
+        self.refuses_former_calls = True
         self.may_acknowledge = False
         self.starts_in_flight = 0
         self.unanswered_starts = {}
@@ -164,7 +165,7 @@
         """Return whether new attempts may be started on the worker."""
         return (
             self.claimed
-            and self.is_fenced
+            and self.refuses_former_calls
             and not self.saw_later_clock
             and not self.silent
             and self.in_leased_workers
