Note only exchanges under way that acknowledge ends

Since the fencing token rises after each exchange without an answer, none that was not answered needs to be remembered. The test that set this state by hand now sends an exchange and a start through the links, and asks the same; it fails if the exchange isn't noted, or if the start takes its token before. A second test covers an exchange without an answer.

--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -228,15 +228,13 @@
         wait_ms = 0 if is_urgent else EXCHANGE_WAIT_MS
         token = shard.get_fencing_token(worker)
         acknowledged = worker.acknowledgeable_end
-        may_acknowledge_already = worker.may_acknowledge
-        worker.may_acknowledge |= acknowledged > 0
+        worker.is_acknowledging = acknowledged > 0
         reply = await self.calls.exchange(
             worker.listed, token, acknowledged, until_ms, wait_ms
         )
+        worker.is_acknowledging = False
         now_s = self.clock.monotonic()
         if isinstance(reply, Success):
-            if token == shard.get_fencing_token(worker):
-                worker.may_acknowledge = may_acknowledge_already
             last_seen_end = worker.last_seen_end
             shard.observe(worker, reply.unwrap(), sent_s, now_s)
             observe_tail_latencies(shard, worker, now_s)
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -36,9 +36,8 @@
         Whether this incarnation has answered an exchange that was sent after its first
         answer, so that it refuses the calls meant for the incarnation before. It is
         False from a restart until then.
-    may_acknowledge : bool
-        Whether an exchange with the present epoch that acknowledges ends is on its way
-        or was not answered, so that it may be carried out later.
+    is_acknowledging : bool
+        Whether an exchange that acknowledges ends is on its way.
     starts_in_flight : int
         Number of starts without a reply yet.
     unanswered_starts : dict
@@ -87,7 +86,7 @@
         self.claimed_s = 0.0
         self.fencing_epoch = fencing_epoch
         self.refuses_former_calls = True
-        self.may_acknowledge = False
+        self.is_acknowledging = False
         self.starts_in_flight = 0
         self.unanswered_starts = {}
         self.doubted_s = None
@@ -182,7 +181,6 @@
         perhaps to an earlier incarnation.
         """
         self.fencing_epoch += 1
-        self.may_acknowledge = False
 
     def note_start_sent(self):
         """Note that a start is about to be sent to the worker.
@@ -191,7 +189,7 @@
         carried out late, and by an incarnation that numbers its ends anew.
         """
         self.starts_in_flight += 1
-        if self.may_acknowledge:
+        if self.is_acknowledging:
             self.advance_fence()
 
     def note_start_reply(self, clock_ms, sent_s, now_s):
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -20,7 +20,7 @@
     RunningAttempt,
     StopCommand,
 )
-from fuchsiascale.jobs._conclusions import mark_all_lost
+from fuchsiascale.jobs._conclusions import confirm_owner, mark_all_lost
 from fuchsiascale.jobs.tests.test_owner import (
     JOB,
     OwnerRowStore,
@@ -181,6 +181,55 @@
     await owner.stop()
 
 
+class HeldExchange:
+    """Calls of which an exchange is on its way while a start is sent.
+
+    The exchange is answered or not.
+    """
+
+    def __init__(self, owner, attempt, reply):
+        self.owner = owner
+        self.attempt = attempt
+        self.reply = reply
+        self.tokens = []
+
+    async def exchange(self, worker, token, *arguments):
+        self.tokens.append(token)
+        if self.attempt is not None:
+            attempt, self.attempt = self.attempt, None
+            await self.owner.links._start(attempt)
+        return self.reply
+
+    async def start(self, worker, request):
+        self.tokens.append(request.token)
+        return Success(Executed(clock_ms=10_000))
+
+
+async def test_an_exchange_sent_before_a_start_can_not_acknowledge_its_end():
+    # The exchange was held back, and a later incarnation carried out the start first.
+    for acknowledged in (0, 1):
+        owner, worker, task = make_running_owner(OwnerRowStore())
+        end_attempt(owner, worker, task)
+        worker.last_recorded_end = acknowledged
+        confirm_owner(owner.shard, 0.4)
+        attempt = owner.shard.start_task(task, worker, 0.4)
+        inventory = Success(Inventory(clock_ms=10_000, incarnation=1))
+        owner.links.calls = calls = HeldExchange(owner, attempt, inventory)
+        await owner.links._exchange(worker)
+        held, started = calls.tokens
+        assert (held < started) is bool(acknowledged)
+        await owner.stop()
+
+
+async def test_a_start_sent_after_an_unanswered_exchange_has_a_higher_token():
+    owner, worker, _ = make_running_owner(OwnerRowStore())
+    unanswered = Failure(NoAnswer("cut off"))
+    owner.links.calls = calls = HeldExchange(owner, None, unanswered)
+    await owner.links._exchange(worker)
+    assert calls.tokens[0] < owner.shard.get_fencing_token(worker)
+    await owner.stop()
+
+
 async def test_a_stop_refused_by_a_worker_that_was_added_anew_is_no_loss_of_ownership():
     owner, worker, task = make_running_owner(OwnerRowStore())
     owner.links.calls = ReaddingCalls(owner.shard, worker)
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -233,17 +233,6 @@
     assert worker.is_usable(2.1)
 
 
-def test_an_exchange_sent_before_a_start_can_not_acknowledge_its_end(shard):
-    # The exchange was held back, and a new incarnation carried the start out before it.
-    worker = shard.workers["w1"]
-    for may_acknowledge in (False, True):
-        worker.may_acknowledge = may_acknowledge
-        before = shard.get_fencing_token(worker)
-        worker.note_start_sent()
-        assert (shard.get_fencing_token(worker) > before) is may_acknowledge
-        assert not worker.may_acknowledge
-
-
 def test_calls_without_an_answer_are_refused_after_the_next_exchange(shard):
     # They would be carried out by an incarnation that has forgotten all tokens.
     worker, attempt = start_first_task(shard)
