Give starts that are sent together the same fencing token

Since each start during one exchange that acknowledges ends raised the token anew, so that a start was refused by its worker if a later one overtook it on another connection, and the worker was left out for 0.4 s. Found by reading; the new test failed before. The first start of an exchange raises the token, and those after it keep that one.

--- a/fuchsiascale/jobs/_inventories.py
+++ b/fuchsiascale/jobs/_inventories.py
@@ -86,8 +86,8 @@
     if inventory.incarnation != worker.incarnation:
         _handle_restart(shard, worker, inventory, sent_s, now_s)
     # A call on the clock of an earlier incarnation, perhaps by an earlier owner, ends
-    # far away on this one, so that the worker has taken its longest lease. Until it is
-    # fenced, another such call may arrive.
+    # far away on this one, so that the worker has taken its longest lease. Until it
+    # refuses them, another such call may arrive.
     worker.granted_until_ms = inventory.clock_ms + shard.longest_lease_ms
     if not worker.refuses_former_calls:
         worker.granted_until_ms += int(LATE_CALL_S * 1000)
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -37,7 +37,7 @@
         answer, so that it refuses the calls meant for the incarnation before. It is
         False from a restart until then.
     is_acknowledging : bool
-        Whether an exchange that acknowledges ends is on its way.
+        Whether an exchange of the present epoch that acknowledges ends is on its way.
     starts_in_flight : int
         Number of starts without a reply yet.
     unanswered_starts : dict
@@ -181,12 +181,14 @@
         perhaps to an earlier incarnation.
         """
         self.fencing_epoch += 1
+        self.is_acknowledging = False
 
     def note_start_sent(self):
         """Note that a start is about to be sent to the worker.
 
         An exchange that was sent before must not drop the end of this start: it may be
-        carried out late, and by an incarnation that numbers its ends anew.
+        carried out late, and by an incarnation that numbers its ends anew. Starts that
+        are sent together have the same token, since they may overtake each other.
         """
         self.starts_in_flight += 1
         if self.is_acknowledging:
--- a/fuchsiascale/jobs/tests/test_worker_restarts.py
+++ b/fuchsiascale/jobs/tests/test_worker_restarts.py
@@ -233,6 +233,16 @@
     assert worker.is_usable(2.1)
 
 
+def test_starts_sent_together_have_the_same_token(shard):
+    # They may overtake each other, and a worker refuses a lower token.
+    worker = shard.workers["w1"]
+    worker.is_acknowledging = True
+    worker.note_start_sent()
+    first = shard.get_fencing_token(worker)
+    worker.note_start_sent()
+    assert shard.get_fencing_token(worker) == first
+
+
 def test_calls_without_an_answer_are_refused_after_the_next_exchange(shard):
     # They would be carried out by an incarnation that has forgotten all tokens.
     worker, attempt = start_first_task(shard)
