Let soak workers take leases of 10 s, as on most deployments

The soak's runners took leases of 6 s at most, the time that owners grant, and the settings of the processes said the same. A runner that has restarted cuts a lease end on the clock of the life before down to its longest lease. So no play could show an owner that reckons with 6 s where a worker holds 10 s.

The longest lease is a parameter of the harness's runner and of the settings that it writes, with 6 s as before, which the cases of the review use. The soak sets 10 s in all patterns.

Tested: soak.tests.test_processes.

--- a/review/harness/_nodes.py
+++ b/review/harness/_nodes.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from review.harness._runner import HOLD_MAX_MS
 from review.harness._site import find_ports
 
 __all__ = ["Node", "Nodes"]
@@ -39,7 +40,7 @@
         self.settings = Path(folder, f"{self.name}.conf")
         self.log_path = Path(folder, f"{self.name}.log")
 
-    def write_settings(self, store, seeds, internal_ports):
+    def write_settings(self, store, seeds, internal_ports, hold_max_ms=HOLD_MAX_MS):
         """Write the settings file."""
         lines = {
             "node_name": self.name,
@@ -74,7 +75,7 @@
             "bounds.drain_ms": "2500",
             "bounds.grace_s": "6",
             "bounds.config_apply_ms": "2500",
-            "bounds.hold_max_ms": "6000",
+            "bounds.hold_max_ms": str(hold_max_ms),
             "bounds.stop_ms": "900",
             "bounds.cancel_ms": "3000",
             "bounds.visible_ms": "3000",
--- a/review/harness/_runner.py
+++ b/review/harness/_runner.py
@@ -12,6 +12,8 @@
 __all__ = ["Runner"]
 
 FENCE = 409, {"reason": "fence"}
+HOLD_MAX_MS = 6_000
+"""Longest lease, unless another is given."""
 
 
 class _Life:
@@ -208,16 +210,26 @@
         Capacity in thousandths of a core.
     labels : list of str
         Kind and rack.
+    hold_max_ms : int
+        Longest lease that it takes, in milliseconds.
     """
 
-    def __init__(self, name, service, record, cpu=8_000, labels=("a", "r1")):
+    def __init__(
+        self,
+        name,
+        service,
+        record,
+        cpu=8_000,
+        labels=("a", "r1"),
+        hold_max_ms=HOLD_MAX_MS,
+    ):
         self.name = name
         self.service = service
         self.record = record
         self.cpu = cpu
         self.task_cpu = 1_000
         self.labels = list(labels)
-        self.hold_max_ms = 6_000
+        self.hold_max_ms = hold_max_ms
         self.runs = []
         self.holds = 0
         self.address = ""
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -29,7 +29,10 @@
 LOAD_LEAD_S = 5.0
 """Time from the begin of the load to the first fault."""
 SETTLE_S = 12.0
-"""Time without faults before the final states are asked for: two leases."""
+"""Time without faults before the final states are asked for: two leases of an owner.
+
+It is more than the longest lease of a worker, too.
+"""
 READY_TIMEOUT_S = 20.0
 
 
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -16,6 +16,12 @@
 
 DOMAINS = "abc"
 """Names of the failure domains."""
+HOLD_MAX_MS = 10_000
+"""Longest lease of a worker, as on most deployments; owners grant 6 s.
+
+A worker that has restarted takes its longest lease from a call to the life before,
+whose clock was ahead. Its tasks then run for longer than owners grant.
+"""
 EVACUATION_BOUND_S = 5.0
 """Time after which an evacuated domain must get no new task."""
 HOOKS = Path(__file__).resolve().parent / "hooks"
@@ -40,7 +46,7 @@
 
     def write_settings(self, store, seeds, internal_ports):
         """Write the settings file, with three failure domains."""
-        super().write_settings(store, seeds, internal_ports)
+        super().write_settings(store, seeds, internal_ports, HOLD_MAX_MS)
         text = self.settings.read_text().replace("zone=a\n", f"zone={self.domain}\n")
         text = text.replace(
             "zones.a=north\n", "zones.a=north\nzones.b=south\nzones.c=north\n"
@@ -149,7 +155,8 @@
     """A runner that is listed in a failure domain."""
 
     def __init__(self, name, service, record, domain):
-        super().__init__(name, service, record, labels=("a", f"r{name}"))
+        labels = "a", f"r{name}"
+        super().__init__(name, service, record, labels=labels, hold_max_ms=HOLD_MAX_MS)
         self.domain = domain
         self.busy = False
 
