Soak workers that restart under their ids and are cut off soon after

No pattern restarted workers together with a cut and the end of an owner while long tasks ran, so none could show a successor that takes an attempt for over before the lease of a restarted worker has lapsed.

The pattern restarted_workers lets all or some runners of a domain lose power, brings them back under their ids after 0.3 to 1.2 s, and cuts them off from all processes and the store 0.2 to 2.4 s later, for 4 to 12 s. In most cases the owner is killed before the cut. Requests are held back past the restart. In four of five cases the runners keep their connections, so that more of these requests reach the next life.

Tasks last 1.5 to 45 s, and workers have room for 20 at once: with 8, they were full, and the next runs of lost tasks began after the lease had lapsed. A cut loses the calls that are still on their way.

A call that reaches a runner without power is no longer carried out by it, in all patterns. Seeds below 700 select the pattern that they did before.

Tested: all unit tests of the soak.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -16,6 +16,14 @@
 """Share of the faults of one process that hit the owner."""
 EVACUATIONS_S = (3.0, 8.0, 15.0)
 """Durations of evacuations, in seconds; some end before their bound."""
+RETURNS_S = (0.2, 1.2, 1.5, 1.8, 2.4)
+"""Times from the return of workers that have restarted until they are cut off."""
+ABSENCES_S = (4.0, 10.0, 11.0, 12.0)
+"""Durations of these cuts, in seconds; most outlast a lease."""
+TAKEOVER_S = 0.8
+"""Time in which no successor reaches the workers after the end of an owner."""
+LISTED_S = 2.5
+"""Time for which the platform lists a worker that it can't reach."""
 CUTS_S = (1.5, 2.5, 4.0, 5.5, 7.0, 9.0, 12.0)
 """Durations of cuts, in seconds."""
 MAX_BUSY = 3
@@ -251,18 +259,18 @@
     await stage.apply(text, rule, stage.rng.uniform(1, 6))
 
 
-async def _restart(stage, node, number):
+async def _restart(stage, node, number, longest_s=4):
     await node.end(number)
-    await asyncio.sleep(stage.rng.uniform(0.1, 4))
+    await asyncio.sleep(stage.rng.uniform(0.1, longest_s))
     node.start()
 
 
 @fault(2)
-async def kill(stage, node=None):
+async def kill(stage, node=None, longest_s=4):
     """Kill a process and start it again."""
     with stage.occupy([node or stage.draw_node()]) as nodes:
         for each in nodes:
-            await _restart(stage, each, signal.SIGKILL)
+            await _restart(stage, each, signal.SIGKILL, longest_s)
 
 
 @fault(2)
@@ -398,3 +406,66 @@
         evacuation.ended_s = stage.record.now_s()
         stage.site.store.drop("op", "", key)
         stage.note(f"domain {domain} taken back")
+
+
+async def restart_runners(stage, domain):
+    """Let runners of a domain restart, and cut them off soon after.
+
+    The owner is killed in most cases, before the runners lose power or between their
+    return and the cut. It is no fault to be drawn, as `evacuate_domain`.
+    """
+    rng = stage.rng
+    chosen = [x for x in stage.runners if (x.domain, x.service) == (domain, "pool")]
+    if rng.random() < 0.4:
+        chosen = stage.draw_some(chosen)
+    ends_owner, is_early = rng.random() < 0.9, rng.random() < 0.15
+    with stage.occupy(chosen) as runners:
+        if not runners:
+            return
+        names = [runner.name for runner in runners]
+        ends = [STORE, *(node.name for node in stage.nodes.all)]
+        links = pair_both_ways(names, ends)
+        try:
+            async with asyncio.TaskGroup() as group:
+                if ends_owner and is_early:
+                    group.create_task(kill(stage, stage.find_owner(), 0.5))
+                await _lose_power(stage, runners, links)
+                until_cut_s = rng.choice(RETURNS_S)
+                # Later, the successor reaches the runners before the cut.
+                until_end_s = max(0.0, until_cut_s - rng.uniform(0, TAKEOVER_S))
+                await asyncio.sleep(until_end_s)
+                if ends_owner and not is_early:
+                    group.create_task(kill(stage, stage.find_owner(), 0.5))
+                await asyncio.sleep(until_cut_s - until_end_s)
+                # Calls that are still on their way are lost. After the cut, a start for
+                # the life before would run: nothing in a call names the life.
+                for connection in stage.relay.list_connections(links):
+                    connection.silent = True
+                cut = stage.cut(f"{names} from all", links, rng.choice(ABSENCES_S))
+                group.create_task(cut)
+                await asyncio.sleep(LISTED_S)
+                for name in names:
+                    stage.site.store.drop("servers", "", name)
+        finally:
+            for each in runners:
+                if not each.life.up:
+                    each.begin_life()
+                stage.site.list_runner(each)
+
+
+async def _lose_power(stage, runners, links):
+    """Let runners lose power and return; calls may reach the life after theirs."""
+    keeps_connections = stage.rng.random() < 0.8
+    hold = Rule(Effect.HOLD, links, share=0.8, seconds=(0.2, 1.5))
+    cut = Rule(Effect.CUT, links)
+    stage.relay.add(hold)
+    await asyncio.sleep(stage.rng.uniform(0.2, 1.2))
+    stage.relay.add(cut)
+    for each in runners:
+        each.crash(keeps_connections)
+    await asyncio.sleep(stage.rng.uniform(0.3, 1.2))
+    for each in runners:
+        each.begin_life()
+        stage.site.list_runner(each)
+    stage.relay.remove(hold)
+    stage.relay.remove(cut)
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -4,10 +4,12 @@
 
 from soak._checks import Job
 
-__all__ = ["Load"]
+__all__ = ["LONG_RUNS_MS", "RUNS_MS", "Load"]
 
 RUNS_MS = (300, 400, 1500, 4000, 9000, 18000)
-"""Run times of tasks, in milliseconds."""
+"""Run times of tasks, in milliseconds, unless a pattern has its own."""
+LONG_RUNS_MS = (1500, 5000, 15_000, 30_000, 45_000)
+"""Run times of which most outlast a lease."""
 FIRST_JOBS = 8
 """Number of jobs that are handed in at the start, 0.1 s apart."""
 LASTING_JOB_PERIOD = 25
@@ -30,14 +32,17 @@
         Draws the jobs.
     now_s : callable
         Returns the time of the record.
+    runs_ms : tuple of int
+        Run times of tasks, in milliseconds.
     """
 
-    def __init__(self, client, nodes, rng, now_s):
+    def __init__(self, client, nodes, rng, now_s, runs_ms=RUNS_MS):
         self.jobs = {}
         self._client = client
         self._nodes = nodes
         self._rng = rng
         self._now_s = now_s
+        self._runs_ms = runs_ms
         self._has_ended = False
 
     async def run(self):
@@ -57,7 +62,7 @@
 
     def _draw_job(self, number):
         rng = self._rng
-        run_ms = rng.choice(RUNS_MS)
+        run_ms = rng.choice(self._runs_ms)
         step = {"cpu": 1000, "mem_mb": 100, "estimate_ms": run_ms}
         spec, count = f"run_ms={run_ms}", 6 if run_ms > 400 else 12
         name = f"{number:016x}"
--- a/soak/_patterns.py
+++ b/soak/_patterns.py
@@ -4,6 +4,7 @@
 
 from soak import _faults
 from soak._faults import FAULTS
+from soak._processes import DOMAINS
 from soak._relay import STORE, Effect, Rule, pair_both_ways
 
 __all__ = ["PATTERNS"]
@@ -118,6 +119,15 @@
         await asyncio.sleep(stage.rng.choice((1.0, 4.0, 9.0)))
 
 
+@pattern
+async def restarted_workers(stage, group):
+    """Restart workers of domains under their ids, and cut them off soon after."""
+    while True:
+        domain = stage.rng.choice(DOMAINS)
+        group.create_task(_faults.restart_runners(stage, domain))
+        await asyncio.sleep(stage.rng.choice((2.0, 12.0, 15.0)))
+
+
 async def _bring_faults(stage, group):
     while True:
         await asyncio.sleep(stage.rng.uniform(1, 4))
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -9,11 +9,12 @@
 from review.harness import Client, Record, Site
 from soak._checks import check_all, check_evacuations
 from soak._faults import Stage
-from soak._load import Load
+from soak._load import LONG_RUNS_MS, RUNS_MS, Load
 from soak._patterns import PATTERNS
 from soak._processes import (
     DOMAINS,
     EVACUATION_BOUND_S,
+    RUNNER_CPU,
     Processes,
     ZonedRunner,
 )
@@ -34,6 +35,17 @@
 It is more than the longest lease of a worker, too.
 """
 READY_TIMEOUT_S = 20.0
+LOADS = {"restarted_workers": (LONG_RUNS_MS, 20_000)}
+"""Run times of tasks and capacity of workers, for patterns that need others.
+
+Tasks of a worker that is cut off must outlast its lease, and the others need room for
+their next runs: one that starts too early is seen only while that lease lasts.
+"""
+FIRST_SEEDS = {"restarted_workers": 700}
+"""First seeds that may select patterns that were added later.
+
+Earlier seeds select the pattern that they always did, so that plays can be repeated.
+"""
 
 
 @dataclass(frozen=True)
@@ -62,7 +74,7 @@
 
 def select_pattern(seed):
     """Return the name of the pattern of a seed where none is given."""
-    names = list(PATTERNS)
+    names = [name for name in PATTERNS if seed >= FIRST_SEEDS.get(name, 0)]
     return names[seed % len(names)]
 
 
@@ -83,17 +95,18 @@
         Whether the same load is played without faults.
     """
     pattern = pattern or select_pattern(seed)
+    runs_ms, cpu = LOADS.get(pattern, (RUNS_MS, RUNNER_CPU))
     record = Record(folder)
     relay, site = Relay(random.Random(f"relay {seed}")), Site(record)
     await relay.start()
     await site.start()
-    await _add_runners(site, relay, record)
+    await _add_runners(site, relay, record, cpu)
     # Plays that run at the same time listen on networks of their own.
     network = f"127.{1 + os.getpid() % 199}.{seed % 200}"
     nodes = Processes(site.address, network, folder, relay, record)
     stage = Stage(site, nodes, relay, random.Random(f"faults {seed}"), record)
-    client = Client(record)
-    load = Load(client, nodes.all, random.Random(f"load {seed}"), record.now_s)
+    client, rng = Client(record), random.Random(f"load {seed}")
+    load = Load(client, nodes.all, rng, record.now_s, runs_ms)
     try:
         await nodes.start()
         await nodes.find_owner("pool")
@@ -118,11 +131,11 @@
         record.close()
 
 
-async def _add_runners(site, relay, record):
+async def _add_runners(site, relay, record, cpu):
     for domain in DOMAINS:
         for number in range(RUNNERS_PER_DOMAIN):
             name = f"i-{domain}{number}"
-            await site.add_runner(ZonedRunner(name, "pool", record, domain))
+            await site.add_runner(ZonedRunner(name, "pool", record, domain, cpu))
     for number in range(SIDE_RUNNERS):
         domain = DOMAINS[number]
         await site.add_runner(ZonedRunner(f"s-{domain}0", "side", record, domain))
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -9,10 +9,18 @@
 import sys
 from pathlib import Path
 
+from aiohttp import web
+
 from review.harness import Node, Nodes, Runner, find_ports
 from review.harness._nodes import PASSED_ON, ROOT, read_command
 
-__all__ = ["DOMAINS", "EVACUATION_BOUND_S", "Processes", "ZonedRunner"]
+__all__ = [
+    "DOMAINS",
+    "EVACUATION_BOUND_S",
+    "RUNNER_CPU",
+    "Processes",
+    "ZonedRunner",
+]
 
 DOMAINS = "abc"
 """Names of the failure domains."""
@@ -22,6 +30,8 @@
 A worker that has restarted takes its longest lease from a call to the life before,
 whose clock was ahead. Its tasks then run for longer than owners grant.
 """
+RUNNER_CPU = 8_000
+"""Capacity of a worker, in thousandths of a core, unless a pattern has its own."""
 EVACUATION_BOUND_S = 5.0
 """Time after which an evacuated domain must get no new task."""
 HOOKS = Path(__file__).resolve().parent / "hooks"
@@ -154,12 +164,32 @@
 class ZonedRunner(Runner):
     """A runner that is listed in a failure domain."""
 
-    def __init__(self, name, service, record, domain):
+    def __init__(self, name, service, record, domain, cpu=RUNNER_CPU):
         labels = "a", f"r{name}"
-        super().__init__(name, service, record, labels=labels, hold_max_ms=HOLD_MAX_MS)
+        super().__init__(name, service, record, cpu, labels, HOLD_MAX_MS)
         self.domain = domain
         self.busy = False
+        self._kept = set()
 
     def entry(self):
         """Return the runner's entry in the platform's list."""
         return {**super().entry(), "zone": self.domain}
+
+    def crash(self, keeps_connections=False):
+        """Lose power; a proxy may keep the connections open for the next life."""
+        if not keeps_connections:
+            super().crash()
+            return
+        self.record.note(f"{self.name}: lost power, connections kept")
+        self.life.end()
+        self._kept.add(self.life)
+
+    async def _handle(self, request):
+        """Answer a request; one to a life that has ended does nothing."""
+        await request.read()
+        life, answer = self.life, web.Response(status=503)
+        if life.up:
+            answer = await super()._handle(request)
+        if life in self._kept and request.transport is not None:
+            request.transport.abort()
+        return answer
--- a/soak/tests/test_processes.py
+++ b/soak/tests/test_processes.py
@@ -1,4 +1,4 @@
-"""Tests of the runners and settings: longest leases."""
+"""Tests of the runners and settings: longest leases, and calls around a restart."""
 
 import contextlib
 import tempfile
@@ -64,3 +64,26 @@
     assert "bounds.hold_max_ms=10000" in lines
     lines = write_settings(lambda folder: Node(0, PORTS, folder, RECORD))
     assert "bounds.hold_max_ms=6000" in lines, "the review's cases have their own"
+
+
+async def test_connections_that_are_kept_reach_the_next_life():
+    """Guards against restarts past which no call can be held back."""
+    async with start_runner() as (runner, call):
+        first = await call()
+        runner.crash(keeps_connections=True)
+        runner.begin_life()
+        second = await call()
+        assert second["born"] == runner.life.born >= first["born"]
+        assert len(runner._pairs) == 1
+
+
+async def test_a_life_that_has_ended_answers_no_call():
+    """Guards against calls that a life without power carries out or answers."""
+    for keeps_connections in (False, True):
+        async with start_runner() as (runner, call):
+            await call()
+            runner.crash(keeps_connections)
+            holds = runner.holds
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                raise AssertionError(await call())
+            assert runner.holds == holds
