Let calls held back past a restart arrive after the cut, too

The pattern dropped them, since a start for the life before would run then: that fault is known and open (KNOWN-RED.txt), but the soak has to show it, and the other faults that such calls may find.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -437,10 +437,6 @@
                 if ends_owner and not is_early:
                     group.create_task(kill(stage, stage.find_owner(), 0.5))
                 await asyncio.sleep(until_cut_s - until_end_s)
-                # Calls that are still on their way are lost. After the cut, a start for
-                # the life before would run: nothing in a call names the life.
-                for connection in stage.relay.list_connections(links):
-                    connection.silent = True
                 cut = stage.cut(f"{names} from all", links, rng.choice(ABSENCES_S))
                 group.create_task(cut)
                 await asyncio.sleep(LISTED_S)
