Wait for the longest lease only where a worker may have restarted

Callers would see long-running tasks idle for 4 s more after a change of the owner: since a successor waits for the longest lease of each worker that it can't reach, also of one that was lost for good.

The stored entry of a leased worker names the incarnation that was first used, and the list names the present one. Where they differ, or the list isn't known yet, the longest lease counts as before. A worker whose entry has lapsed may have restarted before that, but no call has reached it since, so the longest lease counts from the first reading of the list.

--- a/fuchsiascale/jobs/_inherited_leases.py
+++ b/fuchsiascale/jobs/_inherited_leases.py
@@ -17,13 +17,15 @@
     """Bounds on the leases that earlier owners granted to a shard's workers.
 
     A worker that has restarted takes the end of a lease on the clock before for a time
-    far away, and shortens it to the longest lease only. A successor that doesn't reach
-    it can't know of that, so it reckons with the longest lease of any worker.
+    far away, and shortens it to the longest lease only. The list of workers shows that
+    it has, unless its entry has lapsed meanwhile.
 
     Parameters
     ----------
     shard : Shard
         Its ``unconfirmed_workers`` hold the time at which each lease has expired.
+    lease_s : float
+        Length of the leases that owners grant.
     longest_lease_s : float
         Longest lease that a worker takes.
 
@@ -33,12 +35,16 @@
         Whether no owner before the previous one can grant a lease any more.
     """
 
-    def __init__(self, shard, longest_lease_s):
+    def __init__(self, shard, lease_s, longest_lease_s):
         self._shard = shard
-        self._longest_lease_s = longest_lease_s
+        self._usual_s = _measure_expiry_s(lease_s)
+        self._longest_s = _measure_expiry_s(longest_lease_s)
         self.is_chain_settled = False
         self._predecessor_stopped_s = math.inf
         self._all_stopped_s = math.inf
+        self._added = {}
+        self._listed_s = None
+        self._restarted = set()
 
     def restore_ledger(self, ledger):
         """Apply the last record of an earlier owner, which may be None."""
@@ -48,10 +54,11 @@
             and ledger.token == self._shard.token - 1
         )
 
-    def add(self, worker_id, now_s):
-        """Add a worker that an earlier owner may have used."""
-        until_s = self._compute_end(now_s + STORE_SILENCE_LIMIT_S)
-        self._shard.unconfirmed_workers[worker_id] = until_s
+    def add(self, listed, now_s):
+        """Add a worker that an earlier owner may have used, with its stored entry."""
+        self._added[listed.worker] = (listed.incarnation, now_s)
+        until_s = now_s + STORE_SILENCE_LIMIT_S + self._longest_s
+        self._shard.unconfirmed_workers[listed.worker] = until_s
 
     def mark_stopped(self, stopped_s, includes_earlier_owners=False):
         """Note from when on the previous owner grants no leases.
@@ -65,16 +72,49 @@
             self._predecessor_stopped_s = min(self._predecessor_stopped_s, stopped_s)
         self.limit()
 
+    def note_list(self, now_s):
+        """Note that the workers' entries are those of the platform's list."""
+        if self._listed_s is None:
+            self._listed_s = now_s
+        self.limit()
+
     def limit(self):
-        """Shorten the wait for workers by what is known of earlier owners."""
-        stopped_s = self._all_stopped_s
-        if self.is_chain_settled:
-            stopped_s = min(stopped_s, self._predecessor_stopped_s)
-        until_s = self._compute_end(stopped_s)
+        """Bound the wait for workers by what is known of them and of earlier owners."""
         unconfirmed = self._shard.unconfirmed_workers
         for worker_id, before_s in unconfirmed.items():
+            until_s = self._compute_end(worker_id)
+            if self._has_restarted(worker_id) and worker_id not in self._restarted:
+                self._restarted.add(worker_id)
+                before_s = math.inf if math.isfinite(until_s) else before_s
             unconfirmed[worker_id] = min(before_s, until_s)
 
-    def _compute_end(self, stopped_s):
-        """Return when all leases of owners that stopped by then have expired."""
-        return stopped_s + self._longest_lease_s * LEASE_DRIFT_FACTOR + LEASE_MARGIN_S
+    def _has_restarted(self, worker_id):
+        """Return whether the list shows another incarnation than the stored entry."""
+        worker = self._shard.workers.get(worker_id)
+        if worker is None or worker_id not in self._added:
+            return False
+        return worker.listed.incarnation != self._added[worker_id][0]
+
+    def _compute_end(self, worker_id):
+        """Return when all leases that earlier owners granted a worker have expired."""
+        stopped_s = self._all_stopped_s
+        if self.is_chain_settled:
+            stopped_s = min(stopped_s, self._predecessor_stopped_s)
+        if worker_id in self._added:
+            _, added_s = self._added[worker_id]
+            stopped_s = min(stopped_s, added_s + STORE_SILENCE_LIMIT_S)
+        worker = self._shard.workers.get(worker_id)
+        longest_s = stopped_s + self._longest_s
+        is_unknown = self._listed_s is None or worker is None
+        if is_unknown or self._has_restarted(worker_id):
+            return longest_s
+        if worker.is_listed:
+            return stopped_s + self._usual_s
+        # It may have restarted before its entry lapsed; no call reaches it since.
+        lapsed_s = self._listed_s + self._longest_s
+        return min(longest_s, max(stopped_s + self._usual_s, lapsed_s))
+
+
+def _measure_expiry_s(lease_s):
+    """Return the time from a grant until the lease has expired on any worker."""
+    return lease_s * LEASE_DRIFT_FACTOR + LEASE_MARGIN_S
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -113,10 +113,11 @@
         )
         self.on_lost = on_lost
         self.log = logbook.Logger("owner")
+        lease_s = min(LEASE_S, limits.longest_lease_s)
         self.shard = Shard(
             service,
             row.token,
-            min(LEASE_S, limits.longest_lease_s),
+            lease_s,
             longest_lease_s=limits.longest_lease_s,
             evacuations=evacuations
             and Evacuations(evacuations.decode, evacuations.bound_s),
@@ -125,7 +126,9 @@
         self._evacuation_watch = evacuations and EvacuationWatch(
             store, evacuations, self.shard.evacuations, clock, self._identify()
         )
-        self.inherited_leases = InheritedLeases(self.shard, limits.longest_lease_s)
+        self.inherited_leases = InheritedLeases(
+            self.shard, lease_s, limits.longest_lease_s
+        )
         self.lost = False
         self.handing_over = False
         self.evidence = OwnershipEvidence(clock)
@@ -322,6 +325,8 @@
         for worker_id in self.shard.workers:
             if worker_id not in names:
                 self.shard.note_worker_unlisted(worker_id)
+        if self.shard.unconfirmed_workers:
+            self.inherited_leases.note_list(now_s)
         self.links.sync()
         self.request_round()
 
--- a/fuchsiascale/jobs/_pool_rows.py
+++ b/fuchsiascale/jobs/_pool_rows.py
@@ -43,7 +43,7 @@
     for entry in owner.recorder.leased_workers.restore(row.place, leased_workers):
         worker = owner.shard.update_worker(entry.worker, now_s)
         worker.in_leased_workers = True
-        owner.inherited_leases.add(worker.worker, now_s)
+        owner.inherited_leases.add(entry.worker, now_s)
 
 
 def _restore_estimates(shard, row):
