Write each row once in a transaction of several submissions

A caller was told that its job was accepted, and the job was not known later. It had handed the job in twice at an instance that was frozen: the second submission and the withdrawal of the first, which had no answer, shared one transaction. The conditions of a transaction are checked against the rows before it, so both held, the last write stayed, and both got the one success.

The new test failed before: accepted, and not stored. A group now ends before a write of a row that it holds already; the later write then finds the row, and answers accordingly.

--- a/fuchsiascale/jobs/_group_commit.py
+++ b/fuchsiascale/jobs/_group_commit.py
@@ -124,17 +124,23 @@
             self.refuse_queued("the writer stopped")
 
     def _pop_group(self):
-        """Remove and return queued submissions of one owner row, within the limits."""
+        """Remove and return queued submissions of one owner row, within the limits.
+
+        Each row is written once: the conditions of a transaction hold for the rows
+        before it, so a second write of a row would replace the first unnoticed.
+        """
         view = self._queue[0].write.view
-        group, size, entries = [], 0, 0
+        group, size, entries, row_keys = [], 0, 0, set()
         for queued in self._queue:
             write = queued.write
             size += len(write.change.value)
             entries += len(write.expected) + 1
             is_full = size > MAX_GROUP_BYTES or entries > MAX_GROUP_ENTRIES
-            if write.view != view or (group and is_full):
+            is_repeated = write.change.place in row_keys
+            if write.view != view or is_repeated or (group and is_full):
                 break
             group.append(queued)
+            row_keys.add(write.change.place)
         del self._queue[: len(group)]
         return group
 
--- a/fuchsiascale/jobs/tests/test_refusals.py
+++ b/fuchsiascale/jobs/tests/test_refusals.py
@@ -3,6 +3,7 @@
 Writes may be refused, applied without a reply, applied late or never applied.
 """
 
+import asyncio
 import itertools
 from enum import Enum
 
@@ -260,3 +261,42 @@
         assert stored or outcomes[-1] is not Outcome.DONE
 
     check()
+
+
+class SlowRows(FaultyRows):
+    """Rows whose reads and writes take a while."""
+
+    async def commit(self, expected, changes):
+        await asyncio.sleep(0.1)
+        return await super().commit(expected, changes)
+
+    async def read(self, table, partition, first="", last=""):
+        await asyncio.sleep(0.07)
+        return await super().read(table, partition, first, last)
+
+
+async def submit_again_before_withdrawal(again_after_s):
+    """Submit a job again while its first write, which has no answer, is settled.
+
+    Another job's write is under way meanwhile, so that the second submission and the
+    withdrawal of the first are both queued behind it.
+    """
+    rows = SlowRows([Fate.NEVER])
+    store = RelayedStore(rows, Peers(rows), list, ManualClock())
+    handler = JobRequestHandler(store, FakeOwnership(rows), ManualClock())
+
+    async def submit(job, after_s):
+        await asyncio.sleep(after_s)
+        return (await handler.submit(POLICY, job, SPEC)).outcome
+
+    first, _, second = await asyncio.gather(
+        submit(JOB, 0.0), submit("2" * 16, 0.05), submit(JOB, again_after_s)
+    )
+    return first, second, rows.stored()
+
+
+def test_a_job_accepted_again_is_not_withdrawn_by_its_first_submission():
+    # The withdrawal is queued after 0.17 s.
+    for again_after_s, first in ((0.15, Outcome.DONE), (0.18, Outcome.NOT_RUN)):
+        result = run_in_virtual_time(submit_again_before_withdrawal(again_after_s))
+        assert result == (first, Outcome.DONE, True), again_after_s
