Count the longest lease of a lapsed worker from before its entry lapsed

Its entry lapses after three heartbeats, so it was cut off that long before, and the longest lease counts from then: the wait ends with that for the usual lease again where heartbeats come every 1.1 s, as their interval in the settings file tells.

--- a/fuchsiascale/jobs/_inherited_leases.py
+++ b/fuchsiascale/jobs/_inherited_leases.py
@@ -28,6 +28,8 @@
         Length of the leases that owners grant.
     longest_lease_s : float
         Longest lease that a worker takes.
+    entry_lapse_s : float, optional
+        See `OwnerLimits`.
 
     Attributes
     ----------
@@ -35,10 +37,11 @@
         Whether no owner before the previous one can grant a lease any more.
     """
 
-    def __init__(self, shard, lease_s, longest_lease_s):
+    def __init__(self, shard, lease_s, longest_lease_s, entry_lapse_s=0.0):
         self._shard = shard
         self._usual_s = _measure_expiry_s(lease_s)
         self._longest_s = _measure_expiry_s(longest_lease_s)
+        self._entry_lapse_s = entry_lapse_s
         self.is_chain_settled = False
         self._predecessor_stopped_s = math.inf
         self._all_stopped_s = math.inf
@@ -110,8 +113,8 @@
             return longest_s
         if worker.is_listed:
             return stopped_s + self._usual_s
-        # It may have restarted before its entry lapsed; no call reaches it since.
-        lapsed_s = self._listed_s + self._longest_s
+        # It may have restarted before it was cut off; its entry lapsed after that.
+        lapsed_s = self._listed_s - self._entry_lapse_s + self._longest_s
         return min(longest_s, max(stopped_s + self._usual_s, lapsed_s))
 
 
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -127,7 +127,7 @@
             store, evacuations, self.shard.evacuations, clock, self._identify()
         )
         self.inherited_leases = InheritedLeases(
-            self.shard, lease_s, limits.longest_lease_s
+            self.shard, lease_s, limits.longest_lease_s, limits.entry_lapse_s
         )
         self.lost = False
         self.handing_over = False
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -141,11 +141,15 @@
     remote_factor : float
         Multiple of its run time that a task takes away from the rack of its data, and
         a gang spread over racks; 1 where the platform states none.
+    entry_lapse_s : float
+        Time without a sign of a worker after which the platform removes its entry, in
+        seconds; 0 if that is unknown.
     """
 
     longest_lease_s: float = 6.0
     max_row_bytes: int = 65_536
     remote_factor: float = 1.0
+    entry_lapse_s: float = 0.0
 
 
 class StorePort(Protocol):
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -173,6 +173,7 @@
                 settings.longest_lease_s,
                 settings.max_row_bytes,
                 settings.remote_factor,
+                settings.entry_lapse_s,
             ),
             self.clock,
             self.relay_connector.connect,
--- a/fuchsiascale/platform/_local_settings.py
+++ b/fuchsiascale/platform/_local_settings.py
@@ -17,6 +17,8 @@
 ]
 
 SETTINGS_VARIABLE = "FUCHSIASCALE_BOOT"
+MISSED_HEARTBEATS = 3
+"""Heartbeats without which the platform removes a worker from its list."""
 
 
 class LocalSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,6 +37,9 @@
         Addresses of peers to contact at start-up; some may be gone.
     longest_lease_s : float
         Longest lease that workers grant, in seconds.
+    entry_lapse_s : float
+        Time without a heartbeat of a worker after which the store drops its entry, in
+        seconds; the platform's key gives the interval of heartbeats.
     stop_grace_s : float
         Time from the stop signal until the process is killed, in seconds.
     max_row_bytes : int
@@ -67,6 +72,7 @@
     store_address: str
     seeds: tuple[str, ...] = ()
     longest_lease_s: float = 6.0
+    entry_lapse_s: float = 0.0
     stop_grace_s: float = 6.0
     max_row_bytes: int = 65_536
     joins_partitions: bool = False
@@ -135,6 +141,7 @@
         "store_address": reader.text("platform.address"),
         "seeds": tuple(filter(None, reader.get("seeds").split(","))),
         "longest_lease_s": reader.number("bounds.hold_max_ms", 6000) / 1000,
+        "entry_lapse_s": MISSED_HEARTBEATS * reader.number("heartbeat_ms", 0) / 1000,
         "stop_grace_s": reader.number("bounds.grace_s", 6),
         "max_row_bytes": int(reader.number("platform.row_bytes", 65_536)),
         "joins_partitions": reader.get("platform.across") == "true",
