--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -16,5 +16,11 @@
         " replaced takes a worker for its own that has restarted, and has forgotten the"
         " later token",
     ),
+    (
+        701,
+        "restarted_workers",
+        "TWICE at 94f7046 (mended in 42a6bd7): a successor reckoned with the 6 s that"
+        " owners grant, where a worker that had restarted held a lease of 10 s",
+    ),
 )
 """Seed, pattern and cause of each."""
