Wait for a worker that has ends to list whatever the list shows

Since the wait for a worker of an earlier owner is reckoned anew with each reading of the list, also for one that has answered and has more ends than it could list. Its wait, which lasts as long as the lease from this owner, was shortened to that of the earlier owners' leases, so that a task whose end is still to be listed could start again. Found by reading; the new test failed before. Such workers are left out now.

--- a/fuchsiascale/jobs/_inherited_leases.py
+++ b/fuchsiascale/jobs/_inherited_leases.py
@@ -82,14 +82,22 @@
         self.limit()
 
     def limit(self):
-        """Bound the wait for workers by what is known of them and of earlier owners."""
+        """Bound the wait for workers by what is known of them and of earlier owners.
+
+        Workers that have answered are waited for as long as they have ends to list.
+        """
         unconfirmed = self._shard.unconfirmed_workers
         for worker_id, before_s in unconfirmed.items():
+            worker = self._shard.workers.get(worker_id)
+            if worker is not None and worker.claimed:
+                continue
             until_s = self._compute_end(worker_id)
             if self._has_restarted(worker_id) and worker_id not in self._restarted:
+                # The wait was shorter while the list showed the incarnation before.
                 self._restarted.add(worker_id)
-                before_s = math.inf if math.isfinite(until_s) else before_s
-            unconfirmed[worker_id] = min(before_s, until_s)
+                unconfirmed[worker_id] = until_s
+            else:
+                unconfirmed[worker_id] = min(before_s, until_s)
 
     def _has_restarted(self, worker_id):
         """Return whether the list shows another incarnation than the stored entry."""
--- a/fuchsiascale/jobs/tests/test_owner.py
+++ b/fuchsiascale/jobs/tests/test_owner.py
@@ -208,6 +208,19 @@
         assert shard.unconfirmed_workers["w2"] > 2.0 + 10.0 / (1 - CLOCK_DRIFT)
 
 
+async def test_a_worker_with_more_ends_than_it_could_list_is_waited_for():
+    # It has answered, so that its lease is the successor's, whatever the list shows.
+    shard, leases = make_successor()
+    leases.mark_stopped(2.0)
+    worker = shard.workers["w2"]
+    inventory = Inventory(clock_ms=1_000, incarnation=1, lists_all_ends=False)
+    shard.observe(worker, inventory, 5.0, 5.0)
+    until_s = shard.unconfirmed_workers["w2"]
+    assert until_s >= worker.lease_expiry_s
+    leases.note_list(5.1)
+    assert shard.unconfirmed_workers["w2"] == until_s
+
+
 async def test_a_successor_waits_for_the_longest_lease_until_it_knows_the_list():
     shard, leases = make_successor()
     leases.mark_stopped(2.0)
