Log the load of an owner's workers and what slows fillers

The owner now writes a line `load` a second (left over, declared and used processors, processors withheld by cause, tasks and jobs by kind, rounds, oldest inventory), and exports what fillers use and what is withheld.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import logbook
+import msgspec
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._conclusions import confirm_owner, needs_confirmation
@@ -11,6 +12,7 @@
 from fuchsiascale.jobs._evacuations import Evacuations
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
 from fuchsiascale.jobs._job_order import compute_objective_s
+from fuchsiascale.jobs._load_report import report_load
 from fuchsiascale.jobs._model import find_problems
 from fuchsiascale.jobs._ownership_evidence import OwnershipEvidence
 from fuchsiascale.jobs._placement_explanation import explain_placement
@@ -44,6 +46,8 @@
 """Longest time between rounds when no event requests one."""
 RELAY_ASSIGNMENT_PERIOD_S = 0.5
 """Period in which workers are assigned to the peers that relay calls to them."""
+LOAD_REPORT_PERIOD_S = 1.0
+"""Period in which the load of the workers is logged."""
 FEED_POLL_INTERVAL_S = 0.4
 """Minimum time between two polls of the job feed."""
 FEED_WAIT_MS = 800
@@ -155,7 +159,9 @@
         self.workers = workers
         self.round_count = 0
         self.round_seconds = 0.0
+        self.load = None
         self._relays_due_s = 0.0
+        self._load_due_s = 0.0
         self._next_explanation_s = 0.0
         self._confirmation = None
         self._round_requested = asyncio.Event()
@@ -428,6 +434,21 @@
         if self.shard.dirty:
             self.recorder.flush_requested.set()
         self.links.sync()
+        if now_s >= self._load_due_s:
+            self._report_load(now_s)
+
+    def _report_load(self, now_s):
+        self._load_due_s = now_s + LOAD_REPORT_PERIOD_S
+        self.load = report_load(self.shard, now_s)
+        self.log.info(
+            "load",
+            extra={
+                **self._identify(),
+                "rounds": self.round_count,
+                "round_seconds": round(self.round_seconds, 3),
+                **msgspec.to_builtins(self.load),
+            },
+        )
 
     def _apply_confirmation(self, now_s):
         """Conclude what the last confirmation allows; ask for another if one is due."""
--- a/fuchsiascale/jobs/_pacing.py
+++ b/fuchsiascale/jobs/_pacing.py
@@ -3,7 +3,7 @@
 A filler is a task that uses only processor time that other tasks leave over.
 """
 
-from fuchsiascale.jobs._run_state import FULL_SPEED_PERCENT, AttemptPhase
+from fuchsiascale.jobs._run_state import FULL_SPEED_PERCENT, AttemptPhase, SlowedBy
 from fuchsiascale.jobs._worker_selection import (
     HARMLESS_SLOPE,
     list_serving_tasks,
@@ -85,9 +85,16 @@
     over_s = now_s - worker.over_target_since_s if over else 0.0
     task_over_s = _measure_task_over_target_s(worker, now_s)
     for attempt in fillers:
-        suspect = over_s > SUSPECTS_HALT_S and _is_suspect(shard, over, attempt)
-        if suspect or over_s > ALL_HALT_S or task_over_s > SINGLE_TASK_HALT_S:
+        halted_by = None
+        if over_s > ALL_HALT_S:
+            halted_by = SlowedBy.WORKER_OVER_TARGET
+        elif task_over_s > SINGLE_TASK_HALT_S:
+            halted_by = SlowedBy.TASK_OVER_TARGET
+        elif over_s > SUSPECTS_HALT_S and _is_suspect(shard, over, attempt):
+            halted_by = SlowedBy.TARGET_MISSED
+        if halted_by is not None:
             paces[attempt] = 0.0
+        attempt.slowed_by = halted_by or SlowedBy.PREDICTION
     for attempt, pace in paces.items():
         percent = int(pace * FULL_SPEED_PERCENT / PACE_STEP_PERCENT) * PACE_STEP_PERCENT
         shard.set_pace(attempt, percent)
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -12,6 +12,7 @@
     "Attempt",
     "AttemptPhase",
     "JobRun",
+    "SlowedBy",
     "StepRun",
     "Task",
 ]
@@ -36,6 +37,21 @@
     STOPPING = "stopping"
 
 
+class SlowedBy(Enum):
+    """Why a filler is throttled.
+
+    ``PREDICTION`` is the interference that is expected of it, ``TARGET_MISSED`` that
+    all tasks of a serving job on its worker miss their target while it is a possible
+    cause, ``WORKER_OVER_TARGET`` that they have done so for longer, and
+    ``TASK_OVER_TARGET`` that a single serving task has.
+    """
+
+    PREDICTION = "prediction"
+    TARGET_MISSED = "target missed"
+    WORKER_OVER_TARGET = "worker over target"
+    TASK_OVER_TARGET = "task over target"
+
+
 class Attempt:
     """One run of a task on a worker.
 
@@ -49,6 +65,8 @@
         See `RunningAttempt`.
     pace, target_pace : int
         Speed in percent that the worker has confirmed, and that was last commanded.
+    slowed_by : SlowedBy or None
+        Why its target speed is below full speed; None if it never was.
     has_full_run_time : bool
         Whether the run time is that of the whole task at full speed.
     is_start_in_doubt : bool
@@ -70,6 +88,7 @@
         "phase",
         "phase_since_s",
         "progressed_at_s",
+        "slowed_by",
         "start_until_s",
         "stop_answered_s",
         "stop_sent_s",
@@ -90,6 +109,7 @@
         self.figure = 0
         self.pace = FULL_SPEED_PERCENT
         self.target_pace = FULL_SPEED_PERCENT
+        self.slowed_by = None
         self.stop_sent_s = None
         self.stop_answered_s = None
         self.has_full_run_time = not task.checkpoint
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -160,8 +160,22 @@
             "Longest least time until the first start of a new job of any queue.",
             labels=["service"],
         )
+        slowed = GaugeMetricFamily(
+            f"{PREFIX}_filler_cores_slowed",
+            "Processors withheld from running fillers, by cause.",
+            labels=["service", "cause"],
+        )
+        used = GaugeMetricFamily(
+            f"{PREFIX}_filler_cores_used",
+            "Processors that running fillers use.",
+            labels=["service"],
+        )
         for service, owner in self._ownership.owners.items():
             shard = owner.shard
+            if owner.load is not None:
+                used.add_metric([service], owner.load.used_filler_cores)
+                for cause, cores in owner.load.slowed_cores.items():
+                    slowed.add_metric([service, cause], cores)
             for domain, is_evacuated in shard.list_evacuations().items():
                 evacuated.add_metric([service, domain], is_evacuated)
             waits.add_metric([service], self._ownership.loads.find_longest_s(service))
@@ -176,7 +190,7 @@
             quiet = sum(worker.silent for worker in shard.workers.values())
             silent.add_metric([service], quiet)
         yield from (tokens, jobs, silent, events, relays, rejected, rounds)
-        yield from (evacuated, waits)
+        yield from (evacuated, waits, slowed, used)
 
     def _collect_refusals(self):
         """Yield the metrics of a silent store and of submissions not accepted."""
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -58,10 +58,11 @@
     assert f"fuchsiascale_store_received_bytes_total{labels} 90000.0" in text
 
 
-def render_owner(shard):
+def render_owner(shard, load=None):
     """Return the metrics of an instance that owns one service."""
     owner = SimpleNamespace(
         shard=shard,
+        load=load,
         workers=SimpleNamespace(count_channels=lambda: 6),
         recorder=SimpleNamespace(rejected_rows=2),
         round_count=50,
@@ -87,6 +88,16 @@
     assert f"fuchsiascale_round_duration_seconds_sum{labels} 0.4" in text
 
 
+def test_withheld_processors_are_exported_by_cause():
+    load = SimpleNamespace(
+        used_filler_cores=12.5, slowed_cores={"prediction": 40.0, "target missed": 2.0}
+    )
+    text = render_owner(Shard("pool", 3, 6.0), load)
+    assert 'fuchsiascale_filler_cores_used{service="pool"} 12.5' in text
+    labels = '{cause="prediction",service="pool"}'
+    assert f"fuchsiascale_filler_cores_slowed{labels} 40.0" in text
+
+
 def test_evacuated_domains_are_exported_where_they_have_workers():
     # Rows of other writers may name thousands of domains, each of them a series.
     shard = make_zoned_shard("a", "b")
