--- a/fuchsiascale/jobs/tests/test_consolidation.py
+++ b/fuchsiascale/jobs/tests/test_consolidation.py
@@ -13,6 +13,8 @@
     make_step,
     submit_job,
 )
+from fuchsiascale.jobs.tests.test_urgent_room import Fleet
+from fuchsiascale.jobs.tests.test_urgent_room import make_step as make_fleet_step
 from fuchsiascale.testing import collect_functions, fixture
 
 load_tests = collect_functions(__name__)
@@ -131,3 +133,32 @@
     start_serving(shard, TOLERANT, "tolerant", ["w0", "w0", "w1"])
     start_serving(shard, SENSITIVE, "sensitive", ["w1", "w1", "w0"], max_per_worker=2)
     assert plan_with_waiting_fillers(shard, 10.0) == []
+
+
+def test_tolerant_tasks_that_are_scattered_among_sensitive_ones_are_grouped():
+    """Fillers got no processor time though a third of the workers could be theirs.
+
+    Each worker ran one tolerant task and two sensitive ones, so that no single move
+    opened a worker to the fillers.
+    """
+    fleet = Fleet(workers=6)
+    interference = fleet.shard.interference
+    interference.restore({"tolerant": {"scan": 0.0}, "a": {"scan": 9.0}})
+    interference.restore({"b": {"scan": 9.0}})
+    for number, image in enumerate(("tolerant", "a", "b")):
+        step = make_fleet_step(6, 8, lasting=True, image=image, tail_target_ms=100)
+        job = fleet.submit(number, step)
+        workers = fleet.shard.workers.values()
+        for task, worker in zip(job.find_ready_steps()[0].tasks, workers, strict=True):
+            fleet.shard.note_started(fleet.shard.start_task(task, worker, 0.0), 0.0)
+    fleet.shard.drain_commands()
+    batch = fleet.submit(
+        9, make_fleet_step(24, 4, fills=True, image="scan"), priority=2
+    )
+    fleet.advance(12.0)
+    allowed = sum(
+        attempt.task.step.spec.need.cpu_millis * attempt.target_pace / 100
+        for attempt in batch.list_attempts()
+    )
+    # Two workers with tolerant tasks alone leave 20 of 32 cores each.
+    assert allowed >= 40_000
--- a/fuchsiascale/jobs/tests/test_urgent_room.py
+++ b/fuchsiascale/jobs/tests/test_urgent_room.py
@@ -31,7 +31,10 @@
 
 
 class Fleet:
-    """Workers that carry out the commands of a shard in virtual time."""
+    """Workers that carry out the commands of a shard in virtual time.
+
+    Long-running tasks and fillers run until they are stopped.
+    """
 
     def __init__(self, workers):
         self.shard = Shard("pool", 1, 6.0)
@@ -90,7 +93,8 @@
         if isinstance(command, StartCommand):
             attempt = command.attempt
             self.shard.note_started(attempt, self.now_s)
-            if not attempt.task.step.spec.lasting:
+            spec = attempt.task.step.spec
+            if not spec.lasting and not spec.fills:
                 self._end_later(attempt, URGENT_RUN_S, EndKind.DONE)
         elif isinstance(command, StopCommand):
             attempt = command.worker.attempts[command.task]
