--- a/fuchsiascale/jobs/_rounds.py
+++ b/fuchsiascale/jobs/_rounds.py
@@ -119,7 +119,13 @@
     is_full = pool.full_kinds.includes(spec, now_s)
     if is_full and not _is_starvation_check_due(step, now_s):
         return
-    waiting = [task for task in step.tasks if task.waiting and shard.may_start(task)]
+    waiting = [
+        task
+        for task in step.tasks
+        if task.waiting
+        and shard.may_start(task)
+        and not _awaits_preferred_worker(shard, task, now_s)
+    ]
     if not waiting:
         return
     started = []
@@ -143,6 +149,21 @@
         _log_started(shard, step, started, len(waiting))
 
 
+def _awaits_preferred_worker(shard, task, now_s):
+    """Return whether a task that is being moved waits until its new worker has room.
+
+    The task with which it changes places may end later than itself.
+    """
+    if not task.preferred_worker or now_s >= task.preferred_until_s:
+        return False
+    worker = shard.workers.get(task.preferred_worker)
+    return (
+        worker is not None
+        and shard.may_use(worker, now_s)
+        and not worker.fits(task.step.spec)
+    )
+
+
 def _start_starving_task(shard, step, task, workers, leftovers, now_s):
     """Start a filler on the worker with the most leftover capacity, if one has room."""
     worker = find_most_leftover(step, workers, leftovers)
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -140,6 +140,8 @@
         Worker to avoid: an attempt failed or stalled there, or it was unhealthy.
     preferred_worker : str or None
         Worker to which the task is being moved.
+    preferred_until_s : float
+        Monotonic time until which it waits for room there.
     stalls : int
         Number of attempts that were stopped because they made no progress.
     located : bool
@@ -161,6 +163,7 @@
         "lost_s",
         "name",
         "next_number",
+        "preferred_until_s",
         "preferred_worker",
         "stalls",
         "step",
@@ -180,6 +183,7 @@
         self.avoided_worker = None
         self.waiting_since_s = None
         self.preferred_worker = None
+        self.preferred_until_s = 0.0
         self.located = False
         self.lost_s = -math.inf
         self.stalls = 0
@@ -189,6 +193,11 @@
         """Whether the task may be started."""
         return not self.done and self.attempt is None
 
+    def prefer(self, worker, until_s):
+        """Note that the task is to run next on a worker, if that has room in time."""
+        self.preferred_worker = worker.worker
+        self.preferred_until_s = until_s
+
     def mark_located(self):
         """Note that this owner has seen an attempt of the task run."""
         self.located = True
--- a/fuchsiascale/jobs/_worker_selection.py
+++ b/fuchsiascale/jobs/_worker_selection.py
@@ -170,7 +170,11 @@
         heap = self._heap
         if not heap:
             return None
+        preferred = task.preferred_worker
         entry = self._pop_preferred(task)
+        if preferred:
+            how = "elsewhere" if entry is None else "as planned"
+            self._shard.events[f"moved {how}"] += 1
         if entry is None:
             entry = heapq.heappop(heap)
             if heap and entry[2].worker == task.avoided_worker:
--- a/fuchsiascale/jobs/_worker_state.py
+++ b/fuchsiascale/jobs/_worker_state.py
@@ -313,17 +313,3 @@
             and self.memory_used + need.memory_mb <= capacity.memory_mb
             and self.accelerators_used + need.accelerators <= capacity.accelerators
         )
-
-    def fits_instead_of(self, spec, attempt):
-        """Return whether a task of a step fits once an attempt here has stopped."""
-        need, capacity = spec.need, self.listed.capacity
-        freed = attempt.task.step.spec
-        cpu = 0 if spec.fills else need.cpu_millis
-        freed_cpu = 0 if freed.fills else freed.need.cpu_millis
-        memory_mb = need.memory_mb - freed.need.memory_mb
-        accelerators = need.accelerators - freed.need.accelerators
-        return (
-            self.cpu_used + cpu - freed_cpu <= capacity.cpu_millis
-            and self.memory_used + memory_mb <= capacity.memory_mb
-            and self.accelerators_used + accelerators <= capacity.accelerators
-        )
--- a/fuchsiascale/jobs/tests/test_consolidation.py
+++ b/fuchsiascale/jobs/tests/test_consolidation.py
@@ -110,6 +110,32 @@
     assert started[f"{TOLERANT}.0.0.2"] == "w0"
 
 
+def test_a_task_that_has_stopped_first_waits_for_its_counterpart(shard):
+    """Of two tasks that change places, the first one to end started anywhere."""
+    start_serving(shard, TOLERANT, "tolerant", ["w0", "w0", "w1"])
+    start_serving(shard, SENSITIVE, "sensitive", ["w1", "w1", "w0"])
+    first, second = plan_with_waiting_fillers(shard, 10.0)
+    report_end(shard, first, 1, 10.1)
+    plan_round(shard, 10.2)
+    assert not any(each.task.step.spec.lasting for each in drain_starts(shard))
+    report_end(shard, second, 1, 10.6)
+    plan_round(shard, 10.7)
+    started = {each.task.name: each.worker.worker for each in drain_starts(shard)}
+    assert started[f"{SENSITIVE}.0.0.2"] == "w1"
+    assert started[f"{TOLERANT}.0.0.2"] == "w0"
+
+
+def test_a_task_whose_counterpart_does_not_stop_starts_where_there_is_room(shard):
+    """A long-running task may not wait for more than a few seconds to run again."""
+    start_serving(shard, TOLERANT, "tolerant", ["w0", "w0", "w1"])
+    start_serving(shard, SENSITIVE, "sensitive", ["w1", "w1", "w0"])
+    first, _ = plan_with_waiting_fillers(shard, 10.0)
+    report_end(shard, first, 1, 10.1)
+    plan_round(shard, 12.5)
+    started = {each.task.name: each.worker.worker for each in drain_starts(shard)}
+    assert started[f"{SENSITIVE}.0.0.2"] == "w0"
+
+
 def test_no_task_moves_while_no_filler_waits(shard):
     start_serving(shard, TOLERANT, "tolerant", ["w0", "w0", "w1"])
     start_serving(shard, SENSITIVE, "sensitive", ["w1", "w1", "w0"])
