--- a/fuchsiascale/jobs/_load_report.py
+++ b/fuchsiascale/jobs/_load_report.py
@@ -31,6 +31,9 @@
         Workers that accept attempts, and all.
     oldest_inventory_s : float
         Age of the oldest inventory of a worker that accepts attempts.
+    oldest_unrecorded_end_s : float
+        For how long the final state of a job has waited for its record, at most.
+        Callers are not told of it before.
     reserved_cores, usable_cores : float
         Processors that tasks other than fillers reserve, and all, on these workers.
     leftover_cores : float
@@ -49,6 +52,7 @@
     usable_workers: int
     workers: int
     oldest_inventory_s: float
+    oldest_unrecorded_end_s: float
     reserved_cores: float
     usable_cores: float
     leftover_cores: float
@@ -82,6 +86,7 @@
         usable_workers=len(usable),
         workers=len(shard.workers),
         oldest_inventory_s=round(max(ages, default=0.0), 3),
+        oldest_unrecorded_end_s=round(_measure_oldest_end_s(shard, now_s), 3),
         reserved_cores=_to_cores(worker.cpu_used for worker in usable),
         usable_cores=_to_cores(worker.listed.capacity.cpu_millis for worker in usable),
         leftover_cores=_to_cores(map(_estimate_filler_millis, usable)),
@@ -92,6 +97,11 @@
     )
 
 
+def _measure_oldest_end_s(shard, now_s):
+    ended = [job.ended_s for job in shard.jobs.values() if job.ended_s is not None]
+    return now_s - min(ended, default=now_s)
+
+
 def _to_cores(millis):
     return round(sum(millis) / MILLIS_PER_CORE, 1)
 
--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -440,7 +440,8 @@
     def _report_load(self, now_s):
         self._load_due_s = now_s + LOAD_REPORT_PERIOD_S
         self.load = report_load(self.shard, now_s)
-        self.log.info(
+        # Information may be left out under load, when the line is needed most.
+        self.log.notice(
             "load",
             extra={
                 **self._identify(),
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -339,6 +339,8 @@
         Steps of the occurrences that have been opened and have not finished.
     progress_rows : int
         Number of rows in which its progress may be stored.
+    ended_s : float or None
+        Monotonic time at which it got its final state.
     unrecorded_ends : dict
         The lowest number of an end that no record covers, by worker and incarnation.
     """
@@ -355,6 +357,7 @@
         self.state = JobState.QUEUED
         self.cancelled = False
         self.idle_since_s = None
+        self.ended_s = None
         self.occurrences = {}
         self.finished_occurrences = NumberRanges()
         self.progress_rows = 0
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -145,6 +145,7 @@
     def finish_job(self, job, state, now_s):
         """Set the final state of a job, and stop its attempts."""
         job.state = state
+        job.ended_s = now_s
         self.dirty[job.job] = job
         for attempt in job.list_attempts():
             self.stop_attempt(attempt, now_s)
--- a/fuchsiascale/jobs/tests/test_load_report.py
+++ b/fuchsiascale/jobs/tests/test_load_report.py
@@ -1,6 +1,6 @@
 """What an owner reports of the load of its workers."""
 
-from fuchsiascale.jobs import SlowedBy, plan_round
+from fuchsiascale.jobs import JobState, SlowedBy, plan_round
 from fuchsiascale.jobs._load_report import report_load
 from fuchsiascale.jobs.tests.test_rounds import (
     make_shard,
@@ -44,3 +44,14 @@
         SlowedBy.WORKER_OVER_TARGET.value: 1.0,
         SlowedBy.PREDICTION.value: 1.0,
     }
+
+
+def test_a_final_state_that_waits_for_its_record_is_reported():
+    """Callers of an owner that falls behind learn late that their jobs have ended."""
+    shard = make_shard()
+    job = submit_job(shard, make_step())
+    assert report_load(shard, 1.0).oldest_unrecorded_end_s == 0.0
+    shard.finish_job(job, JobState.COMPLETED, 1.0)
+    assert report_load(shard, 3.5).oldest_unrecorded_end_s == 2.5
+    shard.note_finished(job.job, JobState.COMPLETED, 3.5)
+    assert report_load(shard, 3.5).oldest_unrecorded_end_s == 0.0
