Let an observation of interference cost the same in a job of any size

Cause: each observation of a serving task went through those of all tasks of its job in the last 0.8 s, some 50, several times, so that the work grew with the square of the job's tasks. A job's observations are now kept with their sums, and the fit of an image takes 100 of them a second on average, which small deployments don't reach.

--- a/fuchsiascale/decisions/_pair_interference.py
+++ b/fuchsiascale/decisions/_pair_interference.py
@@ -38,6 +38,10 @@
 WINDOW_S = 0.8
 """Maximum age of the samples that show a job's present load; it covers two reports of
 the workers."""
+MAX_UPDATES_PER_S = 100
+"""Observations of a serving image that are added to its fit in a second, on average and
+in one burst. Each costs some 0.1 ms; several hundred workers report thousands a second,
+and a tenth of them determines the slopes as well."""
 MAX_HEADROOM = 6.0
 """Cap of measured headroom, since tails of few milliseconds are imprecise."""
 PRIOR_HEADROOM = 1.6
@@ -56,6 +60,8 @@
         self.cross_products = {}
         self.slopes = {}
         self.decayed_s = None
+        self._updates_left = MAX_UPDATES_PER_S
+        self._refilled_s = None
 
     def add(self, shares, headroom_loss, weight):
         """Add an observation and update the slopes of its images."""
@@ -74,6 +80,25 @@
         """Return the slope expected of an image without observations."""
         return self.priors.get(image, PRIOR_SLOPE)
 
+    def slope(self, image):
+        """Return the slope of an image."""
+        slope = self.slopes.get(image)
+        return self.prior(image) if slope is None else slope
+
+    def take_update(self, now_s):
+        """Return whether an observation may be added now, and count it.
+
+        Updates are limited by a token bucket.
+        """
+        if self._refilled_s is not None:
+            refill = (now_s - self._refilled_s) * MAX_UPDATES_PER_S
+            self._updates_left = min(MAX_UPDATES_PER_S, self._updates_left + refill)
+        self._refilled_s = now_s
+        if self._updates_left < 1:
+            return False
+        self._updates_left -= 1
+        return True
+
     def _solve(self, image):
         row = self.gram_matrix[image]
         explained = sum(
@@ -110,6 +135,47 @@
         self.shares = shares
 
 
+class _RecentSamples:
+    """Samples of a job's tasks in the last `WINDOW_S`, and their sums.
+
+    Load pattern: a job of several dozen tasks, each of which is sampled several times
+    in the window. The sums make the cost of a sample independent of their number.
+    """
+
+    __slots__ = ("_samples", "headroom_sum", "share_sums")
+
+    def __init__(self):
+        self._samples = deque()
+        self._clear_sums()
+
+    def _clear_sums(self):
+        self.headroom_sum = 0.0
+        self.share_sums = {}
+
+    def __len__(self):
+        return len(self._samples)
+
+    def add(self, sample):
+        """Add a sample."""
+        self._samples.append(sample)
+        self._count(sample, 1)
+
+    def expire(self, before_s):
+        """Remove the samples that were taken before a time."""
+        samples = self._samples
+        while samples and samples[0].at_s < before_s:
+            self._count(samples.popleft(), -1)
+        if not samples:
+            # Rounding errors of the sums would add up otherwise.
+            self._clear_sums()
+
+    def _count(self, sample, sign):
+        self.headroom_sum += sign * sample.headroom
+        sums = self.share_sums
+        for image, share in sample.shares.items():
+            sums[image] = sums.get(image, 0.0) + sign * share
+
+
 class PairInterference:
     """Slopes of pairs of images, and the undisturbed headroom of serving jobs.
 
@@ -126,9 +192,7 @@
     def slope(self, serving_image, filler_image):
         """Return the headroom lost if the filler uses all processors of a worker."""
         fit = self._fits.get(serving_image)
-        if fit is None:
-            return PRIOR_SLOPE
-        return fit.slopes.get(filler_image, fit.prior(filler_image))
+        return PRIOR_SLOPE if fit is None else fit.slope(filler_image)
 
     def known(self, serving_image, filler_image):
         """Return whether a pair has enough observations for a reliable slope."""
@@ -188,11 +252,8 @@
     def _average(self, job, samples):
         """Return the mean headroom of samples, each with its estimated loss added."""
         serving_image = self._serving_images[job]
-        total = sum(
-            sample.headroom + self.estimate_loss(serving_image, sample.shares.items())
-            for sample in samples
-        )
-        return total / len(samples)
+        loss = self.estimate_loss(serving_image, samples.share_sums.items())
+        return (samples.headroom_sum + loss) / len(samples)
 
     def observe(self, serving_image, job, headroom, shares, now_s):
         """Record the measured headroom of one task of a job.
@@ -225,25 +286,24 @@
         headroom = min(MAX_HEADROOM, headroom)
         fit = self._fits.setdefault(serving_image, _SlopeFit({}))
         self._serving_images[job] = serving_image
-        samples = self._samples.setdefault(job, deque())
-        while samples and samples[0].at_s < now_s - WINDOW_S:
-            samples.popleft()
-        if samples:
+        samples = self._samples.setdefault(job, _RecentSamples())
+        samples.expire(now_s - WINDOW_S)
+        may_update = fit.take_update(now_s)
+        if samples and may_update:
             self._compare(fit, samples, headroom, shares)
-        samples.append(_Sample(now_s, headroom, shares))
+        samples.add(_Sample(now_s, headroom, shares))
         self._headrooms.pop(job, None)
-        if shares and self._average(job, samples) < MIN_HEADROOM:
+        if may_update and shares and self._average(job, samples) < MIN_HEADROOM:
             fit.add(shares, MIN_HEADROOM - headroom, 1.0)
         fit.decay(now_s)
 
     def _compare(self, fit, samples, headroom, shares):
         """Add the difference to the mean of the job's other samples to the fit."""
         count = len(samples)
-        mean = sum(sample.headroom for sample in samples) / count
+        mean = samples.headroom_sum / count
         differences = dict(shares)
-        for sample in samples:
-            for image, share in sample.shares.items():
-                differences[image] = differences.get(image, 0.0) - share / count
+        for image, share_sum in samples.share_sums.items():
+            differences[image] = differences.get(image, 0.0) - share_sum / count
         differences = {
             image: share
             for image, share in differences.items()
@@ -273,4 +333,7 @@
         >>> PairInterference().estimate_loss("web", [("scan", 0.5)])
         1.5
         """
-        return sum(self.slope(serving_image, image) * share for image, share in fillers)
+        fit = self._fits.get(serving_image)
+        if fit is None:
+            return PRIOR_SLOPE * sum(share for _, share in fillers)
+        return sum([fit.slope(image) * share for image, share in fillers])
