--- a/fuchsiascale/decisions/_pair_interference.py
+++ b/fuchsiascale/decisions/_pair_interference.py
@@ -40,8 +40,8 @@
 the workers."""
 MAX_UPDATES_PER_S = 100
 """Observations of a serving image that are added to its fit in a second, on average and
-in one burst. Each costs some 0.1 ms; several hundred workers report thousands a second,
-and a tenth of them determines the slopes as well."""
+in one burst. Each costs some 0.1 ms, and several hundred workers report thousands a
+second."""
 MAX_HEADROOM = 6.0
 """Cap of measured headroom, since tails of few milliseconds are imprecise."""
 PRIOR_HEADROOM = 1.6
