--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -66,7 +66,7 @@
     pace, target_pace : int
         Speed in percent that the worker has confirmed, and that was last commanded.
     slowed_by : SlowedBy or None
-        Why its target speed is below full speed; None if it never was.
+        Why its target speed is below full speed, if it is; None for other tasks.
     has_full_run_time : bool
         Whether the run time is that of the whole task at full speed.
     is_start_in_doubt : bool
