End what runs on a simulated worker that is restarted while it is up

Two faults overlapped: one restarted a worker that another had just restarted, and the second restart forgot what ran there without ending it, so that its runs never ended in the record. The check is as strict as before: a restart now ends all runs, whichever fault brings it about.

--- a/fuchsiascale/jobs/tests/_simulation_worker.py
+++ b/fuchsiascale/jobs/tests/_simulation_worker.py
@@ -159,7 +159,12 @@
         return None if self._is_silent else Failure(Absent())
 
     def start_again(self):
-        """Run again under the same id, without any knowledge of before."""
+        """Run again under the same id, without any knowledge of before.
+
+        Faults that overlap may restart a worker that is up.
+        """
+        if self.is_up:
+            self.crash()
         self.is_up, self.is_draining = True, False
         self._restart(first_clock_ms=0)
         self.simulation.record.note(f"{self.name} is up again")
