--- a/fuchsiascale/jobs/_owner_succession.py
+++ b/fuchsiascale/jobs/_owner_succession.py
@@ -68,6 +68,9 @@
     """
     notice = OwnerNotice(owner.service, owner.row, owner.version)
     missing = set(addresses)
+    log.info(
+        "announcing owner", extra={**_identify(owner), "instances": sorted(missing)}
+    )
     while missing and not owner.lost and not owner.is_takeover_complete:
         asked = sorted(missing)
         replies = await asyncio.gather(
@@ -84,7 +87,7 @@
         log.info(
             "owner announced",
             extra={
-                "service": owner.service,
+                **_identify(owner),
                 "instances": len(addresses),
                 "predecessor_stops_in_s": round(stopped_s - now_s, 3),
             },
@@ -92,6 +95,11 @@
         owner.inherited_leases.mark_stopped(stopped_s, includes_earlier_owners=True)
 
 
+def _identify(owner):
+    """Return the fields of a log line that name an owner."""
+    return {"service": owner.service, "token": owner.row.token}
+
+
 async def seek_support(owner, list_supporters, peers):
     """Ask peers for support while the store does not confirm an owner.
 
@@ -104,20 +112,47 @@
     peers : PeerClient
         Calls to them.
     """
+    supporters = []
     while not owner.lost:
+        before, supporters = supporters, []
         if owner.evidence.needs_support():
-            asked_s = owner.clock.monotonic()
-            replies = await asyncio.gather(
-                *(
-                    peers.ask(address, OwnerQuery(owner.service), PING_TIMEOUT_S)
-                    for address in list_supporters()[:MAX_SUPPORTERS]
-                )
-            )
-            versions = [
-                each.version for each in replies if isinstance(each, OwnerReply)
-            ]
-            if any(version > owner.version for version in versions):
-                owner.relinquish("a peer knows a later owner")
-            elif owner.version in versions:
-                owner.evidence.note_support(asked_s)
+            asked = list_supporters()[:MAX_SUPPORTERS]
+            supporters = await _ask_for_support(owner, asked, peers)
+            if bool(supporters) != bool(before):
+                _log_support(owner, asked, supporters)
         await asyncio.sleep(SUPPORT_PERIOD_S)
+
+
+async def _ask_for_support(owner, addresses, peers):
+    """Return the peers that know no later owner; relinquish if one knows such."""
+    asked_s = owner.clock.monotonic()
+    replies = await asyncio.gather(
+        *(
+            peers.ask(address, OwnerQuery(owner.service), PING_TIMEOUT_S)
+            for address in addresses
+        )
+    )
+    versions = {
+        address: reply.version
+        for address, reply in zip(addresses, replies, strict=True)
+        if isinstance(reply, OwnerReply)
+    }
+    if any(version > owner.version for version in versions.values()):
+        owner.relinquish("a peer knows a later owner")
+        return []
+    supporters = [each for each in versions if versions[each] == owner.version]
+    if supporters:
+        owner.evidence.note_support(asked_s)
+    return supporters
+
+
+def _log_support(owner, asked, supporters):
+    log.info(
+        "owner supported by peers" if supporters else "owner not supported by peers",
+        extra={
+            **_identify(owner),
+            "confirmed_ago_s": round(owner.evidence.measure_age_s(), 3),
+            "asked": asked,
+            "supporters": supporters,
+        },
+    )
--- a/fuchsiascale/jobs/tests/test_ownership_evidence.py
+++ b/fuchsiascale/jobs/tests/test_ownership_evidence.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import logbook
+
 from fuchsiascale.clock import ManualClock
 from fuchsiascale.jobs import (
     Acknowledgement,
@@ -116,6 +118,18 @@
     run_in_virtual_time(run())
 
 
+def test_the_log_tells_which_peers_supported_an_owner():
+    async def run():
+        owner = FakeOwner(version=5)
+        await seek(owner, FakePeers({"b:1": 5, "c:1": 3}), 6.0)
+
+    with logbook.TestHandler() as handler:
+        run_in_virtual_time(run())
+    lines = [each for each in handler.records if each.channel == "offices"]
+    assert [each.message for each in lines] == ["owner supported by peers"]
+    assert lines[0].extra["supporters"] == ["b:1"]
+
+
 def test_an_owner_relinquishes_once_a_peer_knows_a_later_one():
     async def run():
         owner = FakeOwner(version=5)
