Let only peers that any successor knows of support an owner

What callers saw: a task ran twice at once, on workers of two failure domains, ordered by two instances, the first run without any stop.

Cause: an owner that the store doesn't confirm acts for 10 s while a peer supports it, and its successor reckons with 3 s once all peers that it knows of have been told of it. The owner took a peer for known to any successor that it had known for 4 s at the time of the question. A peer that joined or returned after the cut was asked 4 s later, or at once if the owner had known it long ago, since its absence didn't count. The class: a statement about who knows what, true at the last contact, used for a later time.

The log of such a play has the returned peer as the only supporter of the earlier owner, and not among the instances that the later one told.

Why this works: the owner lists its possible supporters only while the store's confirmation is at most 1 s old, and only members without a gap for the 4 s before that. Any successor has a report of members that is at most 3 s older than its claim, and the claim comes after the last confirmation. The two unit tests and the simulation's test fail on the commit before.

--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -1,7 +1,6 @@
 """Live instances, as learnt from their pings and from the answers of owners."""
 
 import math
-import random
 
 import msgspec
 import xxhash
@@ -49,7 +48,7 @@
         self.own = own
         self.clock = clock
         self._members = {}
-        self._first_seen_s = {}
+        self._live_since_s = {}
         self._seen_s = {}
         self.reported_s = -math.inf
         self._started_s = clock.monotonic()
@@ -62,7 +61,8 @@
         self._note_sign_of_life(member.address, self.clock.monotonic())
 
     def _note_sign_of_life(self, address, now_s):
-        self._first_seen_s.setdefault(address, now_s)
+        if now_s - self._seen_s.get(address, -math.inf) >= MEMBER_TIMEOUT_S:
+            self._live_since_s[address] = now_s
         self._seen_s[address] = now_s
 
     def apply_report(self, owner_address, members, digest, is_owner=True):
@@ -86,7 +86,7 @@
         for address, seen_s in list(self._seen_s.items()):
             if now_s - seen_s >= RETENTION_S:
                 del self._seen_s[address]
-                del self._first_seen_s[address]
+                del self._live_since_s[address]
                 self._members.pop(address, None)
 
     @property
@@ -119,14 +119,13 @@
         return sorted(self._seen_s.keys() - {self.own.address})
 
     def established_addresses(self, min_age_s):
-        """Return the live members known for some time, in random order."""
+        """Return the members that have been live for some time without a gap."""
         before_s = self.clock.monotonic() - min_age_s
-        found = [
+        return [
             member.address
             for member in self.live()
-            if self._first_seen_s[member.address] <= before_s
+            if self._live_since_s[member.address] <= before_s
         ]
-        return random.sample(found, len(found))
 
     def addresses(self):
         """Return the addresses of the live members."""
--- a/fuchsiascale/jobs/_owner_succession.py
+++ b/fuchsiascale/jobs/_owner_succession.py
@@ -1,6 +1,7 @@
 """Calls between instances about the succession of a service's owners."""
 
 import asyncio
+import random
 
 import logbook
 
@@ -103,20 +104,26 @@
 async def seek_support(owner, list_supporters, peers):
     """Ask peers for support while the store does not confirm an owner.
 
+    A successor tells those of itself that it knows from the last report of the owner.
+    So only peers are asked that were listed while the store still confirmed it: one
+    that joins or returns later is unknown to the successor.
+
     Parameters
     ----------
     owner : Owner
         The owner.
     list_supporters : callable
-        Returns the addresses of instances that may support it, in random order.
+        Returns the addresses of the instances that any successor would know of.
     peers : PeerClient
         Calls to them.
     """
-    supporters = []
+    known, supporters = [], []
     while not owner.lost:
         before, supporters = supporters, []
-        if owner.evidence.needs_support():
-            asked = list_supporters()[:MAX_SUPPORTERS]
+        if owner.evidence.is_recent():
+            known = list_supporters()
+        elif owner.evidence.needs_support():
+            asked = random.sample(known, min(MAX_SUPPORTERS, len(known)))
             supporters = await _ask_for_support(owner, asked, peers)
             if bool(supporters) != bool(before):
                 _log_support(owner, asked, supporters)
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -71,8 +71,9 @@
 MAX_REPORT_AGE_S = 3.0
 """Age of an owner's last report from which its members are not known for certain."""
 MIN_SUPPORTER_AGE_S = 4.0
-"""Time for which an owner knows a member that may support it; the member is then in the
-last report that any other instance may have."""
+"""Time for which a member has been live when an owner lists it as a supporter, at most
+1 s after its last confirmation by the store. Any successor has a report, at most 3 s
+older than its claim, with that member in it."""
 
 
 class OwnershipManager:
@@ -406,7 +407,7 @@
         self._spawn(announce_owner(owner, addresses, self.peers, claimed_s))
 
     def _list_supporters(self):
-        """Return the members that a successor of this instance would tell of itself."""
+        """Return the members that any successor of this instance would know of."""
         return self.known_members.established_addresses(MIN_SUPPORTER_AGE_S)
 
     async def _commit_claim(self, view, row):
--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -68,14 +68,18 @@
         Whether the operator evacuates domains.
     restarts : bool
         Whether workers start again in series, and take longer leases than owners grant.
+    returns : bool
+        Whether instances that were away return while the owner's domain is cut off,
+        instead of the other faults.
     """
 
     service = "pool"
 
-    def __init__(self, seed, evacuates, restarts):
+    def __init__(self, seed, evacuates, restarts, returns):
         self.seed = seed
         self.evacuates = evacuates
         self.restarts = restarts
+        self.returns = returns
         self.longest_lease_s = LONG_LEASE_S if restarts else USUAL_LEASE_S
         self.rng = random.Random(f"simulation {seed}")
         self.clock = LoopClock()
@@ -130,8 +134,10 @@
         self._tasks.append(asyncio.create_task(worker.run_heartbeats()))
 
     def spawn(self, coroutine):
-        """Run a coroutine beside the others."""
-        self._tasks.append(asyncio.create_task(coroutine))
+        """Run a coroutine beside the others; returns its task."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.append(task)
+        return task
 
     def is_undisturbed(self, address):
         """Return whether an instance and the store have long been undisturbed."""
@@ -279,7 +285,10 @@
         faults = Faults(self)
         if self.restarts:
             self.spawn(faults.restart_workers(until_s))
-        await faults.run(until_s)
+        if self.returns:
+            await faults.return_in_cut_domain(until_s)
+        else:
+            await faults.run(until_s)
         self.record.note("--- no further faults")
         self.network.faults.clear()
         self.network.usual = LinkFaults()
@@ -339,7 +348,7 @@
             self._record.report(Rule.ERROR, text + error)
 
 
-def play(seed, log_level=logbook.ERROR, evacuates=False, restarts=False):
+def play(seed, log_level=logbook.ERROR, evacuates=False, restarts=False, returns=False):
     """Play the simulation of a seed.
 
     Parameters
@@ -352,6 +361,9 @@
         Whether the operator evacuates domains, which leaves load and faults the same.
     restarts : bool, optional
         Whether workers start again in series, and take longer leases than owners grant.
+    returns : bool, optional
+        Whether instances that were away return while the owner's domain is cut off,
+        instead of the other faults.
 
     Returns
     -------
@@ -363,7 +375,7 @@
     simulations = []
 
     async def run():
-        simulation = Simulation(seed, evacuates, restarts)
+        simulation = Simulation(seed, evacuates, restarts, returns)
         simulations.append(simulation)
         handler = _LogHandler(simulation.record, log_level)
         with logbook.NullHandler().applicationbound(), handler.applicationbound():
--- a/fuchsiascale/jobs/tests/_simulation_faults.py
+++ b/fuchsiascale/jobs/tests/_simulation_faults.py
@@ -81,6 +81,56 @@
             if workers:
                 await self._restart_and_cut(rng, workers, late)
 
+    async def return_in_cut_domain(self, until_s):
+        """Freeze an instance beside the owner until the others have forgotten it.
+
+        It goes on after their domain has been cut off, so that the owner knows it again
+        and nobody else does.
+        """
+        rng = random.Random(f"returns {self._simulation.seed}")
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+            await self._return_in_cut_domain(rng)
+
+    async def _return_in_cut_domain(self, rng):
+        owners = self._simulation.list_owners()
+        instances = self._simulation.instances.values()
+        peers = [
+            each
+            for each in instances
+            if owners and each.domain == owners[0].domain and each is not owners[0]
+        ]
+        if not peers:
+            return
+        domain, peer = peers[0].domain, rng.choice(peers)
+        self._note(f"{peer.address} frozen")
+        peer.process.pause()
+        await asyncio.sleep(rng.uniform(12.0, 24.0))
+        cut = self._simulation.spawn(self._cut_both_ways(domain, 16.0))
+        await asyncio.sleep(rng.uniform(-1.0, 3.0))
+        self._note(f"{peer.address} goes on")
+        peer.process.resume()
+        await cut
+
+    async def _cut_both_ways(self, domain, seconds):
+        """Cut a domain off from the others and from the store."""
+        network = self._simulation.network
+        pairs = self._pair_across(domain)
+        pairs += [(other, one) for one, other in pairs]
+        self._note(f"cut domain {domain} for {seconds:.1f} s")
+        network.cut(pairs)
+        await asyncio.sleep(seconds)
+        network.heal(pairs)
+        self._note(f"healed domain {domain}")
+
+    def _pair_across(self, domain):
+        """Return the links from a domain to the others and to the store."""
+        domains = self._simulation.domains
+        inside = [name for name in domains if domains[name] == domain]
+        outside = [STORE, *(name for name in domains if name not in inside)]
+        return [(one, other) for one in inside for other in outside]
+
     async def _restart_and_cut(self, rng, workers, late):
         """Restart workers, and cut them off 0.2 s to 3 s later."""
         network = self._simulation.network
@@ -156,10 +206,7 @@
         """Cut a domain off from the others and from the store."""
         instance = self._choose_instance()
         if instance is not None:
-            domains = self._simulation.domains
-            inside = [name for name in domains if domains[name] == instance.domain]
-            outside = [STORE, *(name for name in domains if name not in inside)]
-            pairs = [(one, other) for one in inside for other in outside]
+            pairs = self._pair_across(instance.domain)
             await self._cut(pairs, f"domain {instance.domain}")
 
     async def cut_store(self):
--- a/fuchsiascale/jobs/tests/play_takeovers.py
+++ b/fuchsiascale/jobs/tests/play_takeovers.py
@@ -50,8 +50,13 @@
     parser.add_argument("--trace", type=int, help="seed whose course is printed")
     parser.add_argument("--evacuate", action="store_true", help="evacuate domains")
     parser.add_argument("--restart", action="store_true", help="restart workers")
+    parser.add_argument("--return", action="store_true", help="return in cut domains")
     options = parser.parse_args()
-    kinds = {"evacuates": options.evacuate, "restarts": options.restart}
+    kinds = {
+        "evacuates": options.evacuate,
+        "restarts": options.restart,
+        "returns": getattr(options, "return"),
+    }
     if options.trace is not None:
         print_trace(options.trace, **kinds)
         return
--- a/fuchsiascale/jobs/tests/test_ownership_evidence.py
+++ b/fuchsiascale/jobs/tests/test_ownership_evidence.py
@@ -118,6 +118,24 @@
     run_in_virtual_time(run())
 
 
+def test_no_peer_supports_an_owner_that_returns_after_its_last_confirmation():
+    async def run():
+        owner, peers = FakeOwner(version=5), FakePeers({})
+        seeking = asyncio.create_task(
+            seek_support(owner, lambda: list(peers.versions), peers)
+        )
+        await asyncio.sleep(2.0)
+        peers.versions["b:1"] = 5
+        await asyncio.sleep(4.0)
+        assert not owner.evidence.is_valid()
+        owner.evidence.confirm(owner.clock.monotonic())
+        await asyncio.sleep(4.0)
+        assert owner.evidence.is_valid()
+        seeking.cancel()
+
+    run_in_virtual_time(run())
+
+
 def test_the_log_tells_which_peers_supported_an_owner():
     async def run():
         owner = FakeOwner(version=5)
@@ -199,3 +217,14 @@
     assert members.established_addresses(1.0) == []
     clock.advance(1.0)
     assert members.established_addresses(1.0) == ["c:1"]
+
+
+def test_a_member_that_was_away_counts_from_its_return():
+    clock = ManualClock()
+    members = Members(Member("a:1"), clock)
+    members.observe(Member("b:1"))
+    clock.advance(STORE_SILENCE_LIMIT_S)
+    members.observe(Member("b:1"))
+    assert members.established_addresses(1.0) == []
+    clock.advance(1.0)
+    assert members.established_addresses(1.0) == ["b:1"]
--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -30,6 +30,9 @@
     156: "an exchange that was held back past a restart dropped ends of the next one",
 }
 """Seeds with workers that start again under their ids, and what broke a rule once."""
+RETURN_SEEDS = (1, 6, 19)
+"""Seeds with instances that return in a cut domain. Each broke a rule while these
+supported an owner there of whose support its successor didn't know."""
 EVACUATION_SEEDS = (*range(2_000, 2_005), 37, 97)
 """Seeds with evacuations. The last two break the bound if a read of the evacuations
 counts for ever and starts grant whole leases."""
@@ -64,6 +67,11 @@
         assert play(seed, restarts=True).breaks == [], (seed, cause)
 
 
+def test_no_task_runs_twice_when_a_peer_returns_to_an_owner_that_is_cut_off():
+    for seed in RETURN_SEEDS:
+        assert play(seed, returns=True).breaks == [], seed
+
+
 def test_a_seed_always_gives_the_same_course():
     events = play(4).events
     assert events
