Date a report of members from when its owner was asked

An instance that is paused finds the answer of before its pause when it goes on; members that joined or returned meanwhile are not in it, and may support the predecessor.

The test, in which the answer waits for 5 s, fails on the commit before: the report was dated 5 s late. Times of evidence are those of the question everywhere else in the succession.

--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -41,7 +41,7 @@
     Attributes
     ----------
     reported_s : float
-        Monotonic time of the last report of an owner.
+        Monotonic time at which an owner was asked that gave the last report.
     """
 
     def __init__(self, own, clock):
@@ -65,17 +65,18 @@
             self._live_since_s[address] = now_s
         self._seen_s[address] = now_s
 
-    def apply_report(self, owner_address, members, digest, is_owner=True):
+    def apply_report(self, owner_address, members, digest, asked_s=None):
         """Apply the members that an instance reports; None if they have not changed.
 
-        ``is_owner`` tells that it owns the service for which it was asked, so that all
-        other instances ping it.
+        ``asked_s`` is the monotonic time at which it was asked if it owns the service,
+        so that all other instances ping it; None if it doesn't. The report may have
+        waited here for as long as this process was paused.
         """
         if members is not None:
             self._reported, self._reported_digest = members, digest
         now_s = self.clock.monotonic()
-        if is_owner:
-            self.reported_s = now_s
+        if asked_s is not None:
+            self.reported_s = asked_s
         for member in self._reported:
             self._members[member.address] = member
             self._note_sign_of_life(member.address, now_s)
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -234,13 +234,17 @@
 
     async def _check_owner(self, view):
         service = view.service
+        asked_s = self.clock.monotonic()
         reply = await self._ping(view.row.address, OWNER_PING_TIMEOUT_S)
         now_s = self.clock.monotonic()
         if isinstance(reply, Pong):
             token = reply.owned.get(service, 0)
             is_owner = token >= view.token
             self.known_members.apply_report(
-                view.row.address, reply.live_members, reply.members_digest, is_owner
+                view.row.address,
+                reply.live_members,
+                reply.members_digest,
+                asked_s if is_owner else None,
             )
             if is_owner:
                 self._views.note_reply(service, token, now_s)
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -99,6 +99,21 @@
     await manager.stop()
 
 
+async def test_a_report_of_members_is_as_old_as_the_question():
+    # A successor that was paused took it for new, and missed members that had joined.
+    store, peers = OwnerRows(encode_row(OTHER)), SlowPeers(owned={SERVICE: 1})
+    manager = make_manager(store, peers)
+    manager.update_view(SERVICE, OTHER, 1)
+    asked_s = manager.clock.monotonic()
+    checking = asyncio.create_task(manager._check_service(SERVICE))
+    await peers.asked.wait()
+    manager.clock.advance(5.0)
+    peers.released.set()
+    await checking
+    assert manager.known_members.reported_s == asked_s
+    await manager.stop()
+
+
 async def test_an_owner_row_of_another_process_with_this_name_is_not_claimed_at_once():
     # A replacement starts under the name of the instance that it replaces.
     namesake = OwnerRow(token=1, instance="a", incarnation="a0", address="c:1")
