Reset connections to workers and relaying peers when they are closed

An owner or a peer gives a call up after 0.8 s and closes its connection; the kernel goes on sending what it has taken, also after a partition has healed or the process has ended. So a start could reach its worker, or the peer that relays it, for as long as a partition lasts, when its task may run elsewhere. RelayChannel already relied on a reset, which closing the transport doesn't bring about.

With a linger time of 0 s the kernel drops what hasn't been delivered, and resets the connection. What a worker holds back itself is unchanged.

--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -45,6 +45,7 @@
     RelayConnector,
     make_relay_handler,
 )
+from fuchsiascale.node._worker_sockets import open_resetting_socket
 from fuchsiascale.platform import user_platform
 
 __all__ = ["NodeApplication"]
@@ -160,7 +161,9 @@
             self.clock,
             self.silence,
         )
-        workers = user_platform.HttpTaskWorkers(self._open_session())
+        workers = user_platform.HttpTaskWorkers(
+            self._open_session(open_resetting_socket)
+        )
         self.worker_relay = WorkerRelay(workers, self.clock)
         self.relay_connector = RelayConnector()
         self.ownership = OwnershipManager(
@@ -251,9 +254,11 @@
             return user_platform.decode_warm_worker
         return user_platform.decode_worker
 
-    def _open_session(self):
+    def _open_session(self, socket_factory=None):
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0),
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=60.0, socket_factory=socket_factory
+            ),
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/fuchsiascale/node/_relay_websocket.py
+++ b/fuchsiascale/node/_relay_websocket.py
@@ -5,6 +5,8 @@
 import aiohttp
 from aiohttp import web
 
+from fuchsiascale.node._worker_sockets import open_resetting_socket
+
 __all__ = ["RELAY_PATH", "RelayConnector", "make_relay_handler"]
 
 RELAY_PATH = "/peer/v2/workers"
@@ -61,7 +63,9 @@
 
     def __init__(self):
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(
+                limit=0, socket_factory=open_resetting_socket
+            ),
             ws_response_class=_ClientSocket,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
