Log by which path a start went and how late it was sent

For a task that ran twice, no line told whether its starts were made directly or through a peer, nor that a start had waited in the process that sent it.

- The lines about a start that was unanswered, refused, lost or answered by another clock have `relayed_by` and `start_age_s`; starts that were answered after more than half of the command's timeout have a line.
- Metrics count starts by path, and late or dropped commands by path.

Links call RelayedWorkers.send_start, which also returns the path, so two test doubles for it have that method in place of start.

--- a/fuchsiascale/jobs/__init__.py
+++ b/fuchsiascale/jobs/__init__.py
@@ -6,6 +6,7 @@
 from fuchsiascale.jobs._configuration_feed import *  # noqa: F403
 from fuchsiascale.jobs._configuration_watch import *  # noqa: F403
 from fuchsiascale.jobs._evacuations import *  # noqa: F403
+from fuchsiascale.jobs._late_commands import *  # noqa: F403
 from fuchsiascale.jobs._members import *  # noqa: F403
 from fuchsiascale.jobs._model import *  # noqa: F403
 from fuchsiascale.jobs._owner import *  # noqa: F403
--- a/fuchsiascale/jobs/_conclusions.py
+++ b/fuchsiascale/jobs/_conclusions.py
@@ -114,9 +114,7 @@
     shard.log.info(
         "attempt lost",
         extra={
-            "task": task.name,
-            "attempt": attempt.number,
-            "worker": attempt.worker.worker,
+            **attempt.describe_start(),
             "why": why,
             "token": shard.token,
             "awaits_confirmation": task.lost_s >= shard.confirmed_s,
--- a/fuchsiascale/jobs/_relayed_workers.py
+++ b/fuchsiascale/jobs/_relayed_workers.py
@@ -111,8 +111,26 @@
 
     async def start(self, worker, request):
         """See `WorkerPort.start`."""
-        reply = await self._relay(worker, request, COMMAND_TIMEOUT_S)
-        return reply or await self.direct.start(worker, request)
+        reply, _ = await self.send_start(worker, request)
+        return reply
+
+    async def send_start(self, worker, request):
+        """Start an attempt, and tell by which path.
+
+        Returns
+        -------
+        tuple of WorkerReply and str or None
+            The reply, and the address of the peer that relayed the call; None for a
+            direct call.
+        """
+        channel = self._find_channel(worker.worker)
+        if channel is not None:
+            reply = await self._relay_through(
+                channel, worker, request, COMMAND_TIMEOUT_S
+            )
+            if reply is not None:
+                return reply, channel.address
+        return await self.direct.start(worker, request), None
 
     async def stop(self, worker, task, attempt, token):
         """See `WorkerPort.stop`."""
@@ -131,6 +149,10 @@
         channel = self._find_channel(worker.worker)
         if channel is None:
             return None
+        return await self._relay_through(channel, worker, request, timeout_s)
+
+    async def _relay_through(self, channel, worker, request, timeout_s):
+        """Return the result of a call that a peer relays; None if it was not sent."""
         target = WorkerAddress(worker.worker, worker.address)
         reply = await channel.call(target, request, timeout_s)
         if not channel.usable:
--- a/fuchsiascale/jobs/_run_state.py
+++ b/fuchsiascale/jobs/_run_state.py
@@ -75,6 +75,12 @@
     start_until_s : float or None
         Monotonic time until which such a start, or an earlier call that extends its
         lease, may be carried out.
+    relayed_by : str or None
+        Address of the peer that relayed its start; None for a direct call, or if this
+        owner has not sent it.
+    start_age_s : float or None
+        Age of its start when the answer, or its absence, was noted; None before, or if
+        this owner has not sent it.
     """
 
     __slots__ = (
@@ -88,7 +94,9 @@
         "phase",
         "phase_since_s",
         "progressed_at_s",
+        "relayed_by",
         "slowed_by",
+        "start_age_s",
         "start_until_s",
         "stop_answered_s",
         "stop_sent_s",
@@ -115,6 +123,23 @@
         self.has_full_run_time = not task.checkpoint
         self.is_start_in_doubt = False
         self.start_until_s = None
+        self.relayed_by = None
+        self.start_age_s = None
+
+    def note_start_path(self, relayed_by, age_s):
+        """Note by which path the start was sent, and its age when that was over."""
+        self.relayed_by = relayed_by
+        self.start_age_s = round(age_s, 3)
+
+    def describe_start(self):
+        """Return the fields of log lines about the start."""
+        return {
+            "task": self.task.name,
+            "attempt": self.number,
+            "worker": self.worker.worker,
+            "relayed_by": self.relayed_by,
+            "start_age_s": self.start_age_s,
+        }
 
     def doubt_start(self, until_s):
         """Note that the start may be carried out unseen until a time."""
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -449,11 +449,7 @@
             worker.blocked_until_s = now_s + pause_s
         self.log.info(
             "start refused",
-            extra={
-                "task": attempt.task.name,
-                "worker": worker.worker,
-                "why": reason.value,
-            },
+            extra={**attempt.describe_start(), "why": reason.value},
         )
 
     def note_start_withheld(self, attempt, now_s):
--- a/fuchsiascale/jobs/_worker_links.py
+++ b/fuchsiascale/jobs/_worker_links.py
@@ -15,11 +15,14 @@
     RefusedReason,
     StartRequest,
 )
+from fuchsiascale.jobs._relayed_workers import COMMAND_TIMEOUT_S
 
 __all__ = ["WorkerLinks"]
 
 EXCHANGE_WAIT_MS = 500
 """Time for which a worker holds an exchange open; the period of its load figures."""
+SLOW_START_S = COMMAND_TIMEOUT_S / 2
+"""Age from which the answer to a start is logged; most arrive within milliseconds."""
 RETRY_S = 0.2
 """Pause after an exchange without an answer."""
 
@@ -33,7 +36,7 @@
         Workers and jobs.
     recorder : Recorder
         Records the ends that exchanges report.
-    calls : WorkerPort
+    calls : RelayedWorkers
         Calls to workers.
     clock : Clock
         Source of time.
@@ -111,25 +114,26 @@
             token=token,
             checkpoint=attempt.checkpoint,
         )
-        reply = await self.calls.start(worker.listed, request)
+        reply, relayed_by = await self.calls.send_start(worker.listed, request)
         now_s = self.clock.monotonic()
+        attempt.note_start_path(relayed_by, now_s - sent_s)
+        shard.events[f"start sent: {'relayed' if relayed_by else 'direct'}"] += 1
         is_other = worker.note_start_reply(_get_clock_ms(reply), sent_s, now_s)
         if isinstance(reply, Success):
             if is_other:
                 self.log.warning(
                     "start answered by a clock that is behind",
-                    extra={"task": attempt.task.name, "worker": worker.worker},
+                    extra=attempt.describe_start(),
                 )
+            elif now_s - sent_s > SLOW_START_S:
+                self.log.info("start answered late", extra=attempt.describe_start())
             shard.note_started(attempt, now_s, is_other)
             if attempt.task.step.spec.fills:
                 self._on_change()
             return
         error = reply.failure()
         if isinstance(error, NoAnswer):
-            self.log.warning(
-                "start unanswered",
-                extra={"task": attempt.task.name, "worker": worker.worker},
-            )
+            self.log.warning("start unanswered", extra=attempt.describe_start())
             shard.note_start_unanswered(attempt, now_s)
         elif isinstance(error, Absent):
             shard.note_start_refused(attempt, RefusedReason.UNHEALTHY, now_s)
--- a/fuchsiascale/jobs/_worker_relay.py
+++ b/fuchsiascale/jobs/_worker_relay.py
@@ -5,6 +5,7 @@
 import logbook
 import msgspec
 
+from fuchsiascale.jobs._late_commands import RELAYED_FOR, LateCommands
 from fuchsiascale.jobs._ports import NoAnswer
 from fuchsiascale.jobs._worker_calls import (
     STOPPING,
@@ -34,11 +35,14 @@
         The workers.
     clock : Clock
         Source of time, which includes suspensions.
+    late_commands : LateCommands, optional
+        Counts the commands that are dropped.
     """
 
-    def __init__(self, workers, clock):
+    def __init__(self, workers, clock, late_commands=None):
         self.workers = workers
         self.clock = clock
+        self.late_commands = late_commands or LateCommands(clock)
         self.log = logbook.Logger("relay")
         self._sessions = set()
         self._ran_at_s = clock.monotonic()
@@ -53,15 +57,19 @@
         """Return whether the process has just resumed after a pause."""
         return self.clock.monotonic() - self._ran_at_s > MAX_PAUSE_S
 
-    async def serve(self, connection):
-        """Serve an owner's connection until it ends; see `RelayChannel`."""
+    async def serve(self, connection, owner=""):
+        """Serve an owner's connection until it ends; see `RelayChannel`.
+
+        ``owner`` is the address of the owner, and empty if it is unknown.
+        """
+        RELAYED_FOR.set(owner)
         session = _Session(self.workers, connection)
         self._sessions.add(session)
         try:
             while (content := await connection.receive()) is not None:
                 if self.was_paused():
-                    self.log.warning("calls dropped after a pause of the process")
                     connection.abort()
+                    self._note_dropped(session.decode_calls(content), owner)
                     return
                 session.handle_calls(content)
         except msgspec.DecodeError as error:
@@ -71,6 +79,20 @@
             self._sessions.discard(session)
             session.cancel()
 
+    def _note_dropped(self, calls, owner):
+        paused_s = self.clock.monotonic() - self._ran_at_s
+        self.log.warning(
+            "calls dropped after a pause of the process",
+            extra={
+                "owner": owner,
+                "calls": len(calls),
+                "paused_s": round(paused_s, 3),
+            },
+        )
+        for call in calls:
+            if not isinstance(call.request, ExchangeRequest):
+                self.late_commands.note(_describe(call), paused_s, is_sent=False)
+
     def stop(self):
         """Ask all owners to send no further calls; those in flight are finished."""
         for session in self._sessions:
@@ -87,9 +109,13 @@
         self._outbox = []
         self._decoder = msgspec.json.Decoder(list[RelayedCall])
 
+    def decode_calls(self, content):
+        """Return the calls of a message."""
+        return self._decoder.decode(content)
+
     def handle_calls(self, content):
         """Start the calls of a message."""
-        for call in self._decoder.decode(content):
+        for call in self.decode_calls(content):
             task = asyncio.create_task(self._make_call(call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -141,3 +167,15 @@
         """Cancel the calls in flight."""
         for task in self._tasks:
             task.cancel()
+
+
+def _describe(call):
+    """Return the fields that identify a relayed command in the log."""
+    request = call.request
+    return {
+        "command": type(request).__struct_config__.tag,
+        "task": request.task,
+        "attempt": request.attempt,
+        "worker": call.worker.worker,
+        "token": request.token,
+    }
--- a/fuchsiascale/jobs/tests/test_evacuations.py
+++ b/fuchsiascale/jobs/tests/test_evacuations.py
@@ -212,11 +212,11 @@
         self.starts = []
         self.lease_ends_ms = set()
 
-    async def start(self, worker, request):
+    async def send_start(self, worker, request):
         self.starts.append(worker.worker)
         self.lease_ends_ms.add(request.lease_until_ms)
         passed_ms = int(1_000 * LoopClock().monotonic())
-        return Success(Executed(clock_ms=1_000 + passed_ms))
+        return Success(Executed(clock_ms=1_000 + passed_ms)), None
 
 
 async def send_starts(shard, now_evacuated):
--- a/fuchsiascale/jobs/tests/test_replaced_owners.py
+++ b/fuchsiascale/jobs/tests/test_replaced_owners.py
@@ -200,9 +200,9 @@
             await self.owner.links._start(attempt)
         return self.reply
 
-    async def start(self, worker, request):
+    async def send_start(self, worker, request):
         self.tokens.append(request.token)
-        return Success(Executed(clock_ms=10_000))
+        return Success(Executed(clock_ms=10_000)), None
 
 
 async def test_an_exchange_sent_before_a_start_can_not_acknowledge_its_end():
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -162,9 +162,9 @@
             self.silence,
         )
         workers = user_platform.HttpTaskWorkers(
-            self._open_session(open_resetting_socket)
+            self._open_session(open_resetting_socket), self.clock
         )
-        self.worker_relay = WorkerRelay(workers, self.clock)
+        self.worker_relay = WorkerRelay(workers, self.clock, workers.late_commands)
         self.relay_connector = RelayConnector()
         self.ownership = OwnershipManager(
             self.identity,
@@ -223,6 +223,7 @@
             self.silence,
             self.request_handler.refusals,
             self._gates,
+            workers.late_commands.counts,
         )
         self.explainer = PlacementExplainer(
             self.ownership,
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -35,6 +35,8 @@
         Submissions that were not accepted, by reason.
     gates : sequence of Gate
         Limits of the listeners.
+    late_commands : Counter, optional
+        Commands that were sent late or dropped; see `LateCommands`.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         silence=None,
         refusals=None,
         gates=(),
+        late_commands=None,
     ):
+        self._late_commands = {} if late_commands is None else late_commands
         self._silence = silence
         self._refusals = refusals or {}
         self._ownership = ownership
@@ -120,6 +124,7 @@
         dropped.add_metric([], self._log_buffer.dropped)
         yield dropped
         yield from self._collect_refusals()
+        yield self._collect_late_commands()
         yield from self._gates.collect()
         tokens = GaugeMetricFamily(
             f"{PREFIX}_owner_token", "Token of each service owned.", labels=["service"]
@@ -214,6 +219,16 @@
             refused.add_metric([reason], number)
         yield refused
 
+    def _collect_late_commands(self):
+        late = CounterMetricFamily(
+            f"{PREFIX}_late_commands",
+            "Commands to workers that were sent late, or dropped for that.",
+            labels=["path", "outcome"],
+        )
+        for labels, number in self._late_commands.items():
+            late.add_metric(labels, number)
+        return late
+
     def render(self):
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/fuchsiascale/node/_relay_websocket.py
+++ b/fuchsiascale/node/_relay_websocket.py
@@ -108,7 +108,7 @@
             if request.transport is not None:
                 request.transport.abort()
 
-        await relay.serve(_Connection(socket, abort))
+        await relay.serve(_Connection(socket, abort), request.remote or "")
         return socket
 
     return handle
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of the configuration, of calls to the store and of refused submissions."""
 
+from collections import Counter
 from types import SimpleNamespace
 
 import logbook
@@ -58,6 +59,21 @@
     assert f"fuchsiascale_store_received_bytes_total{labels} 90000.0" in text
 
 
+def test_commands_that_were_late_are_counted_by_path_and_outcome():
+    # The counter is empty when the metrics are set up.
+    late = Counter()
+    metrics = NodeMetrics(
+        SimpleNamespace(owners={}),
+        SimpleNamespace(dropped=0),
+        lambda: (1, 0.0),
+        late_commands=late,
+    )
+    late["relayed", "dropped"] += 3
+    text = metrics.render().decode()
+    labels = '{outcome="dropped",path="relayed"}'
+    assert f"fuchsiascale_late_commands_total{labels} 3.0" in text
+
+
 def render_owner(shard, load=None):
     """Return the metrics of an instance that owns one service."""
     owner = SimpleNamespace(
--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from fuchsiascale.clock import BootClock
 from fuchsiascale.ids import TaskId
 from fuchsiascale.jobs import (
     COMMAND_TIMEOUT_S,
@@ -16,6 +17,7 @@
     EndKind,
     Executed,
     Inventory,
+    LateCommands,
     ListedWorker,
     NoAnswer,
     Refused,
@@ -124,6 +126,27 @@
     reason: str = ""
 
 
+class _Body(aiohttp.BytesPayload):
+    """A body that notes when it is written, together with its request's headers.
+
+    Attributes
+    ----------
+    written_s : float or None
+        Monotonic time at which the first write began; None if none did.
+    """
+
+    def __init__(self, body, clock):
+        super().__init__(msgspec.json.encode(body), content_type="application/json")
+        self.written_s = None
+        self._clock = clock
+
+    async def write_with_length(self, writer, content_length):
+        """Write the body."""
+        if self.written_s is None:
+            self.written_s = self._clock.monotonic()
+        await super().write_with_length(writer, content_length)
+
+
 class HttpTaskWorkers:
     """HTTP client of the workers.
 
@@ -131,10 +154,19 @@
     ----------
     session : aiohttp.ClientSession
         Session for the calls; not closed here.
+    clock : Clock, optional
+        Source of time, which includes suspensions.
+
+    Attributes
+    ----------
+    late_commands : LateCommands
+        Notes the commands that were sent late.
     """
 
-    def __init__(self, session: aiohttp.ClientSession):
+    def __init__(self, session: aiohttp.ClientSession, clock=None):
         self._session = session
+        self._clock = clock or BootClock()
+        self.late_commands = LateCommands(self._clock)
         self._command_limits = weakref.WeakValueDictionary()
 
     async def exchange(
@@ -146,7 +178,8 @@
         wait_ms: int,
     ) -> Result[Inventory, Refused | NoAnswer | Absent]:
         """Renew the lease, acknowledge recorded ends and return the inventory."""
-        body = _HoldBody(token, acknowledged, lease_until_ms, wait_ms)
+        hold = _HoldBody(token, acknowledged, lease_until_ms, wait_ms)
+        body = _Body(hold, self._clock)
         result = await self._call(
             worker, "hold", body, COMMAND_TIMEOUT_S + wait_ms / 1000
         )
@@ -186,13 +219,26 @@
 
     async def _command(self, worker, name, body):
         """Send a command once few enough are open at the worker; return the reply."""
+        called_s = self._clock.monotonic()
         limit = self._command_limits.get(worker.address)
         if limit is None:
             limit = asyncio.Semaphore(MAX_CONCURRENT_COMMANDS)
             self._command_limits[worker.address] = limit
-        return _decode_command_reply(
-            await self._call(worker, name, body, COMMAND_TIMEOUT_S, limit)
-        )
+        content = _Body(body, self._clock)
+        result = await self._call(worker, name, content, COMMAND_TIMEOUT_S, limit)
+        self._note_wait(worker, name, body, called_s, content.written_s)
+        return _decode_command_reply(result)
+
+    def _note_wait(self, worker, name, body, called_s, written_s):
+        until_s = self._clock.monotonic() if written_s is None else written_s
+        command = {
+            "command": name.removeprefix("run-"),
+            "task": body.task,
+            "attempt": body.run_id,
+            "worker": worker.worker,
+            "token": body.fencing_token,
+        }
+        self.late_commands.note(command, until_s - called_s, written_s is not None)
 
     async def _call(self, worker, name, body, timeout_s, limit=NO_LIMIT):
         """Send a request and return the body of a response with status 200."""
@@ -202,7 +248,7 @@
                 limit,
                 self._session.post(
                     f"http://{worker.address}/fuchsiascale/{name}",
-                    data=msgspec.json.encode(body),
+                    data=body,
                     timeout=NO_TIMEOUT,
                     headers={
                         "Content-Type": "application/json",
--- a/fuchsiascale/platform/tests/test_task_workers.py
+++ b/fuchsiascale/platform/tests/test_task_workers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+import logbook
 from aiohttp import web
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.test_utils import TestServer
@@ -161,6 +162,38 @@
         await server.close()
 
 
+async def test_a_command_that_waited_for_a_slot_is_named_with_its_wait():
+    # Nothing told that a start had waited in the process that sent it.
+    async with Served() as served:
+        busy = BusyWorker()
+        server = TestServer(busy.make_application())
+        await server.start_server()
+        worker = served.list_worker("i-1", server)
+        with logbook.TestHandler() as handler, handler.applicationbound():
+            stops = [
+                asyncio.create_task(served.client.stop(worker, TASK, number, 7))
+                for number in range(1, MAX_CONCURRENT_COMMANDS + 2)
+            ]
+            await asyncio.sleep(0.4)
+            busy.released.set()
+            replies = await asyncio.gather(*stops)
+        assert all(isinstance(each, Success) for each in replies)
+        (line,) = [each for each in handler.records if each.channel == "workers"]
+        assert line.message == "command sent late"
+        fields = {
+            "command": "stop",
+            "task": TASK,
+            "attempt": MAX_CONCURRENT_COMMANDS + 1,
+            "worker": "i-1",
+            "token": 7,
+            "relayed_for": None,
+        }
+        assert fields.items() <= line.extra.items()
+        assert 0.35 < line.extra["waited_s"] < 0.8
+        assert served.client.late_commands.counts == {("direct", "sent"): 1}
+        await server.close()
+
+
 async def test_a_start_is_idempotent_by_its_attempt():
     async with Served() as served:
         for _ in range(2):
