Send a start within 0.6 s in each process, or not at all

A start carries the end of its lease and a fencing token. If the owner or a relaying peer was paused, or the command waited for a slot or a connection, it was sent seconds later; a worker that had restarted meanwhile ran it beside the attempt that was started since.

- A start that is not written to a worker's connection within 0.6 s, pauses included, is not sent.
The limit is checked once the command has its slot, and in the body that aiohttp writes in the same step as the buffered headers; client middlewares run before the connection is acquired, and on_request_headers_sent one pass of the loop before the write.
- The reply is Absent only if no write of the body has begun, and none can begin any more; otherwise the call stays unanswered.
This also holds for a start that times out before it has a slot or a connection.
- An owner encodes relayed calls when its connection writes them, and leaves out starts that are too old; a peer checks a start again as it begins to make it.
A start that was not relayed in time isn't made directly either.
- Stops, paces and exchanges are sent as before.

What remains: a pause between the check and the write, in one step of the event loop; what is already in a buffer, of the connection or the kernel, or on the network, until the connection is reset; and the way from owner to peer, whose clocks are not compared.

The test of calls that waited during a pause of the peer paused the owner too, before it had sent the message, which now counts as not sent. The pause now begins after the owner has sent it; what is checked is the same.

--- a/fuchsiascale/cli/tests/test_log_commands.py
+++ b/fuchsiascale/cli/tests/test_log_commands.py
@@ -57,6 +57,26 @@
         assert [json.loads(line) for line in output.splitlines()] == [LINES[1]]
 
 
+def test_the_path_of_a_start_is_followed_from_the_owner_to_the_peer():
+    start = {"task": f"{JOB}.0.1.2", "attempt": 2, "worker": "i-1"}
+    unanswered = {"relayed_by": "10.0.0.2:81", "start_age_s": 1.2}
+    direct = {"relayed_by": None, "start_age_s": None}
+    late = {"waited_s": 0.512, "relayed_for": "10.0.0.1", "left_out": 0}
+    lines = (
+        {"time": "T1", "instance": "a", "message": "start unanswered", **unanswered},
+        {"time": "T0", "instance": "b", "message": "command sent late", **late},
+        {"time": "T2", "instance": "a", "message": "attempt lost", **direct},
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        text = "".join(json.dumps({**line, **start}) + "\n" for line in lines)
+        code, output, _ = call("log", "explain", JOB, write_file(folder, "a", text))
+    assert code == Exit.OK
+    first, second, third = output.splitlines()
+    assert first.startswith("T0 b command sent late waited_s=0.512")
+    assert "relayed_by=10.0.0.2:81 start_age_s=1.2" in second
+    assert "relayed_by=None start_age_s=None" in third
+
+
 def test_a_job_missing_from_the_logs_is_not_found():
     with tempfile.TemporaryDirectory() as folder:
         path = write_file(folder, "a.log", json.dumps(LINES[0]) + "\n")
--- a/fuchsiascale/jobs/_late_commands.py
+++ b/fuchsiascale/jobs/_late_commands.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-__all__ = ["RELAYED_FOR", "LateCommands"]
+__all__ = ["RELAYED_FOR", "LateCommands", "describe_command"]
 
 RELAYED_FOR = ContextVar("relayed_for", default=None)
 """Address of the owner whose call is made; empty if unknown, None for an own call."""
@@ -26,8 +26,8 @@
     Attributes
     ----------
     counts : Counter
-        Number of commands by path, ``direct`` or ``relayed``, and outcome, ``sent`` or
-        ``dropped``.
+        Number of commands by caller, ``own`` for an owner of this process and
+        ``relayed`` for one elsewhere, and by outcome, ``sent`` or ``dropped``.
     """
 
     def __init__(self, clock):
@@ -53,8 +53,8 @@
         if waited_s <= LATE_COMMAND_S:
             return
         owner = RELAYED_FOR.get()
-        path = "direct" if owner is None else "relayed"
-        self.counts[path, "sent" if is_sent else "dropped"] += 1
+        caller = "own" if owner is None else "relayed"
+        self.counts[caller, "sent" if is_sent else "dropped"] += 1
         if self._is_over_budget():
             self._left_out += 1
             return
@@ -76,3 +76,22 @@
             self._lines = 0
         self._lines += 1
         return self._lines > LINES_PER_S
+
+
+def describe_command(worker, request):
+    """Return the fields that identify a command in the log.
+
+    Parameters
+    ----------
+    worker : WorkerAddress or ListedWorker
+        The worker.
+    request : StartRequest, StopRequest or PaceRequest
+        The command.
+    """
+    return {
+        "command": type(request).__struct_config__.tag,
+        "task": request.task,
+        "attempt": request.attempt,
+        "worker": worker.worker,
+        "token": request.token,
+    }
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -102,6 +102,8 @@
         Where evacuations of failure domains are; None if the operator evacuates none.
     silence : StoreSilence, optional
         What this instance and its peers have seen of the store.
+    late_commands : LateCommands, optional
+        Counts the starts that owners here do not send, as they are late.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         connect_relay=None,
         evacuations=None,
         silence=None,
+        late_commands=None,
     ):
         self.identity = identity
         self.store = store
@@ -127,6 +130,7 @@
         self.log = logbook.Logger("offices")
         self._connect_relay = connect_relay
         self._evacuations = evacuations
+        self._late_commands = late_commands
         self.silence = silence or StoreSilence(clock)
         self.loads = LoadEstimates(clock)
         self._own_loads = {}
@@ -439,6 +443,7 @@
             self._connect_relay,
             self.known_members,
             self.clock,
+            self._late_commands,
         )
 
     def _handle_owner_lost(self, owner):
--- a/fuchsiascale/jobs/_ports.py
+++ b/fuchsiascale/jobs/_ports.py
@@ -291,7 +291,10 @@
 
 
 class Absent(msgspec.Struct, frozen=True, tag="absent"):
-    """No connection to the worker could be made, so nothing was sent."""
+    """Nothing was sent, and nothing will be: the command has had no effect.
+
+    No connection to the worker could be made, or a start was not sent in time.
+    """
 
 
 WorkerReply = Result[Executed, Refused | NoAnswer | Absent]
--- a/fuchsiascale/jobs/_relayed_workers.py
+++ b/fuchsiascale/jobs/_relayed_workers.py
@@ -1,16 +1,31 @@
 """Calls to workers through peers, so that one owner can serve many workers."""
 
+import math
+
 from returns.result import Failure, Success
 
-from fuchsiascale.jobs._ports import Executed, Inventory, NoAnswer, WorkerAddress
+from fuchsiascale.jobs._late_commands import LateCommands, describe_command
+from fuchsiascale.jobs._ports import (
+    Absent,
+    Executed,
+    Inventory,
+    NoAnswer,
+    WorkerAddress,
+)
 from fuchsiascale.jobs._worker_calls import ExchangeRequest, PaceRequest, StopRequest
 from fuchsiascale.jobs._worker_relay_channel import RelayChannel
 from fuchsiascale.jobs._worker_relay_selection import select_relays
 
-__all__ = ["COMMAND_TIMEOUT_S", "RelayedWorkers"]
+__all__ = ["COMMAND_TIMEOUT_S", "START_SEND_LIMIT_S", "RelayedWorkers"]
 
 COMMAND_TIMEOUT_S = 0.8
 """Timeout of a command at a worker, which normally replies in a few milliseconds."""
+START_SEND_LIMIT_S = 0.6
+"""Time within which a process writes a start to a connection, or does not send it.
+
+A worker that has restarted has forgotten its fencing token, and runs a start whose task
+has been started elsewhere since. The limit exceeds the time in which a connection to a
+peer fails, so that the start can be made directly then."""
 RECONNECT_DELAY_S = 3.0
 """Time for which a peer whose connection ended relays no calls."""
 DIRECT_PERIOD_S = 2.0
@@ -32,12 +47,15 @@
     members : Members
         The live peers.
     clock : Clock
-        Source of time.
+        Source of time, which includes suspensions.
+    late_commands : LateCommands, optional
+        Counts the starts that are not sent.
     """
 
-    def __init__(self, direct, connect, members, clock):
+    def __init__(self, direct, connect, members, clock, late_commands=None):
         self.direct = direct
         self.clock = clock
+        self._late_commands = late_commands or LateCommands(clock)
         self._connect = connect
         self._members = members
         self._assigned_from = None
@@ -123,13 +141,20 @@
             The reply, and the address of the peer that relayed the call; None for a
             direct call.
         """
+        called_s = self.clock.monotonic()
+        send_by_s = called_s + START_SEND_LIMIT_S
         channel = self._find_channel(worker.worker)
         if channel is not None:
             reply = await self._relay_through(
-                channel, worker, request, COMMAND_TIMEOUT_S
+                channel, worker, request, COMMAND_TIMEOUT_S, send_by_s
             )
             if reply is not None:
                 return reply, channel.address
+        now_s = self.clock.monotonic()
+        if now_s > send_by_s:
+            command = describe_command(worker, request)
+            self._late_commands.note(command, now_s - called_s, is_sent=False)
+            return Failure(Absent()), None
         return await self.direct.start(worker, request), None
 
     async def stop(self, worker, task, attempt, token):
@@ -151,10 +176,12 @@
             return None
         return await self._relay_through(channel, worker, request, timeout_s)
 
-    async def _relay_through(self, channel, worker, request, timeout_s):
+    async def _relay_through(
+        self, channel, worker, request, timeout_s, send_by_s=math.inf
+    ):
         """Return the result of a call that a peer relays; None if it was not sent."""
         target = WorkerAddress(worker.worker, worker.address)
-        reply = await channel.call(target, request, timeout_s)
+        reply = await channel.call(target, request, timeout_s, send_by_s)
         if not channel.usable:
             self._exclude(channel)
         if reply is None:
@@ -177,7 +204,8 @@
             return None
         channel = self._channels.get(address)
         if channel is None:
-            channel = self._channels[address] = RelayChannel(self._connect, address)
+            channel = RelayChannel(self._connect, address, self.clock)
+            self._channels[address] = channel
         if not channel.usable:
             self._exclude(channel)
             return None
--- a/fuchsiascale/jobs/_worker_relay.py
+++ b/fuchsiascale/jobs/_worker_relay.py
@@ -5,8 +5,13 @@
 import logbook
 import msgspec
 
-from fuchsiascale.jobs._late_commands import RELAYED_FOR, LateCommands
-from fuchsiascale.jobs._ports import NoAnswer
+from fuchsiascale.jobs._late_commands import (
+    RELAYED_FOR,
+    LateCommands,
+    describe_command,
+)
+from fuchsiascale.jobs._ports import Absent, NoAnswer, StartRequest
+from fuchsiascale.jobs._relayed_workers import START_SEND_LIMIT_S
 from fuchsiascale.jobs._worker_calls import (
     STOPPING,
     ExchangeRequest,
@@ -63,7 +68,7 @@
         ``owner`` is the address of the owner, and empty if it is unknown.
         """
         RELAYED_FOR.set(owner)
-        session = _Session(self.workers, connection)
+        session = _Session(self.workers, connection, self.clock, self.late_commands)
         self._sessions.add(session)
         try:
             while (content := await connection.receive()) is not None:
@@ -91,7 +96,8 @@
         )
         for call in calls:
             if not isinstance(call.request, ExchangeRequest):
-                self.late_commands.note(_describe(call), paused_s, is_sent=False)
+                command = describe_command(call.worker, call.request)
+                self.late_commands.note(command, paused_s, is_sent=False)
 
     def stop(self):
         """Ask all owners to send no further calls; those in flight are finished."""
@@ -102,9 +108,11 @@
 class _Session:
     """Calls in flight of one connection, and replies to send."""
 
-    def __init__(self, workers, connection):
+    def __init__(self, workers, connection, clock, late_commands):
         self._workers = workers
         self._connection = connection
+        self._clock = clock
+        self._late_commands = late_commands
         self._tasks = set()
         self._outbox = []
         self._decoder = msgspec.json.Decoder(list[RelayedCall])
@@ -115,12 +123,20 @@
 
     def handle_calls(self, content):
         """Start the calls of a message."""
+        arrived_s = self._clock.monotonic()
         for call in self.decode_calls(content):
-            task = asyncio.create_task(self._make_call(call))
+            task = asyncio.create_task(self._make_call(call, arrived_s))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _make_call(self, call):
+    async def _make_call(self, call, arrived_s):
+        waited_s = self._clock.monotonic() - arrived_s
+        if isinstance(call.request, StartRequest) and waited_s > START_SEND_LIMIT_S:
+            # The process was paused between the arrival and this task's first step.
+            command = describe_command(call.worker, call.request)
+            self._late_commands.note(command, waited_s, is_sent=False)
+            self._reply(call.number, Absent())
+            return
         result = await self._dispatch(call.worker, call.request)
         reply = result.value_or(None)
         self._reply(call.number, result.failure() if reply is None else reply)
@@ -167,15 +183,3 @@
         """Cancel the calls in flight."""
         for task in self._tasks:
             task.cancel()
-
-
-def _describe(call):
-    """Return the fields that identify a relayed command in the log."""
-    request = call.request
-    return {
-        "command": type(request).__struct_config__.tag,
-        "task": request.task,
-        "attempt": request.attempt,
-        "worker": call.worker.worker,
-        "token": request.token,
-    }
--- a/fuchsiascale/jobs/_worker_relay_channel.py
+++ b/fuchsiascale/jobs/_worker_relay_channel.py
@@ -1,6 +1,7 @@
 """An owner's side of a connection to a peer that relays calls to workers."""
 
 import asyncio
+import math
 
 import logbook
 import msgspec
@@ -26,13 +27,18 @@
     ----------
     connect : callable
         Coroutine function from the peer's address to a connection, with methods
-        ``send``, ``receive``, which returns None at the end, and ``abort``.
+        ``send``, ``receive``, which returns None at the end, and ``abort``. ``send``
+        takes a function that returns the message, or None for none, and calls it when
+        it writes the message.
     address : str
         Address of the peer.
+    clock : Clock
+        Source of time, which includes suspensions.
     """
 
-    def __init__(self, connect, address):
+    def __init__(self, connect, address, clock):
         self.address = address
+        self._clock = clock
         self.usable = True
         self.log = logbook.Logger("relay")
         self._connect = connect
@@ -43,7 +49,7 @@
         self._decoder = msgspec.json.Decoder(list[RelayedReply])
         self._task = asyncio.create_task(self._run())
 
-    async def call(self, worker, request, timeout_s):
+    async def call(self, worker, request, timeout_s, send_by_s=math.inf):
         """Return the reply to a call; None if it was not sent.
 
         Parameters
@@ -54,12 +60,14 @@
             The call.
         timeout_s : float
             The peer's own timeout of the call, in seconds.
+        send_by_s : float, optional
+            Time on the clock after which the call is not sent.
         """
         loop = asyncio.get_running_loop()
         number, self._next_number = self._next_number, self._next_number + 1
         future = loop.create_future()
         self._pending[number] = (future, loop.time() + timeout_s + REPLY_MARGIN_S)
-        self._outbox.append(RelayedCall(number, worker, request))
+        self._outbox.append((RelayedCall(number, worker, request), send_by_s))
         if self._connection is not None and len(self._outbox) == 1:
             loop.call_soon(self._flush)
         try:
@@ -68,10 +76,25 @@
             self._pending.pop(number, None)
 
     def _flush(self):
-        if self._connection is None or not self._outbox:
-            return
-        calls, self._outbox = self._outbox, []
-        self._connection.send(msgspec.json.encode(calls))
+        if self._connection is not None and self._outbox:
+            self._connection.send(self._take_calls)
+
+    def _take_calls(self):
+        """Return the message with the calls to send; None if none is left."""
+        outbox, self._outbox = self._outbox, []
+        now_s = self._clock.monotonic()
+        calls = []
+        for call, send_by_s in outbox:
+            if now_s <= send_by_s:
+                calls.append(call)
+            else:
+                self._set_unsent(call.number)
+        return msgspec.json.encode(calls) if calls else None
+
+    def _set_unsent(self, number):
+        future, _ = self._pending.get(number, (None, None))
+        if future is not None and not future.done():
+            future.set_result(None)
 
     async def _run(self):
         sweep = None
@@ -134,7 +157,7 @@
 
     def _end(self, why):
         self.usable = False
-        unsent = {call.number for call in self._outbox}
+        unsent = {call.number for call, _ in self._outbox}
         self._outbox = []
         for number, (future, _) in self._pending.items():
             if not future.done():
--- a/fuchsiascale/jobs/tests/test_relayed_workers.py
+++ b/fuchsiascale/jobs/tests/test_relayed_workers.py
@@ -73,6 +73,10 @@
         self.messages = 0
 
     def send(self, content):
+        if callable(content):
+            content = content()
+            if content is None:
+                return
         self.messages += 1
         if not self.is_cut:
             self.other.inbox.put_nowait(content)
@@ -256,7 +260,8 @@
         loop = asyncio.get_running_loop()
         late = world.workers.start(make_worker(), make_start("old"))
         call = asyncio.create_task(late)
-        loop.call_soon(loop.advance, 3.0)
+        # The pause begins after the owner has sent the message.
+        loop.call_soon(loop.call_soon, loop.advance, 3.0)
         reply = await call
         assert isinstance(reply.failure(), NoAnswer)
         assert "old" not in world.peer.workers.calls
--- a/fuchsiascale/jobs/tests/test_start_paths.py
+++ b/fuchsiascale/jobs/tests/test_start_paths.py
@@ -151,7 +151,7 @@
     assert line.message == "command sent late"
     assert COMMAND.items() <= line.extra.items()
     assert (line.extra["waited_s"], line.extra["relayed_for"]) == (0.9, None)
-    assert late.counts == {("direct", "sent"): 1}
+    assert late.counts == {("own", "sent"): 1}
 
 
 def test_lines_about_late_commands_are_bounded_and_tell_how_many_are_missing():
@@ -165,7 +165,7 @@
         clock.advance(1.0)
         late.note(COMMAND, 0.9, is_sent=False)
     assert handler.records[-1].extra["left_out"] == 100 - LINES_PER_S
-    assert late.counts == {("direct", "dropped"): 101}
+    assert late.counts == {("own", "dropped"): 101}
 
 
 def test_a_peer_names_the_commands_that_it_drops_after_a_pause_and_their_owner():
--- a/fuchsiascale/node/_application.py
+++ b/fuchsiascale/node/_application.py
@@ -182,6 +182,7 @@
             self.relay_connector.connect,
             self._list_evacuations(),
             self.silence,
+            workers.late_commands,
         )
         self.configuration_watch = ConfigurationWatch(
             user_platform.CONFIGURATION_KEY, user_platform.decode_configuration
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -223,7 +223,7 @@
         late = CounterMetricFamily(
             f"{PREFIX}_late_commands",
             "Commands to workers that were sent late, or dropped for that.",
-            labels=["path", "outcome"],
+            labels=["caller", "outcome"],
         )
         for labels, number in self._late_commands.items():
             late.add_metric(labels, number)
--- a/fuchsiascale/node/_relay_websocket.py
+++ b/fuchsiascale/node/_relay_websocket.py
@@ -40,12 +40,23 @@
         self._tasks = set()
 
     def send(self, content):
-        """Send a message without waiting; a closed connection ends `receive`."""
+        """Send a message without waiting; a closed connection ends `receive`.
+
+        Parameters
+        ----------
+        content : bytes or callable
+            The message, or a function that returns it, or None for none, and is called
+            right before the message is written.
+        """
         task = asyncio.ensure_future(self._send(content))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _send(self, content):
+        if callable(content):
+            content = content()
+            if content is None:
+                return
         try:
             await self._socket.send_bytes(content)
         except (OSError, RuntimeError, aiohttp.ClientError):
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -59,7 +59,7 @@
     assert f"fuchsiascale_store_received_bytes_total{labels} 90000.0" in text
 
 
-def test_commands_that_were_late_are_counted_by_path_and_outcome():
+def test_commands_that_were_late_are_counted_by_caller_and_outcome():
     # The counter is empty when the metrics are set up.
     late = Counter()
     metrics = NodeMetrics(
@@ -70,7 +70,7 @@
     )
     late["relayed", "dropped"] += 3
     text = metrics.render().decode()
-    labels = '{outcome="dropped",path="relayed"}'
+    labels = '{caller="relayed",outcome="dropped"}'
     assert f"fuchsiascale_late_commands_total{labels} 3.0" in text
 
 
--- a/fuchsiascale/platform/_task_workers.py
+++ b/fuchsiascale/platform/_task_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import weakref
 
 import aiohttp
@@ -12,6 +13,7 @@
 from fuchsiascale.ids import TaskId
 from fuchsiascale.jobs import (
     COMMAND_TIMEOUT_S,
+    START_SEND_LIMIT_S,
     Absent,
     EndedAttempt,
     EndKind,
@@ -127,21 +129,46 @@
 
 
 class _Body(aiohttp.BytesPayload):
-    """A body that notes when it is written, together with its request's headers.
+    """A body that is written in time or not at all.
+
+    The session writes the headers of a request together with the first bytes of its
+    body, and resets the connection if that raises an exception. So nothing was sent of
+    a request whose body was not written.
+
+    Parameters
+    ----------
+    body : msgspec.Struct
+        The body, which is sent as JSON.
+    clock : Clock
+        Source of time.
+    send_by_s : float, optional
+        Time on the clock after which it is not written.
 
     Attributes
     ----------
     written_s : float or None
-        Monotonic time at which the first write began; None if none did.
+        Time at which the first write began; None if none did.
     """
 
-    def __init__(self, body, clock):
+    def __init__(self, body, clock, send_by_s=math.inf):
         super().__init__(msgspec.json.encode(body), content_type="application/json")
         self.written_s = None
         self._clock = clock
+        self._send_by_s = send_by_s
+
+    def withdraw(self):
+        """Prevent all further writes; return whether none has begun."""
+        self._send_by_s = -math.inf
+        return self.written_s is None
+
+    def check(self):
+        """Raise an exception if it is too late to write the body."""
+        if self._clock.monotonic() > self._send_by_s:
+            raise aiohttp.ClientConnectionError("not sent in time")
 
     async def write_with_length(self, writer, content_length):
-        """Write the body."""
+        """Write the body unless it is too late."""
+        self.check()
         if self.written_s is None:
             self.written_s = self._clock.monotonic()
         await super().write_with_length(writer, content_length)
@@ -191,7 +218,7 @@
         return Success(_convert_inventory(decoded.unwrap()))
 
     async def start(self, worker: ListedWorker, request: StartRequest) -> WorkerReply:
-        """Start an attempt."""
+        """Start an attempt; the reply is `Absent` if it was not sent in time."""
         body = _StartBody(
             request.task,
             request.attempt,
@@ -201,7 +228,7 @@
             request.checkpoint,
             request.ticket,
         )
-        return await self._command(worker, "run-start", body)
+        return await self._command(worker, "run-start", body, START_SEND_LIMIT_S)
 
     async def stop(
         self, worker: ListedWorker, task: TaskId, attempt: int, token: int
@@ -217,15 +244,20 @@
         body = _PaceBody(task, attempt, percent, token)
         return await self._command(worker, "pace", body)
 
-    async def _command(self, worker, name, body):
-        """Send a command once few enough are open at the worker; return the reply."""
+    async def _command(self, worker, name, body, limit_s=math.inf):
+        """Send a command once few enough are open at the worker; return the reply.
+
+        A command with a limit is not sent later than that.
+        """
         called_s = self._clock.monotonic()
         limit = self._command_limits.get(worker.address)
         if limit is None:
             limit = asyncio.Semaphore(MAX_CONCURRENT_COMMANDS)
             self._command_limits[worker.address] = limit
-        content = _Body(body, self._clock)
+        content = _Body(body, self._clock, called_s + limit_s)
         result = await self._call(worker, name, content, COMMAND_TIMEOUT_S, limit)
+        if limit_s < math.inf and _is_unanswered(result) and content.withdraw():
+            result = Failure(Absent())
         self._note_wait(worker, name, body, called_s, content.written_s)
         return _decode_command_reply(result)
 
@@ -243,10 +275,9 @@
     async def _call(self, worker, name, body, timeout_s, limit=NO_LIMIT):
         """Send a request and return the body of a response with status 200."""
         try:
-            async with (
-                limit_response_time(timeout_s),
-                limit,
-                self._session.post(
+            async with limit_response_time(timeout_s), limit:
+                body.check()
+                async with self._session.post(
                     f"http://{worker.address}/fuchsiascale/{name}",
                     data=body,
                     timeout=NO_TIMEOUT,
@@ -254,9 +285,8 @@
                         "Content-Type": "application/json",
                         INCARNATION_HEADER: worker.worker,
                     },
-                ) as response,
-            ):
-                content = await response.read()
+                ) as response:
+                    content = await response.read()
         except aiohttp.ClientConnectorError:
             # There was no connection yet, so nothing has been sent.
             return Failure(Absent())
@@ -281,6 +311,10 @@
     return NoAnswer(f"status {status}")
 
 
+def _is_unanswered(result):
+    return isinstance(result, Failure) and isinstance(result.failure(), NoAnswer)
+
+
 def _decode_command_reply(result):
     if isinstance(result, Failure):
         return result
--- a/fuchsiascale/platform/tests/test_task_workers.py
+++ b/fuchsiascale/platform/tests/test_task_workers.py
@@ -9,6 +9,7 @@
 from aiohttp.test_utils import TestServer
 from returns.result import Success
 
+from fuchsiascale.clock import ManualClock
 from fuchsiascale.jobs import (
     Absent,
     EndKind,
@@ -18,8 +19,9 @@
     RefusedReason,
     Resources,
     StartRequest,
+    WorkerAddress,
 )
-from fuchsiascale.platform._task_workers import MAX_CONCURRENT_COMMANDS
+from fuchsiascale.platform._task_workers import MAX_CONCURRENT_COMMANDS, _Body
 from fuchsiascale.platform.user_platform import HttpTaskWorkers
 from fuchsiascale.testing import collect_functions
 from standins.taskworker import TaskWorkerStandin
@@ -126,10 +128,12 @@
 
     def __init__(self):
         self.connections = set()
+        self.requests = 0
         self.released = asyncio.Event()
 
     async def handle(self, request):
         self.connections.add(request.transport)
+        self.requests += 1
         if not request.path.endswith("hold"):
             await self.released.wait()
         return web.json_response({"clock_ms": 1})
@@ -190,10 +194,185 @@
         }
         assert fields.items() <= line.extra.items()
         assert 0.35 < line.extra["waited_s"] < 0.8
-        assert served.client.late_commands.counts == {("direct", "sent"): 1}
+        assert served.client.late_commands.counts == {("own", "sent"): 1}
         await server.close()
 
 
+PAUSE_S = 3.0
+
+
+class PausingConnector(aiohttp.TCPConnector):
+    """A connector with a pause of the process once it has a connection."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+
+    async def connect(self, *arguments, **options):
+        connection = await super().connect(*arguments, **options)
+        self.clock.advance(PAUSE_S)
+        return connection
+
+
+class StuckConnector(aiohttp.TCPConnector):
+    """A connector that gets no connection."""
+
+    async def connect(self, *arguments, **options):
+        await asyncio.Event().wait()
+
+
+class RecordingServer:
+    """A server that records the bytes it gets, and whether connections were reset."""
+
+    async def __aenter__(self):
+        self.content = b""
+        self.ended = asyncio.Event()
+        self._server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.worker = WorkerAddress("i-1", f"{host}:{port}")
+        return self
+
+    async def _handle(self, reader, writer):
+        try:
+            while content := await reader.read(4_096):
+                self.content += content
+        except ConnectionResetError:
+            pass
+        self.ended.set()
+        writer.close()
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+
+
+async def test_a_start_that_has_its_connection_only_after_a_pause_is_not_sent():
+    # A worker that had restarted in the pause ran it beside one that started since.
+    clock = ManualClock()
+    async with (
+        RecordingServer() as server,
+        aiohttp.ClientSession(connector=PausingConnector(clock)) as session,
+    ):
+        client = HttpTaskWorkers(session, clock)
+        reply = await client.start(server.worker, make_request())
+        assert find_reason(reply) is Absent
+        await asyncio.wait_for(server.ended.wait(), 5.0)
+        assert server.content == b""
+        assert client.late_commands.counts == {("own", "dropped"): 1}
+
+
+async def test_a_stop_that_has_its_connection_only_after_a_pause_is_sent():
+    clock = ManualClock()
+    async with (
+        RecordingServer() as server,
+        aiohttp.ClientSession(connector=PausingConnector(clock)) as session,
+    ):
+        client = HttpTaskWorkers(session, clock)
+        reply = await client.stop(server.worker, TASK, 1, 1)
+        assert find_reason(reply) is NoAnswer
+        assert TASK.encode() in server.content
+        await asyncio.wait_for(server.ended.wait(), 5.0)
+
+
+async def test_a_start_that_waits_for_a_slot_in_a_pause_is_not_sent():
+    clock = ManualClock()
+    async with Served() as served:
+        busy = BusyWorker()
+        server = TestServer(busy.make_application())
+        await server.start_server()
+        worker = served.list_worker("i-1", server)
+        client = HttpTaskWorkers(served.session, clock)
+        stops = [
+            asyncio.create_task(client.stop(worker, TASK, number, 1))
+            for number in range(MAX_CONCURRENT_COMMANDS)
+        ]
+        start = asyncio.create_task(client.start(worker, make_request()))
+        await asyncio.sleep(0.05)
+        clock.advance(PAUSE_S)
+        busy.released.set()
+        assert find_reason(await start) is Absent
+        replies = await asyncio.gather(*stops)
+        assert all(isinstance(each, Success) for each in replies)
+        assert busy.requests == MAX_CONCURRENT_COMMANDS
+        await server.close()
+
+
+async def test_a_start_that_gets_no_connection_in_time_is_absent():
+    async with (
+        RecordingServer() as server,
+        aiohttp.ClientSession(connector=StuckConnector()) as session,
+    ):
+        reply = await HttpTaskWorkers(session).start(server.worker, make_request())
+        assert find_reason(reply) is Absent
+        assert server.content == b""
+
+
+async def test_a_start_that_was_sent_before_a_pause_counts_as_unanswered():
+    # It may have been carried out, so a reply that says otherwise would be false.
+    clock = ManualClock()
+    async with Served() as served:
+
+        async def handle(request):
+            await request.read()
+            clock.advance(PAUSE_S)
+            request.transport.abort()
+            return web.Response()
+
+        application = web.Application()
+        application.router.add_post("/{path:.*}", handle)
+        server = TestServer(application)
+        await server.start_server()
+        client = HttpTaskWorkers(served.session, clock)
+        worker = served.list_worker("i-1", server)
+        reply = await client.start(worker, make_request())
+        assert find_reason(reply) is NoAnswer
+        await server.close()
+
+
+async def test_a_redirected_start_is_not_sent_again_late_and_may_have_been_run():
+    clock = ManualClock()
+    async with Served() as served:
+        requests = []
+
+        async def handle(request):
+            requests.append(await request.text())
+            clock.advance(PAUSE_S)
+            raise web.HTTPTemporaryRedirect("/other")
+
+        application = web.Application()
+        application.router.add_post("/{path:.*}", handle)
+        server = TestServer(application)
+        await server.start_server()
+        client = HttpTaskWorkers(served.session, clock)
+        worker = served.list_worker("i-1", server)
+        reply = await client.start(worker, make_request())
+        assert find_reason(reply) is NoAnswer
+        assert len(requests) == 1
+        await server.close()
+
+
+async def test_a_body_that_was_withdrawn_is_not_written():
+    # The session may still write it after its caller has been told that nothing was.
+    written = []
+
+    class Writer:
+        async def write(self, content):
+            written.append(content)
+
+    body = _Body({}, ManualClock(), 1.0)
+    assert body.withdraw()
+    try:
+        await body.write_with_length(Writer(), None)
+    except aiohttp.ClientConnectionError:
+        pass
+    else:
+        raise AssertionError("no exception")
+    assert written == []
+    body = _Body({}, ManualClock(), 1.0)
+    await body.write_with_length(Writer(), None)
+    assert written == [b"{}"]
+    assert not body.withdraw()
+
+
 async def test_a_start_is_idempotent_by_its_attempt():
     async with Served() as served:
         for _ in range(2):
