Take the supporters of an owner as of its last confirmation, also a late one

Cause: the owner took its list of possible supporters only while the store's confirmation was at most 1 s old. A poll without news is answered after 0.8 s, so that with a store that takes 0.2 s for an answer no confirmation of a quiet service is: the owner was confirmed all the time, and its list was that of its takeover. A peer that had been away for so long that every successor had forgotten it could return to an owner that is cut off, and support it. Peers that had joined since supported no owner.

Evidence: the unit test, with confirmations that arrive 1.5 s after the question, fails on the commit before: the peer of long ago was asked.

Why this works: lists are kept with their times, and the last one that was taken until 1 s after the time of the confirmation counts, and none that is 3 s older than that. A successor that makes the earlier owner's end count remembers who was alive then.

--- a/fuchsiascale/jobs/_owner_succession.py
+++ b/fuchsiascale/jobs/_owner_succession.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import random
+from collections import deque
 
 import logbook
 
-from fuchsiascale.jobs._ownership_evidence import ISOLATION_LIMIT_S, PEER_SUPPORT_S
+from fuchsiascale.jobs._ownership_evidence import (
+    ISOLATION_LIMIT_S,
+    PEER_SUPPORT_S,
+    STORE_SILENCE_LIMIT_S,
+    SUPPORT_NEEDED_AFTER_S,
+)
 from fuchsiascale.jobs._peer_messages import (
     PING_PERIOD_S,
     PING_TIMEOUT_S,
@@ -22,6 +28,9 @@
 """Period in which an owner asks peers for support."""
 MAX_SUPPORTERS = 3
 """Number of peers that are asked at a time."""
+MAX_LIST_AGE_S = 3.0
+"""Time before a confirmation at which a list of supporters is too old for it, as after
+a pause of the process. A successor remembers instances for 15 s."""
 
 log = logbook.Logger("offices")
 
@@ -105,8 +114,9 @@
     """Ask peers for support while the store does not confirm an owner.
 
     A successor tells those of itself that it knows from the last report of the owner.
-    So only peers are asked that were listed while the store still confirmed it: one
-    that joins or returns later is unknown to the successor.
+    So only peers are asked that were listed at about the time of the last confirmation,
+    which may arrive seconds later: one that joins or returns after it is unknown to the
+    successor, which has forgotten one that was listed long before.
 
     Parameters
     ----------
@@ -117,12 +127,12 @@
     peers : PeerClient
         Calls to them.
     """
-    known, supporters = [], []
+    lists, supporters = _SupporterLists(), []
     while not owner.lost:
         before, supporters = supporters, []
-        if owner.evidence.is_recent():
-            known = list_supporters()
-        elif owner.evidence.needs_support():
+        lists.add(owner.clock.monotonic(), list_supporters())
+        if owner.evidence.needs_support():
+            known = lists.find(owner.evidence.confirmed_s)
             asked = random.sample(known, min(MAX_SUPPORTERS, len(known)))
             supporters = await _ask_for_support(owner, asked, peers)
             if bool(supporters) != bool(before):
@@ -130,6 +140,26 @@
         await asyncio.sleep(SUPPORT_PERIOD_S)
 
 
+class _SupporterLists:
+    """Lists of possible supporters by the time at which they were taken."""
+
+    def __init__(self):
+        kept_s = STORE_SILENCE_LIMIT_S + SUPPORT_NEEDED_AFTER_S + MAX_LIST_AGE_S
+        self._lists = deque(maxlen=int(kept_s / SUPPORT_PERIOD_S) + 1)
+
+    def add(self, now_s, addresses):
+        """Add a list."""
+        self._lists.append((now_s, addresses))
+
+    def find(self, confirmed_s):
+        """Return the list that belongs to a confirmation of the owner by the store."""
+        for listed_s, addresses in reversed(self._lists):
+            if listed_s <= confirmed_s + SUPPORT_NEEDED_AFTER_S:
+                is_outdated = listed_s < confirmed_s - MAX_LIST_AGE_S
+                return [] if is_outdated else addresses
+        return []
+
+
 async def _ask_for_support(owner, addresses, peers):
     """Return the peers that know no later owner; relinquish if one knows such."""
     asked_s = owner.clock.monotonic()
--- a/fuchsiascale/jobs/_ownership_evidence.py
+++ b/fuchsiascale/jobs/_ownership_evidence.py
@@ -63,10 +63,6 @@
         """Return whether a peer has lately known no later owner."""
         return self._clock.monotonic() - self._supported_s < PEER_SUPPORT_S
 
-    def is_recent(self):
-        """Return whether the last confirmation suffices without support."""
-        return self.measure_age_s() <= SUPPORT_NEEDED_AFTER_S
-
     def needs_support(self):
         """Return whether peers should be asked."""
         return SUPPORT_NEEDED_AFTER_S < self.measure_age_s() < STORE_SILENCE_LIMIT_S
--- a/fuchsiascale/jobs/tests/test_ownership_evidence.py
+++ b/fuchsiascale/jobs/tests/test_ownership_evidence.py
@@ -136,6 +136,31 @@
     run_in_virtual_time(run())
 
 
+def test_supporters_are_those_of_the_time_of_a_confirmation_that_arrives_late():
+    # The list was taken only while a confirmation was a second old: where each arrives
+    # later, it was that of long ago, with peers that every successor has forgotten.
+    async def run():
+        owner, peers = FakeOwner(version=5), FakePeers({"b:1": 5, "c:1": 5})
+        listed = ["b:1"]
+        seeking = asyncio.create_task(seek_support(owner, lambda: listed, peers))
+        await asyncio.sleep(5.0)
+        listed = []
+        for _ in range(20):
+            await asyncio.sleep(1.0)
+            owner.evidence.confirm(owner.clock.monotonic() - 1.5)
+        await asyncio.sleep(3.0)
+        assert not owner.evidence.is_valid()
+        listed = ["c:1"]
+        for _ in range(5):
+            await asyncio.sleep(1.0)
+            owner.evidence.confirm(owner.clock.monotonic() - 1.5)
+        await asyncio.sleep(3.0)
+        assert owner.evidence.is_valid()
+        seeking.cancel()
+
+    run_in_virtual_time(run())
+
+
 def test_the_log_tells_which_peers_supported_an_owner():
     async def run():
         owner = FakeOwner(version=5)
