Support no owner over whom a claim without an answer may be written

What callers could see: a task that runs twice at once.

Cause: a claim that had no answer may be written, at once or seconds later. The instance that sent it found the row of the earlier owner, or no store, and went on supporting that owner. The next owner takes the instance for its predecessor, doesn't tell it, and reckons with 3 s once all others have answered.

Why this works: an instance answers a query for the owner with version 0 while the row that it knows is the one that it has claimed over, unless the store has refused each such claim. An owner loses the support of instances only that have sent a claim over it.

--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -140,6 +140,7 @@
             clock,
         )
         self._claiming = set()
+        self._claimed_versions = {}
         self._tasks = set()
         self._watches = {}
 
@@ -414,9 +415,23 @@
         """Return the members that any successor of this instance would know of."""
         return self.known_members.established_addresses(MIN_SUPPORTER_AGE_S)
 
+    def get_supported_version(self, service):
+        """Return the version of the owner that this instance supports; 0 for none.
+
+        It doesn't support one whose row a claim of its own may have replaced.
+        """
+        version = self.view(service).version
+        return 0 if self._claimed_versions.get(service) == version else version
+
     async def _commit_claim(self, view, row):
-        """Write an owner row; return its version, or None if it is not written."""
+        """Write an owner row; return its version, or None if it is not written.
+
+        A claim without an answer may be written later. Successors of its owner don't
+        tell this instance of themselves, as they take it for their predecessor.
+        """
         row_key = owner_row_key(view.service)
+        is_first = self._claimed_versions.get(view.service) != view.version
+        self._claimed_versions[view.service] = view.version
         reply = await self.store.commit(
             (Expect(row_key, view.version),), (Change(row_key, encode_row(row)),)
         )
@@ -427,6 +442,8 @@
             found = await self._read_view(view.service)
             if found is not None and found.row == row:
                 return found.version
+        elif is_first:
+            del self._claimed_versions[view.service]
         self.log.info(
             "claim not written",
             extra={"service": view.service, "why": type(error).__name__},
--- a/fuchsiascale/jobs/_peer_answers.py
+++ b/fuchsiascale/jobs/_peer_answers.py
@@ -89,4 +89,4 @@
 
 @answer_message.register
 async def _(message: OwnerQuery, ownership):
-    return OwnerReply(ownership.view(message.service).version)
+    return OwnerReply(ownership.get_supported_version(message.service))
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -194,13 +194,13 @@
 
 
 class OwnerQuery(msgspec.Struct, frozen=True, tag="owner_query"):
-    """Asks which owner of a service an instance knows."""
+    """Asks which owner of a service an instance knows and supports."""
 
     service: str
 
 
 class OwnerReply(msgspec.Struct, frozen=True, tag="owner_reply"):
-    """Version of the owner row that an instance knows; 0 for none."""
+    """Version of the owner row that an instance supports; 0 for none."""
 
     version: int
 
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -9,8 +9,10 @@
     Busy,
     Conflict,
     Handover,
+    NoAnswer,
     OwnerLimits,
     OwnerNotice,
+    OwnerQuery,
     OwnerRow,
     OwnershipManager,
     Ping,
@@ -114,6 +116,64 @@
     await manager.stop()
 
 
+class UnansweredClaims(OwnerRows):
+    """A store whose answers to claims are lost, or that refuses them."""
+
+    failure = NoAnswer("reset")
+    is_reachable = True
+
+    async def commit(self, expected, changes):
+        return Failure(self.failure)
+
+    async def read(self, table, partition, first="", last=""):
+        if not self.is_reachable:
+            return Failure(NoAnswer("reset"))
+        return await super().read(table, partition, first, last)
+
+
+async def ask_supported_version(manager):
+    return (await manager.answer(OwnerQuery(SERVICE))).version
+
+
+async def claim_over_other(store):
+    """Have an instance claim the service of another; return the instance."""
+    manager = make_manager(store, SlowPeers())
+    manager.update_view(SERVICE, OTHER, 1)
+    assert await ask_supported_version(manager) == 1
+    assert not await manager._claim(manager.view(SERVICE), 0.0, None)
+    return manager
+
+
+async def test_an_owner_is_not_supported_over_whom_a_claim_may_be_written():
+    # The claim was written late. The next owner took this instance for its predecessor
+    # and didn't tell it, while this one went on supporting the owner before.
+    store = UnansweredClaims(encode_row(OTHER))
+    manager = await claim_over_other(store)
+    assert await ask_supported_version(manager) == 0
+    store.failure = Busy("503")
+    assert not await manager._claim(manager.view(SERVICE), 0.0, None)
+    assert await ask_supported_version(manager) == 0
+    manager.update_view(SERVICE, OTHER, 2)
+    assert await ask_supported_version(manager) == 2
+    await manager.stop()
+
+
+async def test_an_owner_is_not_supported_whose_row_a_claim_has_found_changed():
+    store = UnansweredClaims(encode_row(OTHER))
+    store.failure, store.is_reachable = Conflict(), False
+    manager = await claim_over_other(store)
+    assert await ask_supported_version(manager) == 0
+    await manager.stop()
+
+
+async def test_an_owner_is_supported_after_a_claim_that_the_store_refused():
+    store = UnansweredClaims(encode_row(OTHER))
+    store.failure = Busy("503")
+    manager = await claim_over_other(store)
+    assert await ask_supported_version(manager) == 1
+    await manager.stop()
+
+
 async def test_an_owner_row_of_another_process_with_this_name_is_not_claimed_at_once():
     # A replacement starts under the name of the instance that it replaces.
     namesake = OwnerRow(token=1, instance="a", incarnation="a0", address="c:1")
