Take no earlier owner row for news after a service was lost

What callers could see: a task that runs twice at once.

Cause: an instance that loses a service drops its row, so that it is read again, and with it the knowledge that earlier rows are outdated. An owner before it that is cut off repeats its notice of itself until it has taken over; the instance took that for news, and supported it.

Why this works: the version of the latest row that was seen is kept when the row is dropped, and earlier rows are ignored.

--- a/fuchsiascale/jobs/_owner_views.py
+++ b/fuchsiascale/jobs/_owner_views.py
@@ -41,6 +41,7 @@
     def __init__(self, clock):
         self._clock = clock
         self._views = {}
+        self._newest_versions = {}
         self._last_reply_s = {}
         self._tenures = {}
 
@@ -50,15 +51,23 @@
 
     def update(self, service, row, version):
         """Update the cached owner of a service, unless the row is outdated."""
-        known_version = self.get(service).version
-        if version < known_version and version:
+        if version < self.get_newest_version(service) and version:
             return
+        known_version = self.get(service).version
+        self._newest_versions[service] = max(version, self.get_newest_version(service))
         if version > known_version:
             self._note_new_owner(service, row)
         self._views[service] = OwnerView(service, row, version)
 
+    def get_newest_version(self, service):
+        """Return the version of the latest row ever seen of a service; 0 for none."""
+        return self._newest_versions.get(service, 0)
+
     def forget(self, service):
-        """Drop a cached row, so that it is read again before it is used."""
+        """Drop a cached row, so that it is read again before it is used.
+
+        Earlier rows remain outdated: a notice of one may still be repeated.
+        """
         self._views.pop(service, None)
 
     def _note_new_owner(self, service, row):
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -415,6 +415,10 @@
         """Return the members that any successor of this instance would know of."""
         return self.known_members.established_addresses(MIN_SUPPORTER_AGE_S)
 
+    def knows_version(self, service, version):
+        """Return whether this instance knows an owner row, or a later one."""
+        return self._views.get_newest_version(service) >= version
+
     def get_supported_version(self, service):
         """Return the version of the owner that this instance supports; 0 for none.
 
--- a/fuchsiascale/jobs/_peer_answers.py
+++ b/fuchsiascale/jobs/_peer_answers.py
@@ -83,8 +83,7 @@
 @answer_message.register
 async def _(message: OwnerNotice, ownership):
     ownership.update_view(message.service, message.row, message.version)
-    known_version = ownership.view(message.service).version
-    return Acknowledgement(known_version >= message.version)
+    return Acknowledgement(ownership.knows_version(message.service, message.version))
 
 
 @answer_message.register
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -174,6 +174,21 @@
     await manager.stop()
 
 
+async def test_an_instance_that_has_lost_a_service_supports_no_earlier_owner():
+    # It had dropped its row, took a repeated notice of the owner before for news, and
+    # supported that one. Its successor doesn't tell its predecessor of itself.
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, SlowPeers())
+    manager.update_view(SERVICE, OTHER, 1)
+    assert await manager._claim(manager.view(SERVICE), 0.0, None)
+    manager.owners[SERVICE].relinquish("a worker has seen a higher token")
+    assert (await manager.answer(OwnerNotice(SERVICE, OTHER, 1))).done
+    assert manager.view(SERVICE).row is None
+    assert await ask_supported_version(manager) == 0
+    assert (await manager._read_view(SERVICE)).version == 2
+    await manager.stop()
+
+
 async def test_an_owner_row_of_another_process_with_this_name_is_not_claimed_at_once():
     # A replacement starts under the name of the instance that it replaces.
     namesake = OwnerRow(token=1, instance="a", incarnation="a0", address="c:1")
