Reckon with an early end of a predecessor only after reports without a gap

What callers could see: a task that runs twice at once, on workers of two failure domains, ordered by two instances.

Cause: a successor took it for certain that it knew all instances of the last 15 s once its process had run for so long. One that had been frozen or cut off had a single report of the members since. A peer that supported the owner, and that the owner had lost sight of for that moment, was not in it.

Why this works: a peer supports an owner only if it was live for 6 s until 1 s after the last confirmation; reports that are less than 5 s apart include it. An owner that can act for longer than its successor reckons with was confirmed in the last 7 s, so that 9 s of such reports suffice; the time since the process started doesn't count any more.

What it costs: peers support an owner 2 s later.

--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -15,6 +15,15 @@
 """Time for which an instance is remembered after its last sign of life. An owner that
 is cut off from the store counts on its peers for 10 s."""
 
+MAX_REPORT_GAP_S = 5.0
+"""Time between two reports of owners after which members of that time are not known. It
+is shorter by 1 s, in which a report arrives, than the time for which a supporter of an
+owner was live."""
+HISTORY_S = 9.0
+"""Time for which reports must have come without such a gap. An owner that can act for
+longer than its successor reckons with was confirmed in the last 7 s. It listed its
+supporters 1 s before that at the earliest, and a report takes 1 s at most."""
+
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """An instance: its location, and how suitable it is as the owner of a service.
@@ -51,7 +60,7 @@
         self._live_since_s = {}
         self._seen_s = {}
         self.reported_s = -math.inf
-        self._started_s = clock.monotonic()
+        self._reported_since_s = math.inf
         self._reported = ()
         self._reported_digest = ""
 
@@ -76,6 +85,8 @@
             self._reported, self._reported_digest = members, digest
         now_s = self.clock.monotonic()
         if asked_s is not None:
+            if asked_s - self.reported_s >= MAX_REPORT_GAP_S:
+                self._reported_since_s = asked_s
             self.reported_s = asked_s
         for member in self._reported:
             self._members[member.address] = member
@@ -112,8 +123,11 @@
         return sorted(live, key=_get_address)
 
     def has_history(self):
-        """Return whether all instances that were alive lately can be known."""
-        return self.clock.monotonic() - self._started_s >= RETENTION_S
+        """Return whether all instances that were alive lately can be known.
+
+        One that was alive between two reports that are far apart may be in neither.
+        """
+        return self.clock.monotonic() - self._reported_since_s >= HISTORY_S
 
     def recent_addresses(self):
         """Return the addresses of all instances that were alive lately."""
--- a/fuchsiascale/jobs/_owner_succession.py
+++ b/fuchsiascale/jobs/_owner_succession.py
@@ -28,9 +28,9 @@
 """Period in which an owner asks peers for support."""
 MAX_SUPPORTERS = 3
 """Number of peers that are asked at a time."""
-MAX_LIST_AGE_S = 3.0
+MAX_LIST_AGE_S = 1.0
 """Time before a confirmation at which a list of supporters is too old for it, as after
-a pause of the process. A successor remembers instances for 15 s."""
+a pause of the process. A successor needs reports of the members since then."""
 
 log = logbook.Logger("offices")
 
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -70,10 +70,10 @@
 start of all instances, so that stronger ones claim first."""
 MAX_REPORT_AGE_S = 3.0
 """Age of an owner's last report from which its members are not known for certain."""
-MIN_SUPPORTER_AGE_S = 4.0
+MIN_SUPPORTER_AGE_S = 6.0
 """Time for which a member has been live when an owner lists it as a supporter, at most
-1 s after its last confirmation by the store. Any successor has a report, at most 3 s
-older than its claim, with that member in it."""
+1 s after its last confirmation by the store. Any successor that had reports without a
+gap of 5 s has one with that member in it."""
 
 
 class OwnershipManager:
--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -44,7 +44,7 @@
 LONG_LEASE_S = 10.0
 """Longest lease of workers that start again in series."""
 QUIET_S = (3.0, 17.0)
-"""Time before the first fault; an instance that has run for 15 s knows its peers."""
+"""Time before the first fault; an instance that has run for 9 s knows its peers."""
 FAULTY_S = 40.0
 STANDSTILL_S = 25.0
 """Time after the faults without a start or an end after which open jobs are lost. It is
--- a/fuchsiascale/jobs/tests/test_ownership_evidence.py
+++ b/fuchsiascale/jobs/tests/test_ownership_evidence.py
@@ -15,6 +15,7 @@
     OwnerRow,
 )
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
+from fuchsiascale.jobs._members import HISTORY_S, MAX_REPORT_GAP_S
 from fuchsiascale.jobs._owner_succession import announce_owner, seek_support
 from fuchsiascale.jobs._ownership_evidence import (
     ISOLATION_LIMIT_S,
@@ -253,3 +254,28 @@
     assert members.established_addresses(1.0) == []
     clock.advance(1.0)
     assert members.established_addresses(1.0) == ["b:1"]
+
+
+def test_an_instance_that_had_no_reports_for_a_while_does_not_know_all_peers():
+    # An instance that had been frozen told those of the one report that it had since,
+    # and missed a peer that the owner had lost sight of for that moment.
+    clock = ManualClock()
+    members = Members(Member("a:1"), clock)
+
+    def report_for(seconds):
+        for _ in range(int(seconds)):
+            members.apply_report("b:1", (), "", clock.monotonic())
+            clock.advance(1.0)
+
+    report_for(HISTORY_S - 1.0)
+    assert not members.has_history()
+    report_for(2.0)
+    assert members.has_history()
+    clock.advance(MAX_REPORT_GAP_S - 1.1)
+    report_for(1.0)
+    assert members.has_history()
+    clock.advance(MAX_REPORT_GAP_S)
+    report_for(HISTORY_S - 1.0)
+    assert not members.has_history()
+    report_for(2.0)
+    assert members.has_history()
