Take the members for known only from reports of the service's own owners

What callers could see: a task that runs twice at once, where there are several services.

Cause: a successor reckons with an early end of its predecessor if its report of members is at most 3 s old and none was missing before. A report of the owner of any other service counted. That one may not know a peer that is cut off together with the predecessor, and supports it.

Evidence: with the test's course on the commit before, the report of the owner of another service counts as one of 1 s ago, and the history as complete.

Why this works: the times of reports are kept for each service. With one service nothing changes. Two tests ask for the times of a service where they asked for the instance's; what they check is the same.

--- a/fuchsiascale/jobs/_members.py
+++ b/fuchsiascale/jobs/_members.py
@@ -16,9 +16,9 @@
 is cut off from the store counts on its peers for 10 s."""
 
 MAX_REPORT_GAP_S = 5.0
-"""Time between two reports of owners after which members of that time are not known. It
-is shorter by 1 s, in which a report arrives, than the time for which a supporter of an
-owner was live."""
+"""Time between two reports of a service's owners after which members of that time are
+not known. It is shorter by 1 s, in which a report arrives, than the time for which a
+supporter of an owner was live."""
 HISTORY_S = 9.0
 """Time for which reports must have come without such a gap. An owner that can act for
 longer than its successor reckons with was confirmed in the last 7 s. It listed its
@@ -46,11 +46,6 @@
         This instance.
     clock : Clock
         Source of time.
-
-    Attributes
-    ----------
-    reported_s : float
-        Monotonic time at which an owner was asked that gave the last report.
     """
 
     def __init__(self, own, clock):
@@ -59,8 +54,7 @@
         self._members = {}
         self._live_since_s = {}
         self._seen_s = {}
-        self.reported_s = -math.inf
-        self._reported_since_s = math.inf
+        self._reports_s = {}
         self._reported = ()
         self._reported_digest = ""
 
@@ -74,26 +68,32 @@
             self._live_since_s[address] = now_s
         self._seen_s[address] = now_s
 
-    def apply_report(self, owner_address, members, digest, asked_s=None):
-        """Apply the members that an instance reports; None if they have not changed.
-
-        ``asked_s`` is the monotonic time at which it was asked if it owns the service,
-        so that all other instances ping it; None if it doesn't. The report may have
-        waited here for as long as this process was paused.
-        """
+    def apply_report(self, owner_address, members, digest):
+        """Apply the members that an instance reports; None if they have not changed."""
         if members is not None:
             self._reported, self._reported_digest = members, digest
         now_s = self.clock.monotonic()
-        if asked_s is not None:
-            if asked_s - self.reported_s >= MAX_REPORT_GAP_S:
-                self._reported_since_s = asked_s
-            self.reported_s = asked_s
         for member in self._reported:
             self._members[member.address] = member
             self._note_sign_of_life(member.address, now_s)
         self._note_sign_of_life(owner_address, now_s)
         self._forget_lost(now_s)
 
+    def note_report(self, service, asked_s):
+        """Note that the owner of a service, asked at a time, has reported the members.
+
+        All other instances ping it, which need not hold for owners of other services.
+        The report may have waited here for as long as this process was paused.
+        """
+        since_s, before_s = self._reports_s.get(service, (math.inf, -math.inf))
+        if asked_s - before_s >= MAX_REPORT_GAP_S:
+            since_s = asked_s
+        self._reports_s[service] = (since_s, asked_s)
+
+    def get_reported_s(self, service):
+        """Return when the owner of a service was asked that gave the last report."""
+        return self._reports_s.get(service, (math.inf, -math.inf))[1]
+
     def _forget_lost(self, now_s):
         for address, seen_s in list(self._seen_s.items()):
             if now_s - seen_s >= RETENTION_S:
@@ -122,12 +122,13 @@
         ]
         return sorted(live, key=_get_address)
 
-    def has_history(self):
-        """Return whether all instances that were alive lately can be known.
+    def has_history(self, service):
+        """Return whether all instances that an owner lately knew are known.
 
         One that was alive between two reports that are far apart may be in neither.
         """
-        return self.clock.monotonic() - self._reported_since_s >= HISTORY_S
+        since_s, _ = self._reports_s.get(service, (math.inf, -math.inf))
+        return self.clock.monotonic() - since_s >= HISTORY_S
 
     def recent_addresses(self):
         """Return the addresses of all instances that were alive lately."""
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -242,12 +242,10 @@
             token = reply.owned.get(service, 0)
             is_owner = token >= view.token
             self.known_members.apply_report(
-                view.row.address,
-                reply.live_members,
-                reply.members_digest,
-                asked_s if is_owner else None,
+                view.row.address, reply.live_members, reply.members_digest
             )
             if is_owner:
+                self.known_members.note_report(service, asked_s)
                 self._views.note_reply(service, token, now_s)
                 return
             if reply.incarnation != view.row.incarnation:
@@ -400,9 +398,10 @@
     def _announce(self, owner, predecessor):
         """Tell all instances that may support the predecessor of its successor."""
         claimed_s = self.clock.monotonic()
-        members = self.known_members
-        is_complete = claimed_s - members.reported_s < MAX_REPORT_AGE_S
-        if not (predecessor.seeks_support and is_complete and members.has_history()):
+        members, service = self.known_members, owner.service
+        age_s = claimed_s - members.get_reported_s(service)
+        is_complete = age_s < MAX_REPORT_AGE_S and members.has_history(service)
+        if not (predecessor.seeks_support and is_complete):
             return
         addresses = [
             address
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Claims of a service that coincide at one instance."""
 
 import asyncio
+import math
 
 from returns.result import Failure, Success
 
@@ -23,6 +24,7 @@
     encode_row,
     owner_row_key,
 )
+from fuchsiascale.jobs._members import HISTORY_S
 from fuchsiascale.jobs._owner_views import (
     MAX_STARTUP_GRACE_S,
     STARTUP_GRACE_S,
@@ -112,7 +114,7 @@
     manager.clock.advance(5.0)
     peers.released.set()
     await checking
-    assert manager.known_members.reported_s == asked_s
+    assert manager.known_members.get_reported_s(SERVICE) == asked_s
     await manager.stop()
 
 
@@ -189,6 +191,21 @@
     await manager.stop()
 
 
+async def test_reports_of_the_owner_of_another_service_are_none_of_this_one():
+    # A successor that only the owner of another service had answered lately took the
+    # members for known, and missed a peer that supported its predecessor.
+    manager = make_manager(OwnerRows(encode_row(OTHER)), SlowPeers({"others": 1}))
+    manager.peers.released.set()
+    manager.update_view("others", OTHER, 1)
+    for _ in range(int(HISTORY_S) + 1):
+        await manager._check_service("others")
+        manager.clock.advance(1.0)
+    assert manager.known_members.has_history("others")
+    assert not manager.known_members.has_history(SERVICE)
+    assert manager.known_members.get_reported_s(SERVICE) == -math.inf
+    await manager.stop()
+
+
 async def test_an_owner_row_of_another_process_with_this_name_is_not_claimed_at_once():
     # A replacement starts under the name of the instance that it replaces.
     namesake = OwnerRow(token=1, instance="a", incarnation="a0", address="c:1")
--- a/fuchsiascale/jobs/tests/test_ownership_evidence.py
+++ b/fuchsiascale/jobs/tests/test_ownership_evidence.py
@@ -264,18 +264,18 @@
 
     def report_for(seconds):
         for _ in range(int(seconds)):
-            members.apply_report("b:1", (), "", clock.monotonic())
+            members.note_report(SERVICE, clock.monotonic())
             clock.advance(1.0)
 
     report_for(HISTORY_S - 1.0)
-    assert not members.has_history()
+    assert not members.has_history(SERVICE)
     report_for(2.0)
-    assert members.has_history()
+    assert members.has_history(SERVICE)
     clock.advance(MAX_REPORT_GAP_S - 1.1)
     report_for(1.0)
-    assert members.has_history()
+    assert members.has_history(SERVICE)
     clock.advance(MAX_REPORT_GAP_S)
     report_for(HISTORY_S - 1.0)
-    assert not members.has_history()
+    assert not members.has_history(SERVICE)
     report_for(2.0)
-    assert members.has_history()
+    assert members.has_history(SERVICE)
