--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -70,10 +70,10 @@
 start of all instances, so that stronger ones claim first."""
 MAX_REPORT_AGE_S = 3.0
 """Age of an owner's last report from which its members are not known for certain."""
-MIN_SUPPORTER_AGE_S = 4.0
+MIN_SUPPORTER_AGE_S = 6.0
 """Time for which a member has been live when an owner lists it as a supporter, at most
-1 s after its last confirmation by the store. Any successor has a report, at most 3 s
-older than its claim, with that member in it."""
+1 s after its last confirmation by the store. Any successor that had reports without a
+gap of 5 s has one with that member in it."""
 
 
 class OwnershipManager:
@@ -144,6 +144,7 @@
             clock,
         )
         self._claiming = set()
+        self._claimed_versions = {}
         self._tasks = set()
         self._watches = {}
 
@@ -245,12 +246,10 @@
             token = reply.owned.get(service, 0)
             is_owner = token >= view.token
             self.known_members.apply_report(
-                view.row.address,
-                reply.live_members,
-                reply.members_digest,
-                asked_s if is_owner else None,
+                view.row.address, reply.live_members, reply.members_digest
             )
             if is_owner:
+                self.known_members.note_report(service, asked_s)
                 self._views.note_reply(service, token, now_s)
                 return
             if reply.incarnation != view.row.incarnation:
@@ -403,9 +402,10 @@
     def _announce(self, owner, predecessor):
         """Tell all instances that may support the predecessor of its successor."""
         claimed_s = self.clock.monotonic()
-        members = self.known_members
-        is_complete = claimed_s - members.reported_s < MAX_REPORT_AGE_S
-        if not (predecessor.seeks_support and is_complete and members.has_history()):
+        members, service = self.known_members, owner.service
+        age_s = claimed_s - members.get_reported_s(service)
+        is_complete = age_s < MAX_REPORT_AGE_S and members.has_history(service)
+        if not (predecessor.seeks_support and is_complete):
             return
         addresses = [
             address
@@ -418,9 +418,27 @@
         """Return the members that any successor of this instance would know of."""
         return self.known_members.established_addresses(MIN_SUPPORTER_AGE_S)
 
+    def knows_version(self, service, version):
+        """Return whether this instance knows an owner row, or a later one."""
+        return self._views.get_newest_version(service) >= version
+
+    def get_supported_version(self, service):
+        """Return the version of the owner that this instance supports; 0 for none.
+
+        It doesn't support one whose row a claim of its own may have replaced.
+        """
+        version = self.view(service).version
+        return 0 if self._claimed_versions.get(service) == version else version
+
     async def _commit_claim(self, view, row):
-        """Write an owner row; return its version, or None if it is not written."""
+        """Write an owner row; return its version, or None if it is not written.
+
+        A claim without an answer may be written later. Successors of its owner don't
+        tell this instance of themselves, as they take it for their predecessor.
+        """
         row_key = owner_row_key(view.service)
+        is_first = self._claimed_versions.get(view.service) != view.version
+        self._claimed_versions[view.service] = view.version
         reply = await self.store.commit(
             (Expect(row_key, view.version),), (Change(row_key, encode_row(row)),)
         )
@@ -431,6 +449,8 @@
             found = await self._read_view(view.service)
             if found is not None and found.row == row:
                 return found.version
+        elif is_first:
+            del self._claimed_versions[view.service]
         self.log.info(
             "claim not written",
             extra={"service": view.service, "why": type(error).__name__},
--- a/fuchsiascale/jobs/tests/test_claims.py
+++ b/fuchsiascale/jobs/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Claims of a service that coincide at one instance."""
 
 import asyncio
+import math
 
 from returns.result import Failure, Success
 
@@ -9,8 +10,10 @@
     Busy,
     Conflict,
     Handover,
+    NoAnswer,
     OwnerLimits,
     OwnerNotice,
+    OwnerQuery,
     OwnerRow,
     OwnershipManager,
     Ping,
@@ -21,6 +24,7 @@
     encode_row,
     owner_row_key,
 )
+from fuchsiascale.jobs._members import HISTORY_S
 from fuchsiascale.jobs._owner_views import (
     MAX_STARTUP_GRACE_S,
     STARTUP_GRACE_S,
@@ -110,7 +114,95 @@
     manager.clock.advance(5.0)
     peers.released.set()
     await checking
-    assert manager.known_members.reported_s == asked_s
+    assert manager.known_members.get_reported_s(SERVICE) == asked_s
+    await manager.stop()
+
+
+class UnansweredClaims(OwnerRows):
+    """A store whose answers to claims are lost, or that refuses them."""
+
+    failure = NoAnswer("reset")
+    is_reachable = True
+
+    async def commit(self, expected, changes):
+        return Failure(self.failure)
+
+    async def read(self, table, partition, first="", last=""):
+        if not self.is_reachable:
+            return Failure(NoAnswer("reset"))
+        return await super().read(table, partition, first, last)
+
+
+async def ask_supported_version(manager):
+    return (await manager.answer(OwnerQuery(SERVICE))).version
+
+
+async def claim_over_other(store):
+    """Have an instance claim the service of another; return the instance."""
+    manager = make_manager(store, SlowPeers())
+    manager.update_view(SERVICE, OTHER, 1)
+    assert await ask_supported_version(manager) == 1
+    assert not await manager._claim(manager.view(SERVICE), 0.0, None)
+    return manager
+
+
+async def test_an_owner_is_not_supported_over_whom_a_claim_may_be_written():
+    # The claim was written late. The next owner took this instance for its predecessor
+    # and didn't tell it, while this one went on supporting the owner before.
+    store = UnansweredClaims(encode_row(OTHER))
+    manager = await claim_over_other(store)
+    assert await ask_supported_version(manager) == 0
+    store.failure = Busy("503")
+    assert not await manager._claim(manager.view(SERVICE), 0.0, None)
+    assert await ask_supported_version(manager) == 0
+    manager.update_view(SERVICE, OTHER, 2)
+    assert await ask_supported_version(manager) == 2
+    await manager.stop()
+
+
+async def test_an_owner_is_not_supported_whose_row_a_claim_has_found_changed():
+    store = UnansweredClaims(encode_row(OTHER))
+    store.failure, store.is_reachable = Conflict(), False
+    manager = await claim_over_other(store)
+    assert await ask_supported_version(manager) == 0
+    await manager.stop()
+
+
+async def test_an_owner_is_supported_after_a_claim_that_the_store_refused():
+    store = UnansweredClaims(encode_row(OTHER))
+    store.failure = Busy("503")
+    manager = await claim_over_other(store)
+    assert await ask_supported_version(manager) == 1
+    await manager.stop()
+
+
+async def test_an_instance_that_has_lost_a_service_supports_no_earlier_owner():
+    # It had dropped its row, took a repeated notice of the owner before for news, and
+    # supported that one. Its successor doesn't tell its predecessor of itself.
+    store = OwnerRows(encode_row(OTHER))
+    manager = make_manager(store, SlowPeers())
+    manager.update_view(SERVICE, OTHER, 1)
+    assert await manager._claim(manager.view(SERVICE), 0.0, None)
+    manager.owners[SERVICE].relinquish("a worker has seen a higher token")
+    assert (await manager.answer(OwnerNotice(SERVICE, OTHER, 1))).done
+    assert manager.view(SERVICE).row is None
+    assert await ask_supported_version(manager) == 0
+    assert (await manager._read_view(SERVICE)).version == 2
+    await manager.stop()
+
+
+async def test_reports_of_the_owner_of_another_service_are_none_of_this_one():
+    # A successor that only the owner of another service had answered lately took the
+    # members for known, and missed a peer that supported its predecessor.
+    manager = make_manager(OwnerRows(encode_row(OTHER)), SlowPeers({"others": 1}))
+    manager.peers.released.set()
+    manager.update_view("others", OTHER, 1)
+    for _ in range(int(HISTORY_S) + 1):
+        await manager._check_service("others")
+        manager.clock.advance(1.0)
+    assert manager.known_members.has_history("others")
+    assert not manager.known_members.has_history(SERVICE)
+    assert manager.known_members.get_reported_s(SERVICE) == -math.inf
     await manager.stop()
 
 
--- a/fuchsiascale/jobs/tests/test_ownership_evidence.py
+++ b/fuchsiascale/jobs/tests/test_ownership_evidence.py
@@ -15,6 +15,7 @@
     OwnerRow,
 )
 from fuchsiascale.jobs._inherited_leases import InheritedLeases
+from fuchsiascale.jobs._members import HISTORY_S, MAX_REPORT_GAP_S
 from fuchsiascale.jobs._owner_succession import announce_owner, seek_support
 from fuchsiascale.jobs._ownership_evidence import (
     ISOLATION_LIMIT_S,
@@ -136,6 +137,31 @@
     run_in_virtual_time(run())
 
 
+def test_supporters_are_those_of_the_time_of_a_confirmation_that_arrives_late():
+    # The list was taken only while a confirmation was a second old: where each arrives
+    # later, it was that of long ago, with peers that every successor has forgotten.
+    async def run():
+        owner, peers = FakeOwner(version=5), FakePeers({"b:1": 5, "c:1": 5})
+        listed = ["b:1"]
+        seeking = asyncio.create_task(seek_support(owner, lambda: listed, peers))
+        await asyncio.sleep(5.0)
+        listed = []
+        for _ in range(20):
+            await asyncio.sleep(1.0)
+            owner.evidence.confirm(owner.clock.monotonic() - 1.5)
+        await asyncio.sleep(3.0)
+        assert not owner.evidence.is_valid()
+        listed = ["c:1"]
+        for _ in range(5):
+            await asyncio.sleep(1.0)
+            owner.evidence.confirm(owner.clock.monotonic() - 1.5)
+        await asyncio.sleep(3.0)
+        assert owner.evidence.is_valid()
+        seeking.cancel()
+
+    run_in_virtual_time(run())
+
+
 def test_the_log_tells_which_peers_supported_an_owner():
     async def run():
         owner = FakeOwner(version=5)
@@ -228,3 +254,28 @@
     assert members.established_addresses(1.0) == []
     clock.advance(1.0)
     assert members.established_addresses(1.0) == ["b:1"]
+
+
+def test_an_instance_that_had_no_reports_for_a_while_does_not_know_all_peers():
+    # An instance that had been frozen told those of the one report that it had since,
+    # and missed a peer that the owner had lost sight of for that moment.
+    clock = ManualClock()
+    members = Members(Member("a:1"), clock)
+
+    def report_for(seconds):
+        for _ in range(int(seconds)):
+            members.note_report(SERVICE, clock.monotonic())
+            clock.advance(1.0)
+
+    report_for(HISTORY_S - 1.0)
+    assert not members.has_history(SERVICE)
+    report_for(2.0)
+    assert members.has_history(SERVICE)
+    clock.advance(MAX_REPORT_GAP_S - 1.1)
+    report_for(1.0)
+    assert members.has_history(SERVICE)
+    clock.advance(MAX_REPORT_GAP_S)
+    report_for(HISTORY_S - 1.0)
+    assert not members.has_history(SERVICE)
+    report_for(2.0)
+    assert members.has_history(SERVICE)
