Export the counter of refused submissions that is empty at first

An operator saw no refused submission on the metrics address, however many were refused. The metrics took an empty counter for a missing one and put another object in its place; the application always passes an empty one.

The test fails on the commit before: the family had no samples.

--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -51,7 +51,7 @@
     ):
         self._late_commands = {} if late_commands is None else late_commands
         self._silence = silence
-        self._refusals = refusals or {}
+        self._refusals = {} if refusals is None else refusals
         self._ownership = ownership
         self._configuration = configuration
         self._log_buffer = log_buffer
--- a/fuchsiascale/node/tests/test_metrics.py
+++ b/fuchsiascale/node/tests/test_metrics.py
@@ -59,6 +59,20 @@
     assert f"fuchsiascale_store_received_bytes_total{labels} 90000.0" in text
 
 
+def test_submissions_that_were_refused_are_counted_by_reason():
+    # The counter is empty when the metrics are set up, and was replaced by another one.
+    refusals = Counter()
+    metrics = NodeMetrics(
+        SimpleNamespace(owners={}),
+        SimpleNamespace(dropped=0),
+        lambda: (1, 0.0),
+        refusals=refusals,
+    )
+    refusals["store silent"] += 2
+    text = metrics.render().decode()
+    assert 'fuchsiascale_submissions_refused_total{reason="store silent"} 2.0' in text
+
+
 def test_commands_that_were_late_are_counted_by_caller_and_outcome():
     # The counter is empty when the metrics are set up.
     late = Counter()
