Play relayed calls in the simulation of takeovers

Connections go through `Network`: messages arrive in order, wait while a direction is cut, and are lost with a reset, which a cut link loses, too. A process that is killed resets its connections. Faults from a source of their own hit the peers that relay, and workers leave and join around the threshold. Runs name owner, token and peer.

--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -29,6 +29,7 @@
 from fuchsiascale.jobs.tests._simulation_network import LinkFaults, Network
 from fuchsiascale.jobs.tests._simulation_operator import Operator
 from fuchsiascale.jobs.tests._simulation_record import Record, Rule
+from fuchsiascale.jobs.tests._simulation_relay_faults import RelayFaults
 from fuchsiascale.jobs.tests._simulation_store import STORE, Store, StoreState
 from fuchsiascale.jobs.tests._simulation_worker import Gangs, Worker
 from fuchsiascale.testing import LoopClock, run_in_virtual_time
@@ -43,6 +44,8 @@
 """Longest lease that a worker takes, which is the length of those that owners grant."""
 LONG_LEASE_S = 10.0
 """Longest lease of workers that start again in series."""
+WEAK_STRENGTHS = (0.05, 0.06, 0.07)
+"""Strengths of instances that call up to 8 workers directly, and more through peers."""
 QUIET_S = (3.0, 17.0)
 """Time before the first fault; an instance that has run for 15 s knows its peers."""
 FAULTY_S = 40.0
@@ -71,15 +74,19 @@
     returns : bool
         Whether instances that were away return while the owner's domain is cut off,
         instead of the other faults.
+    relays : bool
+        Whether owners call workers through peers, some faults hit these peers, and
+        workers leave and join.
     """
 
     service = "pool"
 
-    def __init__(self, seed, evacuates, restarts, returns):
+    def __init__(self, seed, evacuates, restarts, returns, relays):
         self.seed = seed
         self.evacuates = evacuates
         self.restarts = restarts
         self.returns = returns
+        self.relays = relays
         self.longest_lease_s = LONG_LEASE_S if restarts else USUAL_LEASE_S
         self.rng = random.Random(f"simulation {seed}")
         self.clock = LoopClock()
@@ -110,6 +117,12 @@
         self._starts += 1
         return self._starts
 
+    def get_strength(self, address):
+        """Return the strength of the instance at an address."""
+        if not self.relays:
+            return 1.0
+        return random.Random(f"{address} {self.seed}").choice(WEAK_STRENGTHS)
+
     def start_instance(self, address, domain):
         """Start an instance at an address where none runs."""
         instance = Instance(self, address, domain)
@@ -121,6 +134,8 @@
     def kill(self, instance):
         """End the process of an instance at once."""
         instance.process.kill()
+        if instance.relays:
+            instance.relays.reset()
         if self.instances.get(instance.address) is instance:
             del self.instances[instance.address]
 
@@ -285,10 +300,15 @@
         faults = Faults(self)
         if self.restarts:
             self.spawn(faults.restart_workers(until_s))
+        relay_faults = None
+        if self.relays:
+            relay_faults = self.spawn(RelayFaults(self).run(until_s))
         if self.returns:
             await faults.return_in_cut_domain(until_s)
         else:
             await faults.run(until_s)
+        if relay_faults is not None:
+            await relay_faults
         self.record.note("--- no further faults")
         self.network.faults.clear()
         self.network.usual = LinkFaults()
@@ -348,7 +368,14 @@
             self._record.report(Rule.ERROR, text + error)
 
 
-def play(seed, log_level=logbook.ERROR, evacuates=False, restarts=False, returns=False):
+def play(
+    seed,
+    log_level=logbook.ERROR,
+    evacuates=False,
+    restarts=False,
+    returns=False,
+    relays=False,
+):
     """Play the simulation of a seed.
 
     Parameters
@@ -364,6 +391,9 @@
     returns : bool, optional
         Whether instances that were away return while the owner's domain is cut off,
         instead of the other faults.
+    relays : bool, optional
+        Whether owners call workers through peers, some faults hit these peers, and
+        workers leave and join.
 
     Returns
     -------
@@ -375,7 +405,7 @@
     simulations = []
 
     async def run():
-        simulation = Simulation(seed, evacuates, restarts, returns)
+        simulation = Simulation(seed, evacuates, restarts, returns, relays)
         simulations.append(simulation)
         handler = _LogHandler(simulation.record, log_level)
         with logbook.NullHandler().applicationbound(), handler.applicationbound():
--- a/fuchsiascale/jobs/tests/_simulation_instance.py
+++ b/fuchsiascale/jobs/tests/_simulation_instance.py
@@ -21,6 +21,7 @@
 )
 from fuchsiascale.jobs.tests._simulation_loop import Process
 from fuchsiascale.jobs.tests._simulation_operator import EVACUATIONS
+from fuchsiascale.jobs.tests._simulation_relays import Relays
 from fuchsiascale.jobs.tests._simulation_store import StoreClient
 from fuchsiascale.jobs.tests._simulation_worker import SERVERS, WorkerClient
 from fuchsiascale.testing import LoopClock
@@ -74,19 +75,29 @@
         name = f"{address}/{simulation.count_starts()}"
         network = simulation.network
         silence = StoreSilence(clock)
+        self.relays = (
+            Relays(simulation, address, name, clock) if simulation.relays else None
+        )
         self.direct = StoreClient(network, address, simulation.store, silence)
         peers = _Peers(simulation, address)
         self.store = RelayedStore(
             self.direct, peers, lambda: self.ownership.members(), clock, silence
         )
         self.ownership = OwnershipManager(
-            Ping(instance=address, incarnation=name, address=address, domain=domain),
+            Ping(
+                instance=address,
+                incarnation=name,
+                address=address,
+                strength=simulation.get_strength(address),
+                domain=domain,
+            ),
             self.store,
             WorkerClient(simulation, address, name),
             peers,
             WorkerListing(SERVERS, lambda row: decode_row(row.value, ListedWorker)),
             OwnerLimits(longest_lease_s=simulation.longest_lease_s),
             clock,
+            connect_relay=self.relays.connect if self.relays else None,
             silence=silence,
             evacuations=EVACUATIONS if simulation.evacuates else None,
         )
@@ -101,6 +112,8 @@
             self.store, silence, "op", self.request_handler.refuse_queued
         )
         self.process.spawn(self.silence_watch.run())
+        if self.relays:
+            self.process.spawn(self.relays.worker_relay.run())
         self.process.spawn(self._run())
 
     async def _run(self):
@@ -125,6 +138,8 @@
     async def stop(self):
         """Stop as after SIGTERM: hand over, answer for a while, and end."""
         self.is_stopping = True
+        if self.relays:
+            self.relays.worker_relay.stop()
         began_s = LoopClock().monotonic()
         try:
             async with asyncio.timeout(HANDOVER_LIMIT_S):
--- a/fuchsiascale/jobs/tests/_simulation_network.py
+++ b/fuchsiascale/jobs/tests/_simulation_network.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["LinkFaults", "Network"]
+__all__ = ["SLOW_DELAY_S", "USUAL_DELAY_S", "LinkFaults", "Network"]
 
 USUAL_DELAY_S = (0.0005, 0.004)
 SLOW_DELAY_S = (0.02, 0.4)
@@ -112,11 +112,7 @@
             Time after which None is returned. The call may be carried out all the same.
         """
         reply = asyncio.get_running_loop().create_future()
-        carrier = asyncio.create_task(
-            self._carry(source, target, execute, reply), context=self._context
-        )
-        self._carriers.add(carrier)
-        carrier.add_done_callback(self._carriers.discard)
+        self.spawn(self._carry(source, target, execute, reply))
         try:
             async with asyncio.timeout(timeout_s):
                 return await reply
@@ -127,6 +123,21 @@
         """Set the context in which calls are carried, which is that of no process."""
         self._context = context
 
+    def spawn(self, coroutine):
+        """Run a coroutine in that context; returns its task."""
+        carrier = asyncio.create_task(coroutine, context=self._context)
+        self._carriers.add(carrier)
+        carrier.add_done_callback(self._carriers.discard)
+        return carrier
+
+    async def wait_until_open(self, source, target):
+        """Wait until messages pass in one direction, and those that waited arrive."""
+        if self.is_open(source, target):
+            return
+        while not self.is_open(source, target):
+            await self._healed.wait()
+        await asyncio.sleep(self.draw(SLOW_DELAY_S))
+
     async def _carry(self, source, target, execute, reply):
         if self.happens("late", source, target):
             await asyncio.sleep(self.draw(LATE_DELAY_S))
@@ -148,7 +159,5 @@
             # The sender's kernel repeats what it has taken, and may give up.
             if self.is_likely(0.5):
                 return False
-            while not self.is_open(source, target):
-                await self._healed.wait()
-            await asyncio.sleep(self.draw(SLOW_DELAY_S))
+            await self.wait_until_open(source, target)
         return True
--- a/fuchsiascale/jobs/tests/_simulation_record.py
+++ b/fuchsiascale/jobs/tests/_simulation_record.py
@@ -42,7 +42,8 @@
 class Run(msgspec.Struct, eq=False):
     """A run of a task at a worker; ``end_s`` is None while it lasts.
 
-    ``sender`` is the instance and token whose order started it.
+    ``sender`` is the instance and token whose order started it, and the peer that
+    relayed the order.
     """
 
     task: str
@@ -95,6 +96,11 @@
         """Return the number of all runs."""
         return sum(map(len, self._runs.values()))
 
+    def count_relayed_runs(self):
+        """Return the number of runs that peers of their owners started."""
+        runs = (run for runs in self._runs.values() for run in runs)
+        return sum(" via " in run.sender for run in runs)
+
     def is_done(self, task):
         """Return whether a run of a task, or of its gang, has ended as done."""
         return any(run.end_kind is EndKind.DONE for run in self.list_runs(task))
--- a/fuchsiascale/jobs/tests/_simulation_worker.py
+++ b/fuchsiascale/jobs/tests/_simulation_worker.py
@@ -400,9 +400,10 @@
 
     async def start(self, worker, request):
         """See `WorkerPort.start`."""
+        sender = self.name_sender(request.token)
 
         async def execute(target):
-            return target.start(request, f"{self._name} token {request.token}")
+            return target.start(request, sender)
 
         return await self._call(worker, execute)
 
@@ -414,6 +415,10 @@
 
         return await self._call(worker, execute)
 
+    def name_sender(self, token):
+        """Return whose orders a call with a token carries out."""
+        return f"{self._name} token {token}"
+
     async def _call(self, worker, execute, timeout_s=COMMAND_TIMEOUT_S):
         network = self._simulation.network
         target = self._simulation.workers[worker.worker]
--- a/fuchsiascale/jobs/tests/play_takeovers.py
+++ b/fuchsiascale/jobs/tests/play_takeovers.py
@@ -19,10 +19,11 @@
 def play_seeds(seeds, **options):
     """Play seeds, print the breaks of each and a summary; return whether any broke."""
     began_s = time.process_time()
-    breaks, broken, runs = Counter(), [], 0
+    breaks, broken, runs, relayed = Counter(), [], 0, 0
     for seed in seeds:
         record = play(seed, **options)
         runs += record.count_runs()
+        relayed += record.count_relayed_runs()
         breaks.update(each.rule for each in record.breaks)
         if record.breaks:
             broken.append(seed)
@@ -30,7 +31,8 @@
             for each in record.breaks[:SHOWN_BREAKS]:
                 print(f"  {each.at_s:.3f} {each.rule}: {each.text}", flush=True)
     took_s = time.process_time() - began_s
-    print(f"{len(seeds)} seeds, {runs} runs, {took_s:.0f} s of processor time")
+    counts = f"{len(seeds)} seeds, {runs} runs, {relayed} of them relayed"
+    print(f"{counts}, {took_s:.0f} s of processor time")
     print(f"{len(broken)} seeds with breaks: {broken}; breaks: {dict(breaks)}")
     return bool(broken)
 
@@ -51,11 +53,13 @@
     parser.add_argument("--evacuate", action="store_true", help="evacuate domains")
     parser.add_argument("--restart", action="store_true", help="restart workers")
     parser.add_argument("--return", action="store_true", help="return in cut domains")
+    parser.add_argument("--relay", action="store_true", help="relay calls to workers")
     options = parser.parse_args()
     kinds = {
         "evacuates": options.evacuate,
         "restarts": options.restart,
         "returns": getattr(options, "return"),
+        "relays": options.relay,
     }
     if options.trace is not None:
         print_trace(options.trace, **kinds)
