Test takeovers with calls through peers that fail

A few seeds of relayed calls are added, with and without workers that restart; each checks that peers start a good part of the runs.

--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -3,11 +3,13 @@
 The failures that it guards against: a task runs in two places at once, or is started
 again after its end as done was acknowledged; an accepted job is lost; a refused one
 runs; a worker gets more than it has room for. `make takeovers` plays more seeds.
+With relays, the same holds while owners call workers through peers that are paused,
+killed or cut off.
 """
 
 from unittest import mock
 
-from fuchsiascale.jobs import Owner, Shard
+from fuchsiascale.jobs import Absent, NoAnswer, Owner, RelayChannel, Shard
 from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs.tests._simulation import play
 from fuchsiascale.jobs.tests._simulation_record import Rule
@@ -36,6 +38,20 @@
 EVACUATION_SEEDS = (*range(2_000, 2_005), 37, 97)
 """Seeds with evacuations. The last two break the bound if a read of the evacuations
 counts for ever and starts grant whole leases."""
+RELAY_SEEDS = range(4_000, 4_004)
+RELAY_RESTART_SEEDS = range(4_100, 4_103)
+"""Seeds with calls through peers, without and with workers that start again."""
+MIN_RELAYED_SHARE = 0.3
+"""Least share of the runs that peers start in a seed with relays. It was 0.70 in seeds
+0 to 59 together; workers that leave make it less in some."""
+
+call_through_peer = RelayChannel.call
+
+
+async def take_silence_for_absence(channel, *arguments):
+    """Take a call that a peer may have passed on for one that was not carried out."""
+    reply = await call_through_peer(channel, *arguments)
+    return Absent() if isinstance(reply, NoAnswer) else reply
 
 
 def conclude_without_confirmation(owner, now_s):
@@ -72,6 +88,40 @@
         assert play(seed, returns=True).breaks == [], seed
 
 
+def test_no_rule_is_broken_when_peers_that_relay_calls_fail():
+    for seed in RELAY_SEEDS:
+        record = play(seed, relays=True)
+        assert record.breaks == [], seed
+        relayed = record.count_relayed_runs()
+        assert relayed >= MIN_RELAYED_SHARE * record.count_runs(), (seed, relayed)
+
+
+def test_no_rule_is_broken_when_peers_that_relay_calls_fail_and_workers_restart():
+    for seed in RELAY_RESTART_SEEDS:
+        record = play(seed, restarts=True, relays=True)
+        assert record.breaks == [], seed
+        relayed = record.count_relayed_runs()
+        assert relayed >= MIN_RELAYED_SHARE * record.count_runs(), (seed, relayed)
+
+
+def test_no_call_is_relayed_without_the_option():
+    # Else the seeds without relays would guard against less than they did.
+    assert play(4).count_relayed_runs() == 0
+
+
+def test_a_seed_with_relays_always_gives_the_same_course():
+    assert play(5, relays=True).events == play(5, relays=True).events
+
+
+def test_the_simulation_finds_owners_that_take_unanswered_relayed_calls_for_refused():
+    # A start that the peer has passed on runs beside the one that replaces it.
+    with mock.patch.object(RelayChannel, "call", take_silence_for_absence):
+        breaks = play(9, relays=True).breaks
+    found = [each for each in breaks if each.rule is Rule.TWICE_AT_ONCE]
+    assert found
+    assert all(" via " in each.text for each in found)
+
+
 def test_a_seed_always_gives_the_same_course():
     events = play(4).events
     assert events
