--- a/fuchsiascale/jobs/tests/_simulation_network.py
+++ b/fuchsiascale/jobs/tests/_simulation_network.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+import logbook
 import msgspec
 
 __all__ = ["SLOW_DELAY_S", "USUAL_DELAY_S", "LinkFaults", "Network"]
@@ -37,6 +38,7 @@
     """
 
     def __init__(self, rng):
+        self.log = logbook.Logger("network")
         self._rng = rng
         self._cuts = Counter()
         self._healed = asyncio.Event()
@@ -124,12 +126,21 @@
         self._context = context
 
     def spawn(self, coroutine):
-        """Run a coroutine in that context; returns its task."""
+        """Run a coroutine in that context; returns its task.
+
+        An error is logged, which breaks a rule: what is carried must not get lost by a
+        fault of the simulation.
+        """
         carrier = asyncio.create_task(coroutine, context=self._context)
         self._carriers.add(carrier)
-        carrier.add_done_callback(self._carriers.discard)
+        carrier.add_done_callback(self._finish)
         return carrier
 
+    def _finish(self, carrier):
+        self._carriers.discard(carrier)
+        if not carrier.cancelled() and carrier.exception() is not None:
+            self.log.error("carrier failed: {!r}", carrier.exception())
+
     async def wait_until_open(self, source, target):
         """Wait until messages pass in one direction, and those that waited arrive."""
         if self.is_open(source, target):
--- a/fuchsiascale/jobs/tests/_simulation_relays.py
+++ b/fuchsiascale/jobs/tests/_simulation_relays.py
@@ -167,9 +167,15 @@
         context = contextvars.copy_context()
         context.run(_OWNER.set, owner)
         served = asyncio.create_task(self.worker_relay.serve(end), context=context)
-        served.add_done_callback(lambda task: end.abort())
+        served.add_done_callback(lambda task: self._finish(task, end))
         return "accepted"
 
+    def _finish(self, served, end):
+        end.abort()
+        if not served.cancelled() and served.exception() is not None:
+            error = served.exception()
+            self.worker_relay.log.error("connection failed: {!r}", error)
+
     def list_peers(self):
         """Return the addresses of the peers to which connections are open."""
         return sorted({end.other.address for end in self._opened if not end.is_closed})
--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -13,6 +13,7 @@
 from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs.tests._simulation import play
 from fuchsiascale.jobs.tests._simulation_record import Rule
+from fuchsiascale.jobs.tests._simulation_worker import Worker
 from fuchsiascale.testing import collect_functions
 
 load_tests = collect_functions(__name__)
@@ -54,6 +55,11 @@
     return Absent() if isinstance(reply, NoAnswer) else reply
 
 
+def fail_to_start(worker, *arguments):
+    """Fail as a simulated worker with a fault of its own."""
+    raise LookupError("test")
+
+
 def conclude_without_confirmation(owner, now_s):
     """Take the owner for confirmed at any time, as before commit 77f2a12."""
     confirm_owner(owner.shard, now_s)
@@ -122,6 +128,13 @@
     assert all(" via " in each.text for each in found)
 
 
+def test_a_call_that_the_simulation_fails_to_carry_out_breaks_a_rule():
+    # A simulation that drops such calls breaks no rule, since nothing runs in it.
+    with mock.patch.object(Worker, "start", fail_to_start):
+        rules = {each.rule for each in play(5, relays=True).breaks}
+    assert Rule.ERROR in rules
+
+
 def test_a_seed_always_gives_the_same_course():
     events = play(4).events
     assert events
