Let simulated connections take messages that are made when they are written

An owner's channel passes a function that returns the message, so that starts that have become too old are left out.

--- a/fuchsiascale/jobs/tests/_simulation_relays.py
+++ b/fuchsiascale/jobs/tests/_simulation_relays.py
@@ -38,10 +38,22 @@
         self._in_flight = deque()
         self._last_due_s = 0.0
         self._carrier = None
+        self._tasks = set()
 
     def send(self, content):
-        """Send a message without waiting; a closed connection ends `receive`."""
-        if self.is_closed:
+        """Send a message without waiting; a closed connection ends `receive`.
+
+        ``content`` may be a function that is called right before the message leaves,
+        and returns None for none.
+        """
+        task = asyncio.create_task(self._send(content))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, content):
+        if callable(content):
+            content = content()
+        if content is None or self.is_closed:
             return
         network, where = self._network, (self.address, self.other.address)
         # A segment that is lost is sent again.
