Add a soak pattern of peers that return while cut off with an owner

The soak never froze a process for longer than 12 s, so that the others didn't forget it, and no play could show what mends: an owner that was cut off, supported by a peer that its successor didn't know of.

returning_peers freezes the other process of the owner's domain for 19 s to 22 s and cuts the domain off for 14 s to 16 s at about the end of that. Tasks run for up to 45 s, so that a second run is seen. The pattern is selected from seed 900 on. The test of earlier seeds asked seeds from 700 on for all patterns; it now names the pattern of each seed from 700 to 706, and asks those from 900 on.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -24,6 +24,15 @@
 """Time in which no successor reaches the workers after the end of an owner."""
 LISTED_S = 2.5
 """Time for which the platform lists a worker that it can't reach."""
+RETURN_ABSENCES_S = (19.0, 22.0)
+"""Bounds of the time for which a peer that returns is frozen.
+
+Members are forgotten 15 s after the 3 s in which they may be silent.
+"""
+RETURN_CUTS_S = (14.0, 16.0)
+"""Bounds of the cut of its domain: a supported owner grants leases of 6 s for 10 s."""
+RETURN_OFFSETS_S = (-1.0, 3.0)
+"""Bounds of the time from that cut until the peer goes on."""
 CUTS_S = (1.5, 2.5, 4.0, 5.5, 7.0, 9.0, 12.0)
 """Durations of cuts, in seconds."""
 MAX_BUSY = 3
@@ -465,3 +474,33 @@
         stage.site.list_runner(each)
     stage.relay.remove(hold)
     stage.relay.remove(cut)
+
+
+async def return_peer(stage):
+    """Let a peer of the owner's domain be forgotten, and return as that is cut off.
+
+    It is no fault to be drawn, as `evacuate_domain`.
+    """
+    rng, owner = stage.rng, stage.find_owner()
+    domain = owner.domain
+    peers = [x for x in stage.nodes.all if x.domain == domain and x is not owner]
+    others = [x for each in DOMAINS if each != domain for x in stage.list_domain(each)]
+    links = pair_both_ways(stage.list_domain(domain), [*others, STORE])
+    text = f"domain {domain} from the others and the store"
+    offset_s = rng.uniform(*RETURN_OFFSETS_S)
+    with stage.occupy(peers) as frozen:
+        for each in frozen:
+            each.send_signal(signal.SIGSTOP)
+        async with asyncio.TaskGroup() as group:
+            try:
+                await asyncio.sleep(rng.uniform(*RETURN_ABSENCES_S) - max(0, offset_s))
+                if offset_s > 0:
+                    cut = stage.cut(text, links, rng.uniform(*RETURN_CUTS_S))
+                    group.create_task(cut)
+                    await asyncio.sleep(offset_s)
+            finally:
+                for each in frozen:
+                    each.send_signal(signal.SIGCONT)
+            if offset_s <= 0:
+                await asyncio.sleep(-offset_s)
+                await stage.cut(text, links, rng.uniform(*RETURN_CUTS_S))
--- a/soak/_patterns.py
+++ b/soak/_patterns.py
@@ -128,6 +128,14 @@
         await asyncio.sleep(stage.rng.choice((2.0, 12.0, 15.0)))
 
 
+@pattern
+async def returning_peers(stage, group):
+    """Let peers that were forgotten return while they are cut off with the owner."""
+    while True:
+        await _faults.return_peer(stage)
+        await asyncio.sleep(stage.rng.uniform(0, 3))
+
+
 async def _bring_faults(stage, group):
     while True:
         await asyncio.sleep(stage.rng.uniform(1, 4))
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -35,13 +35,16 @@
 It is more than the longest lease of a worker, too.
 """
 READY_TIMEOUT_S = 20.0
-LOADS = {"restarted_workers": (LONG_RUNS_MS, 20_000)}
+LOADS = {
+    "restarted_workers": (LONG_RUNS_MS, 20_000),
+    "returning_peers": (LONG_RUNS_MS, 20_000),
+}
 """Run times of tasks and capacity of workers, for patterns that need others.
 
 Tasks of a worker that is cut off must outlast its lease, and the others need room for
 their next runs: one that starts too early is seen only while that lease lasts.
 """
-FIRST_SEEDS = {"restarted_workers": 700}
+FIRST_SEEDS = {"restarted_workers": 700, "returning_peers": 900}
 """First seeds that may select patterns that were added later.
 
 Earlier seeds select the pattern that they always did, so that plays can be repeated.
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -22,5 +22,12 @@
         "TWICE at 94f7046 (mended in 42a6bd7): a successor reckoned with the 6 s that"
         " owners grant, where a worker that had restarted held a lease of 10 s",
     ),
+    (
+        900,
+        "returning_peers",
+        "TWICE at 1566c10 (mended in d4d86f0): an owner that was cut off was"
+        " supported by a peer that had returned since, and that its successor didn't"
+        " know of",
+    ),
 )
 """Seed, pattern and cause of each."""
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -37,7 +37,10 @@
     )
     assert tuple(select_pattern(seed) for seed in range(6)) == names
     assert select_pattern(699) == "mixed"
-    later = {select_pattern(seed) for seed in range(700, 700 + len(PATTERNS))}
+    names += ("restarted_workers",)
+    assert tuple(select_pattern(seed) for seed in range(700, 707)) == names
+    assert select_pattern(899) == "mixed"
+    later = {select_pattern(seed) for seed in range(900, 900 + len(PATTERNS))}
     assert later == set(PATTERNS)
 
 
