Add a soak pattern of calls to workers that peers relay

The soak's processes were so strong that each owner called its workers itself, so that no fault ever hit a peer that relays.

relayed_calls gives the processes a link of 3 Mbit/s, with which an owner calls 8 workers itself, and the main service 12 workers. Beside takeovers and restarts of workers, it draws a process that has lately called workers and isn't the owner, and freezes it for 0.3 s to 8 s, kills and restarts it, or cuts, delays or holds requests between it and the owner or some workers of its domain. The relay of the soak tells who has called workers. A test holds the figures and the selection of relaying peers together.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -24,6 +24,13 @@
 """Time in which no successor reaches the workers after the end of an owner."""
 LISTED_S = 2.5
 """Time for which the platform lists a worker that it can't reach."""
+RELAYED_WITHIN_S = 2.0
+"""Time since its last call to a worker for which a peer counts as one that relays.
+
+An owner calls each worker twice a second or more.
+"""
+RELAY_FREEZES_S = (0.3, 8.0)
+"""Bounds of the time for which such a peer is frozen."""
 RETURN_ABSENCES_S = (19.0, 22.0)
 """Bounds of the time for which a peer that returns is frozen.
 
@@ -290,10 +297,10 @@
             await _restart(stage, each, signal.SIGTERM)
 
 
-async def _freeze(stage, node):
+async def _freeze(stage, node, bounds_s=(1, 12)):
     node.send_signal(signal.SIGSTOP)
     try:
-        await asyncio.sleep(stage.rng.uniform(1, 12))
+        await asyncio.sleep(stage.rng.uniform(*bounds_s))
     finally:
         node.send_signal(signal.SIGCONT)
 
@@ -504,3 +511,38 @@
             if offset_s <= 0:
                 await asyncio.sleep(-offset_s)
                 await stage.cut(text, links, rng.uniform(*RETURN_CUTS_S))
+
+
+async def disturb_relaying_peer(stage):
+    """Disturb a process that isn't the owner and has lately called workers.
+
+    It is no fault to be drawn, as `evacuate_domain`.
+    """
+    rng, owner = stage.rng, stage.find_owner()
+    since_s = asyncio.get_running_loop().time() - RELAYED_WITHIN_S
+    served = [each.name for each in stage.runners if each.service == "pool"]
+    callers = stage.relay.list_callers(served, since_s)
+    peers = [x for x in stage.nodes.all if x.name in callers and x is not owner]
+    stage.note(f"owner {owner.name}, workers called by {[x.name for x in peers]} too")
+    if not peers:
+        return
+    peer = rng.choice(peers)
+    near = [x.name for x in stage.runners if x.domain == peer.domain]
+    ends = rng.choice(([owner.name], stage.draw_some(near)))
+    links = pair_both_ways([peer.name], ends)
+    text = f"{peer.name} and {ends}"
+    way = rng.choice(("freeze", "freeze", "kill", "cut", "cut", "delay", "hold"))
+    if way == "freeze":
+        with stage.occupy([peer]) as frozen:
+            for each in frozen:
+                await _freeze(stage, each, RELAY_FREEZES_S)
+    elif way == "kill":
+        await kill(stage, peer)
+    elif way == "cut":
+        await stage.cut(text, links)
+    elif way == "delay":
+        rule = Rule(Effect.DELAY, links, seconds=(0.0, rng.choice((0.1, 0.4, 1.5))))
+        await stage.apply(text, rule, rng.uniform(2, 6))
+    else:
+        rule = Rule(Effect.HOLD, links, share=0.3, seconds=(0.5, 8.0))
+        await stage.apply(text, rule, rng.uniform(1, 6))
--- a/soak/_patterns.py
+++ b/soak/_patterns.py
@@ -136,6 +136,16 @@
         await asyncio.sleep(stage.rng.uniform(0, 3))
 
 
+@pattern
+async def relayed_calls(stage, group):
+    """Disturb peers that relay calls, beside takeovers and restarts of workers."""
+    group.create_task(takeovers(stage, group))
+    group.create_task(restarted_workers(stage, group))
+    while True:
+        group.create_task(_faults.disturb_relaying_peer(stage))
+        await asyncio.sleep(stage.rng.choice((0.5, 1.5, 3.0)))
+
+
 async def _bring_faults(stage, group):
     while True:
         await asyncio.sleep(stage.rng.uniform(1, 4))
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -14,6 +14,7 @@
 from soak._processes import (
     DOMAINS,
     EVACUATION_BOUND_S,
+    LINK_MBPS,
     RUNNER_CPU,
     Processes,
     ZonedRunner,
@@ -23,6 +24,7 @@
 __all__ = ["PATTERNS", "Report", "play", "select_pattern"]
 
 RUNNERS_PER_DOMAIN = 3
+"""Number of runners of the main service in a domain, unless a pattern has its own."""
 SIDE_RUNNERS = 2
 """Number of runners of the second service, which one queue is sent to at times."""
 MEMBERS_DELAY_S = 3.0
@@ -38,13 +40,24 @@
 LOADS = {
     "restarted_workers": (LONG_RUNS_MS, 20_000),
     "returning_peers": (LONG_RUNS_MS, 20_000),
+    "relayed_calls": (LONG_RUNS_MS, 20_000),
 }
 """Run times of tasks and capacity of workers, for patterns that need others.
 
 Tasks of a worker that is cut off must outlast its lease, and the others need room for
 their next runs: one that starts too early is seen only while that lease lasts.
 """
-FIRST_SEEDS = {"restarted_workers": 700, "returning_peers": 900}
+RELAYED_SITES = {"relayed_calls": (4, 3.0)}
+"""Runners in a domain and link bandwidth of processes, for patterns that relay calls.
+
+An owner with 3 Mbit/s calls up to 8 workers itself. There are 12, so that its calls are
+relayed while up to three of them are not listed.
+"""
+FIRST_SEEDS = {
+    "restarted_workers": 700,
+    "returning_peers": 900,
+    "relayed_calls": 900,
+}
 """First seeds that may select patterns that were added later.
 
 Earlier seeds select the pattern that they always did, so that plays can be repeated.
@@ -99,14 +112,16 @@
     """
     pattern = pattern or select_pattern(seed)
     runs_ms, cpu = LOADS.get(pattern, (RUNS_MS, RUNNER_CPU))
+    site_settings = RELAYED_SITES.get(pattern, (RUNNERS_PER_DOMAIN, LINK_MBPS))
+    runners_per_domain, link_mbps = site_settings
     record = Record(folder)
     relay, site = Relay(random.Random(f"relay {seed}")), Site(record)
     await relay.start()
     await site.start()
-    await _add_runners(site, relay, record, cpu)
+    await _add_runners(site, relay, record, cpu, runners_per_domain)
     # Plays that run at the same time listen on networks of their own.
     network = f"127.{1 + os.getpid() % 199}.{seed % 200}"
-    nodes = Processes(site.address, network, folder, relay, record)
+    nodes = Processes(site.address, network, folder, relay, record, link_mbps)
     stage = Stage(site, nodes, relay, random.Random(f"faults {seed}"), record)
     client, rng = Client(record), random.Random(f"load {seed}")
     load = Load(client, nodes.all, rng, record.now_s, runs_ms)
@@ -134,9 +149,9 @@
         record.close()
 
 
-async def _add_runners(site, relay, record, cpu):
+async def _add_runners(site, relay, record, cpu, runners_per_domain):
     for domain in DOMAINS:
-        for number in range(RUNNERS_PER_DOMAIN):
+        for number in range(runners_per_domain):
             name = f"i-{domain}{number}"
             await site.add_runner(ZonedRunner(name, "pool", record, domain, cpu))
     for number in range(SIDE_RUNNERS):
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -17,6 +17,7 @@
 __all__ = [
     "DOMAINS",
     "EVACUATION_BOUND_S",
+    "LINK_MBPS",
     "RUNNER_CPU",
     "Processes",
     "ZonedRunner",
@@ -32,6 +33,8 @@
 """
 RUNNER_CPU = 8_000
 """Capacity of a worker, in thousandths of a core, unless a pattern has its own."""
+LINK_MBPS = 1000.0
+"""Link bandwidth of a process, unless a pattern has its own."""
 EVACUATION_BOUND_S = 5.0
 """Time after which an evacuated domain must get no new task."""
 HOOKS = Path(__file__).resolve().parent / "hooks"
@@ -43,13 +46,14 @@
 class RelayedNode(Node):
     """A process whose connections go through the relay."""
 
-    def __init__(self, number, host, ports, folder, relay, record):
+    def __init__(self, number, host, ports, folder, relay, record, link_mbps=LINK_MBPS):
         super().__init__(number, ports, folder, record)
         self.host = host
         self.front, self.ready, self.control = (f"{host}:{port}" for port in ports)
         self.domain = DOMAINS[number % len(DOMAINS)]
         self.busy = False
         self._relay = relay
+        self._link_mbps = link_mbps
         self._clock = Path(folder, f"{self.name}.clock")
         self.shift_clock(0)
         relay.names[host] = self.name
@@ -62,6 +66,9 @@
             "zones.a=north\n", "zones.a=north\nzones.b=south\nzones.c=north\n"
         )
         text = text.replace("tolerate.zones=0", "tolerate.zones=1")
+        text = text.replace(
+            f"limits.link_mbps={LINK_MBPS}\n", f"limits.link_mbps={self._link_mbps}\n"
+        )
         bound_ms = round(EVACUATION_BOUND_S * 1000)
         self.settings.write_text(f"{text}bounds.evacuate_ms={bound_ms}\n")
 
@@ -126,14 +133,19 @@
         The relay.
     record : Record
         Where starts and signals are noted.
+    link_mbps : float
+        Link bandwidth of each, from which they compute how many workers an owner calls
+        itself.
     """
 
-    def __init__(self, store, network, folder, relay, record):
+    def __init__(self, store, network, folder, relay, record, link_mbps=LINK_MBPS):
         count = 2 * len(DOMAINS)
         hosts = [f"{network}.{number + 2}" for number in range(count)]
         ports = find_ports(4, hosts)
         self.all = [
-            RelayedNode(number, host, ports[:3], folder, relay, record)
+            RelayedNode(
+                number, host, ports[:3], folder, relay, record, link_mbps=link_mbps
+            )
             for number, host in enumerate(hosts)
         ]
         seeds = ",".join(node.control for node in self.all[:3])
--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -70,6 +70,8 @@
         Whether all further bytes are dropped, in both directions.
     unanswered : bool
         Whether all further answers are dropped.
+    used_s : float
+        Time of the event loop at which the caller sent something last.
     """
 
     def __init__(self, caller, target, writer, upstream):
@@ -77,6 +79,7 @@
         self.writers = writer, upstream
         self.silent = False
         self.unanswered = False
+        self.used_s = asyncio.get_running_loop().time()
 
     def abort(self):
         """Reset both sides."""
@@ -137,6 +140,23 @@
         """Return the open connections whose caller and target form one of the links."""
         return [each for each in self.connections if each.ends in links]
 
+    def list_callers(self, targets, since_s):
+        """Return the names of those that have sent something to any of the targets.
+
+        Parameters
+        ----------
+        targets : iterable of str
+            Names of ends.
+        since_s : float
+            Time of the event loop since when.
+        """
+        targets = set(targets)
+        return {
+            each.ends[0]
+            for each in self.connections
+            if each.ends[1] in targets and each.used_s >= since_s
+        }
+
     def _find_rule(self, effect, link):
         for rule in self.rules:
             is_there = rule.effect is effect and link in rule.links
@@ -187,6 +207,7 @@
         link = connection.ends
         with contextlib.suppress(OSError):
             while content := await source.read(CHUNK_BYTES):
+                connection.used_s = asyncio.get_running_loop().time()
                 if self._find_rule(Effect.RESET, link):
                     connection.abort()
                     return
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -3,9 +3,12 @@
 import tempfile
 from pathlib import Path
 
+from fuchsiascale.jobs._members import Member
+from fuchsiascale.jobs._worker_relay_selection import select_relays
+from fuchsiascale.node._application import compute_strength
 from fuchsiascale.testing import collect_functions
 from soak import PATTERNS, play
-from soak._play import FIRST_SEEDS, LOADS, select_pattern
+from soak._play import DOMAINS, FIRST_SEEDS, LOADS, RELAYED_SITES, select_pattern
 from soak.regressions import REGRESSIONS
 
 load_tests = collect_functions(__name__)
@@ -46,4 +49,16 @@
 
 def test_settings_of_patterns_name_patterns():
     """Guards against a pattern that is played with the usual load after a rename."""
-    assert LOADS.keys() | FIRST_SEEDS.keys() <= PATTERNS.keys()
+    named = LOADS.keys() | RELAYED_SITES.keys() | FIRST_SEEDS.keys()
+    assert named <= PATTERNS.keys()
+
+
+def test_patterns_of_relayed_calls_have_workers_that_are_relayed():
+    """Guards against plays in which the owner calls all workers itself."""
+    for count, link_mbps in RELAYED_SITES.values():
+        workers = {f"{x}{n}": x for x in DOMAINS for n in range(count)}
+        strength = compute_strength(2.0, link_mbps)
+        members = [Member(f"{x}:1", x, "", strength) for x in DOMAINS]
+        assert select_relays(workers, members, strength).keys() == workers.keys()
+        listed = dict(list(workers.items())[3:])
+        assert select_relays(listed, members, strength).keys() == listed.keys()
