--- a/soak/_patterns.py
+++ b/soak/_patterns.py
@@ -128,6 +128,24 @@
         await asyncio.sleep(stage.rng.choice((2.0, 12.0, 15.0)))
 
 
+@pattern
+async def returning_peers(stage, group):
+    """Let peers that were forgotten return while they are cut off with the owner."""
+    while True:
+        await _faults.return_peer(stage)
+        await asyncio.sleep(stage.rng.uniform(0, 3))
+
+
+@pattern
+async def relayed_calls(stage, group):
+    """Disturb peers that relay calls, beside takeovers and restarts of workers."""
+    group.create_task(takeovers(stage, group))
+    group.create_task(restarted_workers(stage, group))
+    while True:
+        group.create_task(_faults.disturb_relaying_peer(stage))
+        await asyncio.sleep(stage.rng.choice((0.5, 1.5, 3.0)))
+
+
 async def _bring_faults(stage, group):
     while True:
         await asyncio.sleep(stage.rng.uniform(1, 4))
