Lose what a cut of the soak holds back once its sender resets the connection

The processes reset such connections, and the platform loses what a partition holds back then; the soak's relay delivered it. Requests that HOLD delays still arrive, whatever their sender does. The test fails without the change: the bytes arrive.

--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -81,6 +81,11 @@
         self.unanswered = False
         self.used_s = asyncio.get_running_loop().time()
 
+    @property
+    def is_reset(self):
+        """Whether the caller, or the relay, has reset the connection."""
+        return self.writers[0].transport.is_closing()
+
     def abort(self):
         """Reset both sides."""
         for writer in self.writers:
@@ -203,7 +208,10 @@
             connection.abort()
 
     async def _copy_requests(self, source, target, connection):
-        """Copy requests; those that were read arrive even if the caller has gone."""
+        """Copy requests; those that were read arrive even if the caller has gone.
+
+        What a cut holds back is lost if the caller resets the connection meanwhile.
+        """
         link = connection.ends
         with contextlib.suppress(OSError):
             while content := await source.read(CHUNK_BYTES):
@@ -214,6 +222,11 @@
                 if self._find_rule(Effect.LOSE, link):
                     connection.unanswered = True
                 await self._pause(Effect.HOLD, link)
+                is_cut = self._find_rule(Effect.CUT, link) is not None
+                await self._wait_open(link)
+                if is_cut and connection.is_reset:
+                    connection.abort()
+                    return
                 await self._deliver(content, target, connection, link)
         await self._wait_open(link)
         target.close()
--- a/soak/tests/test_relay.py
+++ b/soak/tests/test_relay.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import random
+import socket
+import struct
 
 from fuchsiascale.testing import collect_functions
 from soak._relay import Effect, Relay, Rule, pair_both_ways
@@ -75,6 +77,26 @@
         assert await read(reader) == b"TEXT"
 
 
+async def test_a_reset_loses_what_a_cut_holds_back():
+    # The platform loses it too; a start that arrives later may run a second time.
+    async with open_link() as (relay, reader, writer, received):
+        rule = Rule(Effect.CUT, pair_both_ways(["a"], ["b"]))
+        relay.add(rule)
+        writer.write(b"text")
+        assert await read_nothing(reader)
+        (connection,) = relay.connections
+        reset = struct.pack("ii", 1, 0)
+        own = writer.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        writer.transport.abort()
+        while not connection.is_reset:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        relay.remove(rule)
+        while relay.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        assert received == []
+
+
 async def test_a_cut_of_one_direction_lets_requests_pass():
     async with open_link() as (relay, reader, writer, received):
         relay.add(Rule(Effect.CUT, frozenset({("b", "a")})))
