--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,6 +8,7 @@
 import json
 import os
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -19,6 +20,8 @@
 
 INSTANCES = 3
 JOBS = 5
+"""Callers that leave; three others stay for each, so that a quarter leaves."""
+STAYING = 3
 ANSWER_S = 0.24
 """Time of a call to the store while it is slow: 60 times the 4 ms of the sheet."""
 SLOW_S = 4.5
@@ -52,7 +55,15 @@
         stage.tell_platform("slow", answer_s=ANSWER_S)
         record.note(f"the store takes {ANSWER_S} s for each call")
     end_s = time.monotonic() + SLOW_S
-    cancelled = [_hand_in_and_cancel(stage, record, n) for n in range(JOBS)]
+    cancelled, threads = [], []
+    for number in range(JOBS):
+        for other in range(STAYING):
+            job = number * STAYING + other + 1
+            threads.append(threading.Thread(target=_stay, args=(stage, record, job)))
+            threads[-1].start()
+        cancelled.append(_hand_in_and_cancel(stage, record, number))
+    for thread in threads:
+        thread.join()
     time.sleep(max(0.0, end_s - time.monotonic()))
     stage.tell_platform("slow", answer_s=0.0)
     record.note("the store is quick again")
@@ -68,6 +79,14 @@
     return int(broken > 0)
 
 
+def _stay(stage, record, number):
+    """Hand in a short job, and wait for the answer."""
+    job = json.dumps({"spec": "run_ms=50", "steps": [{"count": 1, "cpu": 500}]})
+    instance = number % INSTANCES
+    status = call(stage.front(instance), "POST", f"/q/{number:016x}", job)
+    record.note(f"job {number:016x} is handed in at instance {instance}: {status}")
+
+
 def _hand_in_and_cancel(stage, record, number):
     job = f"5c0e7a21d94b36{number:02x}"
     step = {"count": 2, "cpu": 1000, "mem_mb": 10, "long_running": True}
