--- a/review/harness2/callers.py
+++ b/review/harness2/callers.py
@@ -2,7 +2,6 @@
 
 import http.client
 import json
-import os
 import subprocess
 import sys
 import threading
@@ -101,15 +100,14 @@
         return max(gaps, default=0.0)
 
 
-def check_answers(case_file, attack_arguments):
+def check_answers(case_file, attack_arguments, with_trouble):
     """Run the case in ``case_file``'s folder; return its exit status.
 
     The attack is ``attack.py`` in that folder, started once for each instance with its
-    host and port before the further arguments. ``TROUBLE=0`` leaves it out.
+    host and port before the further arguments, if ``with_trouble`` says so.
     """
     folder = Path(case_file).parent
     record = Record(folder / "record.txt")
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         stage_context = Stage(record, instances=INSTANCES)
         with stage_context as stage:
