Log cancels whose job is not found

A cancel that was answered with 410 or 504 left no line, so that a record could not tell whether the look-up came before the job was stored, or the owner passed over a stored cancellation.

--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -429,6 +429,10 @@
             return DONE
         service, current = await self._find_job(self._list_services(service), job)
         if current.outcome is not Outcome.DONE:
+            self.log.info(
+                "cancelled job not found",
+                extra={"job": job, "outcome": current.outcome.value},
+            )
             return current
         if current.state.final:
             return DONE
