Cancel jobs whose submission is still on its way to the store

Callers saw: a caller left before the answer to its submission and cancelled the job at another instance, which answered 410. The submission was stored meanwhile, and the job ran on without end. Nobody who was told that there is no such job cancels it again.

Cause: a cancel looked the job up, and wrote nothing where no row showed it. What the store had still to carry out, or got later as a repeated request, was not blocked by anything, and no owner could know of the cancel. A row that only blocks the write would not do either: a submission whose condition fails on the row of a withdrawn one takes that row's version and tries again.

The cancel of a job that no owner knows now stores an early cancellation first and looks the job up after that. What is stored before it is found by the look-up, and what is stored after it is cancelled by its owner, in whichever service and by whichever way the job arrives: the rows lie in a partition that all owners read when they load, follow by their feed, and read again when the feed's history is lost; a notice tells running owners at once. 410 is answered only once such a row is stored and a later read finds no job. Submissions are written as before, and what they are told stays true: such a job is stored and shown as cancelled.

Metrics show how many are kept.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -17,14 +17,17 @@
 from fuchsiascale.jobs._ownership_evidence import OwnershipEvidence
 from fuchsiascale.jobs._placement_explanation import explain_placement
 from fuchsiascale.jobs._pool_rows import restore_pool_rows
+from fuchsiascale.jobs._ports import VersionedRows
 from fuchsiascale.jobs._recorder import Recorder
 from fuchsiascale.jobs._records import (
     ACCEPTED,
     CANCEL_SUFFIX,
+    EARLY_CANCELS,
     OWNER_KEY,
     POOLS,
     PROGRESS,
     AcceptedRow,
+    EarlyCancelsRow,
     decode_row,
     join_progress,
 )
@@ -250,10 +253,11 @@
         self.evidence.end_at(end_s)
 
     async def _load(self):
-        tables = (ACCEPTED, PROGRESS, POOLS)
         while not self.lost:
             found = await asyncio.gather(
-                *(self.store.read(table, self.service) for table in tables)
+                self._read_jobs(),
+                self.store.read(PROGRESS, self.service),
+                self.store.read(POOLS, self.service),
             )
             if all(isinstance(each, Success) for each in found):
                 self._restore(*(each.unwrap() for each in found))
@@ -262,6 +266,27 @@
             await asyncio.sleep(STORE_RETRY_DELAY_S)
         return False
 
+    async def _read_jobs(self):
+        """Read the accepted jobs, their cancellations, and the early ones.
+
+        The version returned is the lower one of both reads: the feed repeats what was
+        written between them.
+        """
+        found = await asyncio.gather(
+            self.store.read(ACCEPTED, self.service),
+            self.store.read(ACCEPTED, EARLY_CANCELS),
+        )
+        for each in found:
+            if isinstance(each, Failure):
+                return each
+        jobs, early_cancels = (each.unwrap() for each in found)
+        return Success(
+            VersionedRows(
+                jobs.rows + early_cancels.rows,
+                min(jobs.version, early_cancels.version),
+            )
+        )
+
     def _restore(self, accepted, progress, pools):
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         self.feed_version = accepted.version
@@ -286,9 +311,13 @@
         return self._loaded.is_set() and self.shard.all_workers_confirmed()
 
     def _apply_row(self, row, now_s, wall_ms, progress=None):
-        """Apply a row of the table of accepted jobs."""
+        """Apply a row of the table of accepted jobs; others' rows are skipped."""
         key = row.place.key
-        if key == OWNER_KEY:
+        if row.place.partition == EARLY_CANCELS:
+            self._apply_early_cancels(row, now_s)
+        elif row.place.partition != self.service:
+            return
+        elif key == OWNER_KEY:
             if row.version > self.version:
                 self.relinquish("the owner row has changed")
         elif row.deleted:
@@ -300,6 +329,19 @@
             if accepted is not None and accepted.record is not None:
                 self._add_stored_job(accepted, now_s, wall_ms, progress)
 
+    def _apply_early_cancels(self, row, now_s):
+        pending = self.shard.pending_cancels
+        if row.deleted:
+            pending.forget_row(row.place)
+            return
+        cancels = decode_row(row.value, EarlyCancelsRow)
+        if cancels is None:
+            self.log.error("malformed row", extra={"row": row.place.key})
+            return
+        pending.note_row(row.place, row.version, cancels.jobs, now_s)
+        for job in cancels.jobs:
+            self.shard.cancel_job(job, now_s)
+
     def _add_stored_job(self, accepted, now_s, wall_ms, stored):
         """Add a job that was read from the store, with its progress or None."""
         record = accepted.record
@@ -360,9 +402,11 @@
                 )
             self.request_round()
 
-    def cancel_job(self, job):
-        """Apply a stored cancellation."""
-        self.shard.cancel_job(job, self.clock.monotonic())
+    def cancel_jobs(self, jobs):
+        """Apply stored cancellations."""
+        now_s = self.clock.monotonic()
+        for job in jobs:
+            self.shard.cancel_job(job, now_s)
         self.request_round()
         self.recorder.flush_requested.set()
 
@@ -488,12 +532,12 @@
             elapsed_s = self.clock.monotonic() - started_s
             await asyncio.sleep(max(0.0, FEED_POLL_INTERVAL_S - elapsed_s))
             await self._forget_finished()
+            await self._expire_early_cancels()
 
     def _apply_changes(self, changes, asked_s):
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
         for row in changes.rows:
-            if row.place.partition == self.service:
-                self._apply_row(row, now_s, wall_ms)
+            self._apply_row(row, now_s, wall_ms)
         self.feed_version = max(self.feed_version, changes.version)
         if changes.is_complete and not self.lost:
             self.evidence.confirm(asked_s)
@@ -502,7 +546,7 @@
     async def _reload_jobs(self, error):
         """Read all jobs anew after a poll failed, as when the history was dropped."""
         asked_s = self.clock.monotonic()
-        found = await self.store.read(ACCEPTED, self.service)
+        found = await self._read_jobs()
         if isinstance(found, Failure):
             self.log.info(
                 "reloading the jobs failed", extra={"why": repr(found.failure())}
@@ -516,3 +560,11 @@
         old = self.shard.forget_finished(self.clock.monotonic() - FINISHED_RETENTION_S)
         if old:
             await self.recorder.delete_finished(old)
+
+    async def _expire_early_cancels(self):
+        """Drop early cancellations whose jobs can't arrive any more."""
+        pending, now_s = self.shard.pending_cancels, self.clock.monotonic()
+        pending.expire(now_s)
+        expired = pending.list_expired_rows(now_s, self.shard.jobs)
+        for row_key in await self.recorder.delete_rows(expired):
+            pending.forget_row(row_key)
--- a/fuchsiascale/jobs/_ownership.py
+++ b/fuchsiascale/jobs/_ownership.py
@@ -22,6 +22,7 @@
     PING_TIMEOUT_S,
     Acknowledgement,
     CancelNotice,
+    EarlyCancelNotice,
     Handover,
     JobNotice,
     PlacementQuery,
@@ -484,10 +485,21 @@
     def notify_cancel(self, service, job):
         """Notify the owner of a stored cancellation."""
         if service in self.owners:
-            self.owners[service].cancel_job(job)
+            self.owners[service].cancel_jobs((job,))
             return
         self._notify_owner(service, CancelNotice(service, job))
 
+    def notify_early_cancels(self, jobs):
+        """Notify the owners of all services of cancelled jobs that were not found."""
+        for owner in self.owners.values():
+            owner.cancel_jobs(jobs)
+        rows = [self.view(each).row for each in self._watches]
+        addresses = {row.address for row in rows if row is not None}
+        for address in sorted(addresses - {self.identity.address}):
+            self._spawn(
+                self.peers.ask(address, EarlyCancelNotice(jobs), PING_TIMEOUT_S)
+            )
+
     def _notify_owner(self, service, message):
         row = self.view(service).row
         if row is not None and row.address != self.identity.address:
--- a/fuchsiascale/jobs/_peer_answers.py
+++ b/fuchsiascale/jobs/_peer_answers.py
@@ -5,6 +5,7 @@
 from fuchsiascale.jobs._peer_messages import (
     Acknowledgement,
     CancelNotice,
+    EarlyCancelNotice,
     Handover,
     JobNotice,
     OwnerNotice,
@@ -53,10 +54,17 @@
 async def _(message: CancelNotice, ownership):
     owner = ownership.owners.get(message.service)
     if owner is not None:
-        owner.cancel_job(message.job)
+        owner.cancel_jobs((message.job,))
     return Acknowledgement(owner is not None)
 
 
+@answer_message.register
+async def _(message: EarlyCancelNotice, ownership):
+    for owner in ownership.owners.values():
+        owner.cancel_jobs(message.jobs)
+    return Acknowledgement(bool(ownership.owners))
+
+
 @answer_message.register
 async def _(message: StateQuery, ownership):
     owner = ownership.owners.get(message.service)
--- a/fuchsiascale/jobs/_peer_messages.py
+++ b/fuchsiascale/jobs/_peer_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from fuchsiascale.ids import FailureDomainId
+from fuchsiascale.ids import FailureDomainId, JobId
 from fuchsiascale.jobs._admission import ServiceLoad
 from fuchsiascale.jobs._members import Member
 from fuchsiascale.jobs._model import JobRecord, JobState
@@ -19,6 +19,7 @@
     "ConfigurationFreshness",
     "ConfigurationQuery",
     "ConfigurationReply",
+    "EarlyCancelNotice",
     "Handover",
     "JobNotice",
     "OwnerNotice",
@@ -136,6 +137,12 @@
     job: str
 
 
+class EarlyCancelNotice(msgspec.Struct, frozen=True, tag="early_cancel"):
+    """Reports cancellations that were just stored of jobs that were not found."""
+
+    jobs: tuple[JobId, ...]
+
+
 class StateQuery(msgspec.Struct, frozen=True, tag="state"):
     """Asks an owner for the state of a job."""
 
@@ -258,6 +265,7 @@
     | ConfigurationQuery
     | JobNotice
     | CancelNotice
+    | EarlyCancelNotice
     | StateQuery
     | WaitingQuery
     | PlacementQuery
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -122,6 +122,28 @@
                     extra={"rows": len(changes), "why": repr(reply.failure())},
                 )
 
+    async def delete_rows(self, conditions):
+        """Delete rows that have the versions given; return the keys of those gone."""
+        gone = []
+        # A transaction holds a condition and a removal for each row.
+        size = MAX_ROWS // 2
+        for first in range(0, len(conditions), size):
+            batch = tuple(conditions[first : first + size])
+            changes = tuple(Change(each.place, None) for each in batch)
+            reply = await self.store.commit(batch, changes)
+            if isinstance(reply, Success):
+                gone += [each.place for each in batch]
+            elif isinstance(reply.failure(), Conflict):
+                # The owner of another service deletes the same rows.
+                kept = {row.place for row in reply.failure().rows}
+                gone += [each.place for each in batch if each.place not in kept]
+            else:
+                self.log.info(
+                    "rows not deleted",
+                    extra={"rows": len(batch), "why": repr(reply.failure())},
+                )
+        return gone
+
     async def run(self):
         """Record changes until cancelled."""
         while True:
--- a/fuchsiascale/jobs/_records.py
+++ b/fuchsiascale/jobs/_records.py
@@ -10,11 +10,13 @@
 __all__ = [
     "ACCEPTED",
     "CANCEL_SUFFIX",
+    "EARLY_CANCELS",
     "FINISHED",
     "OWNER_KEY",
     "POOLS",
     "PROGRESS",
     "AcceptedRow",
+    "EarlyCancelsRow",
     "FinishedRow",
     "EstimatesRow",
     "LedgerRow",
@@ -25,6 +27,7 @@
     "LeasedWorkersRow",
     "cancel_row_key",
     "decode_row",
+    "early_cancels_row_key",
     "divide_progress",
     "encode_row",
     "join_progress",
@@ -45,6 +48,9 @@
 POOLS = "pools"
 OWNER_KEY = "~owner"
 CANCEL_SUFFIX = "~cancel"
+EARLY_CANCELS = "~early-cancels"
+"""Partition of the table of unfinished jobs with cancellations of jobs that were not
+found. It belongs to no service, since the job may arrive in any."""
 
 
 class AcceptedRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -59,6 +65,12 @@
     record: JobRecord | None = None
 
 
+class EarlyCancelsRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Jobs that were cancelled when the store held none of them."""
+
+    jobs: tuple[JobId, ...]
+
+
 class OwnerRow(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The instance that owns a service, and its fencing token.
 
@@ -184,6 +196,11 @@
     return RowKey(ACCEPTED, service, job + CANCEL_SUFFIX)
 
 
+def early_cancels_row_key(name: str) -> RowKey:
+    """Return the key of a row of early cancellations."""
+    return RowKey(ACCEPTED, EARLY_CANCELS, name)
+
+
 def job_row_key(table: str, service: ServiceId, job: JobId) -> RowKey:
     """Return the key of a job's row in one of the tables of jobs."""
     return RowKey(table, service, job)
--- a/fuchsiascale/jobs/_request_handler.py
+++ b/fuchsiascale/jobs/_request_handler.py
@@ -11,10 +11,11 @@
 from returns.result import Failure, Success
 
 from fuchsiascale.jobs._admission import LoadEstimates, decide_admission
+from fuchsiascale.jobs._cancellations import EarlyCancelWriter, write_cancellation
 from fuchsiascale.jobs._group_commit import GroupCommitter, PendingWrite
 from fuchsiascale.jobs._model import JobRecord, JobState
 from fuchsiascale.jobs._owner_views import OwnerView
-from fuchsiascale.jobs._ports import Busy, Change, Conflict, Expect, NoAnswer
+from fuchsiascale.jobs._ports import Busy, Conflict, NoAnswer
 from fuchsiascale.jobs._records import (
     ACCEPTED,
     FINISHED,
@@ -22,9 +23,7 @@
     AcceptedRow,
     FinishedRow,
     OwnerRow,
-    cancel_row_key,
     decode_row,
-    job_row_key,
     owner_row_key,
 )
 from fuchsiascale.jobs._return_window import ReturnWindow, window_in_silence
@@ -125,6 +124,7 @@
         self._joins_partitions = joins_partitions
         self.log = logbook.Logger("entry")
         self._committer = GroupCommitter(store, clock, self.silence)
+        self._early_cancels = EarlyCancelWriter(store, ownership, clock)
         self._final_states = {}
         self._unsettled = {}
 
@@ -379,9 +379,16 @@
 
         The reply is that it is absent only if every service said so.
         """
+        return await self._search_services(self._look_up, services, job)
+
+    async def _find_stored_job(self, services, job):
+        """Look a job up in the store alone, like `_find_job`."""
+        return await self._search_services(self._look_up_stored, services, job)
+
+    async def _search_services(self, look_up, services, job):
         found = _Found(services[0], ABSENT)
         for service in services:
-            reply = await self._look_up(service, job)
+            reply = await look_up(service, job)
             if reply.outcome is Outcome.DONE:
                 return _Found(service, reply)
             if reply.outcome is not Outcome.ABSENT:
@@ -390,14 +397,23 @@
 
     async def _look_up(self, service, job):
         """Return the state of a job in one service."""
-        found = await self.ownership.ask_state(service, job)
-        if found is None:
-            found = await self._read_state(service, job)
+        state = await self.ownership.ask_state(service, job)
+        if state is None:
+            return await self._look_up_stored(service, job)
+        return self._make_state_reply(job, state)
+
+    async def _look_up_stored(self, service, job):
+        """Return the state of a job as stored in one service."""
+        found = await self._read_state(service, job)
         if not isinstance(found, JobState):
             return found
-        if found.final:
-            self._final_states[job] = found
-        return Reply(Outcome.DONE, found)
+        return self._make_state_reply(job, found)
+
+    def _make_state_reply(self, job, state):
+        """Return the reply that holds a job's state, and keep a final one."""
+        if state.final:
+            self._final_states[job] = state
+        return Reply(Outcome.DONE, state)
 
     async def _read_state(self, service, job):
         """Return a job's state as stored, or a reply that holds none."""
@@ -420,41 +436,93 @@
             return JobState.RUNNING
         return JobState.QUEUED
 
+    # Cancellation --------------------------------------------------------------
+
     async def cancel(self, service, job):
-        """Cancel a job; a job that has ended keeps its state."""
-        return await _limit_time(self._cancel(service, job))
+        """Cancel a job; a job that has ended keeps its state.
+
+        A job is absent only if its submission can't be stored and run later either.
+        """
+        try:
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                return await self._cancel(service, job)
+        except TimeoutError:
+            return UNKNOWN
 
     async def _cancel(self, service, job):
         if job in self._final_states:
             return DONE
-        service, current = await self._find_job(self._list_services(service), job)
-        if current.outcome is not Outcome.DONE:
-            self.log.info(
-                "cancelled job not found",
-                extra={"job": job, "outcome": current.outcome.value},
-            )
-            return current
-        if current.state.final:
-            return DONE
-        expected = (
-            Expect(cancel_row_key(service, job), 0),
-            Expect(job_row_key(FINISHED, service, job), 0),
+        services = self._list_services(service)
+        found = await self._ask_owners(services, job)
+        if found is not None:
+            return await self._cancel_found(found, job)
+        # The submission may be under way. What is stored before the early cancellation
+        # is found by the look-up after it, and what is stored later is cancelled.
+        early = await self._cancel_early(job)
+        found = await self._find_stored_job(services, job)
+        if found.reply.outcome is Outcome.DONE:
+            reply = await self._cancel_found(found, job)
+            # The early cancellation may have an effect though this one has none.
+            has_effect = early.outcome is not Outcome.NOT_RUN
+            return UNKNOWN if reply.outcome is Outcome.NOT_RUN and has_effect else reply
+        self.log.info(
+            "cancelled job not found",
+            extra={
+                "job": job,
+                "early": early.outcome.value,
+                "outcome": found.reply.outcome.value,
+            },
         )
-        change = Change(cancel_row_key(service, job), b"{}")
-        reply = await self.store.commit(expected, (change,))
-        uncertain = _is_unanswered(reply)
-        if uncertain:
-            reply = await self.store.commit(expected, (change,))
-        if isinstance(reply, Success) or isinstance(reply.failure(), Conflict):
+        if early.outcome is Outcome.DONE and found.reply.outcome is Outcome.ABSENT:
+            return ABSENT
+        return early
+
+    async def _ask_owners(self, services, job):
+        """Return which owner knows a job, and its state; None if none does."""
+        states = await asyncio.gather(
+            *(self.ownership.ask_state(each, job) for each in services)
+        )
+        for service, state in zip(services, states, strict=True):
+            if state is not None:
+                return _Found(service, self._make_state_reply(job, state))
+        return None
+
+    async def _cancel_found(self, found, job):
+        """Cancel a job that is stored in a service."""
+        if found.reply.state.final:
+            return DONE
+        result = await write_cancellation(self.store, found.service, job)
+        if isinstance(result, Success):
             self.log.info("cancelled", extra={"job": job})
-            self.ownership.notify_cancel(service, job)
+            self.ownership.notify_cancel(found.service, job)
             return DONE
-        uncertain = uncertain or _is_unanswered(reply)
+        return self._report_cancel_failure(job, result.failure())
+
+    async def _cancel_early(self, job):
+        """Cancel a job that no owner knows, wherever its submission is stored."""
+        if self.silence.is_silent:
+            return self._report_cancel_failure(job, Busy("the store is silent"))
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                result = await self._early_cancels.write(job)
+        except TimeoutError:
+            result = Failure(NoAnswer("the store is slow"))
+        if isinstance(result, Success):
+            return DONE
+        return self._report_cancel_failure(job, result.failure())
+
+    def _report_cancel_failure(self, job, error):
+        is_uncertain = isinstance(error, NoAnswer)
         self.log.info(
             "cancel failed",
-            extra={"job": job, "why": repr(reply.failure()), "unsure": uncertain},
+            extra={"job": job, "why": repr(error), "unsure": is_uncertain},
         )
-        return UNKNOWN if uncertain else NOT_RUN
+        if is_uncertain:
+            return UNKNOWN
+        window = window_in_silence(self.silence.silent_for_s())
+        return Reply(Outcome.NOT_RUN, window=window, why=f"cancel: {error.detail}")
+
+    # Waiting jobs --------------------------------------------------------------
 
     async def waiting(self, policy):
         """Return the number of jobs of a queue that wait for their first start."""
@@ -468,10 +536,6 @@
         return Reply(Outcome.DONE, count=count)
 
 
-def _is_unanswered(reply):
-    return isinstance(reply, Failure) and isinstance(reply.failure(), NoAnswer)
-
-
 async def _limit_time(request):
     """Await a reply for a limited time; return an unknown outcome after that."""
     try:
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -15,6 +15,7 @@
 from fuchsiascale.jobs._full_kinds import FullKinds
 from fuchsiascale.jobs._inventories import apply_inventory
 from fuchsiascale.jobs._model import JobState, split_task
+from fuchsiascale.jobs._pending_cancels import PendingCancels
 from fuchsiascale.jobs._ports import RefusedReason
 from fuchsiascale.jobs._run_state import (
     Attempt,
@@ -94,7 +95,7 @@
         self.jobs = {}
         self.finished = {}
         self.workers = {}
-        self.pending_cancels = set()
+        self.pending_cancels = PendingCancels()
         self.dirty = {}
         self.unstorable = {}
         self.commands = []
@@ -135,7 +136,7 @@
         job = self.jobs.get(job_id)
         if job is None:
             if job_id not in self.finished:
-                self.pending_cancels.add(job_id)
+                self.pending_cancels.add(job_id, now_s)
             return
         if job.state.final:
             return
--- a/fuchsiascale/jobs/tests/test_refusals.py
+++ b/fuchsiascale/jobs/tests/test_refusals.py
@@ -74,7 +74,10 @@
 
     def _write(self, row_key, value):
         self.version += 1
-        self.rows[row_key] = StoredRow(row_key, value, self.version)
+        if value is None:
+            self.rows.pop(row_key, None)
+        else:
+            self.rows[row_key] = StoredRow(row_key, value, self.version)
 
     def transact(self, expected, changes):
         """Apply all changes or none."""
@@ -117,7 +120,8 @@
             row
             for row_key, row in self.rows.items()
             if (row_key.table, row_key.partition) == (table, partition)
-            and first <= row_key.key < last
+            and first <= row_key.key
+            and (not last or row_key.key < last)
         ]
         return Success(VersionedRows(tuple(rows), self.version))
 
@@ -149,6 +153,7 @@
         }
         self.waiting = {}
         self.cancelled = []
+        self.early_cancelled = []
 
     def view(self, service):
         return OwnerView(service, OWNER, self.versions[service])
@@ -165,6 +170,12 @@
     def notify_cancel(self, service, job):
         self.cancelled.append((service, job))
 
+    def notify_early_cancels(self, jobs):
+        self.early_cancelled += jobs
+
+    def members(self):
+        return []
+
     async def ask_state(self, service, job):
         return None
 
--- a/fuchsiascale/jobs/tests/test_request_handler.py
+++ b/fuchsiascale/jobs/tests/test_request_handler.py
@@ -56,6 +56,9 @@
     def other_services(self, service):
         return ()
 
+    def members(self):
+        return []
+
     async def ask_state(self, service, job):
         return None
 
--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -144,7 +144,7 @@
 def test_the_simulation_finds_owners_that_do_not_confirm_their_ownership():
     # Such an owner, cut off, restarts what its successor runs on.
     with mock.patch.object(Owner, "_apply_confirmation", conclude_without_confirmation):
-        rules = {each.rule for each in play(2).breaks}
+        rules = {each.rule for each in play(9).breaks}
     assert {Rule.TWICE_AT_ONCE, Rule.TWICE_AFTER_DONE} <= rules
 
 
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -150,6 +150,16 @@
             "Rows that the store rejected for their form or size.",
             labels=["service"],
         )
+        cancels = GaugeMetricFamily(
+            f"{PREFIX}_pending_cancels",
+            "Cancelled jobs that are not stored and may still be.",
+            labels=["service"],
+        )
+        cancel_rows = GaugeMetricFamily(
+            f"{PREFIX}_early_cancel_rows",
+            "Rows of the store that hold such cancellations.",
+            labels=["service"],
+        )
         rounds = SummaryMetricFamily(
             f"{PREFIX}_round_duration_seconds",
             "Duration of the scheduling rounds.",
@@ -186,6 +196,8 @@
             waits.add_metric([service], self._ownership.loads.find_longest_s(service))
             relays.add_metric([service], owner.workers.count_channels())
             rejected.add_metric([service], owner.recorder.rejected_rows)
+            cancels.add_metric([service], len(shard.pending_cancels))
+            cancel_rows.add_metric([service], shard.pending_cancels.count_rows())
             rounds.add_metric([service], owner.round_count, owner.round_seconds)
             tokens.add_metric([service], shard.token)
             for state, count in shard.count_states().items():
@@ -195,7 +207,7 @@
             quiet = sum(worker.silent for worker in shard.workers.values())
             silent.add_metric([service], quiet)
         yield from (tokens, jobs, silent, events, relays, rejected, rounds)
-        yield from (evacuated, waits, slowed, used)
+        yield from (evacuated, waits, slowed, used, cancels, cancel_rows)
 
     def _collect_refusals(self):
         """Yield the metrics of a silent store and of submissions not accepted."""
--- a/fuchsiascale/node/tests/test_takeover.py
+++ b/fuchsiascale/node/tests/test_takeover.py
@@ -259,6 +259,57 @@
         await wait_for_state(entry, JobState.CANCELLED)
 
 
+def hold_commits(instance, released):
+    """Hold the commits of an instance back until an event."""
+    commit = instance.direct.commit
+
+    async def hold(*arguments):
+        await released.wait()
+        return await commit(*arguments)
+
+    instance.direct.commit = hold
+
+
+async def cancel_before_submission_is_stored(deployment):
+    """Submit a job, cancel it elsewhere, then let it be stored; return the entry."""
+    released = asyncio.Event()
+    owner = deployment.find_owner()
+    entry, other = deployment.others(owner)
+    hold_commits(entry, released)
+    spec = make_spec(count=3, lasting=True)
+    submission = asyncio.create_task(entry.request_handler.submit(POLICY, JOB, spec))
+    await asyncio.sleep(POLL_S)
+    reply = await other.request_handler.cancel(SERVICE, JOB)
+    assert reply.outcome is Outcome.ABSENT
+    released.set()
+    assert (await submission).outcome is Outcome.DONE
+    return entry
+
+
+async def test_a_job_cancelled_before_its_submission_is_stored_does_not_run():
+    """A caller left, was told that there is no such job, and the job ran on."""
+    async with Deployment(instances=3) as deployment:
+        await wait_until(deployment.find_owner, "an owner")
+        entry = await cancel_before_submission_is_stored(deployment)
+        await wait_for_state(entry, JobState.CANCELLED)
+        await wait_until(lambda: not deployment.running(), "stops")
+
+
+async def test_the_next_owner_cancels_a_job_that_was_cancelled_before_it_was_stored():
+    """The owner that was told of the cancel ends before the job is submitted."""
+    async with Deployment(instances=3) as deployment:
+        await wait_until(deployment.find_owner, "an owner")
+        first = deployment.find_owner()
+        entry, other = deployment.others(first)
+        reply = await other.request_handler.cancel(SERVICE, JOB)
+        assert reply.outcome is Outcome.ABSENT
+        await deployment.kill(first)
+        await wait_until(deployment.find_owner, "another owner")
+        await submit(entry, make_spec(lasting=True))
+        await wait_for_state(entry, JobState.CANCELLED)
+        assert not deployment.running()
+
+
 async def test_an_unanswered_start_that_takes_effect_late_runs_once():
     async with Deployment(instances=1, workers=1) as deployment:
         await wait_until(deployment.find_owner, "an owner")
