Delete the rows of withdrawn submissions once no late write can come

Operators saw: each submission whose write had no answer and was withdrawn left a row for good. Every owner read all of them when it loaded, and nothing ever removed one.

Cause: the row has to outlast the late write that it blocks, and no part of the code took it for its task to remove it after that.

The owner now keeps withdrawn rows in mind like those of early cancellations, and deletes them after the same 60 s, on condition of the version that it knows: a submission that has taken the row's place keeps it. Rows of earlier owners are found when a service is loaded.

test_rows_of_withdrawn_submissions_are_deleted_after_their_retention failed before (the row was still stored); it also submits the job anew before the deletion.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -321,24 +321,31 @@
             if row.version > self.version:
                 self.relinquish("the owner row has changed")
         elif row.deleted:
-            return
+            self.shard.withdrawn_rows.forget(row.place)
         elif key.endswith(CANCEL_SUFFIX):
             self.shard.cancel_job(key.removesuffix(CANCEL_SUFFIX), now_s)
         else:
             accepted = decode_row(row.value, AcceptedRow)
-            if accepted is not None and accepted.record is not None:
-                self._add_stored_job(accepted, now_s, wall_ms, progress)
+            if accepted is not None:
+                self._apply_accepted(row, accepted, now_s, wall_ms, progress)
+
+    def _apply_accepted(self, row, accepted, now_s, wall_ms, progress):
+        """Apply the row of an accepted job, or of a withdrawn submission."""
+        if accepted.record is None:
+            self.shard.withdrawn_rows.note(row, now_s)
+        else:
+            self.shard.withdrawn_rows.forget(row.place)
+            self._add_stored_job(accepted, now_s, wall_ms, progress)
 
     def _apply_early_cancels(self, row, now_s):
-        pending = self.shard.pending_cancels
         if row.deleted:
-            pending.forget_row(row.place)
+            self.shard.early_cancel_rows.forget(row.place)
             return
         cancels = decode_row(row.value, EarlyCancelsRow)
         if cancels is None:
             self.log.error("malformed row", extra={"row": row.place.key})
             return
-        pending.note_row(row.place, row.version, cancels.jobs, now_s)
+        self.shard.early_cancel_rows.note(row, now_s, cancels.jobs)
         for job in cancels.jobs:
             self.shard.cancel_job(job, now_s)
 
@@ -532,7 +539,7 @@
             elapsed_s = self.clock.monotonic() - started_s
             await asyncio.sleep(max(0.0, FEED_POLL_INTERVAL_S - elapsed_s))
             await self._forget_finished()
-            await self._expire_early_cancels()
+            await self._delete_expired_rows()
 
     def _apply_changes(self, changes, asked_s):
         now_s, wall_ms = self.clock.monotonic(), self.clock.wall_ms()
@@ -561,10 +568,13 @@
         if old:
             await self.recorder.delete_finished(old)
 
-    async def _expire_early_cancels(self):
-        """Drop early cancellations whose jobs can't arrive any more."""
-        pending, now_s = self.shard.pending_cancels, self.clock.monotonic()
-        pending.expire(now_s)
-        expired = pending.list_expired_rows(now_s, self.shard.jobs)
+    async def _delete_expired_rows(self):
+        """Drop what concerns submissions that can't arrive any more."""
+        now_s = self.clock.monotonic()
+        self.shard.pending_cancels.expire(now_s)
+        expired = self.shard.early_cancel_rows.list_expired(now_s, self.shard.jobs)
+        for row_key in await self.recorder.delete_rows(expired):
+            self.shard.early_cancel_rows.forget(row_key)
+        expired = self.shard.withdrawn_rows.list_expired(now_s)
         for row_key in await self.recorder.delete_rows(expired):
-            pending.forget_row(row_key)
+            self.shard.withdrawn_rows.forget(row_key)
--- a/fuchsiascale/jobs/_pending_cancels.py
+++ b/fuchsiascale/jobs/_pending_cancels.py
@@ -1,36 +1,15 @@
-"""Cancellations that an owner knows of before their jobs, and when these are dropped.
+"""Cancelled jobs that an owner doesn't know, as they may still arrive."""
 
-The load: a caller that leaves before the answer cancels its job while the submission
-is still on its way to the store, and any caller may cancel ids that nobody submits.
-Each id is kept until no late write and no repeated request can bring its job any more.
-"""
+from fuchsiascale.jobs._expiring_rows import RETENTION_S
 
-import msgspec
-
-from fuchsiascale.ids import JobId
-from fuchsiascale.jobs._ports import Expect
-
-__all__ = ["RETENTION_S", "PendingCancels"]
-
-RETENTION_S = 60.0
-"""Time for which a cancellation waits for its job. A caller repeats a submission within
-30 s, and the store carries writes out up to some seconds late."""
-
-
-class _Row(msgspec.Struct, frozen=True):
-    """A stored row of early cancellations, and when this owner first saw it."""
-
-    version: int
-    jobs: tuple[JobId, ...]
-    seen_s: float
+__all__ = ["PendingCancels"]
 
 
 class PendingCancels:
-    """Cancelled jobs that an owner doesn't know, and the rows that hold them."""
+    """Cancellations that wait for their jobs, as long as their rows are stored."""
 
     def __init__(self):
         self._seen_s = {}
-        self._rows = {}
 
     def __contains__(self, job):
         return job in self._seen_s
@@ -44,15 +23,6 @@
         self._seen_s.pop(job, None)
         self._seen_s[job] = now_s
 
-    def note_row(self, row_key, version, jobs, now_s):
-        """Note a stored row of early cancellations."""
-        if row_key not in self._rows:
-            self._rows[row_key] = _Row(version, jobs, now_s)
-
-    def forget_row(self, row_key):
-        """Forget a row that is no longer stored."""
-        self._rows.pop(row_key, None)
-
     def expire(self, now_s):
         """Drop the jobs that were cancelled too long ago to be still submitted."""
         expired = []
@@ -62,30 +32,3 @@
             expired.append(job)
         for job in expired:
             del self._seen_s[job]
-
-    def list_expired_rows(self, now_s, unrecorded):
-        """Return the rows that may be deleted, with the versions that they have.
-
-        Parameters
-        ----------
-        now_s : float
-            Monotonic time in seconds.
-        unrecorded : container of JobId
-            Jobs whose final state is not recorded. A successor could not know that
-            these were cancelled without their rows.
-
-        Returns
-        -------
-        list of Expect
-            One condition for each row.
-        """
-        return [
-            Expect(row_key, row.version)
-            for row_key, row in self._rows.items()
-            if now_s - row.seen_s >= RETENTION_S
-            and not any(job in unrecorded for job in row.jobs)
-        ]
-
-    def count_rows(self):
-        """Return the number of stored rows."""
-        return len(self._rows)
--- a/fuchsiascale/jobs/_recorder.py
+++ b/fuchsiascale/jobs/_recorder.py
@@ -123,7 +123,13 @@
                 )
 
     async def delete_rows(self, conditions):
-        """Delete rows that have the versions given; return the keys of those gone."""
+        """Delete rows; return the keys of those that lack the versions given now.
+
+        Parameters
+        ----------
+        conditions : list of Expect
+            The rows, and the versions that they must have.
+        """
         gone = []
         # A transaction holds a condition and a removal for each row.
         size = MAX_ROWS // 2
@@ -134,9 +140,10 @@
             if isinstance(reply, Success):
                 gone += [each.place for each in batch]
             elif isinstance(reply.failure(), Conflict):
-                # The owner of another service deletes the same rows.
-                kept = {row.place for row in reply.failure().rows}
-                gone += [each.place for each in batch if each.place not in kept]
+                # Others delete early cancellations too, or store a withdrawn job anew.
+                rows = reply.failure().rows
+                unchanged = {Expect(row.place, row.version) for row in rows}
+                gone += [each.place for each in batch if each not in unchanged]
             else:
                 self.log.info(
                     "rows not deleted",
--- a/fuchsiascale/jobs/_shard.py
+++ b/fuchsiascale/jobs/_shard.py
@@ -12,6 +12,7 @@
 
 from fuchsiascale.decisions import PairInterference, RunTimes
 from fuchsiascale.jobs._commands import PaceCommand, StartCommand, StopCommand
+from fuchsiascale.jobs._expiring_rows import ExpiringRows
 from fuchsiascale.jobs._full_kinds import FullKinds
 from fuchsiascale.jobs._inventories import apply_inventory
 from fuchsiascale.jobs._model import JobState, split_task
@@ -96,6 +97,8 @@
         self.finished = {}
         self.workers = {}
         self.pending_cancels = PendingCancels()
+        self.early_cancel_rows = ExpiringRows()
+        self.withdrawn_rows = ExpiringRows()
         self.dirty = {}
         self.unstorable = {}
         self.commands = []
--- a/fuchsiascale/jobs/tests/test_early_cancels.py
+++ b/fuchsiascale/jobs/tests/test_early_cancels.py
@@ -23,6 +23,7 @@
     OwnerLimits,
     RelayedStore,
     RelayedWorkers,
+    StoredRow,
     WorkerListing,
     early_cancels_row_key,
     job_row_key,
@@ -33,7 +34,8 @@
     MAX_BATCH_JOBS,
     EarlyCancelWriter,
 )
-from fuchsiascale.jobs._pending_cancels import RETENTION_S, PendingCancels
+from fuchsiascale.jobs._expiring_rows import RETENTION_S, ExpiringRows
+from fuchsiascale.jobs._pending_cancels import PendingCancels
 from fuchsiascale.jobs._records import (
     ACCEPTED,
     EARLY_CANCELS,
@@ -240,7 +242,7 @@
         rows = RowsWrittenBetweenReads(partition)
         owner = await load_owner(rows)
         written = rows.rows[early_cancels_row_key("row")].version
-        is_loaded = owner.shard.pending_cancels.count_rows() == 1
+        is_loaded = len(owner.shard.early_cancel_rows) == 1
         assert is_loaded or owner.feed_version < written, partition
 
 
@@ -252,13 +254,13 @@
     await make_handler(rows).cancel(SERVICE, JOB)
     owners = [await load_owner(rows, service, clock) for service in SERVICES]
     clock.advance(RETENTION_S - 1.0)
-    await owners[0]._expire_early_cancels()
+    await owners[0]._delete_expired_rows()
     assert list_early_rows(rows)
     clock.advance(2.0)
     for owner in owners:
-        await owner._expire_early_cancels()
-        pending = owner.shard.pending_cancels
-        assert (len(pending), pending.count_rows()) == (0, 0)
+        await owner._delete_expired_rows()
+        assert not len(owner.shard.pending_cancels)
+        assert not len(owner.shard.early_cancel_rows)
     assert not list_early_rows(rows)
 
 
@@ -270,10 +272,10 @@
     await handler.submit(POLICY, JOB, SPEC)
     owner = await load_owner(rows, clock=clock)
     clock.advance(RETENTION_S + 1.0)
-    await owner._expire_early_cancels()
+    await owner._delete_expired_rows()
     assert list_early_rows(rows)
     assert await owner.recorder.flush()
-    await owner._expire_early_cancels()
+    await owner._delete_expired_rows()
     assert not list_early_rows(rows)
     assert await find_runnable(rows) == []
 
@@ -284,22 +286,50 @@
     owner = await load_owner(rows, clock=clock)
     clock.advance(RETENTION_S + 1.0)
     rows.fates = [Fate.REFUSED]
-    await owner._expire_early_cancels()
-    assert owner.shard.pending_cancels.count_rows() == 1
-    await owner._expire_early_cancels()
+    await owner._delete_expired_rows()
+    assert len(owner.shard.early_cancel_rows) == 1
+    await owner._delete_expired_rows()
     assert not list_early_rows(rows)
 
 
 def test_a_repeated_cancel_is_kept_for_longer():
-    pending, row_key = PendingCancels(), early_cancels_row_key("row")
+    pending = PendingCancels()
     pending.add(JOB, 0.0)
     pending.add(OTHER_JOB, 1.0)
     pending.add(JOB, 30.0)
-    pending.note_row(row_key, 7, (JOB,), 0.0)
     pending.expire(RETENTION_S + 1.0)
     assert (JOB in pending, OTHER_JOB in pending) == (True, False)
-    assert pending.list_expired_rows(RETENTION_S, {JOB: None}) == []
-    assert pending.list_expired_rows(RETENTION_S, {}) == [Expect(row_key, 7)]
+
+
+def test_rows_of_unrecorded_jobs_and_newer_versions_do_not_expire():
+    rows, row_key = ExpiringRows(), early_cancels_row_key("row")
+    rows.note(StoredRow(row_key, b"", 7), 0.0, (JOB,))
+    assert rows.list_expired(RETENTION_S, {JOB: None}) == []
+    assert rows.list_expired(RETENTION_S) == [Expect(row_key, 7)]
+    rows.note(StoredRow(row_key, b"", 7), 9.0, (JOB,))
+    assert rows.list_expired(RETENTION_S) == [Expect(row_key, 7)]
+    rows.note(StoredRow(row_key, b"", 8), 9.0, (JOB,))
+    assert rows.list_expired(RETENTION_S) == []
+
+
+async def test_rows_of_withdrawn_submissions_are_deleted_after_their_retention():
+    """Guards against rows of refused submissions that nobody ever removed."""
+    row_key = job_row_key(ACCEPTED, SERVICE, JOB)
+    for submits_again in (False, True):
+        rows, clock = FaultyRows([Fate.LATE]), ManualClock(100.0)
+        handler = make_handler(rows)
+        assert (await handler.submit(POLICY, JOB, SPEC)).outcome is Outcome.NOT_RUN
+        owner = await load_owner(rows, clock=clock)
+        clock.advance(RETENTION_S - 1.0)
+        await owner._delete_expired_rows()
+        assert row_key in rows.rows
+        if submits_again:
+            await handler.submit(POLICY, JOB, SPEC)
+        clock.advance(2.0)
+        await owner._delete_expired_rows()
+        assert not len(owner.shard.withdrawn_rows)
+        assert rows.stored() is submits_again
+        assert (row_key in rows.rows) is submits_again
 
 
 class CountingRows:
--- a/fuchsiascale/node/_metrics.py
+++ b/fuchsiascale/node/_metrics.py
@@ -160,6 +160,11 @@
             "Rows of the store that hold such cancellations.",
             labels=["service"],
         )
+        withdrawn = GaugeMetricFamily(
+            f"{PREFIX}_withdrawn_rows",
+            "Rows of the store that block late writes of refused submissions.",
+            labels=["service"],
+        )
         rounds = SummaryMetricFamily(
             f"{PREFIX}_round_duration_seconds",
             "Duration of the scheduling rounds.",
@@ -196,8 +201,9 @@
             waits.add_metric([service], self._ownership.loads.find_longest_s(service))
             relays.add_metric([service], owner.workers.count_channels())
             rejected.add_metric([service], owner.recorder.rejected_rows)
+            withdrawn.add_metric([service], len(shard.withdrawn_rows))
             cancels.add_metric([service], len(shard.pending_cancels))
-            cancel_rows.add_metric([service], shard.pending_cancels.count_rows())
+            cancel_rows.add_metric([service], len(shard.early_cancel_rows))
             rounds.add_metric([service], owner.round_count, owner.round_seconds)
             tokens.add_metric([service], shard.token)
             for state, count in shard.count_states().items():
@@ -207,7 +213,8 @@
             quiet = sum(worker.silent for worker in shard.workers.values())
             silent.add_metric([service], quiet)
         yield from (tokens, jobs, silent, events, relays, rejected, rounds)
-        yield from (evacuated, waits, slowed, used, cancels, cancel_rows)
+        yield from (evacuated, waits, slowed, used)
+        yield from (cancels, cancel_rows, withdrawn)
 
     def _collect_refusals(self):
         """Yield the metrics of a silent store and of submissions not accepted."""
