Plan a round after a cancel only if its job is known

An early cancellation of a job that is not known changes no task, but each notice requested a round and a record: up to 100 a second while callers cancel unknown ids.

--- a/fuchsiascale/jobs/_owner.py
+++ b/fuchsiascale/jobs/_owner.py
@@ -410,12 +410,14 @@
             self.request_round()
 
     def cancel_jobs(self, jobs):
-        """Apply stored cancellations."""
+        """Apply stored cancellations; jobs that are not known may still arrive."""
         now_s = self.clock.monotonic()
+        is_any_known = any(job in self.shard.jobs for job in jobs)
         for job in jobs:
             self.shard.cancel_job(job, now_s)
-        self.request_round()
-        self.recorder.flush_requested.set()
+        if is_any_known:
+            self.request_round()
+            self.recorder.flush_requested.set()
 
     def count_waiting(self):
         """Return the number of unstarted jobs by queue; None until loaded."""
