Let callers of the simulation and the soak leave and cancel elsewhere

The checks passed over cancels that come before their jobs: no caller left before the answer to its submission, and the soak took 410 as the end of a cancel but counted only 2xx as cancelled. A job whose cancel was acknowledged with either must not run on.

In the soak a part of the callers leaves, drawn by a source of its own, so that earlier seeds have the load that they had beside; the pattern `slow_stores`, from seed 1,100 on, slows the store down meanwhile.

A test states what `fuchsiascaled` answers: a cancel of a job that it doesn't know is not acknowledged, and changes nothing.

--- a/fuchsiascale/daemon/tests/test_shard_manager.py
+++ b/fuchsiascale/daemon/tests/test_shard_manager.py
@@ -233,6 +233,16 @@
     assert not deployment.tables.rows
 
 
+async def test_a_cancel_of_a_job_that_is_not_stored_yet_is_not_acknowledged(deployment):
+    """Guards against a success that would not stop the job once it is stored."""
+    early = await cancel_job("tune", deployment.ports)
+    assert isinstance(early.failure(), JobNotFound)
+    await submit_job(build_spec(tasks=2, run_ms=60_000), deployment.ports)
+    assert isinstance(await cancel_job("tune", deployment.ports), Success)
+    await deployment.run(3)
+    assert not deployment.worker("w1").list_running()
+
+
 async def test_a_cancelled_job_stops_and_runs_no_more(deployment):
     await submit_job(build_spec(tasks=12, run_ms=60_000), deployment.ports)
     await deployment.run(2)
--- a/fuchsiascale/jobs/tests/_simulation.py
+++ b/fuchsiascale/jobs/tests/_simulation.py
@@ -56,6 +56,10 @@
 """Time after the faults in which jobs may end; final states are kept for 150 s."""
 CALLER_TIMEOUT_S = 3.0
 CALLER_TRIES = 3
+LEAVE_AFTER_S = (0.0, 0.005, 0.02, 0.1, 0.5)
+"""Times after which callers leave and cancel; a submission takes 0.02 s, and 2 s at a
+slow store."""
+LEAVE_PERIOD_S = 2.0
 LOST_ANSWERS = 0.03
 """Share of the answers to callers that are lost."""
 
@@ -77,11 +81,14 @@
     relays : bool
         Whether owners call workers through peers, some faults hit these peers, and
         workers leave and join.
+    leaves : bool
+        Whether callers of jobs that last leave before the answer and cancel elsewhere.
     """
 
     service = "pool"
 
-    def __init__(self, seed, evacuates, restarts, returns, relays):
+    def __init__(self, seed, evacuates, restarts, returns, relays, leaves):
+        self.leaves = leaves
         self.seed = seed
         self.evacuates = evacuates
         self.restarts = restarts
@@ -105,6 +112,7 @@
         self.domains = {}
         self.accepted = set()
         self.cancelled = set()
+        self.cancel_acknowledged = set()
         self._starts = 0
         self._processes = []
         self._tasks = []
@@ -247,6 +255,48 @@
             if reply is not None and reply.outcome is not Outcome.UNKNOWN:
                 return
 
+    async def _leave(self, job):
+        """Submit a job, leave, cancel it at some instance, and perhaps submit it again.
+
+        The submission goes on at its instance, as it does where a caller has left.
+        """
+        spec, policy = self.record.specs[job]
+        running = list(self.instances.values())
+        if running:
+            instance = self.rng.choice(running)
+            instance.process.spawn(instance.request_handler.submit(policy, job, spec))
+        await asyncio.sleep(self.rng.choice(LEAVE_AFTER_S))
+        for _ in range(CALLER_TRIES):
+            reply = await self._ask(lambda handler: handler.cancel(self.service, job))
+            if reply is not None and reply.outcome in (Outcome.DONE, Outcome.ABSENT):
+                self.cancel_acknowledged.add(job)
+                self.record.note(f"{job} is cancelled: {reply.outcome.value}")
+                break
+        if self.rng.random() < 0.3:
+            await asyncio.sleep(self.rng.uniform(0.0, 3.0))
+            await self._ask(lambda handler: handler.submit(policy, job, spec))
+
+    async def _hand_in_and_leave(self, until_s):
+        number = 0
+        while self.clock.monotonic() < until_s:
+            number += 1
+            job = f"1{number:015x}"
+            step = StepSpec(count=2, need=Resources(cpu_millis=100), lasting=True)
+            self.record.specs[job] = (
+                JobSpec(payload="lasting", steps=(step,)),
+                QueuePolicy(queue="q", service=self.service),
+            )
+            self.spawn(self._leave(job))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.8) * LEAVE_PERIOD_S)
+
+    def _check_cancelled(self):
+        """Report the runs that go on of jobs whose cancel was acknowledged."""
+        for job in sorted(self.cancel_acknowledged):
+            for index in range(self.record.specs[job][0].steps[0].count):
+                for run in self.record.list_runs(f"{job}.0.0.{index}"):
+                    if run.end_s is None:
+                        self.record.report(Rule.RUNS_ON, f"{run.task} on {run.worker}")
+
     async def _hand_in(self, until_s):
         number = 0
         while self.clock.monotonic() < until_s:
@@ -293,6 +343,8 @@
         until_s = self.rng.uniform(*QUIET_S) + FAULTY_S
         self._tasks.append(asyncio.create_task(self._hand_in(until_s)))
         self._tasks.append(asyncio.create_task(self._ask_states()))
+        if self.leaves:
+            self.spawn(self._hand_in_and_leave(until_s))
         await asyncio.sleep(until_s - FAULTY_S)
         if self.evacuates:
             operator = Operator(self, DOMAINS)
@@ -313,6 +365,7 @@
         self.network.faults.clear()
         self.network.usual = LinkFaults()
         await self._settle()
+        self._check_cancelled()
 
     async def _settle(self):
         """Wait until all jobs have ended, or nothing starts or ends any more."""
@@ -375,6 +428,7 @@
     restarts=False,
     returns=False,
     relays=False,
+    leaves=False,
 ):
     """Play the simulation of a seed.
 
@@ -394,6 +448,8 @@
     relays : bool, optional
         Whether owners call workers through peers, some faults hit these peers, and
         workers leave and join.
+    leaves : bool, optional
+        Whether callers of jobs that last leave before the answer and cancel elsewhere.
 
     Returns
     -------
@@ -405,7 +461,7 @@
     simulations = []
 
     async def run():
-        simulation = Simulation(seed, evacuates, restarts, returns, relays)
+        simulation = Simulation(seed, evacuates, restarts, returns, relays, leaves)
         simulations.append(simulation)
         handler = _LogHandler(simulation.record, log_level)
         with logbook.NullHandler().applicationbound(), handler.applicationbound():
--- a/fuchsiascale/jobs/tests/_simulation_record.py
+++ b/fuchsiascale/jobs/tests/_simulation_record.py
@@ -24,6 +24,7 @@
     ORDER = "ORDER: a start before the steps that it follows"
     BUDGET = "BUDGET: a start after the last allowed attempt"
     UNASKED = "UNASKED: a start with another checkpoint"
+    RUNS_ON = "UNASKED: a run goes on whose job's cancel was acknowledged"
     REFUSED = "REFUSED: a start of a job that was refused"
     MIXED = "MIXED: a job shown as completed before all its tasks were done"
     LOST = "LOST: an accepted job that is unknown or has not ended"
--- a/fuchsiascale/jobs/tests/play_takeovers.py
+++ b/fuchsiascale/jobs/tests/play_takeovers.py
@@ -54,12 +54,14 @@
     parser.add_argument("--restart", action="store_true", help="restart workers")
     parser.add_argument("--return", action="store_true", help="return in cut domains")
     parser.add_argument("--relay", action="store_true", help="relay calls to workers")
+    parser.add_argument("--leave", action="store_true", help="let callers leave")
     options = parser.parse_args()
     kinds = {
         "evacuates": options.evacuate,
         "restarts": options.restart,
         "returns": getattr(options, "return"),
         "relays": options.relay,
+        "leaves": options.leave,
     }
     if options.trace is not None:
         print_trace(options.trace, **kinds)
--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -9,7 +9,10 @@
 
 from unittest import mock
 
+from returns.result import Success
+
 from fuchsiascale.jobs import Absent, NoAnswer, Owner, RelayChannel, Shard
+from fuchsiascale.jobs._cancellations import EarlyCancelWriter
 from fuchsiascale.jobs._conclusions import confirm_owner
 from fuchsiascale.jobs.tests._simulation import play
 from fuchsiascale.jobs.tests._simulation_record import Rule
@@ -39,6 +42,9 @@
 EVACUATION_SEEDS = (*range(2_000, 2_005), 37, 97)
 """Seeds with evacuations. The last two break the bound if a read of the evacuations
 counts for ever and starts grant whole leases."""
+LEAVE_SEEDS = range(3)
+"""Seeds with callers that leave and cancel. Each broke a rule while a cancel of a job
+that was not stored yet left nothing behind."""
 RELAY_SEEDS = range(4_000, 4_004)
 RELAY_RESTART_SEEDS = range(4_100, 4_103)
 """Seeds with calls through peers, without and with workers that start again."""
@@ -60,6 +66,11 @@
     raise LookupError("test")
 
 
+async def store_nothing(writer, job):
+    """Acknowledge an early cancellation without a row, as before commit bd5deba."""
+    return Success(None)
+
+
 def conclude_without_confirmation(owner, now_s):
     """Take the owner for confirmed at any time, as before commit 77f2a12."""
     confirm_owner(owner.shard, now_s)
@@ -94,6 +105,17 @@
         assert play(seed, returns=True).breaks == [], seed
 
 
+def test_no_job_runs_on_whose_cancel_was_acknowledged_while_it_was_being_stored():
+    for seed in LEAVE_SEEDS:
+        assert play(seed, leaves=True).breaks == [], seed
+
+
+def test_the_simulation_finds_cancels_of_unknown_jobs_that_are_not_stored():
+    with mock.patch.object(EarlyCancelWriter, "write", store_nothing):
+        rules = {each.rule for each in play(0, leaves=True).breaks}
+    assert Rule.RUNS_ON in rules
+
+
 def test_no_rule_is_broken_when_peers_that_relay_calls_fail():
     for seed in RELAY_SEEDS:
         record = play(seed, relays=True)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -5,10 +5,18 @@
 
 from review.harness import find_repeated_runs
 
-__all__ = ["Evacuation", "Job", "check_all", "check_evacuations"]
+__all__ = [
+    "CANCEL_ACKNOWLEDGEMENTS",
+    "Evacuation",
+    "Job",
+    "check_all",
+    "check_evacuations",
+]
 
 REJECTIONS = (404, 429, 503)
 """Statuses that say that a job was not accepted and never runs."""
+CANCEL_ACKNOWLEDGEMENTS = (200, 202, 204, 410)
+"""Statuses after which nobody cancels a job again; 410 says that there is none."""
 HELD_S = 9.0
 """Longest time for which the relay holds a request, and a margin."""
 
@@ -50,8 +58,8 @@
 
     @property
     def cancelled(self):
-        """Whether an attempt to cancel it was answered with success."""
-        return any(status and 200 <= status < 300 for status in self.cancels)
+        """Whether an attempt to cancel it was acknowledged."""
+        return any(status in CANCEL_ACKNOWLEDGEMENTS for status in self.cancels)
 
 
 @dataclass
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -1,8 +1,9 @@
 """Load of a play: jobs that callers hand in, again elsewhere, ask for and cancel."""
 
 import asyncio
+import contextlib
 
-from soak._checks import Job
+from soak._checks import CANCEL_ACKNOWLEDGEMENTS, Job
 
 __all__ = ["LONG_RUNS_MS", "RUNS_MS", "Load"]
 
@@ -14,6 +15,10 @@
 """Number of jobs that are handed in at the start, 0.1 s apart."""
 LASTING_JOB_PERIOD = 25
 """One job of this many runs until it is cancelled; so does the third one."""
+LEAVING_SHARE = 0.3
+"""Callers that leave before the answer and cancel elsewhere, for each that stays."""
+LEAVE_AFTER_S = (0.0, 0.003, 0.01, 0.03, 0.1, 0.3)
+"""Times after which they leave; a submission takes 10 ms, and 2 s at a slow store."""
 FINAL_TIMEOUT_S = 14.0
 """Time after the play in which the state of a job has to be told."""
 RETRIED = (None, 502, 504)
@@ -34,9 +39,13 @@
         Returns the time of the record.
     runs_ms : tuple of int
         Run times of tasks, in milliseconds.
+    leaving_rng : random.Random, optional
+        Draws the callers that leave; without it, none does. It is another one than
+        ``rng``, so that earlier seeds draw the jobs that they always did.
     """
 
-    def __init__(self, client, nodes, rng, now_s, runs_ms=RUNS_MS):
+    def __init__(self, client, nodes, rng, now_s, runs_ms=RUNS_MS, leaving_rng=None):
+        self._leaving_rng = leaving_rng
         self.jobs = {}
         self._client = client
         self._nodes = nodes
@@ -55,6 +64,10 @@
                     job = self._draw_job(number)
                     self.jobs[job.name] = job
                     group.create_task(self._follow(job))
+                    if self._is_next_leaving():
+                        leaving = self._draw_leaving_job(number)
+                        self.jobs[leaving.name] = leaving
+                        group.create_task(self._leave(leaving))
                     is_first = number < FIRST_JOBS
                     await asyncio.sleep(0.1 if is_first else rng.uniform(0.3, 1.4))
             finally:
@@ -76,6 +89,28 @@
             steps.append({**later, "after": [after]} if rng.random() < 0.7 else later)
         return Job(name, path, spec, steps)
 
+    def _is_next_leaving(self):
+        rng = self._leaving_rng
+        return rng is not None and rng.random() < LEAVING_SHARE
+
+    def _draw_leaving_job(self, number):
+        """Return a job that runs on unless it is cancelled."""
+        name = f"1{number:015x}"
+        count = self._leaving_rng.randint(1, 2)
+        steps = [{"count": count, "cpu": 500, "mem_mb": 10, "long_running": True}]
+        return Job(name, f"/q/{name}", "lasts run_ms=60000", steps)
+
+    async def _leave(self, job):
+        """Hand a job in, leave before the answer, and cancel it; perhaps repeat it."""
+        rng = self._leaving_rng
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(rng.choice(LEAVE_AFTER_S)):
+                await self._send(job)
+        await self._cancel(job)
+        if job.cancelled and rng.random() < 0.3:
+            await asyncio.sleep(rng.uniform(0, 2))
+            await self._send(job)
+
     async def _follow(self, job):
         rng = self._rng
         await self._submit(job)
@@ -114,7 +149,7 @@
             job.cancels.append(None)
             node = self._rng.choice(self._nodes)
             job.cancels[-1] = await self._client.cancel(node, job.path)
-            if job.cancels[-1] in (200, 202, 204, 410):
+            if job.cancels[-1] in CANCEL_ACKNOWLEDGEMENTS:
                 return
             await asyncio.sleep(0.5)
 
--- a/soak/_patterns.py
+++ b/soak/_patterns.py
@@ -146,6 +146,15 @@
         await asyncio.sleep(stage.rng.choice((0.5, 1.5, 3.0)))
 
 
+@pattern
+async def slow_stores(stage, group):
+    """Slow the store down in series while callers leave, beside other faults."""
+    group.create_task(_bring_faults(stage, group))
+    while True:
+        await _faults.slow_store(stage)
+        await asyncio.sleep(stage.rng.uniform(0.2, 2))
+
+
 async def _bring_faults(stage, group):
     while True:
         await asyncio.sleep(stage.rng.uniform(1, 4))
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -57,6 +57,7 @@
     "restarted_workers": 700,
     "returning_peers": 900,
     "relayed_calls": 900,
+    "slow_stores": 1_100,
 }
 """First seeds that may select patterns that were added later.
 
@@ -124,7 +125,8 @@
     nodes = Processes(site.address, network, folder, relay, record, link_mbps)
     stage = Stage(site, nodes, relay, random.Random(f"faults {seed}"), record)
     client, rng = Client(record), random.Random(f"load {seed}")
-    load = Load(client, nodes.all, rng, record.now_s, runs_ms)
+    leaving_rng = random.Random(f"leaving {seed}")
+    load = Load(client, nodes.all, rng, record.now_s, runs_ms, leaving_rng)
     try:
         await nodes.start()
         await nodes.find_owner("pool")
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -40,6 +40,14 @@
     return [each.partition(" ")[0] for each in breaks]
 
 
+def test_a_run_that_outlives_an_acknowledged_cancel_is_a_break():
+    """Guards against a checker that passes over cancels answered with 410."""
+    run = make_run(1, 1, None, how=None)
+    for status, kinds in ((200, ["UNASKED"]), (410, ["UNASKED"]), (504, []), (503, [])):
+        job = make_job(answers=[None], cancels=[None, status])
+        assert find_breaks(job, run) == kinds, status
+
+
 def test_two_runs_in_turn_after_a_failed_one_are_no_break():
     runs = make_run(1, 1.0, 2.0, how="lapsed"), make_run(2, 3.0, 4.0)
     assert find_breaks(make_job(), *runs, make_run(1, 4.5, 5.0, step=1)) == []
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -43,7 +43,10 @@
     names += ("restarted_workers",)
     assert tuple(select_pattern(seed) for seed in range(700, 707)) == names
     assert select_pattern(899) == "mixed"
-    later = {select_pattern(seed) for seed in range(900, 900 + len(PATTERNS))}
+    names += ("returning_peers", "relayed_calls")
+    assert tuple(select_pattern(seed) for seed in range(900, 909)) == names
+    assert select_pattern(1_099) == "takeovers"
+    later = {select_pattern(seed) for seed in range(1_100, 1_100 + len(PATTERNS))}
     assert later == set(PATTERNS)
 
 
