--- a/fuchsiascale/jobs/tests/test_takeover_simulation.py
+++ b/fuchsiascale/jobs/tests/test_takeover_simulation.py
@@ -67,7 +67,7 @@
 
 
 async def store_nothing(writer, job):
-    """Acknowledge an early cancellation without a row, as before commit bd5deba."""
+    """Acknowledge an early cancellation without storing it."""
     return Success(None)
 
 
